Foundations: settings, HTTP loop, records, log, ledger and peer RPC

Cause: every later part needs ids and units, settings, an HTTP loop, records, a durable log, the state machine on it and RPC between processes. Change: libraries base, http, records, replog (one voter), ledger and peers with their tests. Conclusion: the parts can be joined into the thin path.

--- /dev/null
+++ b/cmake/HyssopTargets.cmake
@@ -0,0 +1,28 @@
+# Helpers that keep each library's own CMakeLists.txt to a few lines.
+
+set(HYSSOP_WARNINGS -Wall -Wextra -Werror)
+
+# hyssop_library(NAME SOURCES ... DEPENDS ...): a library with include/NAME/ and its test program.
+function(hyssop_library NAME)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;TESTS" ${ARGN})
+    add_library(hyssop-${NAME} STATIC ${ARG_SOURCES})
+    target_include_directories(hyssop-${NAME} PUBLIC include PRIVATE src)
+    target_compile_options(hyssop-${NAME} PRIVATE ${HYSSOP_WARNINGS})
+    target_link_libraries(hyssop-${NAME} PUBLIC ${ARG_DEPENDS})
+    if(ARG_TESTS)
+        add_executable(test-${NAME} ${ARG_TESTS})
+        target_include_directories(test-${NAME} PRIVATE src)
+        target_compile_options(test-${NAME} PRIVATE ${HYSSOP_WARNINGS})
+        target_link_libraries(test-${NAME} PRIVATE hyssop-${NAME} hyssop-testmain rapidcheck)
+        add_test(NAME ${NAME} COMMAND test-${NAME})
+    endif()
+endfunction()
+
+# hyssop_program(NAME SOURCES ... DEPENDS ...): one of the binaries.
+function(hyssop_program NAME)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${NAME} ${ARG_SOURCES})
+    target_compile_options(${NAME} PRIVATE ${HYSSOP_WARNINGS})
+    target_link_libraries(${NAME} PRIVATE ${ARG_DEPENDS})
+    set_target_properties(${NAME} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
--- /dev/null
+++ b/libs/base/src/Units.cpp
@@ -0,0 +1,50 @@
+#include "base/Base.h"
+
+#include <fmt/format.h>
+#include <openssl/sha.h>
+
+#include <arpa/inet.h>
+#include <array>
+#include <charconv>
+
+namespace hyssop::base {
+
+TimePoint monotonicNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::string Endpoint::text() const
+{
+    return fmt::format("{}:{}", address, port);
+}
+
+std::optional<Endpoint> parseEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    Endpoint endpoint;
+    endpoint.address = std::string(text.substr(0, colon));
+    in_addr parsed {};
+    if (inet_pton(AF_INET, endpoint.address.c_str(), &parsed) != 1)
+        return std::nullopt;
+    const std::string_view digits = text.substr(colon + 1);
+    const auto [end, ec] = std::from_chars(digits.begin(), digits.end(), endpoint.port);
+    if (ec != std::errc() || end != digits.end())
+        return std::nullopt;
+    return endpoint;
+}
+
+std::string sha256Hex(std::string_view data)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
+    SHA256(reinterpret_cast<const unsigned char *>(data.data()), data.size(), digest.data());
+    std::string hex;
+    hex.reserve(digest.size() * 2);
+    for (const unsigned char byte : digest)
+        fmt::format_to(std::back_inserter(hex), "{:02x}", byte);
+    return hex;
+}
+
+} // namespace hyssop::base
--- /dev/null
+++ b/libs/http/src/LoopContext.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "http/Http.h"
+
+#include <libwebsockets.h>
+
+#include <atomic>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+
+namespace hyssop::http {
+
+/// One server-side exchange on a connection.
+struct Exchange
+{
+    ExchangeId id;
+    lws *wsi = nullptr;
+    ServerHandler *handler = nullptr;
+    Request request;
+    std::size_t maxBodyBytes = 0;
+    std::string out; ///< Body bytes not yet written.
+    std::string head; ///< Rendered status line and headers, written first.
+    bool isDelivered = false;
+    bool isEnded = false; ///< No more body bytes will be added.
+    bool closesAfter = false;
+    TimerId bodyTimer;
+};
+
+/// One client-side call.
+struct PendingCall
+{
+    CallId id;
+    lws *wsi = nullptr;
+    Call call;
+    CallHandler *handler = nullptr;
+    std::size_t bodySent = 0;
+    bool hasSent = false;
+    bool hasHead = false;
+    bool isComplete = false;
+    std::optional<std::size_t> expectedBytes; ///< From content-length.
+    bool isChunked = false;
+    std::size_t receivedBytes = 0;
+    TimerId connectTimer;
+    TimerId timer;
+};
+
+/// One address a Loop listens on.
+struct Listener
+{
+    ServerOptions options;
+    ServerHandler *handler = nullptr;
+    std::vector<std::string> headerNames; ///< With the trailing colon libwebsockets wants.
+};
+
+struct Timer;
+
+/// The library's timer entry with a way back to its owner.
+struct TimerEntry
+{
+    lws_sorted_usec_list_t sul {};
+    Timer *timer = nullptr;
+};
+
+struct Timer
+{
+    TimerEntry entry;
+    Loop::Context *context = nullptr;
+    TimerId id;
+    std::function<void()> action;
+};
+
+/// State of a Loop; touched by its own thread only, but for the mailbox and the stop flag.
+struct Loop::Context
+{
+    lws_context *lwsContext = nullptr;
+    lws_vhost *clientVhost = nullptr;
+    std::vector<std::unique_ptr<Listener>> listeners;
+    std::unordered_map<std::int64_t, std::unique_ptr<Exchange>> exchanges;
+    std::unordered_map<std::int64_t, std::unique_ptr<PendingCall>> calls;
+    std::unordered_map<std::int64_t, std::unique_ptr<Timer>> timers;
+    std::int64_t lastId = 0;
+    base::Mailbox<std::function<void()>> mailbox;
+    std::atomic<bool> isStopping = false;
+
+    TimerId startTimer(base::Millis delay, std::function<void()> action);
+    void stopTimer(TimerId id);
+    Exchange *exchange(ExchangeId id) const;
+    PendingCall *call(CallId id) const;
+};
+
+int serverCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, std::size_t len);
+int clientCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, std::size_t len);
+
+/// Ends a call with an error, once; \a context forgets it.
+void failCall(Loop::Context &context, CallId id, CallFailure failure);
+
+/// Bytes written to a socket at a time.
+inline constexpr std::size_t kWriteChunkBytes = 16 * 1024;
+inline constexpr std::size_t kMaxHeaderBytes = 8 * 1024;
+
+} // namespace hyssop::http
--- /dev/null
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -0,0 +1,250 @@
+/// State machine on the replicated log: records, claims, jobs and leases. Deterministic, no I/O.
+///
+/// Time inside the ledger is that of the log: milliseconds stamped on each command by the leader,
+/// never falling from one command to the next.
+#pragma once
+
+#include "base/Base.h"
+#include "records/Records.h"
+#include "replog/Replog.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hyssop::ledger {
+
+/// Process that holds a claim, a job or a lease.
+struct Owner
+{
+    base::HostId host;
+    base::Incarnation incarnation;
+
+    auto operator<=>(const Owner &other) const = default;
+};
+
+/// Changes a record by compare-and-set on its version.
+struct PutRecord
+{
+    std::string changeId;
+    records::Version replaces; ///< 0 when the record must be absent.
+    records::Record record;
+};
+
+/// Takes the right to dispatch a call that may not be repeated.
+struct Claim
+{
+    base::TeamId team;
+    std::string key;
+    std::string digest; ///< Of the request's target and body.
+    Owner owner;
+};
+
+/// Gives a claim back; allowed only to its owner, when nothing was sent.
+struct ReleaseClaim
+{
+    base::TeamId team;
+    std::string key;
+    Owner owner;
+};
+
+/// Answer of an upstream, kept for callers that ask again.
+struct Answer
+{
+    int status = 0;
+    std::string contentType;
+    std::string body;
+
+    bool operator==(const Answer &other) const = default;
+};
+
+struct FinishClaim
+{
+    base::TeamId team;
+    std::string key;
+    Owner owner;
+    std::optional<Answer> answer; ///< Empty: the outcome is unknown.
+};
+
+/// Marks every open claim of a dead owner as of unknown outcome and frees its jobs.
+struct RetireOwner
+{
+    Owner owner;
+};
+
+enum class JobState { Waiting, Running, Done, Failed };
+
+std::string_view jobStateName(JobState state);
+
+struct SubmitJob
+{
+    base::JobId id;
+    base::TeamId team;
+    std::string request; ///< JSON body of the completion.
+    base::Millis limit {0}; ///< Time from submission until the job fails as out of time.
+};
+
+struct TakeJob
+{
+    base::JobId id;
+    Owner owner;
+};
+
+struct FinishJob
+{
+    base::JobId id;
+    Owner owner;
+    JobState state = JobState::Done; ///< Waiting hands the job over; Done or Failed end it.
+    std::string result; ///< The answer, or the reason of the failure.
+};
+
+/// Takes or renews a lease by name.
+struct TakeLease
+{
+    std::string name;
+    Owner owner;
+    base::Millis duration {0};
+};
+
+using Command = std::variant<PutRecord, Claim, ReleaseClaim, FinishClaim, RetireOwner, SubmitJob,
+                             TakeJob, FinishJob, TakeLease>;
+
+enum class Status {
+    Accepted, ///< The command took effect, now or when it was first sent.
+    Conflict, ///< Another content, owner or digest stands there; \c Reply::current shows it.
+    Pending, ///< The claim is held and its outcome not yet known.
+    Answered, ///< The claim has ended; \c Reply::answer holds the outcome.
+    OutcomeUnknown, ///< The claim's owner died; the call may have run.
+    NotFound,
+    NotOwner,
+    Full, ///< A bound on stored items is reached.
+    Malformed,
+};
+
+std::string_view statusName(Status status);
+
+struct Reply
+{
+    Status status = Status::Accepted;
+    std::string message;
+    std::optional<records::Record> current; ///< Record in force, on a conflict.
+    std::optional<Answer> answer;
+    std::int64_t fencing = 0; ///< Of the lease taken.
+};
+
+struct Job
+{
+    base::JobId id;
+    base::TeamId team;
+    std::string request;
+    JobState state = JobState::Waiting;
+    Owner owner;
+    std::string result;
+    int attempts = 0; ///< How often it was taken.
+    std::int64_t submittedMs = 0; ///< Log time.
+    std::int64_t limitMs = 0;
+    std::int64_t endedMs = 0;
+};
+
+struct LedgerOptions
+{
+    std::size_t maxVerdicts = 20'000; ///< Change ids remembered.
+    std::size_t maxClaims = 200'000;
+    std::size_t maxJobs = 50'000;
+    base::Millis claimRetention {24LL * 3600 * 1000}; ///< Of ended claims, in log time.
+    base::Millis jobRetention {24LL * 3600 * 1000}; ///< Of ended jobs, in log time.
+};
+
+class Ledger
+{
+public:
+    explicit Ledger(LedgerOptions options = {});
+
+    /// Applies the command encoded in an entry of the log.
+    Reply apply(const replog::Entry &entry);
+
+    replog::Position position() const { return m_position; }
+    /// Position of the last change of a record.
+    replog::Position recordsPosition() const { return m_recordsPosition; }
+    std::vector<records::Record> records() const;
+    const records::Record *record(records::Kind kind, const std::string &name) const;
+    const Job *job(const base::JobId &id) const;
+    std::vector<const Job *> jobsOf(const base::TeamId &team) const;
+    std::vector<const Job *> jobsIn(JobState state) const;
+    std::size_t claimCount() const { return m_claims.size(); }
+    std::int64_t logTimeMs() const { return m_logTimeMs; }
+
+    /// Whole state as bytes, and back; restore() fails on bytes that snapshot() did not write.
+    std::string snapshot() const;
+    bool restore(const std::string &bytes);
+
+private:
+    struct RecordKey
+    {
+        records::Kind kind;
+        std::string name;
+        auto operator<=>(const RecordKey &other) const = default;
+    };
+    struct ClaimKey
+    {
+        base::TeamId team;
+        std::string key;
+        auto operator<=>(const ClaimKey &other) const = default;
+    };
+    enum class ClaimState { Held, Answered, Unknown };
+    struct ClaimEntry
+    {
+        std::string digest;
+        Owner owner;
+        ClaimState state = ClaimState::Held;
+        std::optional<Answer> answer;
+        std::int64_t endedMs = 0;
+    };
+    struct Lease
+    {
+        Owner owner;
+        std::int64_t untilMs = 0;
+        std::int64_t fencing = 0;
+    };
+
+    Reply run(const PutRecord &command);
+    Reply run(const Claim &command);
+    Reply run(const ReleaseClaim &command);
+    Reply run(const FinishClaim &command);
+    Reply run(const RetireOwner &command);
+    Reply run(const SubmitJob &command);
+    Reply run(const TakeJob &command);
+    Reply run(const FinishJob &command);
+    Reply run(const TakeLease &command);
+    void expire();
+    friend struct SnapshotCodec;
+
+    LedgerOptions m_options;
+    replog::Position m_position;
+    replog::Position m_recordsPosition;
+    std::int64_t m_logTimeMs = 0;
+    std::int64_t m_lastFencing = 0;
+    std::map<RecordKey, records::Record> m_records;
+    std::map<std::string, Reply> m_verdicts;
+    std::deque<std::string> m_verdictOrder;
+    std::map<ClaimKey, ClaimEntry> m_claims;
+    std::map<base::JobId, Job> m_jobs;
+    std::map<std::string, Lease> m_leases;
+};
+
+/// Encodes a command for the log, stamped with the leader's time.
+std::string encode(const Command &command, std::int64_t logTimeMs);
+struct StampedCommand
+{
+    Command command;
+    std::int64_t logTimeMs = 0;
+};
+std::optional<StampedCommand> decodeCommand(std::string_view bytes);
+
+std::string encode(const Reply &reply);
+std::optional<Reply> decodeReply(std::string_view bytes);
+
+} // namespace hyssop::ledger
--- /dev/null
+++ b/libs/ledger/src/Codec.cpp
@@ -0,0 +1,202 @@
+#include "JsonForms.h"
+
+namespace hyssop::ledger {
+
+using nlohmann::json;
+
+json toJson(const Owner &owner)
+{
+    return {{"host", owner.host.text()}, {"incarnation", owner.incarnation.count()}};
+}
+
+Owner ownerFrom(const json &j)
+{
+    return {base::HostId(j.at("host")), base::Incarnation(j.at("incarnation"))};
+}
+
+json toJson(const std::optional<Answer> &answer)
+{
+    if (!answer)
+        return nullptr;
+    return {{"status", answer->status}, {"type", answer->contentType}, {"body", answer->body}};
+}
+
+std::optional<Answer> answerFrom(const json &j)
+{
+    if (j.is_null())
+        return std::nullopt;
+    return Answer {j.at("status"), j.at("type"), j.at("body")};
+}
+
+json toJson(const Reply &reply)
+{
+    return {{"status", static_cast<int>(reply.status)},
+            {"message", reply.message},
+            {"current", reply.current ? json(records::toJson(*reply.current)) : json()},
+            {"answer", toJson(reply.answer)},
+            {"fencing", reply.fencing}};
+}
+
+Reply replyFrom(const json &j)
+{
+    Reply reply;
+    reply.status = static_cast<Status>(j.at("status").get<int>());
+    reply.message = j.at("message");
+    if (!j.at("current").is_null()) {
+        if (auto record = records::recordFromJson(j.at("current").get<std::string>()))
+            reply.current = *std::move(record);
+    }
+    reply.answer = answerFrom(j.at("answer"));
+    reply.fencing = j.at("fencing");
+    return reply;
+}
+
+std::string toBytes(const json &j)
+{
+    const std::vector<std::uint8_t> cbor = json::to_cbor(j);
+    return {reinterpret_cast<const char *>(cbor.data()), cbor.size()};
+}
+
+namespace {
+
+json form(const PutRecord &c)
+{
+    return {{"op", "put"},
+            {"change", c.changeId},
+            {"replaces", c.replaces.count()},
+            {"record", records::toJson(c.record)}};
+}
+
+json form(const Claim &c)
+{
+    return {{"op", "claim"},
+            {"team", c.team.text()},
+            {"key", c.key},
+            {"digest", c.digest},
+            {"owner", toJson(c.owner)}};
+}
+
+json form(const ReleaseClaim &c)
+{
+    return {{"op", "release"}, {"team", c.team.text()}, {"key", c.key}, {"owner", toJson(c.owner)}};
+}
+
+json form(const FinishClaim &c)
+{
+    return {{"op", "finish"},
+            {"team", c.team.text()},
+            {"key", c.key},
+            {"owner", toJson(c.owner)},
+            {"answer", toJson(c.answer)}};
+}
+
+json form(const RetireOwner &c)
+{
+    return {{"op", "retire"}, {"owner", toJson(c.owner)}};
+}
+
+json form(const SubmitJob &c)
+{
+    return {{"op", "submit"},
+            {"id", c.id.text()},
+            {"team", c.team.text()},
+            {"request", c.request},
+            {"limit", c.limit.count()}};
+}
+
+json form(const TakeJob &c)
+{
+    return {{"op", "take"}, {"id", c.id.text()}, {"owner", toJson(c.owner)}};
+}
+
+json form(const FinishJob &c)
+{
+    return {{"op", "end"},
+            {"id", c.id.text()},
+            {"owner", toJson(c.owner)},
+            {"state", static_cast<int>(c.state)},
+            {"result", c.result}};
+}
+
+json form(const TakeLease &c)
+{
+    return {{"op", "lease"},
+            {"name", c.name},
+            {"owner", toJson(c.owner)},
+            {"duration", c.duration.count()}};
+}
+
+std::optional<Command> commandFrom(const json &j)
+{
+    const std::string op = j.at("op");
+    if (op == "put") {
+        auto record = records::recordFromJson(j.at("record").get<std::string>());
+        if (!record)
+            return std::nullopt;
+        return PutRecord {j.at("change"), records::Version(j.at("replaces")), *std::move(record)};
+    }
+    if (op == "claim")
+        return Claim {base::TeamId(j.at("team")), j.at("key"), j.at("digest"),
+                      ownerFrom(j.at("owner"))};
+    if (op == "release")
+        return ReleaseClaim {base::TeamId(j.at("team")), j.at("key"), ownerFrom(j.at("owner"))};
+    if (op == "finish")
+        return FinishClaim {base::TeamId(j.at("team")), j.at("key"), ownerFrom(j.at("owner")),
+                            answerFrom(j.at("answer"))};
+    if (op == "retire")
+        return RetireOwner {ownerFrom(j.at("owner"))};
+    if (op == "submit")
+        return SubmitJob {base::JobId(j.at("id")), base::TeamId(j.at("team")), j.at("request"),
+                          base::Millis(j.at("limit"))};
+    if (op == "take")
+        return TakeJob {base::JobId(j.at("id")), ownerFrom(j.at("owner"))};
+    if (op == "end")
+        return FinishJob {base::JobId(j.at("id")), ownerFrom(j.at("owner")),
+                          static_cast<JobState>(j.at("state").get<int>()), j.at("result")};
+    if (op == "lease")
+        return TakeLease {j.at("name"), ownerFrom(j.at("owner")), base::Millis(j.at("duration"))};
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encode(const Command &command, std::int64_t logTimeMs)
+{
+    json j = std::visit([](const auto &c) { return form(c); }, command);
+    j["time"] = logTimeMs;
+    return toBytes(j);
+}
+
+std::optional<StampedCommand> decodeCommand(std::string_view bytes)
+{
+    const json j = json::from_cbor(bytes, true, false);
+    if (j.is_discarded())
+        return std::nullopt;
+    try {
+        auto command = commandFrom(j);
+        if (!command)
+            return std::nullopt;
+        return StampedCommand {*std::move(command), j.at("time")};
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::string encode(const Reply &reply)
+{
+    return toBytes(toJson(reply));
+}
+
+std::optional<Reply> decodeReply(std::string_view bytes)
+{
+    const json j = json::from_cbor(bytes, true, false);
+    if (j.is_discarded())
+        return std::nullopt;
+    try {
+        return replyFrom(j);
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace hyssop::ledger
--- /dev/null
+++ b/libs/ledger/src/JsonForms.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "ledger/Ledger.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hyssop::ledger {
+
+nlohmann::json toJson(const Owner &owner);
+Owner ownerFrom(const nlohmann::json &json);
+nlohmann::json toJson(const std::optional<Answer> &answer);
+std::optional<Answer> answerFrom(const nlohmann::json &json);
+nlohmann::json toJson(const Reply &reply);
+Reply replyFrom(const nlohmann::json &json);
+std::string toBytes(const nlohmann::json &json);
+
+} // namespace hyssop::ledger
--- /dev/null
+++ b/libs/ledger/src/Ledger.cpp
@@ -0,0 +1,296 @@
+#include "ledger/Ledger.h"
+
+namespace hyssop::ledger {
+
+namespace {
+
+Reply answer(Status status, std::string message = {})
+{
+    Reply reply;
+    reply.status = status;
+    reply.message = std::move(message);
+    return reply;
+}
+
+bool hasEnded(JobState state)
+{
+    return state == JobState::Done || state == JobState::Failed;
+}
+
+} // namespace
+
+std::string_view jobStateName(JobState state)
+{
+    switch (state) {
+    case JobState::Waiting:
+        return "waiting";
+    case JobState::Running:
+        return "running";
+    case JobState::Done:
+        return "done";
+    case JobState::Failed:
+        return "failed";
+    }
+    return "unknown";
+}
+
+std::string_view statusName(Status status)
+{
+    switch (status) {
+    case Status::Accepted:
+        return "accepted";
+    case Status::Conflict:
+        return "conflict";
+    case Status::Pending:
+        return "pending";
+    case Status::Answered:
+        return "answered";
+    case Status::OutcomeUnknown:
+        return "outcome_unknown";
+    case Status::NotFound:
+        return "not_found";
+    case Status::NotOwner:
+        return "not_owner";
+    case Status::Full:
+        return "full";
+    case Status::Malformed:
+        return "malformed";
+    }
+    return "unknown";
+}
+
+Ledger::Ledger(LedgerOptions options)
+    : m_options(options)
+{
+}
+
+Reply Ledger::apply(const replog::Entry &entry)
+{
+    m_position = entry.position;
+    if (entry.kind != replog::EntryKind::Command)
+        return answer(Status::Accepted);
+    const auto stamped = decodeCommand(entry.payload);
+    if (!stamped)
+        return answer(Status::Malformed);
+    m_logTimeMs = std::max(m_logTimeMs, stamped->logTimeMs);
+    expire();
+    return std::visit([this](const auto &command) { return run(command); }, stamped->command);
+}
+
+Reply Ledger::run(const PutRecord &command)
+{
+    if (const auto it = m_verdicts.find(command.changeId); it != m_verdicts.end())
+        return it->second;
+    const RecordKey key {command.record.kind, command.record.name};
+    const auto current = m_records.find(key);
+    const records::Version held
+            = current == m_records.end() ? records::Version() : current->second.version;
+    Reply reply;
+    if (current != m_records.end() && current->second == command.record) {
+        reply = answer(Status::Accepted, "already in force");
+    } else if (held != command.replaces || command.record.version <= held) {
+        reply = answer(Status::Conflict, "another version is in force");
+        if (current != m_records.end())
+            reply.current = current->second;
+    } else {
+        m_records[key] = command.record;
+        m_recordsPosition = m_position;
+    }
+    m_verdicts.emplace(command.changeId, reply);
+    m_verdictOrder.push_back(command.changeId);
+    if (m_verdictOrder.size() > m_options.maxVerdicts) {
+        m_verdicts.erase(m_verdictOrder.front());
+        m_verdictOrder.pop_front();
+    }
+    return reply;
+}
+
+Reply Ledger::run(const Claim &command)
+{
+    const ClaimKey key {command.team, command.key};
+    const auto it = m_claims.find(key);
+    if (it == m_claims.end()) {
+        if (m_claims.size() >= m_options.maxClaims)
+            return answer(Status::Full, "too many claims are kept");
+        m_claims.emplace(key, ClaimEntry {command.digest, command.owner, ClaimState::Held, {}, 0});
+        return answer(Status::Accepted);
+    }
+    const ClaimEntry &held = it->second;
+    if (held.digest != command.digest)
+        return answer(Status::Conflict, "the key was used with another request");
+    if (held.state == ClaimState::Unknown)
+        return answer(Status::OutcomeUnknown);
+    if (held.state == ClaimState::Held)
+        return answer(Status::Pending);
+    Reply reply = answer(Status::Answered);
+    reply.answer = held.answer;
+    return reply;
+}
+
+Reply Ledger::run(const ReleaseClaim &command)
+{
+    const auto it = m_claims.find({command.team, command.key});
+    if (it == m_claims.end())
+        return answer(Status::NotFound);
+    if (it->second.owner != command.owner || it->second.state != ClaimState::Held)
+        return answer(Status::NotOwner);
+    m_claims.erase(it);
+    return answer(Status::Accepted);
+}
+
+Reply Ledger::run(const FinishClaim &command)
+{
+    const auto it = m_claims.find({command.team, command.key});
+    if (it == m_claims.end())
+        return answer(Status::NotFound);
+    if (it->second.owner != command.owner)
+        return answer(Status::NotOwner);
+    // An owner that was taken for dead may still report what truly happened.
+    if (it->second.state == ClaimState::Answered)
+        return answer(Status::Accepted);
+    it->second.state = command.answer ? ClaimState::Answered : ClaimState::Unknown;
+    it->second.answer = command.answer;
+    it->second.endedMs = m_logTimeMs;
+    return answer(Status::Accepted);
+}
+
+Reply Ledger::run(const RetireOwner &command)
+{
+    for (auto &[key, claim] : m_claims) {
+        if (claim.owner != command.owner || claim.state != ClaimState::Held)
+            continue;
+        claim.state = ClaimState::Unknown;
+        claim.endedMs = m_logTimeMs;
+    }
+    for (auto &[id, job] : m_jobs) {
+        if (job.owner == command.owner && job.state == JobState::Running)
+            job.state = JobState::Waiting;
+    }
+    return answer(Status::Accepted);
+}
+
+Reply Ledger::run(const SubmitJob &command)
+{
+    if (m_jobs.contains(command.id))
+        return answer(Status::Accepted);
+    if (m_jobs.size() >= m_options.maxJobs)
+        return answer(Status::Full, "too many jobs are kept");
+    Job job;
+    job.id = command.id;
+    job.team = command.team;
+    job.request = command.request;
+    job.submittedMs = m_logTimeMs;
+    job.limitMs = command.limit.count();
+    m_jobs.emplace(command.id, std::move(job));
+    return answer(Status::Accepted);
+}
+
+Reply Ledger::run(const TakeJob &command)
+{
+    const auto it = m_jobs.find(command.id);
+    if (it == m_jobs.end())
+        return answer(Status::NotFound);
+    Job &job = it->second;
+    if (job.state == JobState::Running && job.owner == command.owner)
+        return answer(Status::Accepted);
+    if (job.state != JobState::Waiting)
+        return answer(Status::Conflict, std::string(jobStateName(job.state)));
+    job.state = JobState::Running;
+    job.owner = command.owner;
+    ++job.attempts;
+    return answer(Status::Accepted);
+}
+
+Reply Ledger::run(const FinishJob &command)
+{
+    const auto it = m_jobs.find(command.id);
+    if (it == m_jobs.end())
+        return answer(Status::NotFound);
+    Job &job = it->second;
+    if (hasEnded(job.state))
+        return answer(job.state == command.state ? Status::Accepted : Status::Conflict);
+    if (job.state != JobState::Running || job.owner != command.owner)
+        return answer(Status::NotOwner);
+    job.state = command.state;
+    job.result = command.result;
+    job.endedMs = hasEnded(command.state) ? m_logTimeMs : 0;
+    return answer(Status::Accepted);
+}
+
+Reply Ledger::run(const TakeLease &command)
+{
+    Lease &lease = m_leases[command.name];
+    const bool isHeld = m_logTimeMs < lease.untilMs;
+    if (isHeld && lease.owner != command.owner)
+        return answer(Status::Conflict, lease.owner.host.text());
+    if (!isHeld || lease.owner != command.owner)
+        lease.fencing = ++m_lastFencing;
+    lease.owner = command.owner;
+    lease.untilMs = m_logTimeMs + command.duration.count();
+    Reply reply = answer(Status::Accepted);
+    reply.fencing = lease.fencing;
+    return reply;
+}
+
+void Ledger::expire()
+{
+    const std::int64_t claimsBefore = m_logTimeMs - m_options.claimRetention.count();
+    std::erase_if(m_claims, [claimsBefore](const auto &it) {
+        return it.second.state != ClaimState::Held && it.second.endedMs < claimsBefore;
+    });
+    const std::int64_t jobsBefore = m_logTimeMs - m_options.jobRetention.count();
+    for (auto &[id, job] : m_jobs) {
+        if (hasEnded(job.state) || job.limitMs == 0
+            || m_logTimeMs < job.submittedMs + job.limitMs)
+            continue;
+        job.state = JobState::Failed;
+        job.result = "out_of_time";
+        job.endedMs = m_logTimeMs;
+    }
+    std::erase_if(m_jobs, [jobsBefore](const auto &it) {
+        return hasEnded(it.second.state) && it.second.endedMs < jobsBefore;
+    });
+}
+
+std::vector<records::Record> Ledger::records() const
+{
+    std::vector<records::Record> all;
+    all.reserve(m_records.size());
+    for (const auto &[key, record] : m_records)
+        all.push_back(record);
+    return all;
+}
+
+const records::Record *Ledger::record(records::Kind kind, const std::string &name) const
+{
+    const auto it = m_records.find({kind, name});
+    return it == m_records.end() ? nullptr : &it->second;
+}
+
+const Job *Ledger::job(const base::JobId &id) const
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : &it->second;
+}
+
+std::vector<const Job *> Ledger::jobsOf(const base::TeamId &team) const
+{
+    std::vector<const Job *> jobs;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.team == team)
+            jobs.push_back(&job);
+    }
+    return jobs;
+}
+
+std::vector<const Job *> Ledger::jobsIn(JobState state) const
+{
+    std::vector<const Job *> jobs;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.state == state)
+            jobs.push_back(&job);
+    }
+    return jobs;
+}
+
+} // namespace hyssop::ledger
--- /dev/null
+++ b/libs/peers/src/Node.cpp
@@ -0,0 +1,283 @@
+#include "Server.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/timer.h>
+
+#include <future>
+#include <map>
+#include <thread>
+
+namespace hyssop::peers {
+
+namespace {
+
+PeerError errorFrom(const kj::Exception &e)
+{
+    PeerError error;
+    error.message = e.getDescription().cStr();
+    switch (e.getType()) {
+    case kj::Exception::Type::OVERLOADED:
+        error.fault = CallFault::Timeout;
+        break;
+    case kj::Exception::Type::DISCONNECTED:
+        error.fault = CallFault::Unreachable;
+        break;
+    default:
+        error.fault = CallFault::Failed;
+        break;
+    }
+    return error;
+}
+
+/// One outgoing connection, kept for later calls until one of them fails.
+struct Connection
+{
+    kj::Own<kj::AsyncIoStream> stream;
+    kj::Own<capnp::TwoPartyClient> client;
+};
+
+} // namespace
+
+class Node::Impl final : public kj::TaskSet::ErrorHandler
+{
+public:
+    Impl(base::Endpoint listen, Service *service)
+        : m_listen(std::move(listen))
+        , m_service(service)
+    {
+    }
+
+    tl::expected<void, PeerError> start();
+    void stop();
+    base::Endpoint address() const { return m_listen; }
+
+    /// Posts a call to the loop; \a send starts it, \a read turns the answer into a Reply.
+    template <typename Reply>
+    void call(const base::Endpoint &to, base::Millis timeout, Callback<Reply> callback,
+              std::function<kj::Promise<Reply>(wire::Peer::Client)> send);
+
+private:
+    void run(std::promise<tl::expected<base::Endpoint, PeerError>> started);
+    kj::Promise<wire::Peer::Client> connect(const base::Endpoint &to);
+    void taskFailed(kj::Exception &&) override {}
+
+    base::Endpoint m_listen;
+    Service *m_service;
+    Wakeup m_wakeup;
+    std::thread m_thread;
+    kj::Own<kj::PromiseFulfiller<void>> m_stopper;
+    kj::AsyncIoContext *m_io = nullptr;
+    kj::TaskSet *m_tasks = nullptr;
+    std::map<base::Endpoint, std::shared_ptr<Connection>> m_connections;
+};
+
+tl::expected<void, PeerError> Node::Impl::start()
+{
+    std::promise<tl::expected<base::Endpoint, PeerError>> started;
+    auto result = started.get_future();
+    m_thread = std::thread([this, p = std::move(started)]() mutable { run(std::move(p)); });
+    auto address = result.get();
+    if (!address) {
+        m_thread.join();
+        return tl::unexpected(address.error());
+    }
+    m_listen = *address;
+    return {};
+}
+
+void Node::Impl::stop()
+{
+    if (!m_thread.joinable())
+        return;
+    m_wakeup.post([this] { m_stopper->fulfill(); });
+    m_thread.join();
+}
+
+void Node::Impl::run(std::promise<tl::expected<base::Endpoint, PeerError>> started)
+{
+    auto io = kj::setupAsyncIo();
+    auto stop = kj::newPromiseAndFulfiller<void>();
+    m_stopper = kj::mv(stop.fulfiller);
+    m_io = &io;
+    kj::Own<kj::ConnectionReceiver> receiver;
+    try {
+        auto address = io.provider->getNetwork()
+                               .parseAddress(m_listen.address, m_listen.port)
+                               .wait(io.waitScope);
+        receiver = address->listen();
+    } catch (const kj::Exception &e) {
+        started.set_value(tl::unexpected(errorFrom(e)));
+        return;
+    }
+    auto tasks = kj::heap<kj::TaskSet>(*this);
+    m_tasks = tasks.get();
+    capnp::TwoPartyServer server(kj::heap<Server>(m_service, &m_wakeup));
+    tasks->add(server.listen(*receiver));
+    tasks->add(m_wakeup.serve(*io.lowLevelProvider));
+    base::Endpoint bound = m_listen;
+    bound.port = static_cast<std::uint16_t>(receiver->getPort());
+    started.set_value(bound);
+    stop.promise.wait(io.waitScope);
+    tasks = nullptr;
+    m_connections.clear();
+    m_wakeup.close();
+    m_stopper = nullptr;
+    m_tasks = nullptr;
+}
+
+kj::Promise<wire::Peer::Client> Node::Impl::connect(const base::Endpoint &to)
+{
+    const auto it = m_connections.find(to);
+    if (it != m_connections.end())
+        return it->second->client->bootstrap().castAs<wire::Peer>();
+    return m_io->provider->getNetwork()
+            .parseAddress(to.address, to.port)
+            .then([](kj::Own<kj::NetworkAddress> &&address) {
+                auto connected = address->connect();
+                return connected.attach(kj::mv(address));
+            })
+            .then([this, to](kj::Own<kj::AsyncIoStream> &&stream) {
+                auto connection = std::make_shared<Connection>();
+                connection->stream = kj::mv(stream);
+                connection->client
+                        = kj::heap<capnp::TwoPartyClient>(*connection->stream);
+                m_connections[to] = connection;
+                return connection->client->bootstrap().castAs<wire::Peer>();
+            });
+}
+
+template <typename Reply>
+void Node::Impl::call(const base::Endpoint &to, base::Millis timeout, Callback<Reply> callback,
+                      std::function<kj::Promise<Reply>(wire::Peer::Client)> send)
+{
+    m_wakeup.post([this, to, timeout, callback = std::move(callback), send = std::move(send)] {
+        kj::Promise<Reply> answer = connect(to).then(
+                [send](wire::Peer::Client client) { return send(kj::mv(client)); });
+        auto bounded = m_io->provider->getTimer().timeoutAfter(timeout.count() * kj::MILLISECONDS,
+                                                               kj::mv(answer));
+        m_tasks->add(bounded.then(
+                [callback](Reply &&reply) { callback(std::move(reply)); },
+                [this, to, callback](kj::Exception &&e) {
+                    // A fresh connection is made for the next call.
+                    m_connections.erase(to);
+                    callback(tl::unexpected(errorFrom(e)));
+                }));
+    });
+}
+
+Node::Node(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+Node::~Node()
+{
+    m_impl->stop();
+}
+
+tl::expected<std::unique_ptr<Node>, PeerError> Node::start(const base::Endpoint &listen,
+                                                           Service *service)
+{
+    auto impl = std::make_unique<Impl>(listen, service);
+    if (const auto started = impl->start(); !started)
+        return tl::unexpected(started.error());
+    return std::unique_ptr<Node>(new Node(std::move(impl)));
+}
+
+base::Endpoint Node::address() const
+{
+    return m_impl->address();
+}
+
+void Node::watch(const base::Endpoint &to, WatchRequest request, base::Millis timeout,
+                 Callback<WatchReply> callback)
+{
+    m_impl->call<WatchReply>(
+            to, timeout, std::move(callback), [request](wire::Peer::Client client) {
+                auto call = client.watchRequest();
+                call.setWaitMs(request.wait.count());
+                auto applied = call.initApplied();
+                applied.setHost(request.host.text());
+                applied.setDataCentre(request.dataCentre.text());
+                applied.getPosition().setTerm(request.applied.term);
+                applied.getPosition().setIndex(request.applied.index);
+                return call.send().then([](capnp::Response<wire::Peer::WatchResults> &&results) {
+                    WatchReply reply;
+                    reply.position = {results.getPosition().getTerm(),
+                                      results.getPosition().getIndex()};
+                    reply.isConfirmed = results.getConfirmed();
+                    reply.hasChanged = results.getChanged();
+                    for (const auto record : results.getRecords())
+                        reply.records.push_back(toString(record.getJson()));
+                    return reply;
+                });
+            });
+}
+
+void Node::execute(const base::Endpoint &to, ExecuteRequest request, base::Millis timeout,
+                   Callback<ExecuteReply> callback)
+{
+    m_impl->call<ExecuteReply>(
+            to, timeout, std::move(callback), [request](wire::Peer::Client client) {
+                auto call = client.executeRequest();
+                call.setGroup(request.group);
+                call.setCommand(toData(request.command));
+                return call.send().then([](capnp::Response<wire::Peer::ExecuteResults> &&results) {
+                    ExecuteReply reply;
+                    reply.status = static_cast<ExecuteStatus>(results.getStatus());
+                    reply.reply = toString(results.getReply());
+                    reply.leader = toString(results.getLeader());
+                    return reply;
+                });
+            });
+}
+
+namespace {
+
+/// Stands in for the answer of calls that have none.
+struct Nothing
+{
+};
+
+} // namespace
+
+void Node::replicate(const base::Endpoint &to, ReplicateMessage message, base::Millis timeout)
+{
+    m_impl->call<Nothing>(
+            to, timeout, [](const auto &) {}, [message](wire::Peer::Client client) {
+                auto call = client.replicateRequest();
+                call.setGroup(message.group);
+                call.setSender(message.from);
+                call.setBody(toData(message.body));
+                return call.send().then(
+                        [](capnp::Response<wire::Peer::ReplicateResults> &&) { return Nothing(); });
+            });
+}
+
+void Node::gossip(const base::Endpoint &to, GossipMessage message, base::Millis timeout)
+{
+    m_impl->call<Nothing>(
+            to, timeout, [](const auto &) {}, [message](wire::Peer::Client client) {
+                auto call = client.gossipRequest();
+                call.setSender(message.from.text());
+                call.setBody(toData(message.body));
+                return call.send().then(
+                        [](capnp::Response<wire::Peer::GossipResults> &&) { return Nothing(); });
+            });
+}
+
+void Node::query(const base::Endpoint &to, QueryRequest request, base::Millis timeout,
+                 Callback<std::string> callback)
+{
+    m_impl->call<std::string>(
+            to, timeout, std::move(callback), [request](wire::Peer::Client client) {
+                auto call = client.queryRequest();
+                call.setTopic(request.topic);
+                call.setBody(toData(request.body));
+                return call.send().then([](capnp::Response<wire::Peer::QueryResults> &&results) {
+                    return toString(results.getBody());
+                });
+            });
+}
+
+} // namespace hyssop::peers
--- /dev/null
+++ b/libs/records/src/Record.cpp
@@ -0,0 +1,132 @@
+#include "records/Records.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace hyssop::records {
+
+std::string_view kindName(Kind kind)
+{
+    switch (kind) {
+    case Kind::Team:
+        return "team";
+    case Kind::Route:
+        return "route";
+    case Kind::ControlGroup:
+        return "control-group";
+    }
+    return "unknown";
+}
+
+std::optional<Kind> parseKind(std::string_view name)
+{
+    for (const Kind kind : {Kind::Team, Kind::Route, Kind::ControlGroup}) {
+        if (kindName(kind) == name)
+            return kind;
+    }
+    return std::nullopt;
+}
+
+std::string_view urgencyName(Urgency urgency)
+{
+    switch (urgency) {
+    case Urgency::Urgent:
+        return "urgent";
+    case Urgency::Normal:
+        return "normal";
+    case Urgency::Batch:
+        return "batch";
+    }
+    return "unknown";
+}
+
+std::optional<Urgency> parseUrgency(std::string_view name)
+{
+    for (const Urgency urgency : {Urgency::Urgent, Urgency::Normal, Urgency::Batch}) {
+        if (urgencyName(urgency) == name)
+            return urgency;
+    }
+    return std::nullopt;
+}
+
+std::string RecordError::text() const
+{
+    std::string where = file;
+    if (line > 0)
+        where += fmt::format(":{}", line);
+    if (!field.empty())
+        where += fmt::format("{}{}", where.empty() ? "" : ": ", field);
+    return where.empty() ? message : where + ": " + message;
+}
+
+std::string toJson(const Record &record)
+{
+    const nlohmann::json json {{"kind", kindName(record.kind)},
+                               {"name", record.name},
+                               {"schema", record.schema},
+                               {"version", record.version.count()},
+                               {"spec", nlohmann::json::parse(record.spec, nullptr, false)}};
+    return json.dump();
+}
+
+tl::expected<Record, RecordError> recordFromJson(std::string_view text)
+{
+    const auto fault = [](std::string field, std::string message) {
+        return tl::unexpected(RecordError {"", 0, std::move(field), std::move(message)});
+    };
+    const auto json = base::parseJson(text);
+    if (!json || !json->is_object())
+        return fault("", "not a JSON object");
+    Record record;
+    const auto kind = json->find("kind");
+    if (kind == json->end() || !kind->is_string())
+        return fault("kind", "missing");
+    const auto parsed = parseKind(kind->get<std::string>());
+    if (!parsed)
+        return fault("kind", "not team, route or control-group");
+    record.kind = *parsed;
+    const auto name = json->find("name");
+    if (name == json->end() || !name->is_string() || name->get<std::string>().empty())
+        return fault("name", "missing");
+    record.name = name->get<std::string>();
+    const auto schema = json->find("schema");
+    if (schema == json->end() || !schema->is_number_integer() || schema->get<int>() < 1)
+        return fault("schema", "missing, or not a whole number from 1");
+    record.schema = schema->get<int>();
+    const auto version = json->find("version");
+    if (version == json->end() || !version->is_number_integer()
+        || version->get<std::int64_t>() < 1)
+        return fault("version", "missing, or not a whole number from 1");
+    record.version = Version(version->get<std::int64_t>());
+    const auto spec = json->find("spec");
+    if (spec == json->end() || !spec->is_object())
+        return fault("spec", "missing, or not a mapping");
+    record.spec = spec->dump();
+    return record;
+}
+
+std::vector<FieldChange> diff(const Record &before, const Record &after)
+{
+    const auto flatten = [](const Record &record) {
+        return nlohmann::json::parse(toJson(record), nullptr, false).flatten();
+    };
+    const nlohmann::json a = flatten(before);
+    const nlohmann::json b = flatten(after);
+    std::set<std::string> fields;
+    for (const auto &it : a.items())
+        fields.insert(it.key());
+    for (const auto &it : b.items())
+        fields.insert(it.key());
+    std::vector<FieldChange> changes;
+    for (const std::string &field : fields) {
+        const std::string was = a.contains(field) ? a[field].dump() : "";
+        const std::string is = b.contains(field) ? b[field].dump() : "";
+        if (was != is)
+            changes.push_back({field, was, is});
+    }
+    return changes;
+}
+
+} // namespace hyssop::records
--- /dev/null
+++ b/libs/testmain/TestMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
