Libraries for each outside peer, routing and membership, first versions

Cause: the thin path needs one library for each peer and a router that decides without I/O. Change: routing (queue by urgency, three policies, stream checks), membership (announcements and their expiry), caller, upstream, platform and operators, each with its tests. Measured: all library tests pass; nothing timed yet. Conclusion: what is left of the thin path is the programs that join these.

--- /dev/null
+++ b/libs/membership/tests/DirectoryTest.cpp
@@ -0,0 +1,59 @@
+#include "membership/Membership.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssop;
+using namespace hyssop::membership;
+
+namespace {
+
+constexpr base::TimePoint kStart {std::chrono::seconds(1000)};
+
+Announcement sample(std::int64_t incarnation, std::int64_t sequence, bool isLeaving = false)
+{
+    Announcement announcement;
+    announcement.upstream.id = base::UpstreamId("e1");
+    announcement.upstream.incarnation = base::Incarnation(incarnation);
+    announcement.upstream.models = {"m"};
+    announcement.upstream.isLeaving = isLeaving;
+    announcement.sequence = sequence;
+    announcement.address = {"127.0.0.1", 9};
+    announcement.ttl = base::Millis(1000);
+    return announcement;
+}
+
+} // namespace
+
+TEST_CASE("an announcement survives its wire form")
+{
+    const auto again = parseAnnouncement(toJson(sample(1, 2, true)));
+    REQUIRE(again);
+    CHECK(toJson(*again) == toJson(sample(1, 2, true)));
+}
+
+TEST_CASE("a late announcement does not bring a leaving upstream back")
+{
+    Directory directory;
+    CHECK(directory.announce(sample(1, 2, true), kStart).size() == 1);
+    CHECK(directory.announce(sample(1, 1), kStart).empty());
+    CHECK(directory.find(base::UpstreamId("e1"))->upstream.isLeaving);
+    CHECK(directory.announce(sample(2, 0), kStart).size() == 1);
+    CHECK_FALSE(directory.find(base::UpstreamId("e1"))->upstream.isLeaving);
+}
+
+TEST_CASE("an upstream that falls silent is gone after its ttl")
+{
+    Directory directory;
+    directory.announce(sample(1, 1), kStart);
+    CHECK(directory.tick(kStart + base::Millis(999)).empty());
+    const auto changes = directory.tick(kStart + base::Millis(1000));
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].kind == DirectoryChange::Kind::Gone);
+}
+
+TEST_CASE("a malformed announcement names its field")
+{
+    CHECK(parseAnnouncement("{").error().message == "not a JSON object");
+    CHECK(parseAnnouncement(R"({"id":"x","incarnation":1,"sequence":1,"kind":"boat"})").error().field
+          == "kind");
+}
--- /dev/null
+++ b/libs/operators/src/Client.cpp
@@ -0,0 +1,147 @@
+#include "operators/Operators.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hyssop::operators {
+
+namespace {
+
+constexpr std::size_t kMaxOpen = 16;
+constexpr int kUnavailable = 503;
+
+/// Collects one answer and stops the loop.
+class OneCall final : public http::CallHandler
+{
+public:
+    explicit OneCall(http::Loop *loop)
+        : m_loop(loop)
+    {
+    }
+
+    void onHead(http::CallId, int s, const http::Headers &) override { status = s; }
+    void onData(http::CallId, std::string_view data) override { body += data; }
+    void onDone(http::CallId) override { m_loop->post([this] { end(true); }); }
+    void onFailed(http::CallId, const http::CallError &error) override
+    {
+        failure = http::callFailureName(error.failure);
+        m_loop->post([this] { end(false); });
+    }
+
+    int status = 0;
+    std::string body;
+    std::string failure;
+    bool isDone = false;
+    bool isEnded = false;
+
+private:
+    void end(bool done)
+    {
+        isDone = done;
+        isEnded = true;
+    }
+
+    http::Loop *m_loop;
+};
+
+} // namespace
+
+Client::Client(std::vector<base::Endpoint> controls, std::string token, base::Millis timeout)
+    : m_controls(std::move(controls))
+    , m_token(std::move(token))
+    , m_timeout(timeout)
+{
+}
+
+Client::~Client() = default;
+
+tl::expected<Client::Reply, ClientError> Client::askOne(http::Call call, const base::Endpoint &to)
+{
+    auto loop = http::Loop::create(kMaxOpen);
+    if (!loop)
+        return tl::unexpected(ClientError {loop.error().message});
+    call.to = to;
+    call.timeout = m_timeout;
+    OneCall one(loop->get());
+    (*loop)->call(std::move(call), &one);
+    http::Loop *raw = loop->get();
+    // The loop stops once the answer is whole or the call has failed.
+    std::function<void()> watch = [&one, raw, &watch] {
+        if (one.isEnded)
+            raw->stop();
+        else
+            raw->after(base::Millis(1), watch);
+    };
+    raw->after(base::Millis(1), watch);
+    raw->run();
+    if (!one.isDone)
+        return tl::unexpected(ClientError {to.text() + ": " + one.failure});
+    return Reply {one.status, one.body};
+}
+
+tl::expected<Client::Reply, ClientError> Client::ask(const http::Call &call)
+{
+    ClientError last {"no control host is named"};
+    for (const base::Endpoint &to : m_controls) {
+        http::Call copy = call;
+        if (!m_token.empty())
+            copy.headers.push_back({"authorization", "Bearer " + m_token});
+        auto reply = askOne(std::move(copy), to);
+        if (reply && reply->status != kUnavailable)
+            return reply;
+        last = reply ? ClientError {to.text() + ": " + reply->body} : reply.error();
+    }
+    return tl::unexpected(last);
+}
+
+tl::expected<PutReply, ClientError> Client::put(const PutRequest &request)
+{
+    http::Call call;
+    call.method = http::Method::Put;
+    call.path = "/v1/records/" + std::string(kindName(request.record.kind)) + "/"
+            + request.record.name;
+    call.headers = {{"content-type", "application/json"},
+                    {"if-match", std::to_string(request.replaces.count())},
+                    {"x-change-id", request.changeId}};
+    call.body = records::toJson(request.record);
+    const auto reply = ask(call);
+    if (!reply)
+        return tl::unexpected(reply.error());
+    if (const auto put = putReplyFromJson(reply->body))
+        return *put;
+    PutReply invalid;
+    invalid.status = PutStatus::Invalid;
+    invalid.message = reply->body;
+    return invalid;
+}
+
+tl::expected<std::vector<records::Record>, ClientError> Client::records()
+{
+    http::Call call;
+    call.path = "/v1/records";
+    const auto reply = ask(call);
+    if (!reply)
+        return tl::unexpected(reply.error());
+    const auto body = base::parseJson(reply->body);
+    if (!body || !body->is_object() || !body->contains("records"))
+        return tl::unexpected(ClientError {"unexpected answer: " + reply->body});
+    std::vector<records::Record> records;
+    for (const auto &one : body->at("records")) {
+        if (auto record = records::recordFromJson(one.dump()))
+            records.push_back(*std::move(record));
+    }
+    return records;
+}
+
+tl::expected<StatusReply, ClientError> Client::status()
+{
+    http::Call call;
+    call.path = "/v1/status";
+    const auto reply = ask(call);
+    if (!reply)
+        return tl::unexpected(reply.error());
+    if (auto status = statusFromJson(reply->body))
+        return *std::move(status);
+    return tl::unexpected(ClientError {"unexpected answer: " + reply->body});
+}
+
+} // namespace hyssop::operators
--- /dev/null
+++ b/libs/operators/src/Forms.cpp
@@ -0,0 +1,109 @@
+#include "operators/Operators.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hyssop::operators {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr PutStatus kStatuses[] {PutStatus::Accepted, PutStatus::Conflict, PutStatus::Invalid,
+                                 PutStatus::Unavailable, PutStatus::Unknown};
+
+json recordForm(const records::Record &record)
+{
+    return json::parse(records::toJson(record), nullptr, false);
+}
+
+} // namespace
+
+std::string_view putStatusName(PutStatus status)
+{
+    switch (status) {
+    case PutStatus::Accepted:
+        return "accepted";
+    case PutStatus::Conflict:
+        return "conflict";
+    case PutStatus::Invalid:
+        return "invalid";
+    case PutStatus::Unavailable:
+        return "unavailable";
+    case PutStatus::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+std::string toJson(const PutReply &reply)
+{
+    json body {{"status", putStatusName(reply.status)},
+               {"message", reply.message},
+               {"position", reply.position}};
+    if (reply.current)
+        body["current"] = recordForm(*reply.current);
+    return body.dump();
+}
+
+std::optional<PutReply> putReplyFromJson(std::string_view text)
+{
+    const auto body = base::parseJson(text);
+    if (!body || !body->is_object())
+        return std::nullopt;
+    PutReply reply;
+    const std::string name = body->value("status", "");
+    bool isKnown = false;
+    for (const PutStatus status : kStatuses) {
+        if (putStatusName(status) != name)
+            continue;
+        reply.status = status;
+        isKnown = true;
+    }
+    if (!isKnown)
+        return std::nullopt;
+    reply.message = body->value("message", "");
+    reply.position = body->value("position", std::int64_t(0));
+    if (body->contains("current")) {
+        if (auto record = records::recordFromJson(body->at("current").dump()))
+            reply.current = *std::move(record);
+    }
+    return reply;
+}
+
+std::string toJson(const StatusReply &reply)
+{
+    json hosts = json::array();
+    for (const HostStatus &host : reply.hosts)
+        hosts.push_back({{"host", host.host.text()},
+                         {"dataCentre", host.dataCentre.text()},
+                         {"position", host.position},
+                         {"ageMs", host.ageMs}});
+    const json body {{"host", reply.host.text()},     {"leader", reply.leader},
+                     {"term", reply.term},            {"position", reply.position},
+                     {"confirmed", reply.isConfirmed}, {"hosts", std::move(hosts)}};
+    return body.dump();
+}
+
+std::optional<StatusReply> statusFromJson(std::string_view text)
+{
+    const auto body = base::parseJson(text);
+    if (!body || !body->is_object())
+        return std::nullopt;
+    try {
+        StatusReply reply;
+        reply.host = base::HostId(body->at("host"));
+        reply.leader = body->at("leader");
+        reply.term = body->at("term");
+        reply.position = body->at("position");
+        reply.isConfirmed = body->at("confirmed");
+        for (const json &host : body->at("hosts"))
+            reply.hosts.push_back({base::HostId(host.at("host")),
+                                   base::DataCentreId(host.at("dataCentre")), host.at("position"),
+                                   host.at("ageMs")});
+        return reply;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace hyssop::operators
--- /dev/null
+++ b/libs/operators/tests/OperatorsTest.cpp
@@ -0,0 +1,86 @@
+#include "operators/Operators.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace hyssop;
+using namespace hyssop::operators;
+
+namespace {
+
+const records::Record kTeam {records::Kind::Team, "shop", 1, records::Version(1), R"({"weight":2})"};
+
+class Store : public Listener
+{
+public:
+    void onPut(PutRequest request, Answer<PutReply> answer) override
+    {
+        last = request;
+        PutReply reply;
+        reply.status = PutStatus::Conflict;
+        reply.current = kTeam;
+        answer(reply);
+    }
+    std::vector<records::Record> records() override { return {kTeam}; }
+    void onStatus(Answer<StatusReply> answer) override
+    {
+        StatusReply reply;
+        reply.host = base::HostId("c1");
+        reply.hosts = {{base::HostId("e1"), base::DataCentreId("d1"), 7, 12}};
+        answer(reply);
+    }
+    std::optional<PutRequest> last;
+};
+
+struct Rig
+{
+    explicit Rig(const std::string &token)
+        : loop(std::move(*http::Loop::create(64)))
+        , server(loop.get(), &store, token)
+    {
+        address = *server.listen({"127.0.0.1", 0});
+        thread = std::thread([this] { loop->run(); });
+    }
+    ~Rig()
+    {
+        loop->stop();
+        thread.join();
+    }
+    Client client(const std::string &token) const
+    {
+        return Client({{"127.0.0.1", 1}, address}, token, base::Millis(5'000));
+    }
+
+    std::unique_ptr<http::Loop> loop;
+    Store store;
+    Server server;
+    base::Endpoint address;
+    std::thread thread;
+};
+
+} // namespace
+
+TEST_CASE("a change reaches the next control host when the first is not there")
+{
+    const Rig rig("secret");
+    Client client = rig.client("secret");
+    const auto reply = client.put({"c1", records::Version(0), kTeam});
+    REQUIRE(reply);
+    CHECK(reply->status == PutStatus::Conflict);
+    CHECK(reply->current == kTeam);
+    REQUIRE(rig.store.last);
+    CHECK(rig.store.last->changeId == "c1");
+    CHECK(client.records()->front() == kTeam);
+    CHECK(client.status()->hosts.front().position == 7);
+}
+
+TEST_CASE("a wrong token changes nothing")
+{
+    const Rig rig("secret");
+    Client client = rig.client("guess");
+    const auto reply = client.put({"c1", records::Version(0), kTeam});
+    REQUIRE(reply);
+    CHECK(reply->status == PutStatus::Invalid);
+    CHECK_FALSE(rig.store.last);
+}
--- /dev/null
+++ b/libs/platform/include/platform/Platform.h
@@ -0,0 +1,67 @@
+/// The peer "platform": readiness, liveness, metrics and stop signals.
+#pragma once
+
+#include "base/Base.h"
+#include "http/Http.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace hyssop::platform {
+
+using Labels = std::map<std::string, std::string>;
+
+/// Counters, gauges and histograms, made when first used. Thread-safe.
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+
+    void count(const std::string &name, const Labels &labels = {}, double by = 1);
+    void set(const std::string &name, double value, const Labels &labels = {});
+    /// Observes seconds in buckets from 5 ms to 10 minutes.
+    void observeSeconds(const std::string &name, double seconds, const Labels &labels = {});
+    /// Text in the Prometheus exposition format.
+    std::string text() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// Serves /ready, /live and /metrics.
+class Server final : public http::ServerHandler
+{
+public:
+    /// \a refresh brings gauges up to date before each reading of the metrics.
+    Server(http::Loop *loop, Metrics *metrics, std::function<void()> refresh = {});
+
+    tl::expected<base::Endpoint, http::LoopError> listen(const base::Endpoint &address);
+    /// Not ready: the balancer is to send no new work.
+    void setReady(bool isReady) { m_isReady = isReady; }
+    bool isReady() const { return m_isReady; }
+
+private:
+    void onRequest(http::ExchangeId id, http::Request request) override;
+    void onPeerClosed(http::ExchangeId) override {}
+    void onRejected(http::RejectReason) override {}
+
+    http::Loop *m_loop;
+    Metrics *m_metrics;
+    std::function<void()> m_refresh;
+    bool m_isReady = false;
+};
+
+/// Holds SIGTERM and SIGINT back from every thread started later; call first in main().
+void blockStopSignals();
+/// Waits for SIGTERM or SIGINT.
+void waitForStopSignal();
+/// Ends waitForStopSignal() from within the process.
+void requestStop();
+
+} // namespace hyssop::platform
--- /dev/null
+++ b/libs/platform/src/Server.cpp
@@ -0,0 +1,40 @@
+#include "platform/Platform.h"
+
+namespace hyssop::platform {
+
+Server::Server(http::Loop *loop, Metrics *metrics, std::function<void()> refresh)
+    : m_loop(loop)
+    , m_metrics(metrics)
+    , m_refresh(std::move(refresh))
+{
+}
+
+tl::expected<base::Endpoint, http::LoopError> Server::listen(const base::Endpoint &address)
+{
+    http::ServerOptions options;
+    options.listen = address;
+    options.maxBodyBytes = 0;
+    return m_loop->listen(std::move(options), this);
+}
+
+void Server::onRequest(http::ExchangeId id, http::Request request)
+{
+    http::Response response;
+    response.contentType = "text/plain; version=0.0.4";
+    if (request.path == "/ready") {
+        response.status = m_isReady ? 200 : 503;
+        response.body = m_isReady ? "ready\n" : "not ready\n";
+    } else if (request.path == "/live") {
+        response.body = "live\n";
+    } else if (request.path == "/metrics") {
+        if (m_refresh)
+            m_refresh();
+        response.body = m_metrics->text();
+    } else {
+        response.status = 404;
+        response.body = "not found\n";
+    }
+    m_loop->respond(id, std::move(response));
+}
+
+} // namespace hyssop::platform
--- /dev/null
+++ b/libs/routing/include/routing/Routing.h
@@ -0,0 +1,313 @@
+/// Decisions on a request's way: admission, queueing, placement, retries and stream checks.
+///
+/// A Router takes events and the present time and returns actions; it does no I/O and draws random
+/// numbers only from its seed, so a recorded trace of events replays to the same actions. It
+/// belongs to one thread.
+#pragma once
+
+#include "base/Base.h"
+#include "records/Records.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hyssop::routing {
+
+enum class UpstreamKind { Engine, Service };
+
+/// An upstream as its announcement describes it.
+struct UpstreamInfo
+{
+    base::UpstreamId id;
+    base::Incarnation incarnation;
+    UpstreamKind kind = UpstreamKind::Engine;
+    base::DataCentreId dataCentre;
+    std::string role;
+    std::vector<std::string> models; ///< Of an engine: models loaded. Of a service: its name.
+    base::Tokens kvTokens; ///< Capacity of an engine's KV cache.
+    bool isLeaving = false;
+};
+
+/// An admitted or refused unit of work. Hashes in \c prefix are chained, one a whole block.
+struct RequestInfo
+{
+    base::RequestId id;
+    base::TeamId team;
+    UpstreamKind kind = UpstreamKind::Engine;
+    std::string target; ///< Model or service name.
+    std::string role; ///< Role of upstreams wanted; empty means any.
+    records::Urgency urgency = records::Urgency::Normal;
+    base::Tokens prompt;
+    base::Tokens maxOutput;
+    std::vector<std::uint64_t> prefix;
+    base::TimePoint deadline;
+    bool mayRepeat = true;
+};
+
+/// Why a request was refused or ended without a whole answer.
+enum class Reason {
+    UnknownTeam,
+    UnknownRoute,
+    TeamNotAllowed,
+    TeamRequestLimit,
+    TeamTokenLimit,
+    TeamLongPromptLimit,
+    QueueFull,
+    DeadlineTooShort,
+    NoUpstream,
+    PromptTooLarge,
+    OutOfTime,
+    UpstreamFailed,
+    StreamBroken,
+    CallerGone,
+    Stopping,
+};
+
+inline constexpr int kReasons = 15;
+
+std::string_view reasonName(Reason reason);
+
+/// What is known of a request that ended without an answer.
+enum class Outcome {
+    NotRun, ///< No part of it ran.
+    Failed, ///< It may have run, in part or whole.
+};
+
+std::string_view outcomeName(Outcome outcome);
+
+/// How an attempt failed.
+enum class AttemptFault {
+    ConnectFailed, ///< No byte left.
+    Refused, ///< The upstream answered that it did not start.
+    Timeout,
+    ClosedEarly, ///< The answer broke off.
+    UpstreamError, ///< The upstream answered with an error after it may have started.
+    StreamMismatch, ///< An event of another attempt or offset.
+};
+
+inline constexpr int kAttemptFaults = 6;
+
+std::string_view attemptFaultName(AttemptFault fault);
+
+/// Whether a fault proves that the upstream did not run the attempt.
+bool provesNotRun(AttemptFault fault);
+
+// Events.
+
+struct RequestArrived
+{
+    RequestInfo request;
+};
+
+struct CallerGone
+{
+    base::RequestId request;
+};
+
+struct UpstreamSeen
+{
+    UpstreamInfo upstream;
+};
+
+struct UpstreamGone
+{
+    base::UpstreamId upstream;
+};
+
+/// Load as an engine reported it, \c age ago.
+struct LoadReported
+{
+    base::UpstreamId upstream;
+    base::Millis age {0};
+    int running = 0;
+    int waiting = 0;
+    base::Tokens queuedPrompt;
+    base::Tokens kvUsed;
+};
+
+/// Change of an engine's prefix cache; a gap in \c sequence makes what is known doubtful.
+struct CacheChanged
+{
+    base::UpstreamId upstream;
+    std::uint64_t epoch = 0;
+    std::uint64_t sequence = 0;
+    std::vector<std::uint64_t> added;
+    std::vector<std::uint64_t> removed;
+};
+
+/// What another entry host has outstanding at an upstream.
+struct PeerOutstanding
+{
+    base::HostId host;
+    base::UpstreamId upstream;
+    base::Tokens prompt;
+    int requests = 0;
+};
+
+struct AttemptAccepted
+{
+    base::AttemptId attempt;
+};
+
+/// \c count tokens of the answer, the first of them at \c offset.
+struct AttemptTokens
+{
+    base::AttemptId attempt;
+    std::int64_t offset = 0;
+    std::int64_t count = 0;
+};
+
+struct AttemptFinished
+{
+    base::AttemptId attempt;
+};
+
+struct AttemptFailed
+{
+    base::AttemptId attempt;
+    AttemptFault fault = AttemptFault::ConnectFailed;
+    base::Millis retryAfter {0};
+};
+
+struct CatalogueChanged
+{
+    std::shared_ptr<const records::Catalogue> catalogue;
+};
+
+/// No new requests are admitted from here on.
+struct StopAnnounced
+{
+};
+
+using Event = std::variant<RequestArrived, CallerGone, UpstreamSeen, UpstreamGone, LoadReported,
+                           CacheChanged, PeerOutstanding, AttemptAccepted, AttemptTokens,
+                           AttemptFinished, AttemptFailed, CatalogueChanged, StopAnnounced>;
+
+// Actions.
+
+/// Sends a request to an upstream, or to several that hold its prompt together.
+struct StartAttempt
+{
+    base::AttemptId attempt;
+    base::RequestId request;
+    base::UpstreamId upstream;
+    std::vector<base::UpstreamId> gang; ///< Further engines of a gang, in id order.
+    records::Urgency urgency = records::Urgency::Normal;
+    base::Millis remaining {0};
+    std::int64_t resumeOffset = 0; ///< Tokens already delivered.
+    bool resumesStream = false; ///< Continue the attempt of the same id at its upstream.
+};
+
+struct CancelAttempt
+{
+    base::AttemptId attempt;
+    base::UpstreamId upstream;
+};
+
+/// Delivers the last \c AttemptTokens to the caller, without its first \c skip tokens.
+struct ForwardTokens
+{
+    base::RequestId request;
+    std::int64_t skip = 0;
+};
+
+struct CompleteRequest
+{
+    base::RequestId request;
+};
+
+/// Ends a request without a whole answer.
+struct EndRequest
+{
+    base::RequestId request;
+    Reason reason = Reason::NoUpstream;
+    Outcome outcome = Outcome::NotRun;
+    base::Millis retryAfter {0}; ///< When a new try may do better; 0 when none would.
+};
+
+/// A retry was decided; for counting.
+struct RetryNoted
+{
+    base::RequestId request;
+    AttemptFault fault = AttemptFault::ConnectFailed;
+};
+
+using Action = std::variant<StartAttempt, CancelAttempt, ForwardTokens, CompleteRequest, EndRequest,
+                            RetryNoted>;
+using Actions = std::vector<Action>;
+
+/// An upstream as a policy sees it.
+struct Candidate
+{
+    const UpstreamInfo *info = nullptr;
+    base::Tokens outstanding; ///< Uncached prompt tokens sent there and not yet answered.
+    int requests = 0;
+    base::Tokens cachedPrefix; ///< Tokens of this request's prompt thought to be cached there.
+};
+
+/// Chooses among upstreams that may take a request now.
+class PlacementPolicy
+{
+public:
+    virtual ~PlacementPolicy() = default;
+    /// Index into \a candidates, which is not empty; none means that the request waits.
+    virtual std::optional<std::size_t> choose(const RequestInfo &request,
+                                              const std::vector<Candidate> &candidates,
+                                              base::TimePoint now) = 0;
+};
+
+std::unique_ptr<PlacementPolicy> roundRobinPolicy();
+std::unique_ptr<PlacementPolicy> leastOutstandingPolicy();
+/// The product's own policy.
+std::unique_ptr<PlacementPolicy> adaptivePolicy();
+/// By name as in the setting: "adaptive", "least-outstanding" or "round-robin".
+std::unique_ptr<PlacementPolicy> policyByName(std::string_view name);
+
+struct RouterOptions
+{
+    base::HostId host;
+    base::Incarnation incarnation;
+    base::DataCentreId dataCentre;
+    std::string policy = "adaptive";
+    std::size_t maxQueued = 10'000;
+    base::Tokens maxOutstanding {32'768}; ///< Uncached prompt tokens at one engine, but for one request.
+    base::Tokens longPrompt {32'768}; ///< Prompts above are long.
+    std::uint64_t seed = 1;
+};
+
+/// Figures for gauges.
+struct RouterStats
+{
+    std::size_t queued = 0;
+    std::size_t active = 0;
+    base::Tokens outstanding;
+    std::size_t upstreams = 0;
+};
+
+class Router
+{
+public:
+    explicit Router(RouterOptions options);
+    ~Router();
+    Router(const Router &) = delete;
+    Router &operator=(const Router &) = delete;
+
+    /// Actions in the order they are to be carried out.
+    Actions handle(const Event &event, base::TimePoint now);
+    /// To be called at nextTick() at the latest.
+    Actions tick(base::TimePoint now);
+    base::TimePoint nextTick() const;
+
+    RouterStats stats() const;
+    /// What this host has outstanding at each upstream, for its peers.
+    std::vector<PeerOutstanding> outstanding() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace hyssop::routing
--- /dev/null
+++ b/libs/upstream/src/AnnouncementServer.cpp
@@ -0,0 +1,57 @@
+#include "upstream/Upstream.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hyssop::upstream {
+
+namespace {
+
+constexpr std::size_t kMaxAnnouncementBytes = 64 * 1024;
+
+http::Response fault(int status, std::string code, std::string message)
+{
+    http::Response response;
+    response.status = status;
+    response.body = nlohmann::json {
+            {"error", {{"code", std::move(code)}, {"message", std::move(message)}}}}.dump();
+    return response;
+}
+
+} // namespace
+
+AnnouncementServer::AnnouncementServer(http::Loop *loop, Receiver receiver)
+    : m_loop(loop)
+    , m_receiver(std::move(receiver))
+{
+}
+
+tl::expected<base::Endpoint, http::LoopError>
+AnnouncementServer::listen(const base::Endpoint &address)
+{
+    http::ServerOptions options;
+    options.listen = address;
+    options.maxBodyBytes = kMaxAnnouncementBytes;
+    options.bodyTimeout = base::Millis(5'000);
+    return m_loop->listen(std::move(options), this);
+}
+
+void AnnouncementServer::onRequest(http::ExchangeId id, http::Request request)
+{
+    if (request.method != http::Method::Post || request.path != "/v1/announcements") {
+        m_loop->respond(id, fault(404, "not_found", "only POST /v1/announcements is served here"));
+        return;
+    }
+    const auto announcement = membership::parseAnnouncement(request.body);
+    if (!announcement) {
+        ++m_malformed;
+        m_loop->respond(id, fault(400, "bad_announcement",
+                                  announcement.error().field + ": " + announcement.error().message));
+        return;
+    }
+    m_receiver(*announcement);
+    http::Response response;
+    response.body = "{}";
+    m_loop->respond(id, std::move(response));
+}
+
+} // namespace hyssop::upstream
--- /dev/null
+++ b/libs/upstream/src/SseParser.cpp
@@ -0,0 +1,50 @@
+#include "upstream/Upstream.h"
+
+namespace hyssop::upstream {
+
+namespace {
+
+/// Joined text of the data lines of one event.
+std::string dataOf(std::string_view event)
+{
+    std::string data;
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event = end == std::string_view::npos ? "" : event.substr(end + 1);
+        if (!line.starts_with("data:"))
+            continue;
+        line.remove_prefix(5);
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        if (!data.empty())
+            data += '\n';
+        data += line;
+    }
+    return data;
+}
+
+} // namespace
+
+bool SseParser::feed(std::string_view bytes, const std::function<void(std::string_view)> &onEvent)
+{
+    // Carriage returns are optional in the format and never part of JSON text.
+    for (const char c : bytes) {
+        if (c != '\r')
+            m_pending += c;
+    }
+    std::size_t start = 0;
+    for (;;) {
+        const auto end = m_pending.find("\n\n", start);
+        if (end == std::string::npos)
+            break;
+        const std::string data = dataOf(std::string_view(m_pending).substr(start, end - start));
+        start = end + 2;
+        if (!data.empty())
+            onEvent(data);
+    }
+    m_pending.erase(0, start);
+    return m_pending.size() <= kMaxEventBytes;
+}
+
+} // namespace hyssop::upstream
--- /dev/null
+++ b/libs/upstream/tests/UpstreamTest.cpp
@@ -0,0 +1,140 @@
+#include "upstream/Upstream.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssop;
+using namespace hyssop::upstream;
+
+namespace {
+
+/// An engine that answers every attempt with the same bytes.
+class Scripted : public http::ServerHandler
+{
+public:
+    void onRequest(http::ExchangeId id, http::Request request) override
+    {
+        if (request.method == http::Method::Delete) {
+            ++deletes;
+            http::Response response;
+            response.status = deletes < 2 ? 503 : 204;
+            loop->respond(id, response);
+            if (deletes == 2)
+                loop->after(base::Millis(20), [this] { loop->stop(); });
+            return;
+        }
+        attempt = request.header("x-attempt-id");
+        loop->startStream(id, 200, "text/event-stream", {});
+        loop->sendStream(id, body);
+        loop->endStream(id);
+    }
+    void onPeerClosed(http::ExchangeId) override {}
+    void onRejected(http::RejectReason) override {}
+
+    http::Loop *loop = nullptr;
+    std::string body;
+    std::string attempt;
+    int deletes = 0;
+};
+
+class Collect : public AttemptListener
+{
+public:
+    void onAccepted(const base::AttemptId &) override {}
+    void onTokens(const base::AttemptId &, std::int64_t, const std::vector<std::string> &t) override
+    {
+        tokens += static_cast<int>(t.size());
+    }
+    void onFinished(const base::AttemptId &) override
+    {
+        isFinished = true;
+        loop->stop();
+    }
+    void onFailed(const base::AttemptId &, routing::AttemptFault f, base::Millis) override
+    {
+        fault = f;
+        loop->stop();
+    }
+    void onStrayEvent(const base::AttemptId &) override { ++strays; }
+
+    http::Loop *loop = nullptr;
+    int tokens = 0;
+    int strays = 0;
+    bool isFinished = false;
+    std::optional<routing::AttemptFault> fault;
+};
+
+struct Rig
+{
+    Rig()
+        : loop(std::move(*http::Loop::create(64)))
+        , engines(loop.get(), {base::HostId("h"), base::Incarnation(1)}, &collect)
+    {
+        collect.loop = loop.get();
+        engine.loop = loop.get();
+        http::ServerOptions options;
+        options.listen = {"127.0.0.1", 0};
+        options.headers = {"x-attempt-id"};
+        address = *loop->listen(options, &engine);
+    }
+    void run(const std::string &body)
+    {
+        engine.body = body;
+        EngineAttempt attempt;
+        attempt.id = base::AttemptId("a1");
+        attempt.to = address;
+        attempt.body = "{}";
+        attempt.remaining = base::Millis(5'000);
+        engines.start(attempt);
+        loop->run();
+    }
+
+    std::unique_ptr<http::Loop> loop;
+    Scripted engine;
+    Collect collect;
+    Engines engines;
+    base::Endpoint address;
+};
+
+} // namespace
+
+TEST_CASE("events of another attempt are dropped and counted")
+{
+    Rig rig;
+    rig.run("data: {\"attempt\":\"a1\",\"offset\":0,\"tokens\":[\"x\"]}\n\n"
+            "data: {\"attempt\":\"a2\",\"offset\":1,\"tokens\":[\"y\"]}\n\n"
+            "data: [DONE]\n\n");
+    CHECK(rig.collect.isFinished);
+    CHECK(rig.collect.tokens == 1);
+    CHECK(rig.collect.strays == 1);
+    CHECK(rig.engine.attempt == "a1");
+}
+
+TEST_CASE("a stream that closes without its end mark is a failed answer")
+{
+    Rig rig;
+    rig.run("data: {\"attempt\":\"a1\",\"offset\":0,\"tokens\":[\"x\"]}\n\n");
+    CHECK_FALSE(rig.collect.isFinished);
+    CHECK(rig.collect.fault == routing::AttemptFault::ClosedEarly);
+}
+
+TEST_CASE("a cancel is repeated until the engine confirms it")
+{
+    Rig rig;
+    rig.engines.cancel(base::AttemptId("a1"), rig.address);
+    CHECK(rig.engines.unconfirmedCancels() == 1);
+    rig.loop->run();
+    CHECK(rig.engine.deletes == 2);
+    CHECK(rig.engines.unconfirmedCancels() == 0);
+}
+
+TEST_CASE("prefix blocks agree exactly as far as prompts do")
+{
+    const std::string a(20'000, 'a');
+    std::string b = a;
+    b[9'000] = 'b';
+    CHECK(prefixBlocks(a).size() == 4);
+    CHECK(prefixBlocks(a)[1] == prefixBlocks(b)[1]);
+    CHECK(prefixBlocks(a)[2] != prefixBlocks(b)[2]);
+    CHECK(prefixBlocks(a)[3] != prefixBlocks(b)[3]);
+    CHECK(countTokens(a) == base::Tokens(5'000));
+}
