--- a/programs/hyssop-bench/Plan.h
+++ b/programs/hyssop-bench/Plan.h
@@ -30,6 +30,8 @@
     std::int64_t maxTokens = 0;
     std::uint64_t promptSeed = 0; ///< Requests of one seed share a prefix.
     std::string key; ///< Idempotency key of a service call.
+    /// Endings or reason codes of which one must come; empty: any final answer of its own.
+    std::vector<std::string> expected;
 };
 
 /// A kind of work within a mix.
--- a/programs/hyssop-bench/Report.cpp
+++ b/programs/hyssop-bench/Report.cpp
@@ -1,6 +1,7 @@
 #include "Report.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -50,7 +51,7 @@
     return values[static_cast<std::size_t>(std::lround(quantile * last))];
 }
 
-json reportJson(const std::vector<Sample> &samples)
+json reportJson(const std::vector<Sample> &samples, const RunLabel &label)
 {
     std::array<std::vector<const Sample *>, kLengthClasses> byLength;
     std::vector<const Sample *> services;
@@ -70,7 +71,14 @@
     for (std::size_t i = 0; i < byLength.size(); ++i)
         classes.push_back(classReport(lengthClassName(static_cast<LengthClass>(i)), byLength[i]));
     classes.push_back(classReport("services", services));
-    return {{"requests", samples.size()},
+    const auto answered = static_cast<double>(endings["answered"]);
+    return {{"mix", label.mix},
+            {"policy", label.policy},
+            {"variant", label.variant},
+            {"seed", label.seed},
+            {"rate", label.rate},
+            {"requests", samples.size()},
+            {"inTime", samples.empty() ? 0 : answered / static_cast<double>(samples.size())},
             {"classes", classes},
             {"endings", endings},
             {"codes", codes}};
@@ -95,11 +103,22 @@
     return table + "\n";
 }
 
-bool allEnded(const std::vector<Sample> &samples)
+std::vector<std::string> unexpectedEndings(const std::vector<Sample> &samples)
 {
-    return std::all_of(samples.begin(), samples.end(), [](const Sample &sample) {
-        return sample.ending != Ending::NoAnswer && sample.ending != Ending::BadAnswer;
-    });
+    std::vector<std::string> lines;
+    for (std::size_t i = 0; i < samples.size(); ++i) {
+        const Sample &sample = samples[i];
+        if (isAsExpected(sample))
+            continue;
+        lines.push_back(fmt::format(
+                "request {} ({} for {}, {} tokens): {} {}, expected {}", i, sample.request.route,
+                sample.request.team, sample.request.prompt.count(), endingName(sample.ending),
+                sample.code,
+                sample.request.expected.empty()
+                        ? "a final answer of its own"
+                        : fmt::format("{}", fmt::join(sample.request.expected, " or "))));
+    }
+    return lines;
 }
 
 } // namespace hyssop::bench
--- a/programs/hyssop-bench/Runner.cpp
+++ b/programs/hyssop-bench/Runner.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace hyssop::bench {
 
 namespace {
@@ -82,6 +84,17 @@
     return "?";
 }
 
+bool isAsExpected(const Sample &sample)
+{
+    const std::vector<std::string> &expected = sample.request.expected;
+    if (expected.empty())
+        return sample.ending != Ending::NoAnswer && sample.ending != Ending::BadAnswer;
+    const auto matches = [&](const std::string &it) {
+        return it == endingName(sample.ending) || it == sample.code;
+    };
+    return std::any_of(expected.begin(), expected.end(), matches);
+}
+
 Runner::Runner(std::vector<PlannedRequest> plan, RunOptions options)
     : m_plan(std::move(plan))
     , m_options(std::move(options))
--- a/programs/hyssop-bench/Runner.h
+++ b/programs/hyssop-bench/Runner.h
@@ -37,6 +37,9 @@
     base::Millis deadline{120'000}; ///< Asked for on each request.
 };
 
+/// Whether a sample ended as its request's trace allows.
+bool isAsExpected(const Sample &sample);
+
 /// Sends a plan open-loop and collects a sample of each request.
 class Runner final : private http::CallHandler
 {
