Entry hosts execute commands on the log, and say truthfully what became of them

Entry hosts had no way to reach claims and jobs. Claims name their attempt for that: the same claim sent again is accepted again, and a late release or end of an earlier attempt no longer touches a later claim of the same owner. A failed peer call now says whether it was handed to a connection.

--- a/cmake/HyssopTargets.cmake
+++ b/cmake/HyssopTargets.cmake
@@ -28,3 +28,15 @@
     target_link_libraries(${NAME} PRIVATE ${ARG_DEPENDS})
     set_target_properties(${NAME} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
+
+# hyssop_program_test(NAME SOURCES ... TESTS ... DEPENDS ...): a test program for those parts of a
+# binary that do no I/O.
+function(hyssop_program_test NAME)
+    cmake_parse_arguments(ARG "" "" "SOURCES;TESTS;DEPENDS" ${ARGN})
+    add_executable(test-${NAME} ${ARG_SOURCES} ${ARG_TESTS})
+    target_include_directories(test-${NAME} PRIVATE .)
+    target_compile_options(test-${NAME} PRIVATE ${HYSSOP_WARNINGS})
+    target_link_libraries(test-${NAME} PRIVATE ${ARG_DEPENDS} hyssop-testmain rapidcheck)
+    add_test(NAME ${NAME} COMMAND test-${NAME})
+    set_tests_properties(${NAME} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203" TIMEOUT 300)
+endfunction()
--- a/libs/ledger/include/ledger/Ledger.h
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -41,14 +41,18 @@
     std::string key;
     std::string digest; ///< Of the request's target and body.
     Owner owner;
+    /// Names one flow of the owner. The same claim sent again is accepted again while it is held;
+    /// empty makes the command unsafe to resend.
+    std::string attempt = {};
 };
 
-/// Gives a claim back; allowed only to its owner, when nothing was sent.
+/// Gives a claim back; allowed only to its owner and attempt, when nothing was sent.
 struct ReleaseClaim
 {
     base::TeamId team;
     std::string key;
     Owner owner;
+    std::string attempt = {}; ///< As in the claim; keeps a late resend from freeing another one.
 };
 
 /// Answer of an upstream, kept for callers that ask again.
@@ -67,6 +71,7 @@
     std::string key;
     Owner owner;
     std::optional<Answer> answer; ///< Empty: the outcome is unknown.
+    std::string attempt = {}; ///< As in the claim.
 };
 
 /// Marks every open claim of a dead owner as of unknown outcome and frees its jobs.
@@ -199,6 +204,7 @@
     {
         std::string digest;
         Owner owner;
+        std::string attempt = {};
         ClaimState state = ClaimState::Held;
         std::optional<Answer> answer;
         std::int64_t endedMs = 0;
--- a/libs/ledger/src/Codec.cpp
+++ b/libs/ledger/src/Codec.cpp
@@ -69,25 +69,23 @@
 
 json form(const Claim &c)
 {
-    return {{"op", "claim"},
-            {"team", c.team.text()},
-            {"key", c.key},
-            {"digest", c.digest},
-            {"owner", toJson(c.owner)}};
+    return {{"op", "claim"},      {"team", c.team.text()},    {"key", c.key},
+            {"digest", c.digest}, {"owner", toJson(c.owner)}, {"attempt", c.attempt}};
 }
 
 json form(const ReleaseClaim &c)
 {
-    return {{"op", "release"}, {"team", c.team.text()}, {"key", c.key}, {"owner", toJson(c.owner)}};
+    return {{"op", "release"},
+            {"team", c.team.text()},
+            {"key", c.key},
+            {"owner", toJson(c.owner)},
+            {"attempt", c.attempt}};
 }
 
 json form(const FinishClaim &c)
 {
-    return {{"op", "finish"},
-            {"team", c.team.text()},
-            {"key", c.key},
-            {"owner", toJson(c.owner)},
-            {"answer", toJson(c.answer)}};
+    return {{"op", "finish"},           {"team", c.team.text()},      {"key", c.key},
+            {"owner", toJson(c.owner)}, {"answer", toJson(c.answer)}, {"attempt", c.attempt}};
 }
 
 json form(const RetireOwner &c)
@@ -137,12 +135,13 @@
     }
     if (op == "claim")
         return Claim{base::TeamId(j.at("team")), j.at("key"), j.at("digest"),
-                     ownerFrom(j.at("owner"))};
+                     ownerFrom(j.at("owner")), j.value("attempt", "")};
     if (op == "release")
-        return ReleaseClaim{base::TeamId(j.at("team")), j.at("key"), ownerFrom(j.at("owner"))};
+        return ReleaseClaim{base::TeamId(j.at("team")), j.at("key"), ownerFrom(j.at("owner")),
+                            j.value("attempt", "")};
     if (op == "finish")
         return FinishClaim{base::TeamId(j.at("team")), j.at("key"), ownerFrom(j.at("owner")),
-                           answerFrom(j.at("answer"))};
+                           answerFrom(j.at("answer")), j.value("attempt", "")};
     if (op == "retire")
         return RetireOwner{ownerFrom(j.at("owner"))};
     if (op == "submit")
--- a/libs/ledger/src/Ledger.cpp
+++ b/libs/ledger/src/Ledger.cpp
@@ -111,7 +111,10 @@
     if (it == m_claims.end()) {
         if (m_claims.size() >= m_options.maxClaims)
             return answer(Status::Full, "too many claims are kept");
-        m_claims.emplace(key, ClaimEntry{command.digest, command.owner, ClaimState::Held, {}, 0});
+        m_claims.emplace(
+                key,
+                ClaimEntry{
+                        command.digest, command.owner, command.attempt, ClaimState::Held, {}, 0});
         return answer(Status::Accepted);
     }
     const ClaimEntry &held = it->second;
@@ -119,8 +122,11 @@
         return answer(Status::Conflict, "the key was used with another request");
     if (held.state == ClaimState::Unknown)
         return answer(Status::OutcomeUnknown);
-    if (held.state == ClaimState::Held)
-        return answer(Status::Pending);
+    if (held.state == ClaimState::Held) {
+        const bool isSame = !command.attempt.empty() && held.owner == command.owner
+                            && held.attempt == command.attempt;
+        return answer(isSame ? Status::Accepted : Status::Pending);
+    }
     Reply reply = answer(Status::Answered);
     reply.answer = held.answer;
     return reply;
@@ -131,7 +137,8 @@
     const auto it = m_claims.find({command.team, command.key});
     if (it == m_claims.end())
         return answer(Status::NotFound);
-    if (it->second.owner != command.owner || it->second.state != ClaimState::Held)
+    if (it->second.owner != command.owner || it->second.attempt != command.attempt
+        || it->second.state != ClaimState::Held)
         return answer(Status::NotOwner);
     m_claims.erase(it);
     return answer(Status::Accepted);
@@ -142,7 +149,7 @@
     const auto it = m_claims.find({command.team, command.key});
     if (it == m_claims.end())
         return answer(Status::NotFound);
-    if (it->second.owner != command.owner)
+    if (it->second.owner != command.owner || it->second.attempt != command.attempt)
         return answer(Status::NotOwner);
     // An owner that was taken for dead may still report what truly happened.
     if (it->second.state == ClaimState::Answered)
--- a/libs/ledger/src/Snapshot.cpp
+++ b/libs/ledger/src/Snapshot.cpp
@@ -66,6 +66,7 @@
                                    {"key", key.key},
                                    {"digest", claim.digest},
                                    {"owner", toJson(claim.owner)},
+                                   {"attempt", claim.attempt},
                                    {"state", static_cast<int>(claim.state)},
                                    {"answer", toJson(claim.answer)},
                                    {"ended", claim.endedMs}});
@@ -99,6 +100,7 @@
             Ledger::ClaimEntry claim;
             claim.digest = one.at("digest");
             claim.owner = ownerFrom(one.at("owner"));
+            claim.attempt = one.value("attempt", "");
             claim.state = static_cast<Ledger::ClaimState>(one.at("state").get<int>());
             claim.answer = answerFrom(one.at("answer"));
             claim.endedMs = one.at("ended");
--- a/libs/ledger/tests/LedgerTest.cpp
+++ b/libs/ledger/tests/LedgerTest.cpp
@@ -128,3 +128,25 @@
     CHECK(other.snapshot() == rig.ledger.snapshot());
     CHECK_FALSE(other.restore("nonsense"));
 }
+
+TEST_CASE("a claim sent again by the same attempt is its own; a late release frees no other claim")
+{
+    Rig rig;
+    Claim first = claim(kEntryA);
+    first.attempt = "a1";
+    CHECK(rig.run(first).status == Status::Accepted);
+    CHECK(rig.run(first).status == Status::Accepted);
+    Claim second = first;
+    second.attempt = "a2";
+    CHECK(rig.run(second).status == Status::Pending);
+
+    const ReleaseClaim release{base::TeamId("shop"), "k", kEntryA, "a1"};
+    CHECK(rig.run(release).status == Status::Accepted);
+    CHECK(rig.run(second).status == Status::Accepted);
+    CHECK(rig.run(release).status == Status::NotOwner);
+    CHECK(rig.run(FinishClaim{base::TeamId("shop"), "k", kEntryA, {}, "a1"}).status
+          == Status::NotOwner);
+    Claim other = claim(kEntryB);
+    other.attempt = "a1";
+    CHECK(rig.run(other).status == Status::Pending);
+}
--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -96,11 +96,12 @@
 
 enum class CallFault { Unreachable, Timeout, Failed };
 
-/// Why a call to another process gave no answer; it may have arrived there.
+/// Why a call to another process gave no answer.
 struct PeerError
 {
     CallFault fault = CallFault::Failed;
     std::string message;
+    bool mayHaveArrived = false; ///< The call was handed to a connection before it failed.
 };
 
 /// Receives the answer of an outgoing call, on the Node's thread.
--- a/libs/peers/src/Node.cpp
+++ b/libs/peers/src/Node.cpp
@@ -164,15 +164,20 @@
 {
     m_wakeup.post([this, to, timeout, callback = std::move(callback), send = std::move(send)] {
         const std::shared_ptr<Connection> used = connection(to);
-        kj::Promise<Reply> answer = used->ready.addBranch().then(
-                [used, send] { return send(KJ_ASSERT_NONNULL(used->peer)); });
+        const auto wasSent = std::make_shared<bool>(false);
+        kj::Promise<Reply> answer = used->ready.addBranch().then([used, send, wasSent] {
+            *wasSent = true;
+            return send(KJ_ASSERT_NONNULL(used->peer));
+        });
         auto bounded = m_io->provider->getTimer().timeoutAfter(timeout.count() * kj::MILLISECONDS,
                                                                kj::mv(answer));
         m_tasks->add(bounded.then([callback](Reply &&reply) { callback(std::move(reply)); },
-                                  [this, to, used, callback](kj::Exception &&e) {
+                                  [this, to, used, callback, wasSent](kj::Exception &&e) {
                                       // The next call makes a fresh connection.
                                       drop(to, used);
-                                      callback(tl::unexpected(errorFrom(e)));
+                                      PeerError error = errorFrom(e);
+                                      error.mayHaveArrived = *wasSent;
+                                      callback(tl::unexpected(std::move(error)));
                                   }));
     });
 }
--- a/libs/peers/tests/NodeTest.cpp
+++ b/libs/peers/tests/NodeTest.cpp
@@ -81,6 +81,7 @@
     const auto reply = execute(*server, server->address(), "hang", base::Millis(50));
     REQUIRE_FALSE(reply);
     CHECK(reply.error().fault == CallFault::Timeout);
+    CHECK(reply.error().mayHaveArrived);
     service.held = nullptr;
 }
 
@@ -88,7 +89,9 @@
 {
     Recorder service;
     const auto node = std::move(*Node::start(kAny, &service));
-    CHECK_FALSE(execute(*node, {"127.0.0.1", 1}, "g", kTimeout));
+    const auto reply = execute(*node, {"127.0.0.1", 1}, "g", kTimeout);
+    REQUIRE_FALSE(reply);
+    CHECK_FALSE(reply.error().mayHaveArrived);
 }
 
 TEST_CASE("calls after the other side has gone fail, and a later start is found again")
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -83,6 +83,7 @@
             m_loop.get(), [this](const auto &it) { onAnnouncement(it); });
     m_platform = std::make_unique<platform::Server>(m_loop.get(), &m_metrics,
                                                     [this] { refreshGauges(); });
+    m_control = std::make_unique<ControlClient>(m_loop.get(), &m_metrics, m_options.controls);
     m_watcher = std::make_unique<RecordsWatcher>(
             m_loop.get(), m_options.host, m_options.dataCentre, m_options.controls,
             [this](std::shared_ptr<const records::Catalogue> catalogue) {
@@ -105,6 +106,7 @@
         return tl::unexpected("cannot listen on " + m_options.listenPeers.text() + ": "
                               + node.error().message);
     m_peers = *std::move(node);
+    m_control->setNode(m_peers.get());
     base::logEvent("listening", {{"callers", callers->text()},
                                  {"upstreams", upstreams->text()},
                                  {"platform", platform->text()},
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller/Caller.h"
+#include "ControlClient.h"
 #include "EntryOptions.h"
 #include "http/Http.h"
 #include "membership/Membership.h"
@@ -115,6 +116,7 @@
     std::unique_ptr<upstream::Services> m_services;
     std::unique_ptr<routing::Router> m_router;
     std::unique_ptr<RecordsWatcher> m_watcher;
+    std::unique_ptr<ControlClient> m_control;
     std::unique_ptr<peers::Node> m_peers;
     membership::Directory m_directory;
     std::shared_ptr<const records::Catalogue> m_catalogue;
