Reserve gangs of engines whole, follow engines' events, and repeat deletions with backoff

Cause: prompts larger than one engine need memory at several engines at once, placement needs the engines' load and cache events, and cancels were repeated at a fixed pace without a bound on how many were under way. Change: upstream::Gangs reserves in id order and gives back whole; upstream::EngineFeeds follows GET /v1/events and opens a broken or silent feed again; upstream::Deletions repeats an order with backoff, 64 at once, until it is confirmed or 10 minutes have passed, and lists what is left so that another host can go on. Engines cancels through it.

--- a/libs/upstream/include/upstream/Upstream.h
+++ b/libs/upstream/include/upstream/Upstream.h
@@ -9,12 +9,14 @@
 #include "membership/Membership.h"
 #include "routing/Routing.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace hyssop::upstream {
@@ -62,6 +64,69 @@
     records::Urgency urgency = records::Urgency::Normal;
     std::int64_t resumeOffset = 0;
     bool resumesStream = false;
+    std::vector<base::UpstreamId> gang; ///< All engines that hold the prompt together, in id order.
+};
+
+/// Gives things at upstreams up: an order is repeated with backoff until the upstream confirms it.
+///
+/// "Gone already" (404) confirms too. An order that stays unconfirmed for kLimit is given up and
+/// counted; what it named then ends by its own time limit.
+class Deletions final : private http::CallHandler
+{
+public:
+    /// An order not yet confirmed.
+    struct Order
+    {
+        base::Endpoint to;
+        std::string path;
+
+        auto operator<=>(const Order &other) const = default;
+    };
+
+    /// Bound on how long an order is repeated.
+    static constexpr base::Millis kLimit{600'000};
+    /// Orders under way at once; the others wait their turn.
+    static constexpr std::size_t kMaxOpen = 64;
+
+    Deletions(http::Loop *loop, OwnerName owner);
+    ~Deletions() override;
+
+    /// Orders DELETE of \a path at \a to. An order that is under way already is not doubled.
+    void add(const base::Endpoint &to, const std::string &path);
+    std::size_t unconfirmed() const { return m_orders.size(); }
+    /// What is not confirmed, so that another host can go on with it.
+    std::vector<Order> pending() const;
+    std::int64_t givenUp() const { return m_givenUp; }
+
+private:
+    struct Progress
+    {
+        base::Millis waited{0};
+        base::Millis delay{0};
+    };
+
+    void sendNext();
+    void send(const Order &order);
+    void end(http::CallId id);
+    void repeatLater(const Order &order);
+    void onHead(http::CallId id, int status, const http::Headers &headers) override;
+    void onData(http::CallId, std::string_view) override { }
+    void onDone(http::CallId id) override;
+    void onFailed(http::CallId id, const http::CallError &error) override;
+
+    struct Open
+    {
+        Order order;
+        int status = 0;
+    };
+
+    http::Loop *m_loop;
+    OwnerName m_owner;
+    std::map<Order, Progress> m_orders;
+    std::deque<Order> m_queue;
+    std::map<http::CallId, Open> m_calls;
+    std::map<Order, http::TimerId> m_waits;
+    std::int64_t m_givenUp = 0;
 };
 
 /// Receives what becomes of attempts. After onFinished() or onFailed() nothing more comes.
@@ -90,7 +155,9 @@
     /// Ends an attempt here and at its engine; repeats the order until the engine confirms it.
     void cancel(const base::AttemptId &id, const base::Endpoint &to);
     /// Cancels not yet confirmed by their engines.
-    std::size_t unconfirmedCancels() const { return m_cancels.size(); }
+    std::size_t unconfirmedCancels() const { return m_deletions.unconfirmed(); }
+    /// Those cancels, so that another host can go on with them.
+    std::vector<Deletions::Order> pendingCancels() const { return m_deletions.pending(); }
 
 private:
     struct Stream
@@ -102,21 +169,11 @@
         SseParser parser;
         std::string errorBody;
     };
-    struct Cancel
-    {
-        base::AttemptId id;
-        base::Endpoint to;
-        int tries = 0;
-        int status = 0;
-    };
-
     void onHead(http::CallId id, int status, const http::Headers &headers) override;
     void onData(http::CallId id, std::string_view data) override;
     void onDone(http::CallId id) override;
     void onFailed(http::CallId id, const http::CallError &error) override;
     void onEvent(Stream &stream, std::string_view data);
-    void sendCancel(Cancel cancel);
-    void endCancel(http::CallId id, bool isConfirmed);
     void fail(http::CallId id, routing::AttemptFault fault);
 
     http::Loop *m_loop;
@@ -124,10 +181,138 @@
     AttemptListener *m_listener;
     std::map<http::CallId, Stream> m_streams;
     std::map<base::AttemptId, http::CallId> m_calls;
-    std::map<http::CallId, Cancel> m_cancels;
-    std::map<http::TimerId, base::AttemptId> m_waits;
+    Deletions m_deletions;
 };
 
+/// One engine's part in a gang.
+struct GangMember
+{
+    base::UpstreamId id;
+    base::Endpoint to;
+    base::Tokens tokens; ///< KV memory asked of it.
+};
+
+/// Engines asked to hold the prompt of one attempt together.
+struct GangOrder
+{
+    base::AttemptId id;
+    std::vector<GangMember> members; ///< In id order, so that two gangs cannot deadlock.
+    base::Millis limit{0}; ///< Until all of them must hold.
+};
+
+/// Reserves memory at the engines of a gang: whole or not at all.
+///
+/// Members are asked one after the other; an engine may keep the question waiting for memory
+/// within the limit. Reservations end by their ttl at the engine and are renewed while held, so a
+/// host that dies holds nothing for long.
+class Gangs final : private http::CallHandler
+{
+public:
+    using OnReserved = std::function<void(bool isHeld)>;
+
+    /// Life of a reservation that is not renewed.
+    static constexpr base::Millis kReservationTtl{15'000};
+
+    Gangs(http::Loop *loop, OwnerName owner);
+    ~Gangs() override;
+
+    /// Answers once, later; on false whatever had been reserved is being given back.
+    void reserve(GangOrder order, OnReserved onReserved);
+    /// Gives a gang back whole. One still being reserved gets no answer any more.
+    void release(const base::AttemptId &id);
+    /// Gangs that hold memory, or may.
+    std::size_t held() const { return m_gangs.size(); }
+    std::size_t unconfirmedReleases() const { return m_deletions.unconfirmed(); }
+
+private:
+    struct Gang
+    {
+        GangOrder order;
+        OnReserved onReserved;
+        std::size_t asked = 0; ///< Members that may hold something.
+        bool isHeld = false;
+        base::TimePoint deadline;
+        http::CallId call;
+        http::TimerId timer;
+    };
+    struct Question
+    {
+        base::AttemptId gang;
+        bool isRenewal = false;
+        int status = 0;
+    };
+
+    void askNext(Gang &gang);
+    http::CallId ask(const Gang &gang, const GangMember &member, base::Millis limit);
+    void renew(const base::AttemptId &id);
+    void giveBack(const Gang &gang);
+    void answer(const base::AttemptId &id, bool isHeld);
+    void onHead(http::CallId id, int status, const http::Headers &headers) override;
+    void onData(http::CallId, std::string_view) override { }
+    void onDone(http::CallId id) override;
+    void onFailed(http::CallId id, const http::CallError &error) override;
+
+    http::Loop *m_loop;
+    OwnerName m_owner;
+    std::map<base::AttemptId, Gang> m_gangs;
+    std::map<http::CallId, Question> m_questions;
+    Deletions m_deletions;
+};
+
+/// Follows the events of engines: load reports and changes of prefix caches.
+///
+/// A feed that breaks off or falls silent is opened again with backoff. Nothing is made up for
+/// what was missed: the sequence numbers of cache events show it.
+class EngineFeeds final : private http::CallHandler
+{
+public:
+    using OnLoad = std::function<void(routing::LoadReported)>;
+    using OnCache = std::function<void(routing::CacheChanged)>;
+
+    /// A feed that says nothing for so long is opened again.
+    static constexpr base::Millis kSilenceLimit{10'000};
+
+    EngineFeeds(http::Loop *loop, OnLoad onLoad, OnCache onCache);
+    ~EngineFeeds() override;
+
+    /// Follows an engine; again with the same address changes nothing.
+    void follow(const base::UpstreamId &id, const base::Endpoint &to);
+    void forget(const base::UpstreamId &id);
+    std::int64_t malformed() const { return m_malformed; }
+
+private:
+    struct Feed
+    {
+        base::Endpoint to;
+        std::optional<http::CallId> call;
+        std::optional<http::TimerId> timer;
+        base::Millis delay{0};
+        bool isOpen = false; ///< The engine has accepted the call.
+        SseParser parser;
+    };
+
+    void open(const base::UpstreamId &id);
+    void openLater(const base::UpstreamId &id);
+    void watchSilence(const base::UpstreamId &id);
+    void close(Feed &feed);
+    void onEvent(const base::UpstreamId &id, std::string_view text);
+    void onHead(http::CallId id, int status, const http::Headers &headers) override;
+    void onData(http::CallId id, std::string_view data) override;
+    void onDone(http::CallId id) override;
+    void onFailed(http::CallId id, const http::CallError &error) override;
+
+    http::Loop *m_loop;
+    OnLoad m_onLoad;
+    OnCache m_onCache;
+    std::map<base::UpstreamId, Feed> m_feeds;
+    std::map<http::CallId, base::UpstreamId> m_calls;
+    std::int64_t m_malformed = 0;
+};
+
+/// Reads one event of an engine's feed; empty when it is malformed.
+std::optional<std::variant<routing::LoadReported, routing::CacheChanged>> parseEngineEvent(
+        const base::UpstreamId &id, std::string_view text);
+
 /// Answer of a plain service.
 struct ServiceAnswer
 {
--- a/libs/upstream/src/Engines.cpp
+++ b/libs/upstream/src/Engines.cpp
@@ -7,10 +7,6 @@
 namespace {
 
 constexpr auto kEndMark = "[DONE]";
-constexpr base::Millis kCancelTimeout{1'000};
-constexpr base::Millis kCancelRetry{200};
-/// Cancels are given up when the engine has been gone for longer than its work could last.
-constexpr int kMaxCancelTries = 600;
 constexpr int kStatusOk = 200;
 
 routing::AttemptFault faultOf(const http::CallError &error)
@@ -31,22 +27,30 @@
     return error != json->end() && error->is_object() && error->value("outcome", "") == "not_run";
 }
 
+std::string joined(const std::vector<base::UpstreamId> &ids)
+{
+    std::string text;
+    for (const base::UpstreamId &id : ids) {
+        if (!text.empty())
+            text += ',';
+        text += id.text();
+    }
+    return text;
+}
+
 } // namespace
 
 Engines::Engines(http::Loop *loop, OwnerName owner, AttemptListener *listener)
     : m_loop(loop)
     , m_owner(std::move(owner))
     , m_listener(listener)
+    , m_deletions(loop, m_owner)
 { }
 
 Engines::~Engines()
 {
     for (const auto &[id, stream] : m_streams)
         m_loop->cancel(id);
-    for (const auto &[id, cancel] : m_cancels)
-        m_loop->cancel(id);
-    for (const auto &[timer, id] : m_waits)
-        m_loop->cancelTimer(timer);
 }
 
 void Engines::start(EngineAttempt attempt)
@@ -65,6 +69,8 @@
                     {"x-owner", m_owner.text()},
                     {"x-remaining-ms", std::to_string(attempt.remaining.count())},
                     {"x-priority", std::to_string(static_cast<int>(attempt.urgency))}};
+    if (!attempt.gang.empty())
+        call.headers.push_back({"x-gang", joined(attempt.gang)});
     call.timeout = attempt.remaining;
     const http::CallId id = m_loop->call(std::move(call), this);
     Stream stream;
@@ -80,42 +86,11 @@
         m_streams.erase(it->second);
         m_calls.erase(it);
     }
-    sendCancel({id, to});
-}
-
-void Engines::sendCancel(Cancel cancel)
-{
-    ++cancel.tries;
-    http::Call call;
-    call.to = cancel.to;
-    call.method = http::Method::Delete;
-    call.path = "/v1/attempts/" + cancel.id.text();
-    call.headers = {{"x-owner", m_owner.text()}};
-    call.timeout = kCancelTimeout;
-    m_cancels.emplace(m_loop->call(std::move(call), this), std::move(cancel));
-}
-
-void Engines::endCancel(http::CallId id, bool isConfirmed)
-{
-    const auto it = m_cancels.find(id);
-    const Cancel cancel = it->second;
-    m_cancels.erase(it);
-    if (isConfirmed || cancel.tries >= kMaxCancelTries)
-        return;
-    auto timer = std::make_shared<http::TimerId>();
-    *timer = m_loop->after(kCancelRetry, [this, cancel, timer] {
-        m_waits.erase(*timer);
-        sendCancel(cancel);
-    });
-    m_waits.emplace(*timer, cancel.id);
+    m_deletions.add(to, "/v1/attempts/" + id.text());
 }
 
 void Engines::onHead(http::CallId id, int status, const http::Headers &headers)
 {
-    if (const auto it = m_cancels.find(id); it != m_cancels.end()) {
-        it->second.status = status;
-        return;
-    }
     Stream &stream = m_streams.at(id);
     stream.status = status;
     const std::string_view retryAfter = http::headerValue(headers, "retry-after");
@@ -177,11 +152,6 @@
 
 void Engines::onDone(http::CallId id)
 {
-    if (const auto it = m_cancels.find(id); it != m_cancels.end()) {
-        const int status = it->second.status;
-        endCancel(id, status == kStatusOk || status == 204 || status == 404);
-        return;
-    }
     const auto it = m_streams.find(id);
     if (it == m_streams.end())
         return;
@@ -202,10 +172,7 @@
 
 void Engines::onFailed(http::CallId id, const http::CallError &error)
 {
-    if (m_cancels.contains(id))
-        endCancel(id, false);
-    else
-        fail(id, faultOf(error));
+    fail(id, faultOf(error));
 }
 
 void Engines::fail(http::CallId id, routing::AttemptFault fault)
--- /dev/null
+++ b/libs/upstream/tests/EngineFeedsTest.cpp
@@ -0,0 +1,77 @@
+#include "upstream/Upstream.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssop;
+using namespace hyssop::upstream;
+
+namespace {
+
+constexpr auto kLoad = "data: {\"type\":\"load\",\"ageMs\":40,\"running\":2,\"waiting\":1,"
+                       "\"queuedPromptTokens\":900,\"usedKvTokens\":5000}\n\n";
+constexpr auto kCache = "data: {\"type\":\"cache\",\"epoch\":3,\"sequence\":7,"
+                        "\"added\":[18446744073709551615],\"removed\":[4]}\n\n";
+
+/// An engine whose feed breaks off after each text.
+class Feed : public http::ServerHandler
+{
+public:
+    void onRequest(http::ExchangeId id, http::Request request) override
+    {
+        path = request.path;
+        loop->startStream(id, 200, "text/event-stream", {});
+        loop->sendStream(id, texts[std::min(opened, texts.size() - 1)]);
+        ++opened;
+        loop->endStream(id);
+    }
+    void onPeerClosed(http::ExchangeId) override { }
+    void onRejected(http::RejectReason) override { }
+
+    http::Loop *loop = nullptr;
+    std::vector<std::string> texts;
+    std::size_t opened = 0;
+    std::string path;
+};
+
+} // namespace
+
+TEST_CASE("a feed is opened again after it broke off, and malformed events are counted")
+{
+    auto loop = std::move(*http::Loop::create(64));
+    Feed engine;
+    engine.loop = loop.get();
+    engine.texts = {std::string("data: {\"type\":\"load\"}\n\n") + kLoad, kCache};
+    http::ServerOptions options;
+    options.listen = {"127.0.70.1", 0};
+    const base::Endpoint address = *loop->listen(options, &engine);
+    std::optional<routing::LoadReported> load;
+    std::optional<routing::CacheChanged> change;
+    EngineFeeds feeds(
+            loop.get(), [&](const routing::LoadReported &it) { load = it; },
+            [&](const routing::CacheChanged &it) {
+                change = it;
+                loop->stop();
+            });
+    feeds.follow(base::UpstreamId("e1"), address);
+    loop->run();
+    CHECK(engine.path == "/v1/events");
+    CHECK(feeds.malformed() == 1);
+    REQUIRE(load);
+    CHECK(load->upstream == base::UpstreamId("e1"));
+    CHECK(load->age == base::Millis(40));
+    CHECK(load->kvUsed == base::Tokens(5'000));
+    REQUIRE(change);
+    CHECK(change->sequence == 7);
+    CHECK(change->added == std::vector<std::uint64_t>{18'446'744'073'709'551'615U});
+    feeds.forget(base::UpstreamId("e1"));
+}
+
+TEST_CASE("an event with a negative figure or a missing field is malformed")
+{
+    const base::UpstreamId id("e1");
+    CHECK_FALSE(parseEngineEvent(id, "{\"type\":\"load\",\"ageMs\":-1,\"running\":0,\"waiting\":0,"
+                                     "\"queuedPromptTokens\":0,\"usedKvTokens\":0}"));
+    CHECK_FALSE(parseEngineEvent(id, "{\"type\":\"cache\",\"epoch\":1,\"sequence\":1,"
+                                     "\"added\":[\"x\"],\"removed\":[]}"));
+    CHECK_FALSE(parseEngineEvent(id, "[]"));
+}
