--- a/standins/engine/EngineModel.cpp
+++ b/standins/engine/EngineModel.cpp
@@ -1,21 +1,24 @@
 #include "EngineModel.h"
 
-#include "upstream/Upstream.h"
-
 #include <algorithm>
 
 namespace hyssop::standins {
 
-using upstream::kBlockTokens;
-
 EngineModel::EngineModel(EngineParameters parameters)
     : m_parameters(parameters)
+    , m_memory(parameters.kvTokens)
 { }
 
 bool EngineModel::add(Sequence sequence)
 {
-    if (sequence.promptTokens + sequence.maxTokens > m_parameters.kvTokens)
+    const std::int64_t size = sequence.promptTokens + sequence.maxTokens;
+    if (sequence.isGang) {
+        const Reservation *reservation = m_memory.reservation(sequence.attempt);
+        if (!reservation || !reservation->isHeld() || reservation->gangTokens < size)
+            return false;
+    } else if (size > m_parameters.kvTokens) {
         return false;
+    }
     const auto later = std::find_if(m_sequences.begin(), m_sequences.end(), [&](const auto &it) {
         return it.priority > sequence.priority;
     });
@@ -23,111 +26,116 @@
     return true;
 }
 
+const Sequence *EngineModel::find(const std::string &attempt) const
+{
+    const auto it = std::find_if(m_sequences.begin(), m_sequences.end(),
+                                 [&](const auto &one) { return one.attempt == attempt; });
+    return it == m_sequences.end() ? nullptr : &*it;
+}
+
 bool EngineModel::cancel(const std::string &attempt)
 {
     const auto it = std::find_if(m_sequences.begin(), m_sequences.end(),
                                  [&](const auto &one) { return one.attempt == attempt; });
     if (it == m_sequences.end())
         return false;
-    release(*it);
+    if (it->isRunning)
+        m_memory.give(it->needed());
     m_sequences.erase(it);
     return true;
 }
 
-void EngineModel::release(const Sequence &sequence)
-{
-    if (sequence.isRunning)
-        m_used -= sequence.promptTokens + sequence.maxTokens;
-}
-
-std::int64_t EngineModel::cachedPrefix(const Sequence &sequence) const
+bool EngineModel::waitsLongerThan(const Sequence &sequence, base::Millis limit) const
 {
-    std::int64_t tokens = 0;
-    for (const std::uint64_t block : sequence.blocks) {
-        if (!m_cache.contains(block))
-            break;
-        tokens += kBlockTokens;
-    }
-    return std::min(tokens, sequence.promptTokens - 1);
-}
-
-void EngineModel::evictFor(std::int64_t tokens)
-{
-    while (!m_cacheOrder.empty() && m_used + cachedTokens() + tokens > m_parameters.kvTokens) {
-        m_cache.erase(m_cacheOrder.front());
-        m_cacheOrder.pop_front();
-    }
+    return sequence.blockedSince && m_clock - *sequence.blockedSince >= limit;
 }
 
-void EngineModel::remember(const Sequence &sequence)
+bool EngineModel::tryAdmit(Sequence &sequence)
 {
-    for (const std::uint64_t block : sequence.blocks) {
-        if (const auto it = m_cache.find(block); it != m_cache.end()) {
-            m_cacheOrder.splice(m_cacheOrder.end(), m_cacheOrder, it->second);
-            continue;
-        }
-        evictFor(kBlockTokens);
-        if (m_used + cachedTokens() + kBlockTokens > m_parameters.kvTokens)
-            return;
-        m_cacheOrder.push_back(block);
-        m_cache.emplace(block, std::prev(m_cacheOrder.end()));
+    if (!m_memory.take(sequence.needed())) {
+        if (!sequence.blockedSince)
+            sequence.blockedSince = m_clock;
+        return false;
     }
+    const std::int64_t cached = m_cache.prefixOf(sequence.blocks);
+    sequence.prefilled = std::clamp<std::int64_t>(cached, 0, sequence.promptTokens - 1);
+    sequence.isRunning = true;
+    sequence.blockedSince.reset();
+    shrinkCache();
+    return true;
 }
 
 void EngineModel::admitWaiting()
 {
     std::size_t batch = running();
+    // One that has waited too long for memory goes before everything.
+    for (Sequence &sequence : m_sequences) {
+        if (!sequence.isRunning && waitsLongerThan(sequence, m_parameters.maxUrgentBypass)) {
+            if (batch < m_parameters.maxBatch)
+                tryAdmit(sequence);
+            return;
+        }
+    }
     for (Sequence &sequence : m_sequences) {
         if (sequence.isRunning)
             continue;
-        const std::int64_t needed = sequence.promptTokens + sequence.maxTokens;
-        if (batch >= m_parameters.maxBatch || m_used + needed > m_parameters.kvTokens)
+        if (batch >= m_parameters.maxBatch)
+            return;
+        if (tryAdmit(sequence))
+            ++batch;
+        else if (waitsLongerThan(sequence, m_parameters.maxBypass))
             return;
-        sequence.prefilled = std::max<std::int64_t>(0, cachedPrefix(sequence));
-        sequence.isRunning = true;
-        m_used += needed;
-        evictFor(0);
-        ++batch;
     }
 }
 
+std::int64_t EngineModel::prefill(Sequence &sequence, std::int64_t budget)
+{
+    const std::int64_t n = std::min(budget, sequence.promptTokens - sequence.prefilled);
+    sequence.prefilled += n;
+    // A gang's prompt is spread over its engines and cached at none.
+    if (sequence.prefilled == sequence.promptTokens && !sequence.isGang)
+        m_cache.remember(sequence.blocks, m_memory.free());
+    return n;
+}
+
 std::vector<MadeToken> EngineModel::step()
 {
     admitWaiting();
     std::vector<MadeToken> made;
-    std::int64_t budget = m_parameters.chunkTokens;
     std::int64_t computed = 0;
     for (Sequence &sequence : m_sequences) {
         if (!sequence.isRunning)
             continue;
         if (sequence.prefilled < sequence.promptTokens) {
-            const std::int64_t n = std::min(budget, sequence.promptTokens - sequence.prefilled);
-            sequence.prefilled += n;
-            budget -= n;
-            computed += n;
+            computed += prefill(sequence, m_parameters.chunkTokens - computed);
             if (sequence.prefilled < sequence.promptTokens)
                 continue;
-            remember(sequence);
         }
         const std::int64_t offset = sequence.generated++;
         made.push_back({sequence.attempt, offset, sequence.generated == sequence.maxTokens});
     }
+    removeFinished();
+    const double seconds = static_cast<double>(computed) / m_parameters.prefillTokensPerSecond;
+    m_stepTime = m_parameters.stepBase + base::Micros(static_cast<std::int64_t>(seconds * 1e6));
+    m_clock += m_stepTime;
+    return made;
+}
+
+void EngineModel::removeFinished()
+{
     for (auto it = m_sequences.begin(); it != m_sequences.end();) {
-        if (it->generated < it->maxTokens) {
+        if (!it->isRunning || it->generated < it->maxTokens) {
             ++it;
             continue;
         }
-        release(*it);
+        m_memory.give(it->needed());
         it = m_sequences.erase(it);
     }
-    const double seconds = static_cast<double>(computed) / m_parameters.prefillTokensPerSecond;
-    m_stepTime = m_parameters.stepBase + base::Micros(static_cast<std::int64_t>(seconds * 1e6));
-    return made;
 }
 
-std::int64_t EngineModel::cachedTokens() const
+void EngineModel::shrinkCache()
 {
-    return static_cast<std::int64_t>(m_cacheOrder.size()) * kBlockTokens;
+    m_cache.shrinkTo(m_memory.free());
 }
 
 std::size_t EngineModel::running() const
@@ -149,14 +157,4 @@
     return tokens;
 }
 
-std::vector<std::string> EngineModel::attemptsOf(const std::string &owner) const
-{
-    std::vector<std::string> attempts;
-    for (const Sequence &sequence : m_sequences) {
-        if (sequence.owner == owner)
-            attempts.push_back(sequence.attempt);
-    }
-    return attempts;
-}
-
 } // namespace hyssop::standins
--- a/standins/engine/EngineModel.h
+++ b/standins/engine/EngineModel.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "base/Base.h"
+#include "KvMemory.h"
+#include "PrefixCache.h"
 
-#include <deque>
 #include <list>
-#include <map>
+#include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace hyssop::standins {
@@ -18,6 +18,11 @@
     std::int64_t chunkTokens = 1'024; ///< Prompt tokens computed in one step.
     std::int64_t kvTokens = 400'000;
     std::size_t maxBatch = 64;
+    /// Model time for which later sequences of the same or less urgency may pass one that waits
+    /// for memory.
+    base::Millis maxBypass{1'000};
+    /// The same for more urgent ones.
+    base::Millis maxUrgentBypass{20'000};
 };
 
 /// What a sequence needs and has done.
@@ -29,9 +34,13 @@
     std::int64_t promptTokens = 0;
     std::int64_t maxTokens = 0;
     std::vector<std::uint64_t> blocks;
+    bool isGang = false; ///< Lives in the memory reserved under its attempt's id.
     std::int64_t prefilled = 0;
     std::int64_t generated = 0;
     bool isRunning = false;
+    std::optional<base::Micros> blockedSince; ///< Model time; set while memory is short.
+
+    std::int64_t needed() const { return isGang ? 0 : promptTokens + maxTokens; }
 };
 
 /// A token made for an attempt in a step.
@@ -48,7 +57,7 @@
 public:
     explicit EngineModel(EngineParameters parameters);
 
-    /// False: the sequence is larger than the memory.
+    /// False: the sequence is larger than the memory, or than what its gang has reserved.
     bool add(Sequence sequence);
     bool cancel(const std::string &attempt);
     /// Computes one step; answers with the tokens made.
@@ -57,26 +66,31 @@
     base::Micros stepTime() const { return m_stepTime; }
     bool isIdle() const { return m_sequences.empty(); }
 
-    std::int64_t usedKvTokens() const { return m_used; }
-    std::int64_t cachedTokens() const;
+    KvMemory &memory() { return m_memory; }
+    const KvMemory &memory() const { return m_memory; }
+    PrefixCache &cache() { return m_cache; }
+    const PrefixCache &cache() const { return m_cache; }
     std::size_t running() const;
     std::size_t waiting() const;
     std::int64_t queuedPromptTokens() const;
-    std::vector<std::string> attemptsOf(const std::string &owner) const;
+    const std::list<Sequence> &sequences() const { return m_sequences; }
+    const Sequence *find(const std::string &attempt) const;
+    /// Evicts cached blocks that used memory has displaced.
+    void shrinkCache();
 
 private:
     void admitWaiting();
-    void release(const Sequence &sequence);
-    std::int64_t cachedPrefix(const Sequence &sequence) const;
-    void remember(const Sequence &sequence);
-    void evictFor(std::int64_t tokens);
+    bool tryAdmit(Sequence &sequence);
+    bool waitsLongerThan(const Sequence &sequence, base::Millis limit) const;
+    std::int64_t prefill(Sequence &sequence, std::int64_t budget);
+    void removeFinished();
 
     EngineParameters m_parameters;
     std::list<Sequence> m_sequences; ///< By priority, then arrival.
-    std::int64_t m_used = 0;
-    std::list<std::uint64_t> m_cacheOrder; ///< Least recently used first.
-    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> m_cache;
+    KvMemory m_memory;
+    PrefixCache m_cache;
     base::Micros m_stepTime{0};
+    base::Micros m_clock{0};
 };
 
 } // namespace hyssop::standins
