--- /dev/null
+++ b/integration/harness/System.cpp
@@ -0,0 +1,342 @@
+#include "System.h"
+
+#include "Failures.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+namespace hyssop::harness {
+
+namespace {
+
+constexpr base::Millis kReadyLimit{30'000};
+constexpr std::size_t kShownLines = 15;
+
+std::filesystem::path makeFolder()
+{
+    std::string path = (std::filesystem::temp_directory_path() / "hyssop-test-XXXXXX").string();
+    const char *made = ::mkdtemp(path.data());
+    REQUIRE(made);
+    return path;
+}
+
+void append(std::vector<std::string> &to, const std::vector<std::string> &more)
+{
+    to.insert(to.end(), more.begin(), more.end());
+}
+
+std::string programOf(Role role)
+{
+    switch (role) {
+    case Role::Control:
+        return "hyssop-control";
+    case Role::Entry:
+        return "hyssop-entry";
+    case Role::Engine:
+        return "standin-engine";
+    case Role::Service:
+        break;
+    }
+    return "standin-service";
+}
+
+std::string join(const std::vector<std::string> &parts)
+{
+    std::string text;
+    for (const std::string &part : parts)
+        text += (text.empty() ? "" : ",") + part;
+    return text;
+}
+
+void showEnd(const std::filesystem::path &log)
+{
+    std::ifstream file(log);
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(file, line);)
+        lines.push_back(line);
+    std::cerr << "--- " << log.filename().string() << '\n';
+    const std::size_t from = lines.size() > kShownLines ? lines.size() - kShownLines : 0;
+    for (std::size_t i = from; i < lines.size(); ++i)
+        std::cerr << lines[i] << '\n';
+}
+
+} // namespace
+
+double metricSum(std::string_view text, std::string_view name, std::string_view label)
+{
+    double sum = 0;
+    while (!text.empty()) {
+        const std::string_view line = text.substr(0, text.find('\n'));
+        text.remove_prefix(std::min(text.size(), line.size() + 1));
+        const std::size_t space = line.rfind(' ');
+        const std::string_view sample = line.substr(0, space);
+        if (space != std::string_view::npos && sample.substr(0, sample.find('{')) == name
+            && sample.find(label) != std::string_view::npos)
+            sum += std::strtod(std::string(line.substr(space + 1)).c_str(), nullptr);
+    }
+    return sum;
+}
+
+System::System(Plan plan)
+    : m_plan(std::move(plan))
+    , m_folder(makeFolder())
+{
+    addHosts();
+    for (const auto &host : m_hosts)
+        writeArguments(*host);
+    if (m_plan.hasFaultLinks)
+        m_faults.start(&m_client, m_folder / "fault-proxy.log", m_addresses);
+    for (const auto &host : m_hosts)
+        start(*host);
+}
+
+System::~System()
+{
+    if (hasFailures()) {
+        showLogs();
+        std::cerr << "logs are kept in " << m_folder.string() << '\n';
+        return;
+    }
+    m_hosts.clear();
+    std::error_code ec;
+    std::filesystem::remove_all(m_folder, ec);
+}
+
+void System::showLogs() const
+{
+    for (const auto &host : m_hosts)
+        showEnd(m_folder / (host->name + ".log"));
+}
+
+Host &System::add(const std::string &name, const std::string &dataCentre, Role role)
+{
+    auto host = std::make_unique<Host>();
+    host->name = name;
+    host->dataCentre = dataCentre;
+    host->role = role;
+    const std::string address = m_addresses.nextHost();
+    for (base::Endpoint *endpoint : {&host->peers, &host->platform, &host->callers,
+                                     &host->upstreams, &host->operators, &host->serves})
+        *endpoint = Addresses::nextEndpoint(address);
+    m_hosts.push_back(std::move(host));
+    return *m_hosts.back();
+}
+
+void System::addHosts()
+{
+    int number = 0;
+    for (const std::string &dataCentre : m_plan.dataCentres) {
+        const std::string dc = std::to_string(++number);
+        add("control-" + dc, dataCentre, Role::Control);
+        for (int n = 1; n <= m_plan.entriesEach; ++n)
+            add("entry-" + dc + "-" + std::to_string(n), dataCentre, Role::Entry);
+        for (int n = 1; n <= m_plan.enginesEach; ++n)
+            add("engine-" + dc + "-" + std::to_string(n), dataCentre, Role::Engine);
+        for (int n = 1; n <= m_plan.servicesEach; ++n)
+            add("service-" + dc + "-" + std::to_string(n), dataCentre, Role::Service);
+    }
+}
+
+Host &System::host(const std::string &name)
+{
+    for (const auto &host : m_hosts) {
+        if (host->name == name)
+            return *host;
+    }
+    FAIL("no host is named " << name);
+    return *m_hosts.front();
+}
+
+std::vector<Host *> System::hosts(Role role, const std::string &dataCentre)
+{
+    std::vector<Host *> found;
+    for (const auto &host : m_hosts) {
+        if (host->role == role && (dataCentre.empty() || host->dataCentre == dataCentre))
+            found.push_back(host.get());
+    }
+    return found;
+}
+
+std::string System::reach(const Host &from, const Host &to)
+{
+    if (!m_plan.hasFaultLinks)
+        return to.peers.text();
+    std::string &address = m_reach[{from.name, to.name}];
+    if (address.empty())
+        address = m_faults.link(from.name, to.name, to.peers, m_addresses).text();
+    return address;
+}
+
+std::vector<Host *> System::controlsNearestFirst(const Host &from)
+{
+    std::vector<Host *> controls = hosts(Role::Control);
+    std::stable_partition(controls.begin(), controls.end(),
+                          [&](const Host *it) { return it->dataCentre == from.dataCentre; });
+    return controls;
+}
+
+void System::writeArguments(Host &host)
+{
+    switch (host.role) {
+    case Role::Control:
+        writeControl(host);
+        break;
+    case Role::Entry:
+        writeEntry(host);
+        break;
+    case Role::Engine:
+    case Role::Service:
+        writeUpstream(host);
+        break;
+    }
+}
+
+void System::writeControl(Host &host)
+{
+    std::vector<std::string> voters;
+    for (Host *control : hosts(Role::Control)) {
+        if (static_cast<int>(voters.size()) == m_plan.voters)
+            break;
+        const bool isSelf = control == &host;
+        voters.push_back(control->name + "="
+                         + (isSelf ? host.peers.text() : reach(host, *control)));
+    }
+    host.arguments = {"--host",
+                      host.name,
+                      "--data-centre",
+                      host.dataCentre,
+                      "--data",
+                      (m_folder / host.name).string(),
+                      "--listen-peers",
+                      host.peers.text(),
+                      "--listen-operators",
+                      host.operators.text(),
+                      "--listen-platform",
+                      host.platform.text(),
+                      "--global-voters",
+                      join(voters)};
+    append(host.arguments, m_plan.controlFlags);
+}
+
+void System::writeEntry(Host &host)
+{
+    std::vector<std::string> controls;
+    for (Host *control : controlsNearestFirst(host))
+        controls.push_back(reach(host, *control));
+    std::vector<std::string> peers;
+    for (Host *entry : hosts(Role::Entry, host.dataCentre)) {
+        if (entry != &host)
+            peers.push_back(reach(host, *entry));
+    }
+    host.arguments = {"--host",
+                      host.name,
+                      "--data-centre",
+                      host.dataCentre,
+                      "--listen-callers",
+                      host.callers.text(),
+                      "--listen-upstreams",
+                      host.upstreams.text(),
+                      "--listen-platform",
+                      host.platform.text(),
+                      "--listen-peers",
+                      host.peers.text(),
+                      "--controls",
+                      join(controls),
+                      "--peers",
+                      join(peers)};
+    append(host.arguments, m_plan.entryFlags);
+}
+
+void System::writeUpstream(Host &host)
+{
+    std::vector<std::string> entries;
+    for (Host *entry : hosts(Role::Entry, host.dataCentre))
+        entries.push_back(entry->upstreams.text());
+    host.arguments = {"--id",     host.name,          "--data-centre", host.dataCentre,
+                      "--listen", host.serves.text(), "--entries",     join(entries)};
+    if (m_plan.hasFaultLinks) {
+        const base::Endpoint through =
+                m_faults.link("entries", host.name, host.serves, m_addresses);
+        append(host.arguments, {"--announce-address", through.text()});
+    }
+    if (host.role == Role::Engine) {
+        append(host.arguments, {"--model", "saga"});
+        append(host.arguments, m_plan.engineFlags);
+    } else {
+        append(host.arguments, {"--service", "booking"});
+        append(host.arguments, m_plan.serviceFlags);
+    }
+}
+
+void System::start(Host &host, std::int64_t maxFileBytes)
+{
+    host.process = std::make_unique<Process>(ProcessOptions{
+            programOf(host.role), host.arguments, m_folder / (host.name + ".log"), maxFileBytes});
+}
+
+void System::kill(Host &host)
+{
+    host.process->signal(SIGKILL);
+    REQUIRE(host.process->wait(kReadyLimit));
+}
+
+void System::stop(Host &host, base::Millis limit)
+{
+    host.process->signal(SIGTERM);
+    const std::optional<Exit> exit = host.process->wait(limit);
+    INFO(host.name);
+    REQUIRE(exit);
+    CHECK(exit->signal == 0);
+    CHECK(exit->code == 0);
+}
+
+void System::awaitReady(Host &host)
+{
+    const bool isUpstream = host.role == Role::Engine || host.role == Role::Service;
+    INFO(host.name);
+    REQUIRE(eventually(kReadyLimit, [&] {
+        return isUpstream ? m_client.get(host.serves, "/v1/stats").status != 0
+                          : m_client.get(host.platform, "/ready").status == 200;
+    }));
+}
+
+void System::awaitUpstreams(const std::string &dataCentre, int count)
+{
+    for (Host *entry : hosts(Role::Entry, dataCentre)) {
+        INFO(entry->name);
+        REQUIRE(eventually(kReadyLimit, [&] {
+            const Answer metrics = m_client.get(entry->platform, "/metrics");
+            return metricSum(metrics.body, "hyssop_upstreams") >= count;
+        }));
+    }
+}
+
+void System::awaitAllReady()
+{
+    for (const auto &host : m_hosts)
+        awaitReady(*host);
+    for (const std::string &dataCentre : m_plan.dataCentres)
+        awaitUpstreams(dataCentre, m_plan.enginesEach + m_plan.servicesEach);
+}
+
+void System::cutOff(const std::string &dataCentre)
+{
+    for (const auto &[ends, address] : m_reach) {
+        const bool isFromHere = host(ends.first).dataCentre == dataCentre;
+        const bool isToHere = host(ends.second).dataCentre == dataCentre;
+        if (isFromHere != isToHere)
+            m_faults.cut(ends.first, ends.second);
+    }
+}
+
+void System::isolate(const Host &host)
+{
+    m_faults.cut(host.name, "");
+    m_faults.cut("", host.name);
+}
+
+} // namespace hyssop::harness
--- a/standins/fault-proxy/tests/ForwarderTest.cpp
+++ b/standins/fault-proxy/tests/ForwarderTest.cpp
@@ -72,7 +72,7 @@
         : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in name = loopback(0);
-        ::bind(m_listener.fd(), reinterpret_cast<sockaddr *>(&name), sizeof name);
+        REQUIRE(::bind(m_listener.fd(), reinterpret_cast<sockaddr *>(&name), sizeof name) == 0);
         ::listen(m_listener.fd(), 8);
         socklen_t size = sizeof name;
         ::getsockname(m_listener.fd(), reinterpret_cast<sockaddr *>(&name), &size);
