--- a/integration/UpstreamFaultTest.cpp
+++ b/integration/UpstreamFaultTest.cpp
@@ -66,7 +66,8 @@
     }
 }
 
-TEST_CASE("an engine that stalls silently does not hold a request past its deadline", "[.known-red]")
+TEST_CASE("an engine that stalls silently does not hold a request past its deadline",
+          "[.known-red]")
 {
     System system;
     bringUp(system);
@@ -190,7 +191,8 @@
             {"state", "leaving"},
             {"ttlMs",
              60'000}}.dump();
-    REQUIRE(system.client().start(std::move(announce)).wait().status == 200);
+    const Pending announcing = system.client().start(announce);
+    REQUIRE(announcing.wait().status == 200);
     const base::TimePoint announced = base::monotonicNow();
     REQUIRE(eventually(base::Millis(3'000),
                        [&] { return base::monotonicNow() - announced >= base::Millis(2'900); }));
