--- a/integration/harness/System.cpp
+++ b/integration/harness/System.cpp
@@ -264,10 +264,10 @@
         append(host.arguments, {"--announce-address", through.text()});
     }
     if (host.role == Role::Engine) {
-        append(host.arguments, {"--model", "saga"});
+        append(host.arguments, {"--model", m_plan.model});
         append(host.arguments, m_plan.engineFlags);
     } else {
-        append(host.arguments, {"--service", "booking"});
+        append(host.arguments, {"--service", m_plan.service});
         append(host.arguments, m_plan.serviceFlags);
     }
 }
--- a/integration/harness/System.h
+++ b/integration/harness/System.h
@@ -18,6 +18,8 @@
     int enginesEach = 1;
     int servicesEach = 0;
     int voters = 1; ///< Of the global group, in the first data centres.
+    std::string model{"saga"}; ///< Of every engine.
+    std::string service{"booking"}; ///< Of every service.
     bool hasFaultLinks = false; ///< Hosts and upstreams reach each other through a fault proxy.
     std::vector<std::string> controlFlags;
     std::vector<std::string> entryFlags{"--stop-notice-ms", "200"};
--- a/programs/hyssop-bench/Plan.cpp
+++ b/programs/hyssop-bench/Plan.cpp
@@ -111,6 +111,7 @@
         if (work.target == Target::Service)
             request.key = mix.name + "-" + std::to_string(options.seed) + "-"
                           + std::to_string(plan.size());
+        request.expected = options.expected;
         seconds += gap(rng);
         if (request.prompt <= options.maxPrompt)
             plan.push_back(std::move(request));
--- a/programs/hyssop-bench/Plan.h
+++ b/programs/hyssop-bench/Plan.h
@@ -30,6 +30,8 @@
     std::int64_t maxTokens = 0;
     std::uint64_t promptSeed = 0; ///< Requests of one seed share a prefix.
     std::string key; ///< Idempotency key of a service call.
+    std::string variant; ///< Part of a service call's body; another one makes it another request.
+    base::Millis deadline{0}; ///< Asked for; 0: that of the run.
     /// Endings or reason codes of which one must come; empty: any final answer of its own.
     std::vector<std::string> expected;
 };
@@ -62,6 +64,7 @@
     base::Millis duration{10'000};
     std::uint64_t seed = 1;
     base::Tokens maxPrompt{1'000'000}; ///< Longer prompts are left out of the plan.
+    std::vector<std::string> expected; ///< Of every request.
 };
 
 /// Same mix, options and seed: same plan.
--- a/programs/hyssop-bench/Runner.cpp
+++ b/programs/hyssop-bench/Runner.cpp
@@ -119,18 +119,20 @@
 {
     const PlannedRequest &request = m_plan[index];
     m_samples[index].request = request;
+    const base::Millis deadline =
+            request.deadline.count() > 0 ? request.deadline : m_options.deadline;
     http::Call call;
     call.to = m_options.entries[index % m_options.entries.size()];
     call.method = http::Method::Post;
     call.headers = {{"content-type", "application/json"},
                     {"x-team", request.team},
                     {"x-urgency", std::string(urgencyName(request.urgency))},
-                    {"x-deadline-ms", std::to_string(m_options.deadline.count())}};
-    call.timeout = m_options.deadline + kGrace;
+                    {"x-deadline-ms", std::to_string(deadline.count())}};
+    call.timeout = deadline + kGrace;
     if (request.target == Target::Service) {
         call.path = "/v1/services/" + request.route + "/check";
         call.headers.push_back({"idempotency-key", request.key});
-        call.body = nlohmann::json{{"key", request.key}}.dump();
+        call.body = nlohmann::json{{"key", request.key}, {"variant", request.variant}}.dump();
     } else {
         call.path = "/v1/completions";
         call.body = nlohmann::json{
--- a/programs/hyssop-bench/Trace.cpp
+++ b/programs/hyssop-bench/Trace.cpp
@@ -18,8 +18,12 @@
               {"team", request.team},
               {"urgency", urgencyName(request.urgency)},
               {"expect", request.expected}};
+    if (request.deadline.count() > 0)
+        line["deadlineMs"] = request.deadline.count();
     if (request.target == Target::Service) {
         line["key"] = request.key;
+        if (!request.variant.empty())
+            line["variant"] = request.variant;
         return line;
     }
     line["prompt"] = request.prompt.count();
@@ -41,6 +45,8 @@
     request.maxTokens = line.value("maxTokens", std::int64_t(0));
     request.promptSeed = line.value("promptSeed", std::uint64_t(0));
     request.key = line.value("key", "");
+    request.variant = line.value("variant", "");
+    request.deadline = base::Millis(line.value("deadlineMs", std::int64_t(0)));
     request.expected = line.value("expect", std::vector<std::string>());
     return request;
 }
--- a/programs/hyssop-bench/main.cpp
+++ b/programs/hyssop-bench/main.cpp
@@ -30,6 +30,8 @@
                     base::Millis(3'600'000))
             .text("trace", "File of a trace to replay in place of a mix", "")
             .text("write-trace", "Write the plan as a trace to this file and send nothing", "")
+            .text("expect", "Ending or reason code that a written trace states for every request",
+                  "")
             .text("policy", "Policy of the system under load, for the report", "")
             .choice("report", "Form of the report", "table", {"table", "json"})
             .toggle("summarize", "Compare reports in JSON, given as files, and send nothing")
@@ -85,6 +87,8 @@
     options.duration = std::chrono::seconds(settings.number("seconds"));
     options.seed = static_cast<std::uint64_t>(settings.number("seed"));
     options.maxPrompt = base::Tokens(settings.number("max-prompt"));
+    if (!settings.text("expect").empty())
+        options.expected = {settings.text("expect")};
     return bench::makePlan(bench::mixByName(settings.text("mix")), options);
 }
 
