Routing decides by estimated time to first token, with fair queues and bounded work

Cause: the router scanned every request on each arrival, counted prompts in whole, ignored load reports, cache events and peers, and gave up or restarted streams that could be resumed.

Change: small classes behind the same event and action interface: admission by deadline estimate and team limits, start-time fair queues by urgency and size, prompt tokens bounded at each engine to what its measured rate computes in 0.4 s, a share of the engines for long prompts that follows the mix offered, a prefix index that tells sure from doubtful blocks, outstanding work of peers that expires, resumes at the exact offset, a retry budget, ejection with a floor, and gangs planned whole. The rate of an engine changes only when the samples leave it by more than their confidence bound, after the Srifty paper. The baselines bind at arrival, without bound or share. Engines get a priority from urgency and length.

The test of urgent before earlier ones and the one of deadlines assumed that an urgent long prompt waits behind a normal one at the same engine; engines honour priorities, so it no longer does. They now fill the engine's memory instead, and check the same order and ends.

--- a/libs/routing/include/routing/Routing.h
+++ b/libs/routing/include/routing/Routing.h
@@ -43,6 +43,7 @@
     base::Tokens prompt;
     base::Tokens maxOutput;
     std::vector<std::uint64_t> prefix;
+    base::Bytes body; ///< Memory that the request holds while it is open.
     base::TimePoint deadline;
     bool mayRepeat = true;
 };
@@ -86,9 +87,10 @@
     ClosedEarly, ///< The answer broke off.
     UpstreamError, ///< The upstream answered with an error after it may have started.
     StreamMismatch, ///< An event of another attempt or offset.
+    Stalled, ///< No token came for too long.
 };
 
-inline constexpr int kAttemptFaults = 6;
+inline constexpr int kAttemptFaults = 7;
 
 std::string_view attemptFaultName(AttemptFault fault);
 
@@ -145,6 +147,8 @@
     base::UpstreamId upstream;
     base::Tokens prompt;
     int requests = 0;
+    base::Tokens longPrompt; ///< Part of \c prompt that belongs to long prompts.
+    base::Tokens kv; ///< KV cache that the requests may come to hold.
 };
 
 struct AttemptAccepted
@@ -195,7 +199,9 @@
     base::UpstreamId upstream;
     std::vector<base::UpstreamId> gang; ///< Further engines of a gang, in id order.
     records::Urgency urgency = records::Urgency::Normal;
+    int priority = 0; ///< For the engine; lower goes first.
     base::Millis remaining{0};
+    base::Tokens gangShare; ///< KV cache to reserve at each engine of a gang.
     std::int64_t resumeOffset = 0; ///< Tokens already delivered.
     bool resumesStream = false; ///< Continue the attempt of the same id at its upstream.
 };
@@ -234,17 +240,33 @@
     AttemptFault fault = AttemptFault::ConnectFailed;
 };
 
+/// A stream was given up because no token came; for counting.
+struct StallNoted
+{
+    base::RequestId request;
+    base::UpstreamId upstream;
+};
+
+/// An upstream gets no new work for a while because attempts there fail; for counting.
+struct EjectionNoted
+{
+    base::UpstreamId upstream;
+    base::Millis duration{0};
+};
+
 using Action = std::variant<StartAttempt, CancelAttempt, ForwardTokens, CompleteRequest, EndRequest,
-                            RetryNoted>;
+                            RetryNoted, StallNoted, EjectionNoted>;
 using Actions = std::vector<Action>;
 
 /// An upstream as a policy sees it.
 struct Candidate
 {
     const UpstreamInfo *info = nullptr;
-    base::Tokens outstanding; ///< Uncached prompt tokens sent there and not yet answered.
+    base::Tokens ahead; ///< Uncached prompt tokens that the engine computes before this request's.
+    base::Tokens uncached; ///< Prompt tokens of this request that it has to compute.
     int requests = 0;
-    base::Tokens cachedPrefix; ///< Tokens of this request's prompt thought to be cached there.
+    base::Micros firstToken{0}; ///< Estimated time to the first token.
+    std::uint64_t lastBound = 0; ///< Order in which upstreams last got a request.
 };
 
 /// Chooses among upstreams that may take a request now.
@@ -252,10 +274,12 @@
 {
 public:
     virtual ~PlacementPolicy() = default;
-    /// Index into \a candidates, which is not empty; none means that the request waits.
-    virtual std::optional<std::size_t> choose(const RequestInfo &request,
-                                              const std::vector<Candidate> &candidates,
-                                              base::TimePoint now) = 0;
+    /// Index into \a candidates, which is not empty.
+    virtual std::size_t choose(const RequestInfo &request, const std::vector<Candidate> &candidates,
+                               base::TimePoint now) = 0;
+    /// True: requests go to an upstream as they arrive, whatever is outstanding there, as an
+    /// ordinary balancer sends them. False: they wait here until an upstream has room.
+    virtual bool bindsAtArrival() const { return true; }
 };
 
 std::unique_ptr<PlacementPolicy> roundRobinPolicy();
@@ -272,9 +296,14 @@
     base::DataCentreId dataCentre;
     std::string policy = "adaptive";
     std::size_t maxQueued = 10'000;
+    base::Bytes maxBody{std::int64_t(512) << 20}; ///< Bodies of all open requests together.
     base::Tokens maxOutstanding{
-            32'768}; ///< Uncached prompt tokens at one engine, but for one request.
+            32'768}; ///< Bound on uncached prompt tokens at one engine; its rate may lower it.
     base::Tokens longPrompt{32'768}; ///< Prompts above are long.
+    base::Millis stallLimit{10'000}; ///< Wait between tokens after which a stream is given up.
+    base::Tokens blockTokens{1'024}; ///< Of a block in RequestInfo::prefix.
+    int maxServiceCalls = 32; ///< Calls outstanding at one plain service.
+    int maxGangs = 1; ///< Gangs at a time.
     std::uint64_t seed = 1;
 };
 
@@ -285,6 +314,8 @@
     std::size_t active = 0;
     base::Tokens outstanding;
     std::size_t upstreams = 0;
+    std::size_t ejected = 0;
+    base::Bytes body;
 };
 
 class Router
@@ -302,7 +333,7 @@
     base::TimePoint nextTick() const;
 
     RouterStats stats() const;
-    /// What this host has outstanding at each upstream, for its peers.
+    /// What this host has outstanding at each upstream where that is anything, for its peers.
     std::vector<PeerOutstanding> outstanding() const;
 
 private:
--- /dev/null
+++ b/libs/routing/src/AnswerEstimator.cpp
@@ -0,0 +1,28 @@
+#include "AnswerEstimator.h"
+
+namespace hyssop::routing {
+
+namespace {
+
+constexpr double kWeight = 0.05; // of a new sample
+
+} // namespace
+
+void AnswerEstimator::observe(std::int64_t tokens, base::Tokens maxOutput, base::Micros duration)
+{
+    if (tokens < 2 || maxOutput.count() < tokens)
+        return;
+    const double used = static_cast<double>(tokens) / static_cast<double>(maxOutput.count());
+    const double gap =
+            std::chrono::duration<double>(duration).count() / static_cast<double>(tokens);
+    m_usedShare += kWeight * (used - m_usedShare);
+    m_gap += kWeight * (gap - m_gap);
+}
+
+base::Micros AnswerEstimator::timeFor(base::Tokens maxOutput) const
+{
+    const double seconds = static_cast<double>(maxOutput.count()) * m_usedShare * m_gap;
+    return base::Micros(static_cast<std::int64_t>(seconds * 1e6));
+}
+
+} // namespace hyssop::routing
--- /dev/null
+++ b/libs/routing/src/LongShare.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/Base.h"
+
+namespace hyssop::routing {
+
+/// How many of a pool's engines long prompts may use, from the mix of prompts offered.
+///
+/// The mix is what callers offer, not what is outstanding, so that all entry hosts behind one
+/// balancer come to about the same share without telling each other.
+class LongShare
+{
+public:
+    void offer(base::Tokens prompt, bool isLong);
+    /// Of \a engines, at least one and not all but for a single one.
+    std::size_t enginesFor(std::size_t engines) const;
+
+private:
+    double m_long = 0; ///< Decayed tokens of long prompts.
+    double m_all = 0;
+};
+
+} // namespace hyssop::routing
--- a/libs/routing/src/Names.cpp
+++ b/libs/routing/src/Names.cpp
@@ -59,6 +59,8 @@
         return "upstream_error";
     case AttemptFault::StreamMismatch:
         return "stream_mismatch";
+    case AttemptFault::Stalled:
+        return "stalled";
     }
     return "unknown";
 }
--- /dev/null
+++ b/libs/routing/src/Placement.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "Pool.h"
+
+#include <memory>
+
+namespace hyssop::routing {
+
+/// What admission can expect for a request.
+struct Outlook
+{
+    bool isIdle = false; ///< An upstream without work is there and nothing waits before it.
+    base::Micros wait{0}; ///< In this host's queue.
+    base::Micros firstToken{0}; ///< From the end of the wait.
+    base::Micros finish{0}; ///< From the first token to the last.
+
+    base::Micros total() const { return wait + firstToken + finish; }
+};
+
+/// Finds the upstream for a request: which ones have room for it, and what each would cost.
+class Placement
+{
+public:
+    explicit Placement(const RouterOptions &options);
+
+    struct Choice
+    {
+        UpstreamState *upstream = nullptr;
+        Candidate candidate;
+    };
+
+    /// An upstream with room for \a request, or none; not \a avoided where another one is there.
+    std::optional<Choice> choose(Pool &pool, const RequestInfo &request,
+                                 const base::UpstreamId &avoided, base::TimePoint now);
+    /// Whether some upstream is large enough to hold \a request alone.
+    bool fits(const Pool &pool, const RequestInfo &request) const;
+    Outlook outlook(Pool &pool, const RequestInfo &request, base::TimePoint now);
+    bool bindsAtArrival() const { return m_policy->bindsAtArrival(); }
+
+    bool isLong(const RequestInfo &request) const;
+    /// For the engine: urgency first, then length.
+    int priorityOf(const RequestInfo &request) const;
+    Hold holdFor(const Choice &choice, const RequestInfo &request) const;
+
+private:
+    struct Found
+    {
+        std::vector<Candidate> candidates;
+        std::vector<UpstreamState *> states;
+        bool hasHealthy = false;
+    };
+
+    bool canHold(const UpstreamState &state, const RequestInfo &request) const;
+    Candidate measure(UpstreamState &state, const RequestInfo &request, base::TimePoint now) const;
+    base::Tokens uncached(const UpstreamState &state, const RequestInfo &request) const;
+    bool hasRoom(UpstreamState &state, const Candidate &candidate, const RequestInfo &request,
+                 base::TimePoint now) const;
+    /// Engines that \a request may use at all, of those in \a group.
+    std::vector<UpstreamState *> eligible(Pool &pool, const RequestInfo &request,
+                                          bool isOwnDataCentre, base::TimePoint now) const;
+    Found find(Pool &pool, const RequestInfo &request, bool isOwnDataCentre,
+               const base::UpstreamId &avoided, base::TimePoint now) const;
+    std::optional<Choice> pick(const Found &found, const RequestInfo &request, base::TimePoint now);
+    bool needsRemote(Pool &pool, const RequestInfo &request, base::TimePoint now) const;
+
+    RouterOptions m_options;
+    std::unique_ptr<PlacementPolicy> m_policy;
+};
+
+} // namespace hyssop::routing
--- a/libs/routing/src/Policies.cpp
+++ b/libs/routing/src/Policies.cpp
@@ -9,8 +9,8 @@
 class RoundRobin final : public PlacementPolicy
 {
 public:
-    std::optional<std::size_t> choose(const RequestInfo &, const std::vector<Candidate> &candidates,
-                                      base::TimePoint) override
+    std::size_t choose(const RequestInfo &, const std::vector<Candidate> &candidates,
+                       base::TimePoint) override
     {
         return m_next++ % candidates.size();
     }
@@ -22,8 +22,8 @@
 class LeastOutstanding final : public PlacementPolicy
 {
 public:
-    std::optional<std::size_t> choose(const RequestInfo &, const std::vector<Candidate> &candidates,
-                                      base::TimePoint) override
+    std::size_t choose(const RequestInfo &, const std::vector<Candidate> &candidates,
+                       base::TimePoint) override
     {
         const auto best = std::min_element(
                 candidates.begin(), candidates.end(),
@@ -32,19 +32,25 @@
     }
 };
 
-/// Fewest tokens to compute before this request's first token.
+/// Least estimated time to this request's first token; among near equals, the one bound longest
+/// ago, so that hosts do not follow each other.
 class Adaptive final : public PlacementPolicy
 {
 public:
-    std::optional<std::size_t> choose(const RequestInfo &, const std::vector<Candidate> &candidates,
-                                      base::TimePoint) override
+    std::size_t choose(const RequestInfo &, const std::vector<Candidate> &candidates,
+                       base::TimePoint) override
     {
         const auto best = std::min_element(
                 candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-                    return a.outstanding - a.cachedPrefix < b.outstanding - b.cachedPrefix;
+                    return std::pair(a.firstToken / kNearlyEqual, a.lastBound)
+                           < std::pair(b.firstToken / kNearlyEqual, b.lastBound);
                 });
         return static_cast<std::size_t>(best - candidates.begin());
     }
+    bool bindsAtArrival() const override { return false; }
+
+private:
+    static constexpr base::Millis kNearlyEqual{4};
 };
 
 } // namespace
--- /dev/null
+++ b/libs/routing/src/RateEstimator.cpp
@@ -0,0 +1,47 @@
+#include "RateEstimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hyssop::routing {
+
+namespace {
+
+constexpr double kMinRate = 100; // tokens a second
+constexpr double kMaxRate = 10e6; // tokens a second
+/// Below this, fixed costs of a call hide the rate.
+constexpr base::Tokens kMinWork{2'048};
+constexpr double kWeight = 0.1; // of a new sample
+/// Samples that an average with this weight stands for.
+constexpr double kEffectiveSamples = (2 - kWeight) / kWeight;
+constexpr double kConfidence = 2; // standard errors
+
+} // namespace
+
+void RateEstimator::observe(base::Tokens work, base::Micros elapsed)
+{
+    if (work < kMinWork || elapsed.count() <= 0)
+        return;
+    const double seconds = std::chrono::duration<double>(elapsed).count();
+    const double sample =
+            std::clamp(static_cast<double>(work.count()) / seconds, kMinRate, kMaxRate);
+    ++m_samples;
+    const double weight = std::max(kWeight, 1.0 / m_samples);
+    const double delta = sample - m_mean;
+    m_mean += weight * delta;
+    m_variance = (1 - weight) * (m_variance + weight * delta * delta);
+    if (!isMeasured())
+        return;
+    const double count = std::min<double>(m_samples, kEffectiveSamples);
+    const double bound = kConfidence * std::sqrt(m_variance / count);
+    if (std::abs(m_mean - m_rate) > bound)
+        m_rate = m_mean;
+}
+
+base::Micros RateEstimator::timeFor(base::Tokens work) const
+{
+    return base::Micros(
+            static_cast<std::int64_t>(static_cast<double>(work.count()) * 1e6 / m_rate));
+}
+
+} // namespace hyssop::routing
--- a/libs/routing/src/Router.cpp
+++ b/libs/routing/src/Router.cpp
@@ -1,296 +1,129 @@
-#include "routing/Routing.h"
+#include "RouterImpl.h"
 
-#include <algorithm>
-#include <list>
-#include <map>
+#include <cassert>
 
 namespace hyssop::routing {
 
-namespace {
-
-/// Attempts of one request, the first one included.
-constexpr int kMaxAttempts = 4;
-constexpr base::Millis kRetryAfter{1'000};
-
-struct UpstreamState
-{
-    UpstreamInfo info;
-    base::Tokens outstanding;
-    int requests = 0;
-};
-
-struct ActiveRequest
-{
-    RequestInfo info;
-    base::AttemptId attempt; ///< Empty while queued.
-    base::UpstreamId upstream;
-    int attempts = 0;
-    std::int64_t delivered = 0;
-    bool mayHaveRun = false;
-    bool hasFirstToken = false;
-};
-
-} // namespace
-
-class Router::Impl
-{
-public:
-    explicit Impl(RouterOptions options)
-        : m_options(std::move(options))
-        , m_policy(policyByName(m_options.policy))
-    { }
-
-    void on(const RequestArrived &event, base::TimePoint now);
-    void on(const CallerGone &event, base::TimePoint now);
-    void on(const UpstreamSeen &event, base::TimePoint now);
-    void on(const UpstreamGone &event, base::TimePoint now);
-    void on(const LoadReported &, base::TimePoint) { }
-    void on(const CacheChanged &, base::TimePoint) { }
-    void on(const PeerOutstanding &, base::TimePoint) { }
-    void on(const AttemptAccepted &, base::TimePoint) { }
-    void on(const AttemptTokens &event, base::TimePoint now);
-    void on(const AttemptFinished &event, base::TimePoint now);
-    void on(const AttemptFailed &event, base::TimePoint now);
-    void on(const CatalogueChanged &event, base::TimePoint) { m_catalogue = event.catalogue; }
-    void on(const StopAnnounced &, base::TimePoint) { m_isStopping = true; }
-    void dispatch(base::TimePoint now);
-    void expire(base::TimePoint now);
-
-    std::optional<Reason> refusal(const RequestInfo &request, base::TimePoint now) const;
-    bool canServe(const UpstreamInfo &upstream, const RequestInfo &request) const;
-    bool start(ActiveRequest &request, base::TimePoint now);
-    void release(ActiveRequest &request);
-    void releasePrompt(ActiveRequest &request);
-    void end(const base::RequestId &id, Reason reason, base::Millis retryAfter);
-    ActiveRequest *requestOf(const base::AttemptId &attempt);
-
-    RouterOptions m_options;
-    std::unique_ptr<PlacementPolicy> m_policy;
-    std::shared_ptr<const records::Catalogue> m_catalogue;
-    std::map<base::UpstreamId, UpstreamState> m_upstreams;
-    std::map<base::RequestId, ActiveRequest> m_requests;
-    std::map<base::AttemptId, base::RequestId> m_attempts;
-    std::list<base::RequestId> m_queue;
-    std::int64_t m_lastAttempt = 0;
-    bool m_isStopping = false;
-    Actions m_actions;
-};
+Router::Impl::Impl(RouterOptions options)
+    : m_options(std::move(options))
+    , m_placement(m_options)
+    , m_admission(m_options)
+    , m_upstreams(m_options.dataCentre)
+    , m_rng(m_options.seed)
+{ }
 
-std::optional<Reason> Router::Impl::refusal(const RequestInfo &request, base::TimePoint now) const
+ActiveRequest *Router::Impl::find(const base::RequestId &id)
 {
-    if (m_isStopping)
-        return Reason::Stopping;
-    const records::TeamSpec *team = m_catalogue ? m_catalogue->team(request.team) : nullptr;
-    if (!team)
-        return Reason::UnknownTeam;
-    if (request.deadline <= now)
-        return Reason::DeadlineTooShort;
-    if (m_queue.size() >= m_options.maxQueued)
-        return Reason::QueueFull;
-    const auto ofTeam = std::count_if(m_requests.begin(), m_requests.end(), [&](const auto &it) {
-        return it.second.info.team == request.team;
-    });
-    if (ofTeam >= team->maxRequests)
-        return Reason::TeamRequestLimit;
-    const bool isServed = std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &it) {
-        return canServe(it.second.info, request);
-    });
-    return isServed ? std::nullopt : std::optional(Reason::NoUpstream);
+    const auto it = m_requests.find(id);
+    return it == m_requests.end() ? nullptr : &it->second;
 }
 
-bool Router::Impl::canServe(const UpstreamInfo &upstream, const RequestInfo &request) const
+ActiveRequest *Router::Impl::requestOf(const base::AttemptId &attempt)
 {
-    if (upstream.kind != request.kind || upstream.isLeaving)
-        return false;
-    if (!request.role.empty() && upstream.role != request.role)
-        return false;
-    if (upstream.kind == UpstreamKind::Engine
-        && request.prompt + request.maxOutput > upstream.kvTokens)
-        return false;
-    return std::find(upstream.models.begin(), upstream.models.end(), request.target)
-           != upstream.models.end();
+    const auto it = m_attempts.find(attempt);
+    return it == m_attempts.end() ? nullptr : find(it->second);
 }
 
-void Router::Impl::on(const RequestArrived &event, base::TimePoint now)
+void Router::Impl::on(const CallerGone &event, base::TimePoint now)
 {
-    if (const auto reason = refusal(event.request, now)) {
-        m_actions.emplace_back(EndRequest{event.request.id, *reason, Outcome::NotRun, kRetryAfter});
-        return;
-    }
-    ActiveRequest request;
-    request.info = event.request;
-    m_requests.emplace(event.request.id, std::move(request));
-    const auto later = std::find_if(m_queue.begin(), m_queue.end(), [&](const auto &id) {
-        return m_requests.at(id).info.urgency > event.request.urgency;
-    });
-    m_queue.insert(later, event.request.id);
-    dispatch(now);
+    if (ActiveRequest *request = find(event.request))
+        end(*request, Reason::CallerGone, base::Millis(0), now);
 }
 
-void Router::Impl::dispatch(base::TimePoint now)
+void Router::Impl::on(const UpstreamSeen &event, base::TimePoint)
 {
-    for (auto it = m_queue.begin(); it != m_queue.end();) {
-        if (start(m_requests.at(*it), now))
-            it = m_queue.erase(it);
-        else
-            ++it;
-    }
+    m_upstreams.seen(event.upstream);
 }
 
-bool Router::Impl::start(ActiveRequest &request, base::TimePoint now)
+void Router::Impl::on(const UpstreamGone &event, base::TimePoint)
 {
-    std::vector<Candidate> candidates;
-    std::vector<UpstreamState *> states;
-    for (auto &[id, state] : m_upstreams) {
-        if (!canServe(state.info, request.info))
-            continue;
-        const base::Tokens after = state.outstanding + request.info.prompt;
-        if (state.outstanding.count() > 0 && after > m_options.maxOutstanding)
-            continue;
-        candidates.push_back({&state.info, state.outstanding, state.requests, base::Tokens()});
-        states.push_back(&state);
-    }
-    if (candidates.empty())
-        return false;
-    const auto chosen = m_policy->choose(request.info, candidates, now);
-    if (!chosen)
-        return false;
-    UpstreamState &state = *states[*chosen];
-    state.outstanding += request.info.prompt;
-    ++state.requests;
-    request.attempt = base::AttemptId(m_options.host.text() + "-"
-                                      + std::to_string(m_options.incarnation.count()) + "-"
-                                      + std::to_string(++m_lastAttempt));
-    request.upstream = state.info.id;
-    request.hasFirstToken = false;
-    ++request.attempts;
-    m_attempts.emplace(request.attempt, request.info.id);
-    StartAttempt action;
-    action.attempt = request.attempt;
-    action.request = request.info.id;
-    action.upstream = state.info.id;
-    action.urgency = request.info.urgency;
-    action.remaining = std::chrono::duration_cast<base::Millis>(request.info.deadline - now);
-    m_actions.emplace_back(std::move(action));
-    return true;
+    m_upstreams.gone(event.upstream);
 }
 
-void Router::Impl::releasePrompt(ActiveRequest &request)
+void Router::Impl::on(const LoadReported &event, base::TimePoint now)
 {
-    const auto it = m_upstreams.find(request.upstream);
-    if (it != m_upstreams.end() && !request.hasFirstToken)
-        it->second.outstanding -= request.info.prompt;
-    request.hasFirstToken = true;
+    if (UpstreamState *state = m_upstreams.find(event.upstream))
+        state->reported.report(event, state->known(now), now);
 }
 
-void Router::Impl::release(ActiveRequest &request)
+void Router::Impl::on(const CacheChanged &event, base::TimePoint)
 {
-    if (request.attempt.isEmpty())
-        return;
-    releasePrompt(request);
-    const auto it = m_upstreams.find(request.upstream);
-    if (it != m_upstreams.end())
-        --it->second.requests;
-    m_attempts.erase(request.attempt);
-    request.attempt = {};
-    request.upstream = {};
+    if (UpstreamState *state = m_upstreams.find(event.upstream))
+        state->cache.apply(event);
 }
 
-void Router::Impl::end(const base::RequestId &id, Reason reason, base::Millis retryAfter)
+void Router::Impl::on(const PeerOutstanding &event, base::TimePoint now)
 {
-    const auto it = m_requests.find(id);
-    if (it == m_requests.end())
+    UpstreamState *state = m_upstreams.find(event.upstream);
+    if (!state)
         return;
-    ActiveRequest &request = it->second;
-    if (!request.attempt.isEmpty())
-        m_actions.emplace_back(CancelAttempt{request.attempt, request.upstream});
-    const bool mayHaveRun = request.mayHaveRun || !request.attempt.isEmpty();
-    release(request);
-    m_queue.remove(id);
-    m_actions.emplace_back(
-            EndRequest{id, reason, mayHaveRun ? Outcome::Failed : Outcome::NotRun, retryAfter});
-    m_requests.erase(it);
-}
-
-ActiveRequest *Router::Impl::requestOf(const base::AttemptId &attempt)
-{
-    const auto it = m_attempts.find(attempt);
-    return it == m_attempts.end() ? nullptr : &m_requests.at(it->second);
-}
-
-void Router::Impl::on(const CallerGone &event, base::TimePoint now)
-{
-    end(event.request, Reason::CallerGone, base::Millis(0));
-    dispatch(now);
+    state->peers.set(event, now);
+    for (Pool *pool : state->pools)
+        pool->mayDispatch = true;
 }
 
-void Router::Impl::on(const UpstreamSeen &event, base::TimePoint now)
+void Router::Impl::on(const CatalogueChanged &event, base::TimePoint)
 {
-    m_upstreams[event.upstream.id].info = event.upstream;
-    dispatch(now);
+    m_catalogue = event.catalogue;
 }
 
-void Router::Impl::on(const UpstreamGone &event, base::TimePoint)
+void Router::Impl::on(const StopAnnounced &, base::TimePoint)
 {
-    m_upstreams.erase(event.upstream);
+    m_admission.stop();
 }
 
-void Router::Impl::on(const AttemptTokens &event, base::TimePoint now)
+void Router::Impl::tick(base::TimePoint now)
 {
-    ActiveRequest *request = requestOf(event.attempt);
-    if (!request || event.offset > request->delivered)
-        return;
-    const std::int64_t skip = std::min(request->delivered - event.offset, event.count);
-    releasePrompt(*request);
-    if (skip < event.count) {
-        request->delivered = event.offset + event.count;
-        m_actions.emplace_back(ForwardTokens{request->info.id, skip});
+    while (const auto timer = m_timers.takeDue(now)) {
+        ActiveRequest *request = find(timer->request);
+        assert(request && "a timer outlived its request");
+        switch (timer->kind) {
+        case TimerKind::Deadline:
+            end(*request, Reason::OutOfTime, base::Millis(0), now);
+            break;
+        case TimerKind::Retry:
+            onRetryDue(*request, now);
+            break;
+        case TimerKind::Progress:
+            onProgressDue(*request, now);
+            break;
+        }
     }
-    dispatch(now);
+    if (now < m_recheckAt)
+        return;
+    for (const auto &[key, pool] : m_upstreams.pools())
+        pool->mayDispatch = true;
 }
 
-void Router::Impl::on(const AttemptFinished &event, base::TimePoint now)
+base::TimePoint Router::Impl::nextTick() const
 {
-    ActiveRequest *request = requestOf(event.attempt);
-    if (!request)
-        return;
-    const base::RequestId id = request->info.id;
-    release(*request);
-    m_requests.erase(id);
-    m_actions.emplace_back(CompleteRequest{id});
-    dispatch(now);
+    return std::min(m_timers.next(), m_recheckAt);
 }
 
-void Router::Impl::on(const AttemptFailed &event, base::TimePoint now)
+void Router::Impl::end(ActiveRequest &request, Reason reason, base::Millis retryAfter,
+                       base::TimePoint now)
 {
-    ActiveRequest *request = requestOf(event.attempt);
-    if (!request)
-        return;
-    const base::RequestId id = request->info.id;
-    release(*request);
-    const bool isClean = provesNotRun(event.fault);
-    request->mayHaveRun = request->mayHaveRun || !isClean;
-    const bool mayRetry = (isClean || request->info.mayRepeat) && request->delivered == 0
-                          && request->attempts < kMaxAttempts;
-    if (mayRetry) {
-        m_actions.emplace_back(RetryNoted{id, event.fault});
-        m_queue.push_front(id);
-    } else {
-        end(id, request->delivered > 0 ? Reason::StreamBroken : Reason::UpstreamFailed,
-            kRetryAfter);
+    if (request.stage == Stage::Queued)
+        unqueue(request);
+    if (request.hasAttempt()) {
+        request.mayHaveRun = true;
+        m_actions.emplace_back(CancelAttempt{request.attempt, request.holds.front().upstream});
+        release(request, now);
     }
-    dispatch(now);
+    const Outcome outcome = request.mayHaveRun ? Outcome::Failed : Outcome::NotRun;
+    m_actions.emplace_back(EndRequest{request.info.id, reason, outcome, retryAfter});
+    forget(request);
 }
 
-void Router::Impl::expire(base::TimePoint now)
+void Router::Impl::forget(ActiveRequest &request)
 {
-    std::vector<base::RequestId> late;
-    for (const auto &[id, request] : m_requests) {
-        if (request.info.deadline <= now)
-            late.push_back(id);
-    }
-    for (const base::RequestId &id : late)
-        end(id, Reason::OutOfTime, base::Millis(0));
+    m_timers.remove({request.info.deadline, TimerKind::Deadline, request.info.id});
+    if (request.retryTimer)
+        m_timers.remove(*request.retryTimer);
+    m_admission.remove(request.info, m_placement.isLong(request.info));
+    // The id lies in the item erased.
+    const base::RequestId id = request.info.id;
+    m_requests.erase(id);
 }
 
 Router::Router(RouterOptions options)
@@ -302,41 +135,37 @@
 Actions Router::handle(const Event &event, base::TimePoint now)
 {
     std::visit([&](const auto &it) { m_impl->on(it, now); }, event);
+    m_impl->dispatchChanged(now);
     return std::exchange(m_impl->m_actions, {});
 }
 
 Actions Router::tick(base::TimePoint now)
 {
-    m_impl->expire(now);
-    m_impl->dispatch(now);
+    m_impl->tick(now);
+    m_impl->dispatchChanged(now);
     return std::exchange(m_impl->m_actions, {});
 }
 
 base::TimePoint Router::nextTick() const
 {
-    base::TimePoint next = base::TimePoint::max();
-    for (const auto &[id, request] : m_impl->m_requests)
-        next = std::min(next, request.info.deadline);
-    return next;
+    return m_impl->nextTick();
 }
 
 RouterStats Router::stats() const
 {
     RouterStats stats;
-    stats.queued = m_impl->m_queue.size();
+    stats.queued = m_impl->m_queued;
     stats.active = m_impl->m_requests.size();
     stats.upstreams = m_impl->m_upstreams.size();
-    for (const auto &[id, state] : m_impl->m_upstreams)
-        stats.outstanding += state.outstanding;
+    stats.outstanding = m_impl->m_upstreams.outstanding();
+    stats.ejected = m_impl->m_upstreams.ejected(m_impl->m_lastNow);
+    stats.body = m_impl->m_admission.body();
     return stats;
 }
 
 std::vector<PeerOutstanding> Router::outstanding() const
 {
-    std::vector<PeerOutstanding> all;
-    for (const auto &[id, state] : m_impl->m_upstreams)
-        all.push_back({m_impl->m_options.host, id, state.outstanding, state.requests});
-    return all;
+    return m_impl->m_upstreams.report(m_impl->m_options.host);
 }
 
 } // namespace hyssop::routing
--- /dev/null
+++ b/libs/routing/src/TeamLimits.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "routing/Routing.h"
+
+#include <unordered_map>
+
+namespace hyssop::routing {
+
+/// Counts what each team has open against the limits of its record.
+class TeamLimits
+{
+public:
+    std::optional<Reason> refusal(const records::TeamSpec &team, const RequestInfo &request,
+                                  bool isLong) const;
+    void add(const RequestInfo &request, bool isLong);
+    void remove(const RequestInfo &request, bool isLong);
+    /// Teams with open requests.
+    std::size_t size() const { return m_teams.size(); }
+
+private:
+    struct Open
+    {
+        int requests = 0;
+        int longPrompts = 0;
+        base::Tokens tokens;
+    };
+    std::unordered_map<base::TeamId, Open> m_teams;
+};
+
+} // namespace hyssop::routing
--- /dev/null
+++ b/libs/routing/src/TeamQueue.cpp
@@ -0,0 +1,75 @@
+#include "TeamQueue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace hyssop::routing {
+
+void TeamQueue::push(QueueItem item)
+{
+    assert(item.cost > 0 && item.weight > 0 && "an item needs a cost and a weight");
+    Team &team = m_teams[item.team];
+    if (team.items.empty()) {
+        team.start = std::max(m_now, team.finish);
+        m_order.emplace(team.start, item.team);
+    }
+    ++m_size;
+    m_cost += item.cost;
+    Key key(item.deadline, item.request);
+    [[maybe_unused]] const bool isNew = team.items.emplace(std::move(key), std::move(item)).second;
+    assert(isNew && "a request was queued twice");
+}
+
+const QueueItem *TeamQueue::front() const
+{
+    if (m_order.empty())
+        return nullptr;
+    return &m_teams.at(m_order.begin()->second).items.begin()->second;
+}
+
+void TeamQueue::pop()
+{
+    assert(!m_order.empty() && "pop() of an empty queue");
+    const base::TeamId id = m_order.begin()->second;
+    Team &team = m_teams.at(id);
+    m_order.erase(m_order.begin());
+    const QueueItem item = std::move(team.items.begin()->second);
+    team.items.erase(team.items.begin());
+    m_now = std::max(m_now, team.start);
+    team.finish = team.start + static_cast<double>(item.cost) / item.weight;
+    --m_size;
+    m_cost -= item.cost;
+    if (!team.items.empty()) {
+        team.start = team.finish;
+        m_order.emplace(team.start, id);
+    }
+    forgetIdle();
+}
+
+void TeamQueue::remove(const base::TeamId &id, const base::RequestId &request,
+                       base::TimePoint deadline)
+{
+    const auto team = m_teams.find(id);
+    if (team == m_teams.end())
+        return;
+    const auto it = team->second.items.find(Key(deadline, request));
+    if (it == team->second.items.end())
+        return;
+    --m_size;
+    m_cost -= it->second.cost;
+    team->second.items.erase(it);
+    if (team->second.items.empty())
+        m_order.erase({team->second.start, id});
+    forgetIdle();
+}
+
+void TeamQueue::forgetIdle()
+{
+    // An idle queue owes no team anything.
+    if (m_size > 0)
+        return;
+    m_teams.clear();
+    m_now = 0;
+}
+
+} // namespace hyssop::routing
--- /dev/null
+++ b/libs/routing/tests/PartsTest.cpp
@@ -0,0 +1,144 @@
+// The router's parts, each by itself.
+
+#include "PrefixIndex.h"
+#include "RateEstimator.h"
+#include "ReportedLoad.h"
+#include "Rig.h"
+#include "TeamQueue.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace hyssop;
+using namespace hyssop::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+QueueItem item(const std::string &team, int number, std::int64_t cost, int weight = 1)
+{
+    return {base::TeamId(team), base::RequestId(team + std::to_string(number)),
+            kStart + std::chrono::seconds(number), cost, weight};
+}
+
+} // namespace
+
+TEST_CASE("a small team's wait is bounded beside a flooding one")
+{
+    TeamQueue queue;
+    for (int n = 0; n < 1'000; ++n)
+        queue.push(item("flood", n, 30'000));
+    for (int n = 0; n < 50; ++n)
+        queue.pop();
+    queue.push(item("small", 0, 1'000));
+    int before = 0;
+    for (; queue.front()->team != base::TeamId("small"); ++before)
+        queue.pop();
+    CHECK(before <= 1);
+}
+
+TEST_CASE("teams are served in proportion to their weights")
+{
+    TeamQueue queue;
+    for (int n = 0; n < 400; ++n) {
+        queue.push(item("a", n, 100, 3));
+        queue.push(item("b", n, 100, 1));
+    }
+    int ofA = 0;
+    for (int n = 0; n < 200; ++n) {
+        ofA += queue.front()->team == base::TeamId("a") ? 1 : 0;
+        queue.pop();
+    }
+    CHECK(ofA >= 148);
+    CHECK(ofA <= 152);
+}
+
+TEST_CASE("a queue serves each item once, whatever is removed between")
+{
+    rc::prop("size and cost match what is queued", [](const std::vector<std::uint8_t> &steps) {
+        TeamQueue queue;
+        std::map<base::RequestId, QueueItem> expected;
+        std::int64_t cost = 0;
+        int number = 0;
+        for (const std::uint8_t step : steps) {
+            if (step % 3 < 2) {
+                const QueueItem one = item(std::string(1, 'a' + step % 5), ++number, 1 + step);
+                queue.push(one);
+                expected.emplace(one.request, one);
+                cost += one.cost;
+                continue;
+            }
+            if (expected.empty())
+                continue;
+            const QueueItem one = step % 2 ? *queue.front() : expected.begin()->second;
+            if (step % 2)
+                queue.pop();
+            else
+                queue.remove(one.team, one.request, one.deadline);
+            RC_ASSERT(expected.erase(one.request) == 1U);
+            cost -= one.cost;
+        }
+        RC_ASSERT(queue.size() == expected.size());
+        RC_ASSERT(queue.cost() == cost);
+        RC_ASSERT((queue.front() == nullptr) == expected.empty());
+    });
+}
+
+TEST_CASE("an index with gaps is never sure of a block that the engine had dropped")
+{
+    rc::prop("sure blocks are cached", [](const std::vector<std::uint16_t> &steps) {
+        PrefixIndex index;
+        std::set<std::uint64_t> cache;
+        std::uint64_t epoch = 1;
+        std::uint64_t sequence = 0;
+        for (const std::uint16_t step : steps) {
+            CacheChanged event;
+            const std::uint64_t block = step / 16 % 8;
+            if (step % 16 == 15) {
+                // The engine starts again with an empty cache.
+                ++epoch;
+                sequence = 0;
+                cache.clear();
+            }
+            event.epoch = epoch;
+            event.sequence = ++sequence;
+            if (cache.erase(block) > 0)
+                event.removed = {block};
+            else if (cache.insert(block).second)
+                event.added = {block};
+            const bool isLost = step % 4 == 0;
+            if (isLost)
+                continue;
+            index.apply(event);
+            for (std::uint64_t one = 0; one < 8; ++one)
+                RC_ASSERT(index.match({one}).sure <= cache.count(one));
+        }
+    });
+}
+
+TEST_CASE("a rate changes only when the samples leave it by more than their spread")
+{
+    RateEstimator steady;
+    for (int n = 0; n < 40; ++n)
+        steady.observe(base::Tokens(10'000), n % 2 ? 200ms : 600ms);
+    CHECK(steady.rate() == RateEstimator::kInitialRate);
+    RateEstimator slower;
+    for (int n = 0; n < 40; ++n)
+        slower.observe(base::Tokens(10'000), 1'000ms);
+    CHECK(slower.rate() == Approx(10'000).epsilon(0.05));
+}
+
+TEST_CASE("a lagging load report does not count work that is known or has ended")
+{
+    ReportedLoad load;
+    load.noteKnown(base::Tokens(50'000), kStart);
+    LoadReported report;
+    report.age = 200ms;
+    report.queuedPrompt = base::Tokens(50'000);
+    load.report(report, base::Tokens(), kStart + 300ms);
+    CHECK(load.unknown(1'000, kStart + 300ms).count() == 0);
+    report.queuedPrompt = base::Tokens(80'000);
+    load.report(report, base::Tokens(), kStart + 400ms);
+    CHECK(load.unknown(10'000, kStart + 400ms).count() == 28'000);
+    CHECK(load.unknown(10'000, kStart + 5s).count() == 0);
+}
--- /dev/null
+++ b/libs/routing/tests/PropertyTest.cpp
@@ -0,0 +1,238 @@
+// Properties of the whole router under any sequence of events.
+
+#include "Rig.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <map>
+#include <set>
+
+using namespace hyssop;
+using namespace hyssop::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto kLongest = 20s;
+
+/// Feeds a router from a list of numbers and checks its actions as they come.
+class Driver
+{
+public:
+    explicit Driver(const std::string &policy)
+        : m_rig(testOptions(policy), {teamRecord("shop"), teamRecord("desk")})
+    {
+        for (const char *id : {"e1", "e2", "e3", "e4"})
+            m_rig.addEngine(id);
+    }
+
+    void step(std::uint32_t draw)
+    {
+        const std::uint32_t kind = draw % 12;
+        const std::uint32_t more = draw / 12;
+        if (kind < 4)
+            arrive(more);
+        else if (kind < 6)
+            runTo(m_rig.now + base::Millis(more % 700));
+        else if (kind < 11)
+            onAttempt(kind, more);
+        else
+            onUpstream(more);
+        RC_ASSERT(m_rig.router.stats().outstanding.count() >= 0);
+        RC_ASSERT(m_rig.router.stats().active == m_open.size());
+    }
+
+    void finish()
+    {
+        runTo(m_rig.now + kLongest);
+        RC_ASSERT(m_open.empty());
+        const RouterStats stats = m_rig.router.stats();
+        RC_ASSERT(stats.queued == 0U);
+        RC_ASSERT(stats.outstanding.count() == 0);
+        RC_ASSERT(stats.body.count() == 0);
+        RC_ASSERT(m_rig.router.nextTick() == base::TimePoint::max());
+        for (const PeerOutstanding &one : m_rig.router.outstanding()) {
+            RC_ASSERT(one.requests == 0);
+            RC_ASSERT(one.prompt.count() == 0);
+            RC_ASSERT(one.kv.count() == 0);
+        }
+    }
+
+    const std::vector<std::string> &log() const { return m_log; }
+
+private:
+    struct Open
+    {
+        base::TimePoint deadline;
+        bool mayRepeat = true;
+        int mayHaveRun = 0; ///< Attempts that are under way or may have run.
+    };
+
+    /// Checks what each tick brings at the time it is due.
+    void runTo(base::TimePoint until)
+    {
+        while (m_rig.router.nextTick() <= until) {
+            m_rig.now = std::max(m_rig.now, m_rig.router.nextTick());
+            check(m_rig.router.tick(m_rig.now));
+        }
+        m_rig.now = until;
+    }
+
+    void arrive(std::uint32_t draw)
+    {
+        constexpr std::int64_t kPrompts[] = {100, 5'000, 30'000, 90'000, 300'000, 900'000};
+        RequestInfo request =
+                m_rig.request("r" + std::to_string(++m_last), kPrompts[draw % 6],
+                              static_cast<records::Urgency>(draw / 6 % records::kUrgencies));
+        request.team = base::TeamId(draw / 18 % 2 ? "shop" : "desk");
+        request.mayRepeat = draw / 36 % 2;
+        request.body = base::Bytes(1'000);
+        request.deadline = m_rig.now + base::Millis(1 + draw / 72 % (kLongest / 1ms));
+        m_open[request.id] = {request.deadline, request.mayRepeat};
+        check(m_rig.arrive(request));
+    }
+
+    void onAttempt(std::uint32_t kind, std::uint32_t draw)
+    {
+        if (m_attempts.empty())
+            return;
+        auto it = m_attempts.begin();
+        std::advance(it, draw % m_attempts.size());
+        const base::AttemptId id = it->first;
+        const std::uint32_t more = draw / 7;
+        if (kind == 6)
+            feed(AttemptAccepted{id});
+        else if (kind <= 8)
+            feed(AttemptTokens{id, m_delivered[id] + (more % 9 == 8), 1 + more % 3});
+        else if (kind == 9)
+            feed(AttemptFinished{id});
+        else
+            fail(id, static_cast<AttemptFault>(more % (kAttemptFaults - 1)));
+    }
+
+    void fail(const base::AttemptId &id, AttemptFault fault)
+    {
+        const base::RequestId request = m_attempts.at(id);
+        const auto open = m_open.find(request);
+        const bool isProof = provesNotRun(fault) && !m_accepted.contains(id);
+        if (open != m_open.end() && isProof && m_notRun.insert(id).second)
+            --open->second.mayHaveRun;
+        feed(AttemptFailed{id, fault, base::Millis(0)});
+    }
+
+    void onUpstream(std::uint32_t draw)
+    {
+        UpstreamInfo info = Rig::engine("e" + std::to_string(1 + draw % 4));
+        info.isLeaving = draw / 4 % 3 == 0;
+        info.incarnation = base::Incarnation(1 + draw / 12 % 2);
+        if (draw / 24 % 4 == 0)
+            feed(UpstreamGone{info.id});
+        else
+            feed(UpstreamSeen{info});
+    }
+
+    void feed(const Event &event)
+    {
+        if (const auto *it = std::get_if<AttemptAccepted>(&event))
+            m_accepted.insert(it->attempt);
+        if (const auto *it = std::get_if<AttemptTokens>(&event))
+            m_fed = *it;
+        if (std::holds_alternative<AttemptTokens>(event))
+            m_accepted.insert(m_fed.attempt);
+        check(m_rig.router.handle(event, m_rig.now));
+    }
+
+    void check(const Actions &actions)
+    {
+        for (const Action &action : actions)
+            std::visit([this](const auto &it) { on(it); }, action);
+    }
+    void on(const StartAttempt &it)
+    {
+        m_log.push_back("start " + it.attempt.text() + " " + it.upstream.text() + " "
+                        + std::to_string(it.resumeOffset));
+        Open &open = m_open.at(it.request);
+        RC_ASSERT(it.remaining.count() >= 0);
+        if (it.resumesStream) {
+            RC_ASSERT(m_accepted.contains(it.attempt));
+            RC_ASSERT(it.resumeOffset == m_delivered[it.attempt]);
+            return;
+        }
+        RC_ASSERT(open.mayRepeat || open.mayHaveRun == 0);
+        RC_ASSERT(!m_delivering.contains(it.request));
+        ++open.mayHaveRun;
+        m_attempts[it.attempt] = it.request;
+    }
+    void on(const CancelAttempt &it) { m_log.push_back("cancel " + it.attempt.text()); }
+    void on(const ForwardTokens &it)
+    {
+        m_delivering.insert(it.request);
+        RC_ASSERT(m_attempts.at(m_fed.attempt) == it.request);
+        RC_ASSERT(m_fed.offset + it.skip == m_delivered[m_fed.attempt]);
+        m_delivered[m_fed.attempt] = m_fed.offset + m_fed.count;
+    }
+    void on(const CompleteRequest &it)
+    {
+        m_log.push_back("complete " + it.request.text());
+        RC_ASSERT(m_open.erase(it.request) == 1U);
+    }
+    void on(const EndRequest &it)
+    {
+        m_log.push_back("end " + it.request.text() + " " + std::string(reasonName(it.reason)));
+        const auto open = m_open.find(it.request);
+        RC_ASSERT(open != m_open.end());
+        // Refused as not run only when no attempt can have run.
+        RC_ASSERT((it.outcome == Outcome::NotRun) == (open->second.mayHaveRun == 0));
+        RC_ASSERT(m_rig.now <= open->second.deadline);
+        m_open.erase(open);
+    }
+    void on(const RetryNoted &) { }
+    void on(const StallNoted &) { }
+    void on(const EjectionNoted &) { }
+
+    Rig m_rig;
+    int m_last = 0;
+    std::map<base::RequestId, Open> m_open;
+    std::map<base::AttemptId, base::RequestId> m_attempts;
+    std::map<base::AttemptId, std::int64_t> m_delivered;
+    std::set<base::AttemptId> m_accepted;
+    std::set<base::AttemptId> m_notRun; ///< Attempts proven not to have run.
+    std::set<base::RequestId> m_delivering;
+    AttemptTokens m_fed;
+    std::vector<std::string> m_log;
+};
+
+rc::Gen<std::vector<std::uint32_t>> draws()
+{
+    return rc::gen::container<std::vector<std::uint32_t>>(rc::gen::arbitrary<std::uint32_t>());
+}
+
+} // namespace
+
+TEST_CASE("under any events every request ends once, in time and truly told")
+{
+    for (const std::string policy : {"adaptive", "round-robin", "least-outstanding"}) {
+        rc::prop("policy " + policy, [&] {
+            const auto steps = *rc::gen::scale(3, draws());
+            Driver driver(policy);
+            for (const std::uint32_t draw : steps)
+                driver.step(draw);
+            driver.finish();
+        });
+    }
+}
+
+TEST_CASE("the same events give the same actions")
+{
+    rc::prop("replay", [] {
+        const auto steps = *rc::gen::scale(3, draws());
+        Driver first("adaptive");
+        Driver second("adaptive");
+        for (const std::uint32_t draw : steps) {
+            first.step(draw);
+            second.step(draw);
+        }
+        RC_ASSERT(first.log() == second.log());
+    });
+}
--- a/libs/upstream/include/upstream/Upstream.h
+++ b/libs/upstream/include/upstream/Upstream.h
@@ -60,6 +60,7 @@
     std::string body; ///< JSON of the completion.
     base::Millis remaining{0};
     records::Urgency urgency = records::Urgency::Normal;
+    int priority = 0; ///< Lower goes first.
     std::int64_t resumeOffset = 0;
     bool resumesStream = false;
 };
--- a/libs/upstream/src/Engines.cpp
+++ b/libs/upstream/src/Engines.cpp
@@ -51,6 +51,12 @@
 
 void Engines::start(EngineAttempt attempt)
 {
+    if (const auto it = m_calls.find(attempt.id); it != m_calls.end()) {
+        // A stalled connection gives way to the one that resumes.
+        m_loop->cancel(it->second);
+        m_streams.erase(it->second);
+        m_calls.erase(it);
+    }
     http::Call call;
     call.to = attempt.to;
     call.method = http::Method::Post;
@@ -64,7 +70,7 @@
                     {"x-attempt-id", attempt.id.text()},
                     {"x-owner", m_owner.text()},
                     {"x-remaining-ms", std::to_string(attempt.remaining.count())},
-                    {"x-priority", std::to_string(static_cast<int>(attempt.urgency))}};
+                    {"x-priority", std::to_string(attempt.priority)}};
     call.timeout = attempt.remaining;
     const http::CallId id = m_loop->call(std::move(call), this);
     Stream stream;
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -199,6 +199,7 @@
     OpenRequest request;
     request.exchange = id;
     request.body = engineBody(call, *m_catalogue->route(call.model));
+    info->body = base::Bytes(static_cast<std::int64_t>(request.body.size()));
     request.info = *std::move(info);
     submit(std::move(request));
 }
@@ -208,6 +209,7 @@
     auto info = admit(id, call.head, call.service, routing::UpstreamKind::Service);
     if (!info)
         return;
+    info->body = base::Bytes(static_cast<std::int64_t>(call.body.size()));
     OpenRequest request;
     request.exchange = id;
     request.info = *std::move(info);
@@ -275,8 +277,13 @@
 {
     const membership::Announcement *upstream = m_directory.find(action.upstream);
     const OpenRequest &request = m_requests.at(action.request);
-    const base::Endpoint address = upstream ? upstream->address : base::Endpoint();
-    m_attempts[action.attempt] = {action.request, address, request.service.has_value()};
+    OpenAttempt &open = m_attempts[action.attempt];
+    open.request = action.request;
+    open.isService = request.service.has_value();
+    open.isResume = action.resumesStream;
+    if (upstream)
+        open.address = upstream->address;
+    const base::Endpoint address = open.address;
     m_metrics.count("hyssop_attempts_total", {{"upstream", action.upstream.text()}});
     if (request.service) {
         upstream::ServiceCall call;
@@ -297,6 +304,7 @@
     attempt.body = request.body;
     attempt.remaining = action.remaining;
     attempt.urgency = action.urgency;
+    attempt.priority = action.priority;
     attempt.resumeOffset = action.resumeOffset;
     attempt.resumesStream = action.resumesStream;
     m_engines->start(std::move(attempt));
@@ -361,6 +369,19 @@
     base::logEvent("retry", {{"request", action.request}, {"reason", fault}});
 }
 
+void EntryTask::perform(const routing::StallNoted &action)
+{
+    m_metrics.count("hyssop_stalls_total", {{"upstream", action.upstream.text()}});
+    base::logEvent("stalled", {{"request", action.request}, {"upstream", action.upstream}});
+}
+
+void EntryTask::perform(const routing::EjectionNoted &action)
+{
+    m_metrics.count("hyssop_ejections_total", {{"upstream", action.upstream.text()}});
+    base::logEvent("ejected",
+                   {{"upstream", action.upstream}, {"duration_ms", action.duration.count()}});
+}
+
 // Upstreams.
 
 void EntryTask::onAccepted(const base::AttemptId &id)
@@ -386,11 +407,9 @@
                          base::Millis retryAfter)
 {
     const auto it = m_attempts.find(id);
-    if (it != m_attempts.end() && !routing::provesNotRun(fault)) {
-        // The engine may still be working on it.
-        m_engines->cancel(id, it->second.address);
-    }
-    m_attempts.erase(id);
+    // Others may still run at their engine: the router resumes or cancels them.
+    if (it != m_attempts.end() && routing::provesNotRun(fault) && !it->second.isResume)
+        m_attempts.erase(it);
     m_metrics.count("hyssop_attempt_faults_total",
                     {{"reason", std::string(attemptFaultName(fault))}});
     feed(routing::AttemptFailed{id, fault, retryAfter});
@@ -498,6 +517,8 @@
     m_metrics.set("hyssop_outstanding_prompt_tokens",
                   static_cast<double>(stats.outstanding.count()));
     m_metrics.set("hyssop_upstreams", static_cast<double>(stats.upstreams));
+    m_metrics.set("hyssop_ejected_upstreams", static_cast<double>(stats.ejected));
+    m_metrics.set("hyssop_open_body_bytes", static_cast<double>(stats.body.count()));
     m_metrics.set("hyssop_records_index", static_cast<double>(m_watcher->position().index));
     m_metrics.set("hyssop_records_confirmed", m_watcher->isConfirmed() ? 1 : 0);
     m_metrics.set("hyssop_unconfirmed_cancels",
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -47,6 +47,7 @@
         base::RequestId request;
         base::Endpoint address;
         bool isService = false;
+        bool isResume = false;
     };
 
     explicit EntryTask(EntryOptions options);
@@ -74,6 +75,8 @@
     void perform(const routing::CompleteRequest &action);
     void perform(const routing::EndRequest &action);
     void perform(const routing::RetryNoted &action);
+    void perform(const routing::StallNoted &action);
+    void perform(const routing::EjectionNoted &action);
     void scheduleTick();
 
     // Upstreams.
--- a/programs/hyssop-entry/Gossip.cpp
+++ b/programs/hyssop-entry/Gossip.cpp
@@ -13,7 +13,8 @@
         announcements.push_back(membership::toJson(announcement));
     json outstanding = json::array();
     for (const routing::PeerOutstanding &one : body.outstanding)
-        outstanding.push_back({one.upstream.text(), one.prompt.count(), one.requests});
+        outstanding.push_back({one.upstream.text(), one.prompt.count(), one.requests,
+                               one.longPrompt.count(), one.kv.count()});
     const std::vector<std::uint8_t> cbor =
             json::to_cbor({{"announcements", announcements}, {"outstanding", outstanding}});
     return {reinterpret_cast<const char *>(cbor.data()), cbor.size()};
@@ -32,7 +33,8 @@
         }
         for (const json &one : j.at("outstanding"))
             body.outstanding.push_back({base::HostId(), base::UpstreamId(one.at(0)),
-                                        base::Tokens(one.at(1)), one.at(2)});
+                                        base::Tokens(one.at(1)), one.at(2), base::Tokens(one.at(3)),
+                                        base::Tokens(one.at(4))});
     } catch (const json::exception &) {
         return std::nullopt;
     }
