Records: deployments and control groups are typed, content is bounded, misspelt fields are warned of

Control-group records were stored unchecked and deployments had no kind. Both are typed and checked now, with file, line and field down to the voter in the list. Unknown fields are kept, and those within two edits of a known one are warned of. Where several forms of a record are given, the newest readable one is in force, so a host that starts without a past can be served too. A test found that names such as y, no and on were read as truths; only true and false are now. Shown by test-records, with properties over drawn records: YAML to record to JSON to record is the identity, and a difference is empty exactly when records are equal.

--- a/libs/records/include/records/Records.h
+++ b/libs/records/include/records/Records.h
@@ -12,7 +12,9 @@
 
 namespace hyssop::records {
 
-enum class Kind { Team, Route, ControlGroup };
+enum class Kind { Team, Route, ControlGroup, Deployment };
+
+inline constexpr Kind kKinds[] = {Kind::Team, Kind::Route, Kind::ControlGroup, Kind::Deployment};
 
 std::string_view kindName(Kind kind);
 std::optional<Kind> parseKind(std::string_view name);
@@ -28,6 +30,11 @@
 /// Newest schema this program reads.
 inline constexpr int kNewestSchema = 2;
 
+/// Bounds on a record that is to be accepted. What is already stored is read whatever its size.
+inline constexpr std::size_t kMaxSpecBytes = 64 * 1024;
+inline constexpr std::size_t kMaxNameBytes = 128;
+inline constexpr int kMaxSpecDepth = 16;
+
 /// Version of one record's content; 0 means absent.
 using Version = base::Quantity<struct VersionTag>;
 
@@ -58,9 +65,11 @@
 std::string toJson(const Record &record);
 tl::expected<Record, RecordError> recordFromJson(std::string_view text);
 
-/// Reads every document of a YAML file and checks each one.
-tl::expected<std::vector<Record>, std::vector<RecordError>> readYaml(const std::string &file,
-                                                                     const std::string &text);
+/// Reads every document of a YAML file and checks each one. \a warnings, where given, receives the
+/// unknown fields that look like misspelt known ones.
+tl::expected<std::vector<Record>, std::vector<RecordError>> readYaml(
+        const std::string &file, const std::string &text,
+        std::vector<RecordError> *warnings = nullptr);
 
 /// Content of a team's record.
 struct TeamSpec
@@ -89,12 +98,47 @@
     base::Millis deadlineFor(Urgency urgency) const;
 };
 
+/// Content of a control group's record: who votes in the replicated log of that name.
+struct ControlGroupSpec
+{
+    struct Voter
+    {
+        base::HostId host;
+        base::Endpoint address; ///< Where the host listens for peers.
+        base::DataCentreId dataCentre;
+
+        bool operator==(const Voter &other) const = default;
+    };
+    std::vector<Voter> voters; ///< 1 to 7, no host or address twice.
+};
+
+/// Whether engines refuse an order that carries an old fencing number.
+enum class Fencing { Checked, Ignored };
+
+/// Content of a deployment's record: what a number of engines of one data centre should hold.
+struct DeploymentSpec
+{
+    base::ModelId model;
+    std::string adapter;
+    std::string modelVersion;
+    std::string role;
+    base::DataCentreId dataCentre;
+    int replicas = 1; ///< Engines that should hold the model, 0..1000.
+    Fencing fencing = Fencing::Checked;
+    int loadsPerMinute = 6; ///< Bound on loads from the weight store, 1..600.
+};
+
 tl::expected<TeamSpec, RecordError> readTeam(const Record &record);
 tl::expected<RouteSpec, RecordError> readRoute(const Record &record);
+tl::expected<ControlGroupSpec, RecordError> readControlGroup(const Record &record);
+tl::expected<DeploymentSpec, RecordError> readDeployment(const Record &record);
 
-/// Checks a record's content by its kind and schema.
+/// Checks a record that is to be accepted: its bounds, and its content by kind and schema.
 std::optional<RecordError> validate(const Record &record);
 
+/// Unknown fields that look like a misspelt known one. Other unknown fields are kept in silence.
+std::vector<RecordError> misspeltFields(const Record &record);
+
 /// One field that differs between two records.
 struct FieldChange
 {
@@ -109,7 +153,8 @@
 class Catalogue
 {
 public:
-    /// Records that this program cannot read keep their last readable content from \a previous.
+    /// Of several records of one kind and name the newest readable one is in force. Where there is
+    /// none, the last readable content comes from \a previous.
     static std::shared_ptr<const Catalogue> build(const std::vector<Record> &records,
                                                   const Catalogue *previous);
 
@@ -117,14 +162,21 @@
     const RouteSpec *route(const std::string &name) const;
     const std::map<std::string, RouteSpec> &routes() const { return m_routes; }
     const std::map<base::TeamId, TeamSpec> &teams() const { return m_teams; }
+    const std::map<std::string, DeploymentSpec> &deployments() const { return m_deployments; }
+    const std::map<std::string, ControlGroupSpec> &controlGroups() const { return m_controlGroups; }
     /// Team whose record holds the digest of a caller's key.
     const base::TeamId *teamOfKey(const std::string &sha256) const;
     /// Records kept but not readable by this program.
     const std::vector<std::string> &unreadable() const { return m_unreadable; }
 
 private:
+    bool read(const Record &record);
+    void keepFrom(const Catalogue &previous, const Record &record);
+
     std::map<base::TeamId, TeamSpec> m_teams;
     std::map<std::string, RouteSpec> m_routes;
+    std::map<std::string, DeploymentSpec> m_deployments;
+    std::map<std::string, ControlGroupSpec> m_controlGroups;
     std::map<std::string, base::TeamId> m_keys;
     std::vector<std::string> m_unreadable;
 };
--- a/libs/records/src/Catalogue.cpp
+++ b/libs/records/src/Catalogue.cpp
@@ -1,31 +1,91 @@
 #include "records/Records.h"
 
+#include <algorithm>
+#include <set>
+
 namespace hyssop::records {
 
+namespace {
+
+std::string labelOf(const Record &record)
+{
+    return std::string(kindName(record.kind)) + "/" + record.name;
+}
+
+/// Puts the typed content of a record in \a out, if it can be read.
+template <typename Key, typename Spec, typename Read>
+bool readInto(const Record &record, const Key &key, Read read, std::map<Key, Spec> &out)
+{
+    auto spec = read(record);
+    if (!spec)
+        return false;
+    out.emplace(key, *std::move(spec));
+    return true;
+}
+
+template <typename Key, typename Spec>
+void keep(const Key &key, const std::map<Key, Spec> &previous, std::map<Key, Spec> &out)
+{
+    if (const auto it = previous.find(key); it != previous.end())
+        out.insert(*it);
+}
+
+} // namespace
+
+bool Catalogue::read(const Record &record)
+{
+    switch (record.kind) {
+    case Kind::Team:
+        return readInto(record, base::TeamId(record.name), readTeam, m_teams);
+    case Kind::Route:
+        return readInto(record, record.name, readRoute, m_routes);
+    case Kind::ControlGroup:
+        return readInto(record, record.name, readControlGroup, m_controlGroups);
+    case Kind::Deployment:
+        return readInto(record, record.name, readDeployment, m_deployments);
+    }
+    return false;
+}
+
+void Catalogue::keepFrom(const Catalogue &previous, const Record &record)
+{
+    switch (record.kind) {
+    case Kind::Team:
+        return keep(base::TeamId(record.name), previous.m_teams, m_teams);
+    case Kind::Route:
+        return keep(record.name, previous.m_routes, m_routes);
+    case Kind::ControlGroup:
+        return keep(record.name, previous.m_controlGroups, m_controlGroups);
+    case Kind::Deployment:
+        return keep(record.name, previous.m_deployments, m_deployments);
+    }
+}
+
 std::shared_ptr<const Catalogue> Catalogue::build(const std::vector<Record> &records,
                                                   const Catalogue *previous)
 {
+    std::vector<const Record *> newestFirst;
+    newestFirst.reserve(records.size());
+    for (const Record &record : records)
+        newestFirst.push_back(&record);
+    std::stable_sort(newestFirst.begin(), newestFirst.end(),
+                     [](const Record *a, const Record *b) { return a->version > b->version; });
     auto catalogue = std::make_shared<Catalogue>();
-    for (const Record &record : records) {
-        const std::string label = std::string(kindName(record.kind)) + "/" + record.name;
-        if (record.kind == Kind::Team) {
-            const base::TeamId id(record.name);
-            if (auto team = readTeam(record)) {
-                catalogue->m_teams.emplace(id, *std::move(team));
-                continue;
-            }
-            catalogue->m_unreadable.push_back(label);
-            if (const TeamSpec *kept = previous ? previous->team(id) : nullptr)
-                catalogue->m_teams.emplace(id, *kept);
-        } else if (record.kind == Kind::Route) {
-            if (auto route = readRoute(record)) {
-                catalogue->m_routes.emplace(record.name, *std::move(route));
-                continue;
-            }
-            catalogue->m_unreadable.push_back(label);
-            if (const RouteSpec *kept = previous ? previous->route(record.name) : nullptr)
-                catalogue->m_routes.emplace(record.name, *kept);
-        }
+    std::set<std::string> inForce;
+    std::map<std::string, const Record *> unreadable; // Newest forms, by label.
+    for (const Record *record : newestFirst) {
+        const std::string label = labelOf(*record);
+        if (inForce.contains(label))
+            continue;
+        if (catalogue->read(*record))
+            inForce.insert(label);
+        else
+            unreadable.emplace(label, record);
+    }
+    for (const auto &[label, record] : unreadable) {
+        catalogue->m_unreadable.push_back(label);
+        if (previous && !inForce.contains(label))
+            catalogue->keepFrom(*previous, *record);
     }
     for (const auto &[id, team] : catalogue->m_teams) {
         for (const std::string &digest : team.keySha256)
--- a/libs/records/src/Record.cpp
+++ b/libs/records/src/Record.cpp
@@ -16,13 +16,15 @@
         return "route";
     case Kind::ControlGroup:
         return "control-group";
+    case Kind::Deployment:
+        return "deployment";
     }
     return "unknown";
 }
 
 std::optional<Kind> parseKind(std::string_view name)
 {
-    for (const Kind kind : {Kind::Team, Kind::Route, Kind::ControlGroup}) {
+    for (const Kind kind : kKinds) {
         if (kindName(kind) == name)
             return kind;
     }
@@ -85,7 +87,7 @@
         return fault("kind", "missing");
     const auto parsed = parseKind(kind->get<std::string>());
     if (!parsed)
-        return fault("kind", "not team, route or control-group");
+        return fault("kind", "not team, route, control-group or deployment");
     record.kind = *parsed;
     const auto name = json->find("name");
     if (name == json->end() || !name->is_string() || name->get<std::string>().empty())
--- a/libs/records/src/Specs.cpp
+++ b/libs/records/src/Specs.cpp
@@ -1,6 +1,7 @@
-#include "records/Records.h"
+#include "FieldReader.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
+#include <set>
 
 namespace hyssop::records {
 
@@ -9,93 +10,9 @@
 constexpr std::int64_t kMaxWeight = 1000;
 constexpr std::int64_t kMaxCount = 1'000'000'000;
 constexpr std::int64_t kMaxDeadlineMs = 24LL * 3600 * 1000;
-
-/// Reads fields of one record's content and keeps the first fault.
-class FieldReader
-{
-public:
-    explicit FieldReader(const Record &record)
-        : m_json(nlohmann::json::parse(record.spec, nullptr, false))
-    {
-        if (!m_json.is_object())
-            fail("", "not a mapping");
-    }
-
-    void number(const char *field, std::int64_t min, std::int64_t max, std::int64_t &out)
-    {
-        if (const auto *it = find(field))
-            checkNumber(std::string("spec.") + field, *it, min, max, out);
-    }
-
-    void text(const char *field, std::string &out)
-    {
-        const auto *it = find(field);
-        if (!it)
-            return;
-        if (!it->is_string())
-            return fail(field, "not text");
-        out = it->get<std::string>();
-    }
-
-    void truth(const char *field, bool &out)
-    {
-        const auto *it = find(field);
-        if (!it)
-            return;
-        if (!it->is_boolean())
-            return fail(field, "not true or false");
-        out = it->get<bool>();
-    }
-
-    void texts(const char *field, std::vector<std::string> &out)
-    {
-        const auto *it = find(field);
-        if (!it)
-            return;
-        if (!it->is_array())
-            return fail(field, "not a list");
-        for (const auto &one : *it) {
-            if (!one.is_string())
-                return fail(field, "holds something that is not text");
-            out.push_back(one.get<std::string>());
-        }
-    }
-
-    void checkNumber(const std::string &path, const nlohmann::json &value, std::int64_t min,
-                     std::int64_t max, std::int64_t &out)
-    {
-        if (!value.is_number_integer() || value.get<std::int64_t>() < min
-            || value.get<std::int64_t>() > max) {
-            failAt(path,
-                   "not a whole number from " + std::to_string(min) + " to " + std::to_string(max));
-            return;
-        }
-        out = value.get<std::int64_t>();
-    }
-
-    const nlohmann::json *find(const char *field) const
-    {
-        const auto it = m_json.find(field);
-        return it == m_json.end() ? nullptr : &*it;
-    }
-
-    void fail(const std::string &field, std::string message)
-    {
-        failAt(field.empty() ? "spec" : "spec." + field, std::move(message));
-    }
-
-    void failAt(std::string path, std::string message)
-    {
-        if (!m_error)
-            m_error = RecordError{"", 0, std::move(path), std::move(message)};
-    }
-
-    const std::optional<RecordError> &error() const { return m_error; }
-
-private:
-    nlohmann::json m_json;
-    std::optional<RecordError> m_error;
-};
+constexpr std::int64_t kMaxReplicas = 1000;
+constexpr std::int64_t kMaxLoadsPerMinute = 600;
+constexpr std::size_t kMaxVoters = 7;
 
 void readDeadlines(FieldReader &reader, RouteSpec &route)
 {
@@ -115,6 +32,39 @@
     }
 }
 
+/// Reads one text of a voter; a fault names the voter's place in the list.
+std::string voterText(FieldReader &reader, const nlohmann::json &voter, const std::string &path,
+                      const char *field)
+{
+    const auto it = voter.find(field);
+    if (it == voter.end() || !it->is_string() || it->get_ref<const std::string &>().empty()) {
+        reader.failAt(path + "." + field, "missing, or not text");
+        return {};
+    }
+    return it->get<std::string>();
+}
+
+void readVoters(FieldReader &reader, const nlohmann::json &voters, ControlGroupSpec &group)
+{
+    std::set<base::HostId> hosts;
+    std::set<base::Endpoint> addresses;
+    for (std::size_t n = 0; n < voters.size(); ++n) {
+        const std::string path = "spec.voters." + std::to_string(n);
+        if (!voters[n].is_object())
+            return reader.failAt(path, "not a mapping of host, address and dataCentre");
+        const base::HostId host(voterText(reader, voters[n], path, "host"));
+        const auto address = base::parseEndpoint(voterText(reader, voters[n], path, "address"));
+        const base::DataCentreId dataCentre(voterText(reader, voters[n], path, "dataCentre"));
+        if (!address || address->port == 0)
+            return reader.failAt(path + ".address", "not an address and port");
+        if (!hosts.insert(host).second)
+            return reader.failAt(path + ".host", "stands twice");
+        if (!addresses.insert(*address).second)
+            return reader.failAt(path + ".address", "stands twice");
+        group.voters.push_back({host, *address, dataCentre});
+    }
+}
+
 std::optional<RecordError> tooNew(const Record &record)
 {
     if (record.schema <= kNewestSchema)
@@ -192,17 +142,71 @@
     return route;
 }
 
-std::optional<RecordError> validate(const Record &record)
+tl::expected<DeploymentSpec, RecordError> readDeployment(const Record &record)
 {
     if (const auto fault = tooNew(record))
-        return fault;
-    if (record.kind == Kind::Team) {
-        const auto team = readTeam(record);
-        return team ? std::nullopt : std::optional(team.error());
-    }
-    if (record.kind == Kind::Route) {
-        const auto route = readRoute(record);
-        return route ? std::nullopt : std::optional(route.error());
+        return tl::unexpected(*fault);
+    FieldReader reader(record);
+    DeploymentSpec deployment;
+    std::string model;
+    std::string dataCentre;
+    std::string fencing = "checked";
+    std::int64_t replicas = deployment.replicas;
+    std::int64_t loads = deployment.loadsPerMinute;
+    reader.text("model", model);
+    reader.text("adapter", deployment.adapter);
+    reader.text("modelVersion", deployment.modelVersion);
+    reader.text("role", deployment.role);
+    reader.text("dataCentre", dataCentre);
+    reader.text("fencing", fencing);
+    reader.number("replicas", 0, kMaxReplicas, replicas);
+    reader.number("loadsPerMinute", 1, kMaxLoadsPerMinute, loads);
+    if (model.empty())
+        reader.fail("model", "missing");
+    if (dataCentre.empty())
+        reader.fail("dataCentre", "missing");
+    if (fencing != "checked" && fencing != "ignored")
+        reader.fail("fencing", "not checked or ignored");
+    if (reader.error())
+        return tl::unexpected(*reader.error());
+    deployment.model = base::ModelId(model);
+    deployment.dataCentre = base::DataCentreId(dataCentre);
+    deployment.fencing = fencing == "checked" ? Fencing::Checked : Fencing::Ignored;
+    deployment.replicas = static_cast<int>(replicas);
+    deployment.loadsPerMinute = static_cast<int>(loads);
+    return deployment;
+}
+
+tl::expected<ControlGroupSpec, RecordError> readControlGroup(const Record &record)
+{
+    if (const auto fault = tooNew(record))
+        return tl::unexpected(*fault);
+    FieldReader reader(record);
+    ControlGroupSpec group;
+    const auto *voters = reader.find("voters");
+    if (!voters || !voters->is_array() || voters->empty() || voters->size() > kMaxVoters)
+        reader.fail("voters", "not a list of 1 to 7 voters");
+    else
+        readVoters(reader, *voters, group);
+    if (reader.error())
+        return tl::unexpected(*reader.error());
+    return group;
+}
+
+std::optional<RecordError> validateSpec(const Record &record)
+{
+    const auto faultOf = [](const auto &spec) {
+        return spec ? std::nullopt : std::optional<RecordError>(spec.error());
+    };
+    switch (record.kind) {
+    case Kind::Team:
+        return faultOf(readTeam(record));
+    case Kind::Route:
+        return faultOf(readRoute(record));
+    case Kind::ControlGroup:
+        return faultOf(readControlGroup(record));
+    case Kind::Deployment:
+        return faultOf(readDeployment(record));
     }
     return std::nullopt;
 }
--- /dev/null
+++ b/libs/records/src/Validate.cpp
@@ -0,0 +1,136 @@
+#include "FieldReader.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace hyssop::records {
+
+namespace {
+
+/// Unknown fields this many edits away from a known one count as misspelt.
+constexpr std::size_t kMisspeltEdits = 2;
+
+const std::vector<std::string> &knownFields(Kind kind)
+{
+    static const std::vector<std::string> kTeam{"weight", "maxRequests", "maxTokens",
+                                                "maxLongPrompts", "keySha256"};
+    static const std::vector<std::string> kRoute{
+            "model",   "service",    "adapter",     "modelVersion", "role",
+            "urgency", "deadlineMs", "deadlinesMs", "mayRepeat",    "teams"};
+    static const std::vector<std::string> kControlGroup{"voters"};
+    static const std::vector<std::string> kDeployment{"model",   "adapter",       "modelVersion",
+                                                      "role",    "dataCentre",    "replicas",
+                                                      "fencing", "loadsPerMinute"};
+    switch (kind) {
+    case Kind::Team:
+        return kTeam;
+    case Kind::Route:
+        return kRoute;
+    case Kind::ControlGroup:
+        return kControlGroup;
+    case Kind::Deployment:
+        break;
+    }
+    return kDeployment;
+}
+
+std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+/// Least number of inserted, removed or replaced characters between two texts.
+std::size_t edits(const std::string &a, const std::string &b)
+{
+    std::vector<std::size_t> row(b.size() + 1);
+    std::iota(row.begin(), row.end(), 0);
+    for (std::size_t i = 1; i <= a.size(); ++i) {
+        std::size_t diagonal = row[0];
+        row[0] = i;
+        for (std::size_t j = 1; j <= b.size(); ++j) {
+            const std::size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+            diagonal = row[j];
+            row[j] = std::min({replaced, row[j] + 1, row[j - 1] + 1});
+        }
+    }
+    return row[b.size()];
+}
+
+bool looksLike(const std::string &field, const std::string &known)
+{
+    if (known.size() <= kMisspeltEdits)
+        return false;
+    // Bounds the work on long names, and keeps short unlike words apart.
+    if (field.size() > known.size() + kMisspeltEdits || field.size() < 3)
+        return false;
+    return edits(lowerCase(field), lowerCase(known)) <= kMisspeltEdits;
+}
+
+int depthOf(const nlohmann::json &value)
+{
+    if (!value.is_structured())
+        return 0;
+    int deepest = 0;
+    for (const auto &one : value)
+        deepest = std::max(deepest, depthOf(one));
+    return deepest + 1;
+}
+
+bool isPlainName(const std::string &name)
+{
+    return std::all_of(name.begin(), name.end(), [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+    });
+}
+
+std::optional<RecordError> checkBounds(const Record &record)
+{
+    const auto fault = [](std::string field, std::string message) {
+        return RecordError{"", 0, std::move(field), std::move(message)};
+    };
+    if (record.schema > kNewestSchema)
+        return fault("schema", "newer than this program reads");
+    if (record.name.empty() || record.name.size() > kMaxNameBytes || !isPlainName(record.name))
+        return fault("name", "not 1 to 128 letters, digits, dots, dashes and underscores");
+    if (record.spec.size() > kMaxSpecBytes)
+        return fault("spec", "larger than 64 KiB");
+    const auto spec = base::parseJson(record.spec);
+    if (!spec || !spec->is_object())
+        return fault("spec", "not a mapping");
+    if (depthOf(*spec) > kMaxSpecDepth)
+        return fault("spec", "nested too deeply");
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<RecordError> validate(const Record &record)
+{
+    if (auto fault = checkBounds(record))
+        return fault;
+    return validateSpec(record);
+}
+
+std::vector<RecordError> misspeltFields(const Record &record)
+{
+    std::vector<RecordError> warnings;
+    const auto spec = base::parseJson(record.spec);
+    if (!spec || !spec->is_object())
+        return warnings;
+    const auto &known = knownFields(record.kind);
+    for (const auto &it : spec->items()) {
+        if (std::find(known.begin(), known.end(), it.key()) != known.end())
+            continue;
+        const auto meant = std::find_if(known.begin(), known.end(), [&it](const auto &one) {
+            return looksLike(it.key(), one);
+        });
+        if (meant != known.end())
+            warnings.push_back(
+                    {"", 0, "spec." + it.key(), "unknown field; is " + *meant + " meant?"});
+    }
+    return warnings;
+}
+
+} // namespace hyssop::records
--- a/libs/records/src/YamlReader.cpp
+++ b/libs/records/src/YamlReader.cpp
@@ -3,6 +3,9 @@
 #include <nlohmann/json.hpp>
 #include <yaml-cpp/yaml.h>
 
+#include <charconv>
+#include <limits>
+
 namespace hyssop::records {
 
 namespace {
@@ -21,9 +24,9 @@
     double real = 0;
     if (YAML::convert<double>::decode(node, real))
         return real;
-    bool truth = false;
-    if (YAML::convert<bool>::decode(node, truth))
-        return truth;
+    // As in YAML 1.2; "no", "on" or "y" may be the name of a team.
+    if (node.Scalar() == "true" || node.Scalar() == "false")
+        return node.Scalar() == "true";
     return node.Scalar();
 }
 
@@ -47,6 +50,14 @@
     return map;
 }
 
+/// Place in a list that a part of a dotted path names; too large when it names none.
+std::size_t indexFrom(const std::string &key)
+{
+    std::size_t place = std::numeric_limits<std::size_t>::max();
+    std::from_chars(key.data(), key.data() + key.size(), place);
+    return place;
+}
+
 /// Line of the field named by a dotted path, or of the nearest parent that is there.
 int lineOf(const YAML::Node &document, std::string_view path)
 {
@@ -55,6 +66,16 @@
     while (!path.empty()) {
         const auto dot = path.find('.');
         const std::string key(path.substr(0, dot));
+        if (node.IsSequence()) {
+            const std::size_t place = indexFrom(key);
+            if (place >= node.size())
+                break;
+            const YAML::Node item = node[place];
+            line = item.Mark().line + 1;
+            node.reset(item);
+            path = dot == std::string_view::npos ? "" : path.substr(dot + 1);
+            continue;
+        }
         if (!node.IsMap())
             break;
         bool isFound = false;
@@ -73,7 +94,16 @@
     return line;
 }
 
-tl::expected<Record, RecordError> readDocument(const std::string &file, const YAML::Node &document)
+/// Puts the place of a fault's field in the file into the fault.
+RecordError located(RecordError fault, const std::string &file, const YAML::Node &document)
+{
+    fault.file = file;
+    fault.line = lineOf(document, fault.field);
+    return fault;
+}
+
+tl::expected<Record, RecordError> readDocument(const std::string &file, const YAML::Node &document,
+                                               std::vector<RecordError> *warnings)
 {
     auto record = recordFromJson(toJson(document, 0).dump());
     std::optional<RecordError> fault;
@@ -81,17 +111,19 @@
         fault = record.error();
     else
         fault = validate(*record);
+    if (warnings && record) {
+        for (RecordError &warning : misspeltFields(*record))
+            warnings->push_back(located(std::move(warning), file, document));
+    }
     if (!fault)
         return record;
-    fault->file = file;
-    fault->line = lineOf(document, fault->field);
-    return tl::unexpected(*fault);
+    return tl::unexpected(located(*std::move(fault), file, document));
 }
 
 } // namespace
 
-tl::expected<std::vector<Record>, std::vector<RecordError>> readYaml(const std::string &file,
-                                                                     const std::string &text)
+tl::expected<std::vector<Record>, std::vector<RecordError>> readYaml(
+        const std::string &file, const std::string &text, std::vector<RecordError> *warnings)
 {
     std::vector<Record> records;
     std::vector<RecordError> faults;
@@ -99,7 +131,7 @@
         for (const YAML::Node &document : YAML::LoadAll(text)) {
             if (document.IsNull())
                 continue;
-            auto record = readDocument(file, document);
+            auto record = readDocument(file, document, warnings);
             if (record)
                 records.push_back(*std::move(record));
             else
--- /dev/null
+++ b/libs/records/tests/RecordProperties.cpp
@@ -0,0 +1,85 @@
+#include "records/Records.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace hyssop;
+using namespace hyssop::records;
+using nlohmann::json;
+
+namespace {
+
+/// Text that YAML could take for a number or a truth, besides plain and awkward text.
+rc::Gen<std::string> genText()
+{
+    const std::vector<std::string> tricky{"",    "007",  "1e3", "yes",     "null", "~",
+                                          "0x1", "a: b", "- x", "\"q\\\"", "# c",  "blå\nis"};
+    return rc::gen::oneOf(rc::gen::elementOf(tricky),
+                          rc::gen::container<std::string>(rc::gen::inRange('a', 'z')));
+}
+
+/// Content with known fields that are right and unknown ones of any shape.
+rc::Gen<json> genSpec()
+{
+    return rc::gen::exec([] {
+        json spec{{"weight", *rc::gen::inRange(1, 1000)}};
+        const int extras = *rc::gen::inRange(0, 4);
+        for (int n = 0; n < extras; ++n) {
+            const std::string name = "x" + std::to_string(n);
+            switch (*rc::gen::inRange(0, 4)) {
+            case 0:
+                spec[name] = *genText();
+                break;
+            case 1:
+                spec[name] = *rc::gen::arbitrary<std::int64_t>();
+                break;
+            case 2:
+                spec[name] = json::array({*genText(), *rc::gen::arbitrary<bool>()});
+                break;
+            default:
+                spec[name] = json{{"inner", *genText()}, {"list", json::array()}};
+                break;
+            }
+        }
+        return spec;
+    });
+}
+
+rc::Gen<Record> genRecord()
+{
+    return rc::gen::exec([] {
+        Record record;
+        record.name = "t" + std::to_string(*rc::gen::inRange(0, 3));
+        record.schema = *rc::gen::inRange(1, kNewestSchema + 1);
+        record.version = Version(*rc::gen::inRange(1, 1'000'000));
+        record.spec = (*genSpec()).dump();
+        return record;
+    });
+}
+
+} // namespace
+
+TEST_CASE("a record goes through YAML and JSON unchanged, unknown fields included")
+{
+    CHECK(rc::check([] {
+        const Record record = *genRecord();
+        // JSON text is YAML as well, with every text quoted.
+        const auto read = readYaml("r.yaml", toJson(record));
+        RC_ASSERT(read.has_value());
+        RC_ASSERT(read->size() == 1u);
+        RC_ASSERT(read->front() == record);
+        const auto again = recordFromJson(toJson(read->front()));
+        RC_ASSERT(again.has_value());
+        RC_ASSERT(*again == record);
+    }));
+}
+
+TEST_CASE("the difference of two records is empty exactly when they are equal")
+{
+    CHECK(rc::check([] {
+        const Record a = *genRecord();
+        const Record b = *rc::gen::oneOf(rc::gen::just(a), genRecord());
+        RC_ASSERT(diff(a, b).empty() == (a == b));
+    }));
+}
--- a/libs/records/tests/RecordsTest.cpp
+++ b/libs/records/tests/RecordsTest.cpp
@@ -60,3 +60,87 @@
     CHECK(changes[0].field == "/spec/weight");
     CHECK(changes[0].after == "8");
 }
+
+TEST_CASE("of several forms of a record the newest readable one is in force without a past")
+{
+    const Record old{Kind::Team, "shop", 1, Version(4), R"({"weight":7})"};
+    const Record tooNew{Kind::Team, "shop", kNewestSchema + 1, Version(5), R"({"weight":9})"};
+    const auto catalogue = Catalogue::build({old, tooNew}, nullptr);
+    REQUIRE(catalogue->team(base::TeamId("shop")));
+    CHECK(catalogue->team(base::TeamId("shop"))->weight == 7);
+    CHECK(catalogue->unreadable() == std::vector<std::string>{"team/shop"});
+}
+
+TEST_CASE("a field that looks misspelt is warned of with its line, another unknown one is not")
+{
+    std::vector<RecordError> warnings;
+    const auto records = readYaml("d.yaml",
+                                  "schema: 1\nkind: team\nname: shop\nversion: 1\n"
+                                  "spec:\n  wieght: 3\n  maxrequests: 5\n  colour: blue\n",
+                                  &warnings);
+    REQUIRE(records);
+    REQUIRE(warnings.size() == 2);
+    CHECK(warnings[0].text() == "d.yaml:7: spec.maxrequests: unknown field; is maxRequests meant?");
+    CHECK(warnings[1].line == 6);
+}
+
+TEST_CASE("the voters of a control group are typed, and a fault names the voter")
+{
+    const std::string head = "schema: 1\nkind: control-group\nname: global\nversion: 1\nspec:\n"
+                             "  voters:\n"
+                             "  - {host: a, address: '127.0.0.1:7100', dataCentre: x}\n";
+    const auto good = readYaml("g.yaml", head);
+    REQUIRE(good);
+    const auto group = readControlGroup(good->front());
+    REQUIRE(group);
+    REQUIRE(group->voters.size() == 1);
+    CHECK(group->voters[0].address == base::Endpoint{"127.0.0.1", 7100});
+
+    const auto twice =
+            readYaml("g.yaml", head + "  - {host: a, address: '127.0.0.2:7100', dataCentre: y}\n");
+    REQUIRE_FALSE(twice);
+    CHECK(twice.error().front().field == "spec.voters.1.host");
+    CHECK(twice.error().front().line == 8);
+    CHECK_FALSE(readYaml("g.yaml", head + "  - {host: b, address: nowhere, dataCentre: y}\n"));
+    CHECK_FALSE(readControlGroup({Kind::ControlGroup, "global", 1, Version(1), "{}"}));
+}
+
+TEST_CASE("a deployment is typed and checked")
+{
+    Record record{Kind::Deployment, "saga", 1, Version(1),
+                  R"({"model":"saga","dataCentre":"x","replicas":3,"fencing":"ignored"})"};
+    const auto deployment = readDeployment(record);
+    REQUIRE(deployment);
+    CHECK(deployment->replicas == 3);
+    CHECK(deployment->fencing == Fencing::Ignored);
+    record.spec = R"({"model":"saga","dataCentre":"x","fencing":"maybe"})";
+    CHECK(validate(record)->field == "spec.fencing");
+}
+
+TEST_CASE("what is too large, too deep or oddly named is not accepted")
+{
+    Record record{Kind::Team, "shop", 1, Version(1), "{}"};
+    CHECK_FALSE(validate(record));
+    record.name = "a/b";
+    CHECK(validate(record)->field == "name");
+    record.name = "shop";
+    record.spec = R"({"x":")" + std::string(kMaxSpecBytes, 'a') + "\"}";
+    CHECK(validate(record)->message == "larger than 64 KiB");
+    std::string deep = "1";
+    for (int n = 0; n <= kMaxSpecDepth; ++n)
+        deep.insert(0, R"({"x":)").append("}");
+    record.spec = deep;
+    CHECK(validate(record)->message == "nested too deeply");
+}
+
+TEST_CASE("names such as no, on and y stay text; only true and false are truths")
+{
+    const auto records = readYaml("n.yaml", "schema: 1\nkind: route\nname: no\nversion: 1\n"
+                                            "spec: {model: y, role: on, mayRepeat: false}\n");
+    REQUIRE(records);
+    CHECK(records->front().name == "no");
+    const auto route = readRoute(records->front());
+    REQUIRE(route);
+    CHECK(route->role == "on");
+    CHECK_FALSE(route->mayRepeat);
+}
--- a/programs/hyssopctl/Commands.cpp
+++ b/programs/hyssopctl/Commands.cpp
@@ -23,7 +23,10 @@
 
 tl::expected<std::vector<records::Record>, int> readChecked(const std::filesystem::path &folder)
 {
-    auto records = readFolder(folder);
+    std::vector<records::RecordError> warnings;
+    auto records = readFolder(folder, &warnings);
+    for (const records::RecordError &warning : warnings)
+        fmt::print(stderr, "warning: {}\n", warning.text());
     if (records)
         return *std::move(records);
     for (const records::RecordError &fault : records.error())
--- a/programs/hyssopctl/RecordFolder.cpp
+++ b/programs/hyssopctl/RecordFolder.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 tl::expected<std::vector<records::Record>, std::vector<records::RecordError>> readFolder(
-        const std::filesystem::path &folder)
+        const std::filesystem::path &folder, std::vector<records::RecordError> *warnings)
 {
     std::vector<records::Record> all;
     std::vector<records::RecordError> faults;
@@ -38,7 +38,7 @@
         std::ifstream file(path);
         std::stringstream text;
         text << file.rdbuf();
-        auto records = records::readYaml(path.string(), text.str());
+        auto records = records::readYaml(path.string(), text.str(), warnings);
         if (!records) {
             faults.insert(faults.end(), records.error().begin(), records.error().end());
             continue;
