--- /dev/null
+++ b/libs/ledger/tests/Simulation.cpp
@@ -0,0 +1,446 @@
+#include "Simulation.h"
+
+#include <fmt/format.h>
+
+namespace hyssop::ledger {
+
+namespace {
+
+constexpr int kHosts = 5;
+constexpr int kFirstVoters = 3;
+constexpr base::Millis kStep{10};
+constexpr int kHealSteps = 1'500;
+constexpr replog::Index kCompactEvery(60);
+
+/// Small bounds, so that they are reached and snapshots stay small.
+LedgerOptions ledgerOptions()
+{
+    LedgerOptions options;
+    options.maxVerdicts = 30;
+    return options;
+}
+
+} // namespace
+
+/// Disk that keeps some of what was written but not synced when its host crashes.
+class Simulation::Disk : public replog::Storage
+{
+public:
+    tl::expected<replog::Recovered, replog::StorageError> open() override { return m_durable; }
+    void append(const std::vector<replog::Entry> &entries) override
+    {
+        for (const replog::Entry &entry : entries)
+            m_pending.push_back([this, entry] { m_durable.entries.push_back(entry); });
+    }
+    void truncateFrom(replog::Index first) override
+    {
+        m_pending.push_back([this, first] {
+            std::erase_if(m_durable.entries,
+                          [first](const auto &entry) { return entry.position.index >= first; });
+        });
+    }
+    void setHardState(const replog::HardState &state) override
+    {
+        m_pending.push_back([this, state] { m_durable.hardState = state; });
+    }
+    void saveSnapshot(const replog::Snapshot &snapshot) override
+    {
+        m_pending.push_back([this, snapshot] {
+            m_durable.snapshot = snapshot;
+            std::erase_if(m_durable.entries, [&snapshot](const auto &entry) {
+                return entry.position.index <= snapshot.position.index;
+            });
+        });
+    }
+    tl::expected<void, replog::StorageError> sync() override
+    {
+        keep(m_pending.size());
+        return {};
+    }
+    std::size_t pending() const { return m_pending.size(); }
+    /// Makes the first \a n unsynced writes durable and loses the others.
+    void keep(std::size_t n)
+    {
+        for (std::size_t i = 0; i < n; ++i)
+            m_pending[i]();
+        m_pending.clear();
+    }
+
+private:
+    replog::Recovered m_durable;
+    std::vector<std::function<void()>> m_pending;
+};
+
+struct Simulation::Host
+{
+    int number = 0;
+    int incarnation = 1;
+    double rate = 1.0; ///< Of its clock.
+    std::int64_t offsetMs = 0;
+    std::unique_ptr<Disk> disk;
+    std::unique_ptr<replog::Replica> replica;
+    Ledger ledger;
+    replog::Position applied;
+    replog::Index compacted;
+    bool isStopping = false;
+    std::map<replog::Position, std::string> waiting; ///< Proposed here and not yet applied.
+
+    replog::ReplicaId id() const
+    {
+        return replog::ReplicaId(fmt::format("h{}.{}", number, incarnation));
+    }
+};
+
+Simulation::Simulation(std::uint64_t seed, Faults faults)
+    : m_faults(faults)
+    , m_rng(seed)
+{
+    for (int n = 0; n < kHosts; ++n) {
+        auto host = std::make_unique<Host>();
+        host->number = n;
+        host->disk = std::make_unique<Disk>();
+        if (faults.clockSkew) {
+            host->rate = 0.9 + 0.02 * static_cast<double>(draw(10));
+            host->offsetMs = draw(100'000);
+        }
+        m_hosts.push_back(std::move(host));
+    }
+    for (const auto &host : m_hosts)
+        start(*host);
+}
+
+Simulation::~Simulation() = default;
+
+bool Simulation::chance(double probability)
+{
+    return std::uniform_real_distribution<>(0, 1)(m_rng) < probability;
+}
+
+std::int64_t Simulation::draw(std::int64_t most)
+{
+    return std::uniform_int_distribution<std::int64_t>(0, most)(m_rng);
+}
+
+void Simulation::fail(const std::string &what)
+{
+    if (!m_fault)
+        m_fault = fmt::format("at {} ms: {}", m_nowMs, what);
+}
+
+base::TimePoint Simulation::localNow(const Host &host) const
+{
+    const double local = static_cast<double>(m_nowMs) * host.rate * 1'000;
+    return base::TimePoint(base::Millis(host.offsetMs)
+                           + base::Micros(static_cast<std::int64_t>(local)));
+}
+
+void Simulation::start(Host &host)
+{
+    replog::ReplicaOptions options;
+    options.group = replog::GroupId("global");
+    options.self = host.id();
+    options.seed = m_rng();
+    options.trailingEntries = 20;
+    const bool isFirst = host.number < kFirstVoters && host.incarnation == 1;
+    for (int n = 0; isFirst && n < kFirstVoters; ++n)
+        options.voters.emplace_back(fmt::format("h{}.1", n));
+    host.replica = *replog::Replica::open(options, host.disk.get(), localNow(host));
+    host.ledger = Ledger(ledgerOptions());
+    host.applied = {};
+    host.compacted = {};
+    host.isStopping = false;
+}
+
+void Simulation::crash(Host &host)
+{
+    host.replica.reset();
+    host.waiting.clear();
+    host.disk->keep(
+            static_cast<std::size_t>(draw(static_cast<std::int64_t>(host.disk->pending()))));
+}
+
+void Simulation::loseDisk(Host &host)
+{
+    crash(host);
+    host.disk = std::make_unique<Disk>();
+    ++host.incarnation;
+}
+
+Simulation::Host *Simulation::hostOf(const replog::ReplicaId &id)
+{
+    for (const auto &host : m_hosts) {
+        if (host->id() == id)
+            return host.get();
+    }
+    return nullptr;
+}
+
+bool Simulation::isCut(const replog::ReplicaId &from, const replog::ReplicaId &to) const
+{
+    const auto side = [this](const replog::ReplicaId &id) {
+        return m_isolated.contains(id.text().at(1) - '0');
+    };
+    return side(from) != side(to);
+}
+
+void Simulation::post(const std::vector<replog::Message> &messages)
+{
+    for (const replog::Message &message : messages) {
+        if (!m_isHealed && m_faults.loss && chance(0.05))
+            continue;
+        const int copies = !m_isHealed && m_faults.duplication && chance(0.05) ? 2 : 1;
+        for (int n = 0; n < copies; ++n) {
+            const std::int64_t extra = !m_isHealed && m_faults.reorder ? draw(60) : 0;
+            const std::int64_t late = extra > 0 && chance(0.01) ? draw(3'000) : 0;
+            m_letters.push_back({message, m_nowMs + 1 + extra + late});
+        }
+    }
+}
+
+void Simulation::deliver()
+{
+    for (auto it = m_letters.begin(); it != m_letters.end();) {
+        if (it->dueMs > m_nowMs) {
+            ++it;
+            continue;
+        }
+        Host *const to = hostOf(it->message.to);
+        if (to && to->replica && !isCut(it->message.from, it->message.to))
+            to->replica->receive(it->message, localNow(*to));
+        it = m_letters.erase(it);
+    }
+}
+
+void Simulation::disturbHost(Host &host)
+{
+    if (!host.replica) {
+        if (chance(0.02))
+            start(host);
+        return;
+    }
+    const bool hasStopped = host.isStopping && !host.replica->isLeader();
+    if (hasStopped || (m_faults.crashes && chance(0.0015)))
+        return crash(host);
+    // A second disk is lost only after the repair of the first.
+    bool areAllVoters = true;
+    for (int n = 0; n < kFirstVoters; ++n)
+        areAllVoters = areAllVoters && host.replica->configuration().isVoter(m_hosts[n]->id());
+    const bool isRepaired = areAllVoters && host.replica->isConfigurationCommitted()
+                            && host.replica->hasLease(localNow(host));
+    if (m_faults.diskLosses && isRepaired && chance(0.003))
+        loseDisk(*m_hosts[static_cast<std::size_t>(draw(kFirstVoters - 1))]);
+}
+
+void Simulation::injectFaults()
+{
+    for (const auto &host : m_hosts)
+        disturbHost(*host);
+    if (m_faults.partitions && chance(0.004)) {
+        m_isolated.clear();
+        for (int n = 0; n < kHosts; ++n) {
+            if (chance(0.3))
+                m_isolated.insert(n);
+        }
+    }
+    if (chance(0.01))
+        m_isolated.clear();
+}
+
+Command Simulation::nextCommand()
+{
+    const std::int64_t n = ++m_commands;
+    const Owner owner{base::HostId(fmt::format("e{}", draw(3))), base::Incarnation(1)};
+    const base::TeamId team("shop");
+    switch (draw(3)) {
+    case 0:
+        return Claim{team, fmt::format("k{}", draw(200)), "d", owner};
+    case 1:
+        return FinishClaim{team, fmt::format("k{}", draw(200)), owner, Answer{200, "t", "b"}};
+    case 2:
+        return TakeLease{"orders", owner, base::Millis(500)};
+    default: {
+        records::Record record{records::Kind::Team, "shop", 1, records::Version(n), "{}"};
+        return PutRecord{fmt::format("c{}", n), records::Version(draw(n)), record};
+    }
+    }
+}
+
+void Simulation::proposeSome(Host &host)
+{
+    if (!host.replica->isLeader() || !chance(0.4))
+        return;
+    for (std::int64_t n = draw(3); n >= 0; --n) {
+        const std::string payload = encode(nextCommand(), m_nowMs + host.offsetMs);
+        const auto position = host.replica->propose(payload, localNow(host));
+        if (position)
+            host.waiting.emplace(*position, payload);
+    }
+}
+
+void Simulation::changeVoters(Host &host)
+{
+    std::vector<replog::ReplicaId> wanted;
+    for (int n = 0; n < kFirstVoters; ++n)
+        wanted.push_back(m_hosts[n]->id());
+    // The spare hosts come and go.
+    if (!m_isHealed && m_nowMs / 8'000 % 2 == 1)
+        wanted.push_back(m_hosts[kFirstVoters + m_nowMs / 16'000 % 2]->id());
+    const auto change = replog::nextChange(*host.replica, wanted, localNow(host));
+    if (change && host.replica->change(*change, localNow(host)))
+        ++m_changes;
+    if (!m_isHealed && m_faults.handOvers && host.replica->isLeader() && chance(0.0005)) {
+        host.isStopping = true;
+        host.replica->prepareStop(localNow(host));
+    }
+}
+
+void Simulation::apply(Host &host, const replog::Entry &entry)
+{
+    if (entry.position <= host.applied)
+        fail("an applied position fell at " + host.id().text());
+    host.applied = entry.position;
+    const auto [known, isNew] = m_committed.emplace(entry.position.index, entry);
+    if (known->second != entry)
+        fail(fmt::format("committed entry {} changed", entry.position.index.count()));
+    const Reply reply = host.ledger.apply(entry);
+    const auto [time, isFirst] = m_logTimes.emplace(entry.position.index, host.ledger.logTimeMs());
+    if (time->second != host.ledger.logTimeMs())
+        fail("replicas disagree on the time of the log");
+    if (time != m_logTimes.begin() && std::prev(time)->second > time->second)
+        fail("the time of the log fell");
+    const auto stamped = decodeCommand(entry.payload);
+    const auto *claim = stamped ? std::get_if<Claim>(&stamped->command) : nullptr;
+    if (claim && reply.status == Status::Accepted) {
+        const auto [grant, isGranted] = m_grants.emplace(claim->key, entry.position.index);
+        if (grant->second != entry.position.index)
+            fail("a claim was granted twice: " + claim->key);
+    }
+    const auto waiting = host.waiting.find(entry.position);
+    if (waiting == host.waiting.end())
+        return;
+    if (waiting->second != entry.payload)
+        fail("another command was acknowledged");
+    m_acknowledged.emplace(entry.position, waiting->second);
+    host.waiting.erase(waiting);
+}
+
+void Simulation::flush(Host &host)
+{
+    auto output = *host.replica->flush(localNow(host));
+    if (output.restored) {
+        ++m_restores;
+        if (output.restored->position < host.applied)
+            fail("a snapshot took an applied position back");
+        if (!host.ledger.restore(output.restored->data))
+            fail("a snapshot is not readable");
+        host.applied = output.restored->position;
+    }
+    for (const replog::Entry &entry : output.committed)
+        apply(host, entry);
+    // A crash right after the sync: nothing of the batch left.
+    if (!m_isHealed && m_faults.crashes && chance(0.0005))
+        return crash(host);
+    post(output.messages);
+    if (m_faults.snapshots && host.applied.index >= host.compacted + kCompactEvery) {
+        host.compacted = host.applied.index;
+        host.replica->compact(host.applied, host.ledger.snapshot());
+    }
+}
+
+void Simulation::checkLeaders()
+{
+    int leases = 0;
+    for (const auto &host : m_hosts) {
+        if (!host->replica)
+            continue;
+        leases += host->replica->hasLease(localNow(*host)) ? 1 : 0;
+        if (!host->replica->isLeader())
+            continue;
+        const auto [it, isNew] = m_leaders.emplace(host->replica->term(), host->id());
+        if (it->second != host->id())
+            fail("two leaders in one term");
+    }
+    if (leases > 1)
+        fail("two replicas hold the lease at once");
+}
+
+void Simulation::step()
+{
+    m_nowMs += kStep.count();
+    if (!m_isHealed)
+        injectFaults();
+    deliver();
+    for (const auto &host : m_hosts) {
+        if (!host->replica)
+            continue;
+        host->replica->tick(localNow(*host));
+        changeVoters(*host);
+        proposeSome(*host);
+    }
+    checkLeaders();
+    for (const auto &host : m_hosts) {
+        if (host->replica)
+            flush(*host);
+    }
+    checkLeaders();
+}
+
+void Simulation::heal()
+{
+    m_isHealed = true;
+    m_isolated.clear();
+    for (const auto &host : m_hosts) {
+        // A stopped replica is started again, as its process would be.
+        crash(*host);
+        start(*host);
+    }
+}
+
+void Simulation::checkConverged()
+{
+    const replog::Position last =
+            m_committed.empty() ? replog::Position() : m_committed.rbegin()->second.position;
+    const Host *reference = nullptr;
+    for (int n = 0; n < kFirstVoters; ++n) {
+        const Host &host = *m_hosts[n];
+        if (host.applied < last)
+            fail(fmt::format("{} has not caught up: {} of {}", host.id().text(),
+                             host.applied.index.count(), last.index.count()));
+        if (!host.replica->configuration().isVoter(host.id()))
+            fail(host.id().text() + " is not a voter again");
+        if (reference && host.applied == reference->applied
+            && host.ledger.snapshot() != reference->ledger.snapshot())
+            fail("two ledgers at one position differ");
+        reference = &host;
+    }
+    for (const auto &[position, payload] : m_acknowledged) {
+        const auto it = m_committed.find(position.index);
+        if (it == m_committed.end() || it->second.payload != payload)
+            fail("an acknowledged command was lost");
+    }
+}
+
+std::optional<std::string> Simulation::run(int steps)
+{
+    for (int n = 0; n < steps && !m_fault; ++n)
+        step();
+    const std::size_t before = m_acknowledged.size();
+    heal();
+    for (int n = 0; n < kHealSteps && !m_fault; ++n)
+        step();
+    if (!m_fault && m_acknowledged.size() == before)
+        fail("the healed group accepts nothing");
+    // No more commands, so that all can reach the same position.
+    for (int n = 0; n < 50 && !m_fault; ++n) {
+        m_nowMs += kStep.count();
+        deliver();
+        for (const auto &host : m_hosts) {
+            host->replica->tick(localNow(*host));
+            flush(*host);
+        }
+    }
+    checkConverged();
+    return m_fault;
+}
+
+} // namespace hyssop::ledger
--- /dev/null
+++ b/libs/ledger/tests/Simulation.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "ledger/Ledger.h"
+
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace hyssop::ledger {
+
+/// What a run may do to the group; each can be switched off to find the smallest failing run.
+struct Faults
+{
+    bool loss = true;
+    bool reorder = true;
+    bool duplication = true;
+    bool partitions = true;
+    bool crashes = true;
+    bool diskLosses = true;
+    bool clockSkew = true;
+    bool snapshots = true;
+    bool handOvers = true;
+};
+
+/// One seeded run of a group of replicas, each with a ledger, in one thread and in model time.
+class Simulation
+{
+public:
+    Simulation(std::uint64_t seed, Faults faults);
+    ~Simulation();
+
+    /// Runs \a steps under faults, then heals and checks that the group goes on. Returns what was
+    /// violated, or nothing.
+    std::optional<std::string> run(int steps);
+
+    std::size_t acknowledged() const { return m_acknowledged.size(); }
+    std::size_t changesOfVoters() const { return m_changes; }
+    std::size_t leaders() const { return m_leaders.size(); }
+    std::size_t restores() const { return m_restores; }
+
+private:
+    class Disk;
+    struct Host;
+    struct Letter
+    {
+        replog::Message message;
+        std::int64_t dueMs = 0;
+    };
+
+    bool chance(double probability);
+    std::int64_t draw(std::int64_t most);
+    void fail(const std::string &what);
+    void step();
+    void injectFaults();
+    void disturbHost(Host &host);
+    void start(Host &host);
+    void crash(Host &host);
+    void loseDisk(Host &host);
+    void post(const std::vector<replog::Message> &messages);
+    void deliver();
+    bool isCut(const replog::ReplicaId &from, const replog::ReplicaId &to) const;
+    void proposeSome(Host &host);
+    Command nextCommand();
+    void changeVoters(Host &host);
+    void flush(Host &host);
+    void apply(Host &host, const replog::Entry &entry);
+    void checkLeaders();
+    void heal();
+    void checkConverged();
+    base::TimePoint localNow(const Host &host) const;
+    Host *hostOf(const replog::ReplicaId &id);
+
+    Faults m_faults;
+    base::Rng m_rng;
+    std::int64_t m_nowMs = 0;
+    bool m_isHealed = false;
+    std::vector<std::unique_ptr<Host>> m_hosts;
+    std::list<Letter> m_letters;
+    std::set<int> m_isolated; ///< Hosts on the far side of a partition.
+    std::optional<std::string> m_fault;
+    std::size_t m_changes = 0;
+    std::size_t m_restores = 0;
+    std::int64_t m_commands = 0;
+
+    std::map<replog::Term, replog::ReplicaId> m_leaders;
+    std::map<replog::Index, replog::Entry> m_committed;
+    std::map<replog::Position, std::string> m_acknowledged;
+    std::map<std::string, replog::Index> m_grants;
+    std::map<replog::Index, std::int64_t> m_logTimes;
+};
+
+} // namespace hyssop::ledger
--- a/libs/replog/include/replog/Replog.h
+++ b/libs/replog/include/replog/Replog.h
@@ -2,7 +2,13 @@
 ///
 /// A Replica belongs to one thread. The caller feeds it proposals, messages and ticks, then calls
 /// flush() once for a whole batch: one sync, after which messages may leave and entries are
-/// applied.
+/// applied. It is deterministic in these calls, their times and the seed.
+///
+/// Elections use a pre-vote, so a replica that was cut off does not disturb its group on return. A
+/// leader that has not heard a majority within an election timeout steps down. Its lease lasts
+/// three quarters of that timeout from the sending of heartbeats that a majority answered, and
+/// replicas vote for no other within a whole timeout of hearing it; so the lease holds as long as
+/// the rates of two monotonic clocks differ by less than a quarter.
 #pragma once
 
 #include "base/Base.h"
@@ -48,9 +54,25 @@
     ReplicaId vote;
 };
 
+/// Who votes, and who only receives the log until it has caught up.
+struct Configuration
+{
+    std::vector<ReplicaId> voters;
+    std::vector<ReplicaId> learners;
+
+    bool operator==(const Configuration &other) const = default;
+    bool isVoter(const ReplicaId &id) const;
+    bool isLearner(const ReplicaId &id) const;
+};
+
+/// Payload of an entry of kind Voters, and back.
+std::string encode(const Configuration &configuration);
+std::optional<Configuration> decodeConfiguration(std::string_view bytes);
+
 struct Snapshot
 {
     Position position;
+    Configuration configuration; ///< As of the position.
     std::string data;
 };
 
@@ -86,16 +108,25 @@
 };
 
 /// Files below \a folder, which is made when it is not there.
-std::unique_ptr<Storage> fileStorage(std::filesystem::path folder);
+///
+/// The log is a row of segments of bounded size, made of checksummed frames. An incomplete last
+/// frame of the last segment is cut off when opened; any other damage is an error. A snapshot
+/// is a file of its own, and segments that it covers are removed.
+std::unique_ptr<Storage> fileStorage(std::filesystem::path folder,
+                                     base::Bytes segmentSize = base::Bytes(4 << 20));
 
 struct ReplicaOptions
 {
     GroupId group;
     ReplicaId self;
-    std::vector<ReplicaId> voters; ///< Of a new group; a stored list of voters goes before it.
+    /// Of a new group, the same for each of them; a stored list goes before it. A replica that
+    /// has neither waits for found() or for a leader's messages.
+    std::vector<ReplicaId> voters;
     base::Millis heartbeatInterval{100};
     base::Millis electionTimeout{1'000}; ///< Shortest; each wait is drawn from one to two of it.
     std::uint64_t seed = 1;
+    /// Entries kept in memory behind a snapshot, for replicas that are a little behind.
+    std::int64_t trailingEntries = 2'000;
 };
 
 /// A message between replicas of one group, encoded.
@@ -114,7 +145,13 @@
     std::optional<Snapshot> restored; ///< Replaces the applied state before \c committed.
 };
 
-enum class ProposeFault { NotLeader, Stopping };
+enum class ProposeFault {
+    NotLeader,
+    Stopping,
+    Busy, ///< Another change of voters is under way, or leadership is being handed over.
+    NotCaughtUp, ///< The learner is too far behind to vote.
+    Refused, ///< The change makes no sense, such as removing the leader.
+};
 
 struct ProposeError
 {
@@ -122,6 +159,27 @@
     ReplicaId leader; ///< Empty when not known.
 };
 
+enum class ChangeKind { AddLearner, Promote, Remove };
+
+/// One change of a group's voters or learners.
+struct Change
+{
+    ChangeKind kind = ChangeKind::AddLearner;
+    ReplicaId id;
+};
+
+class Replica;
+
+/// Next step that brings a leader's group towards \a wanted voters; empty when there is none now.
+///
+/// Ids read "<host>.<incarnation>". A host's new incarnation replaces its old one once it has
+/// caught up, so that the group stands a second loss right after the repair.
+std::optional<Change> nextChange(const Replica &leader, const std::vector<ReplicaId> &wanted,
+                                 base::TimePoint now);
+
+/// Host part of an id.
+base::HostId hostOf(const ReplicaId &id);
+
 class Replica
 {
 public:
@@ -133,7 +191,14 @@
     Replica(const Replica &) = delete;
     Replica &operator=(const Replica &) = delete;
 
+    /// Founds the group with \a voters. Asserts that this replica holds nothing yet. The caller
+    /// makes sure that no other replica founds the group with another list.
+    void found(const std::vector<ReplicaId> &voters, base::TimePoint now);
     tl::expected<Position, ProposeError> propose(std::string payload, base::TimePoint now);
+    /// Changes voters, one at a time; a new one joins as a learner and is promoted once caught up.
+    tl::expected<Position, ProposeError> change(const Change &change, base::TimePoint now);
+    /// Refuses proposals from now on and, when leading, hands over to the voter furthest ahead.
+    void prepareStop(base::TimePoint now);
     void receive(const Message &message, base::TimePoint now);
     void tick(base::TimePoint now);
     /// Syncs what the batch wrote and hands out its effects.
@@ -144,10 +209,20 @@
     bool isLeader() const;
     /// Whether this replica leads and no other can have been elected since.
     bool hasLease(base::TimePoint now) const;
+    /// Whether a leader, itself included, was heard within an election timeout.
+    bool hasHeardLeader(base::TimePoint now) const;
     ReplicaId leader() const;
     Term term() const;
     Position committed() const;
     Position last() const;
+    /// Whether it holds no entry at all, as on a new disk.
+    bool isBlank() const;
+    /// Latest configuration in the log, committed or not.
+    const Configuration &configuration() const;
+    /// Whether the latest configuration is committed.
+    bool isConfigurationCommitted() const;
+    /// Whether \a id has nearly all entries, as its leader sees it.
+    bool isCaughtUp(const ReplicaId &id, base::TimePoint now) const;
     /// When tick() is next needed.
     base::TimePoint nextTick() const;
 
--- a/libs/replog/src/FileStorage.cpp
+++ b/libs/replog/src/FileStorage.cpp
@@ -1,60 +1,33 @@
-#include "replog/Replog.h"
+#include "Files.h"
+#include "Frames.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
-#include <xxhash.h>
 
-#include <array>
-#include <cerrno>
+#include <algorithm>
 #include <cstring>
-#include <fcntl.h>
-#include <unistd.h>
+#include <deque>
 
 namespace hyssop::replog {
 
-namespace {
-
-constexpr std::size_t kFrameHeaderBytes = 12; ///< Four of length, eight of checksum.
-constexpr std::size_t kMaxFrameBytes = std::size_t(64) << 20;
+using nlohmann::json;
 
-void putLittleEndian(std::string &out, std::uint64_t value, int bytes)
-{
-    for (int i = 0; i < bytes; ++i)
-        out += static_cast<char>((value >> (8 * i)) & 0xff);
-}
+namespace {
 
-std::uint64_t getLittleEndian(std::string_view in, int bytes)
-{
-    std::uint64_t value = 0;
-    for (int i = 0; i < bytes; ++i)
-        value |= static_cast<std::uint64_t>(static_cast<unsigned char>(in[i])) << (8 * i);
-    return value;
-}
+constexpr auto kSnapshotFile = "snapshot";
+constexpr auto kSegmentPrefix = "segment-";
 
-std::string frame(const nlohmann::json &json)
+StorageError damaged(const std::filesystem::path &path, const std::string &what)
 {
-    const std::vector<std::uint8_t> cbor = nlohmann::json::to_cbor(json);
-    std::string out;
-    putLittleEndian(out, cbor.size(), 4);
-    putLittleEndian(out, XXH64(cbor.data(), cbor.size(), 0), 8);
-    out.append(reinterpret_cast<const char *>(cbor.data()), cbor.size());
-    return out;
+    return {StorageFault::Damaged, fmt::format("{} is damaged: {}", path.string(), what)};
 }
 
-/// One file of checksummed frames, each an operation on the log, replayed in order when opened.
 class FileStorage : public Storage
 {
 public:
-    explicit FileStorage(std::filesystem::path folder)
-        : m_path(std::move(folder))
+    FileStorage(std::filesystem::path folder, base::Bytes segmentSize)
+        : m_folder(std::move(folder))
+        , m_segmentSize(static_cast<std::size_t>(segmentSize.count()))
     { }
-    ~FileStorage() override
-    {
-        if (m_fd >= 0)
-            ::close(m_fd);
-    }
-    FileStorage(const FileStorage &) = delete;
-    FileStorage &operator=(const FileStorage &) = delete;
 
     tl::expected<Recovered, StorageError> open() override;
     void append(const std::vector<Entry> &entries) override;
@@ -64,96 +37,197 @@
     tl::expected<void, StorageError> sync() override;
 
 private:
-    tl::expected<std::string, StorageError> readAll() const;
-    static void replay(const nlohmann::json &operation, Recovered &recovered);
+    using Done = tl::expected<void, StorageError>;
+
+    /// A file of the log.
+    struct Segment
+    {
+        std::filesystem::path path;
+        Index highest; ///< Of all entries ever written to it.
+    };
+
+    Done readSnapshot(Recovered &recovered) const;
+    Done findSegments();
+    /// Replays a segment; \a end is the size of its whole frames.
+    Done readSegment(Segment &segment, bool isLast, Recovered &recovered, std::size_t &end) const;
+    static void replay(const json &operation, Segment &segment, Recovered &recovered);
+    Done writeBuffer();
+    Done startSegment();
+    Done writeSnapshot(const Snapshot &snapshot);
+    json hardForm() const;
 
-    std::filesystem::path m_path;
-    int m_fd = -1;
+    std::filesystem::path m_folder;
+    std::size_t m_segmentSize;
+    std::deque<Segment> m_segments; ///< Oldest first; the last one is written to.
+    std::int64_t m_nextSegment = 1;
+    AppendFile m_file;
     std::string m_buffer;
+    HardState m_hard;
+    Done m_state; ///< Keeps the first error: after it nothing is written any more.
 };
 
-StorageError systemError(const std::string &what)
+FileStorage::Done FileStorage::readSnapshot(Recovered &recovered) const
 {
-    const StorageFault fault = errno == ENOSPC ? StorageFault::NoSpace : StorageFault::Failed;
-    return {fault, fmt::format("{}: {}", what, std::strerror(errno))};
+    const std::filesystem::path path = m_folder / kSnapshotFile;
+    std::error_code ec;
+    if (!std::filesystem::exists(path, ec))
+        return {};
+    const auto data = readFile(path);
+    if (!data)
+        return tl::unexpected(data.error());
+    std::string_view rest = *data;
+    json form;
+    if (takeFrame(rest, form) != FrameState::Whole || !rest.empty())
+        return tl::unexpected(damaged(path, "its checksum does not match"));
+    try {
+        recovered.snapshot = snapshotFrom(form);
+    } catch (const json::exception &) {
+        return tl::unexpected(damaged(path, "its content is not readable"));
+    }
+    return {};
 }
 
-tl::expected<std::string, StorageError> FileStorage::readAll() const
+FileStorage::Done FileStorage::findSegments()
 {
-    std::string data;
-    std::array<char, 65536> buf{};
-    for (;;) {
-        const auto n = ::read(m_fd, buf.data(), buf.size());
-        if (n < 0)
-            return tl::unexpected(systemError("cannot read the log"));
-        if (n == 0)
-            return data;
-        data.append(buf.data(), static_cast<std::size_t>(n));
+    std::error_code ec;
+    std::vector<std::string> names;
+    for (const auto &it : std::filesystem::directory_iterator(m_folder, ec)) {
+        const std::string name = it.path().filename().string();
+        if (name.starts_with(kSegmentPrefix))
+            names.push_back(name);
+    }
+    if (ec)
+        return tl::unexpected(
+                StorageError{StorageFault::Failed, m_folder.string() + ": " + ec.message()});
+    std::sort(names.begin(), names.end());
+    for (const std::string &name : names) {
+        const std::int64_t number = std::atoll(name.c_str() + std::strlen(kSegmentPrefix));
+        if (!m_segments.empty() && number != m_nextSegment)
+            return tl::unexpected(damaged(m_folder, "a segment before " + name + " is missing"));
+        m_segments.push_back({m_folder / name, Index()});
+        m_nextSegment = number + 1;
     }
+    return {};
 }
 
-void FileStorage::replay(const nlohmann::json &operation, Recovered &recovered)
+void FileStorage::replay(const json &operation, Segment &segment, Recovered &recovered)
 {
     const std::string op = operation.at("op");
     if (op == "append") {
         Entry entry;
-        entry.position = {Term(operation.at("term")), Index(operation.at("index"))};
+        entry.position = {Term(operation.at("term").get<std::int64_t>()),
+                          Index(operation.at("index").get<std::int64_t>())};
         entry.kind = static_cast<EntryKind>(operation.at("kind").get<int>());
         entry.payload = operation.at("payload");
+        segment.highest = std::max(segment.highest, entry.position.index);
+        const Position last = recovered.entries.empty() ? recovered.snapshot.position
+                                                        : recovered.entries.back().position;
+        if (entry.position.index <= recovered.snapshot.position.index)
+            return;
+        if (entry.position.index != last.index + Index(1))
+            throw json::other_error::create(500, "an entry is missing", &operation);
         recovered.entries.push_back(std::move(entry));
     } else if (op == "truncate") {
-        const Index first(operation.at("index"));
+        const Index first(operation.at("index").get<std::int64_t>());
         std::erase_if(recovered.entries,
                       [first](const Entry &entry) { return entry.position.index >= first; });
     } else if (op == "hard") {
-        recovered.hardState = {Term(operation.at("term")), ReplicaId(operation.at("vote"))};
-    } else if (op == "snapshot") {
-        const Position position{Term(operation.at("term")), Index(operation.at("index"))};
-        recovered.snapshot = {position, operation.at("data")};
-        std::erase_if(recovered.entries, [position](const Entry &entry) {
-            return entry.position.index <= position.index;
-        });
+        recovered.hardState = {Term(operation.at("term").get<std::int64_t>()),
+                               ReplicaId(operation.at("vote").get<std::string>())};
+    } else {
+        throw json::other_error::create(500, "an operation is not known", &operation);
     }
 }
 
-tl::expected<Recovered, StorageError> FileStorage::open()
+FileStorage::Done FileStorage::readSegment(Segment &segment, bool isLast, Recovered &recovered,
+                                           std::size_t &end) const
 {
-    std::error_code ec;
-    std::filesystem::create_directories(m_path, ec);
-    const std::string file = m_path / "log";
-    m_fd = ::open(file.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
-    if (m_fd < 0)
-        return tl::unexpected(systemError("cannot open " + file));
-    const auto data = readAll();
+    const auto data = readFile(segment.path);
     if (!data)
         return tl::unexpected(data.error());
-    Recovered recovered;
     std::string_view rest = *data;
-    while (rest.size() >= kFrameHeaderBytes) {
-        const std::size_t n = getLittleEndian(rest, 4);
-        if (n > kMaxFrameBytes || rest.size() < kFrameHeaderBytes + n)
-            break;
-        const std::string_view body = rest.substr(kFrameHeaderBytes, n);
-        if (XXH64(body.data(), body.size(), 0) != getLittleEndian(rest.substr(4), 8))
+    while (!rest.empty()) {
+        const std::size_t at = data->size() - rest.size();
+        json operation;
+        const FrameState state = takeFrame(rest, operation);
+        if (state == FrameState::Incomplete && isLast)
             break;
-        replay(nlohmann::json::from_cbor(body), recovered);
-        rest.remove_prefix(kFrameHeaderBytes + n);
+        if (state != FrameState::Whole)
+            return tl::unexpected(damaged(
+                    segment.path, fmt::format("its checksum does not match at byte {}", at)));
+        try {
+            replay(operation, segment, recovered);
+        } catch (const json::exception &e) {
+            return tl::unexpected(
+                    damaged(segment.path, fmt::format("{} at byte {}", e.what(), at)));
+        }
+    }
+    end = data->size() - rest.size();
+    return {};
+}
+
+tl::expected<Recovered, StorageError> FileStorage::open()
+{
+    std::error_code ec;
+    std::filesystem::create_directories(m_folder, ec);
+    Recovered recovered;
+    if (const auto read = readSnapshot(recovered); !read)
+        return tl::unexpected(read.error());
+    if (const auto found = findSegments(); !found)
+        return tl::unexpected(found.error());
+    std::size_t end = 0;
+    for (Segment &segment : m_segments) {
+        const bool isLast = &segment == &m_segments.back();
+        if (const auto read = readSegment(segment, isLast, recovered, end); !read)
+            return tl::unexpected(read.error());
+    }
+    m_hard = recovered.hardState;
+    if (m_segments.empty()) {
+        if (const auto started = startSegment(); !started)
+            return tl::unexpected(started.error());
+        return recovered;
+    }
+    if (const auto opened = m_file.open(m_segments.back().path); !opened)
+        return tl::unexpected(opened.error());
+    if (m_file.size() != end) {
+        base::logEvent("torn_tail_cut",
+                       {{"file", m_segments.back().path.string()}, {"bytes", m_file.size() - end}});
+        if (const auto cut = m_file.cut(end); !cut)
+            return tl::unexpected(cut.error());
     }
-    const auto end = static_cast<off_t>(data->size() - rest.size());
-    if (!rest.empty() && ::ftruncate(m_fd, end) != 0)
-        return tl::unexpected(systemError("cannot cut the torn end of the log"));
-    ::lseek(m_fd, end, SEEK_SET);
     return recovered;
 }
 
+json FileStorage::hardForm() const
+{
+    return {{"op", "hard"}, {"term", m_hard.term.count()}, {"vote", m_hard.vote.text()}};
+}
+
+FileStorage::Done FileStorage::startSegment()
+{
+    const std::string name = fmt::format("{}{:012}", kSegmentPrefix, m_nextSegment);
+    if (const auto opened = m_file.open(m_folder / name); !opened)
+        return opened;
+    ++m_nextSegment;
+    m_segments.push_back({m_folder / name, Index()});
+    // Older segments may be removed, so each one starts with the term and vote.
+    if (const auto written = m_file.write(frame(hardForm())); !written)
+        return written;
+    if (const auto synced = m_file.sync(); !synced)
+        return synced;
+    return syncFolder(m_folder);
+}
+
 void FileStorage::append(const std::vector<Entry> &entries)
 {
-    for (const Entry &entry : entries)
+    for (const Entry &entry : entries) {
+        m_segments.back().highest = std::max(m_segments.back().highest, entry.position.index);
         m_buffer += frame({{"op", "append"},
                            {"term", entry.position.term.count()},
                            {"index", entry.position.index.count()},
                            {"kind", static_cast<int>(entry.kind)},
                            {"payload", entry.payload}});
+    }
 }
 
 void FileStorage::truncateFrom(Index first)
@@ -163,39 +237,58 @@
 
 void FileStorage::setHardState(const HardState &state)
 {
-    m_buffer += frame({{"op", "hard"}, {"term", state.term.count()}, {"vote", state.vote.text()}});
+    m_hard = state;
+    m_buffer += frame(hardForm());
 }
 
 void FileStorage::saveSnapshot(const Snapshot &snapshot)
 {
-    m_buffer += frame({{"op", "snapshot"},
-                       {"term", snapshot.position.term.count()},
-                       {"index", snapshot.position.index.count()},
-                       {"data", snapshot.data}});
+    // What came before the snapshot must be on disk first, what comes after it must not.
+    if (m_state)
+        m_state = writeBuffer();
+    if (m_state)
+        m_state = writeSnapshot(snapshot);
 }
 
-tl::expected<void, StorageError> FileStorage::sync()
+FileStorage::Done FileStorage::writeSnapshot(const Snapshot &snapshot)
+{
+    const std::string bytes = frame(snapshotForm(snapshot));
+    if (const auto replaced = replaceFile(m_folder / kSnapshotFile, bytes); !replaced)
+        return replaced;
+    if (const auto started = startSegment(); !started)
+        return started;
+    std::error_code ec;
+    while (m_segments.size() > 1 && m_segments.front().highest <= snapshot.position.index) {
+        std::filesystem::remove(m_segments.front().path, ec);
+        m_segments.pop_front();
+    }
+    return syncFolder(m_folder);
+}
+
+FileStorage::Done FileStorage::writeBuffer()
 {
     if (m_buffer.empty())
         return {};
-    std::string_view rest = m_buffer;
-    while (!rest.empty()) {
-        const auto n = ::write(m_fd, rest.data(), rest.size());
-        if (n < 0)
-            return tl::unexpected(systemError("cannot write the log"));
-        rest.remove_prefix(static_cast<std::size_t>(n));
-    }
+    if (const auto written = m_file.write(m_buffer); !written)
+        return written;
     m_buffer.clear();
-    if (::fdatasync(m_fd) != 0)
-        return tl::unexpected(systemError("cannot sync the log"));
-    return {};
+    return m_file.sync();
+}
+
+tl::expected<void, StorageError> FileStorage::sync()
+{
+    if (m_state)
+        m_state = writeBuffer();
+    if (m_state && m_file.size() >= m_segmentSize)
+        m_state = startSegment();
+    return m_state;
 }
 
 } // namespace
 
-std::unique_ptr<Storage> fileStorage(std::filesystem::path folder)
+std::unique_ptr<Storage> fileStorage(std::filesystem::path folder, base::Bytes segmentSize)
 {
-    return std::make_unique<FileStorage>(std::move(folder));
+    return std::make_unique<FileStorage>(std::move(folder), segmentSize);
 }
 
 } // namespace hyssop::replog
--- /dev/null
+++ b/libs/replog/src/Frames.cpp
@@ -0,0 +1,99 @@
+#include "Frames.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace hyssop::replog {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kLengthCheckBytes = 4;
+constexpr std::size_t kBodyCheckBytes = 8;
+constexpr std::size_t kHeaderBytes = kLengthBytes + kLengthCheckBytes + kBodyCheckBytes;
+
+void putLittleEndian(std::string &out, std::uint64_t value, std::size_t bytes)
+{
+    for (std::size_t i = 0; i < bytes; ++i)
+        out += static_cast<char>((value >> (8 * i)) & 0xff);
+}
+
+std::uint64_t getLittleEndian(std::string_view in, std::size_t bytes)
+{
+    std::uint64_t value = 0;
+    for (std::size_t i = 0; i < bytes; ++i)
+        value |= static_cast<std::uint64_t>(static_cast<unsigned char>(in[i])) << (8 * i);
+    return value;
+}
+
+std::uint32_t checkOfLength(std::string_view length)
+{
+    return XXH32(length.data(), length.size(), 0);
+}
+
+/// A file system may have grown the file before the bytes of an unsynced write came to disk.
+bool isUnwritten(std::string_view rest)
+{
+    return std::all_of(rest.begin(), rest.end(), [](char c) { return c == 0; });
+}
+
+} // namespace
+
+std::string frame(const json &json)
+{
+    std::string body;
+    nlohmann::json::to_cbor(json, body);
+    std::string out;
+    out.reserve(kHeaderBytes + body.size());
+    putLittleEndian(out, body.size(), kLengthBytes);
+    putLittleEndian(out, checkOfLength(out), kLengthCheckBytes);
+    putLittleEndian(out, XXH64(body.data(), body.size(), 0), kBodyCheckBytes);
+    return out + body;
+}
+
+FrameState takeFrame(std::string_view &rest, json &json)
+{
+    if (rest.size() < kHeaderBytes || isUnwritten(rest))
+        return FrameState::Incomplete;
+    const std::string_view length = rest.substr(0, kLengthBytes);
+    const std::uint64_t lengthCheck = getLittleEndian(rest.substr(kLengthBytes), kLengthCheckBytes);
+    if (checkOfLength(length) != lengthCheck)
+        return FrameState::Damaged;
+    const std::size_t n = getLittleEndian(length, kLengthBytes);
+    if (rest.size() < kHeaderBytes + n)
+        return FrameState::Incomplete;
+    const std::string_view body = rest.substr(kHeaderBytes, n);
+    const std::uint64_t check =
+            getLittleEndian(rest.substr(kLengthBytes + kLengthCheckBytes), kBodyCheckBytes);
+    if (XXH64(body.data(), body.size(), 0) != check)
+        return FrameState::Damaged;
+    json = nlohmann::json::from_cbor(body, true, false);
+    if (json.is_discarded())
+        return FrameState::Damaged;
+    rest.remove_prefix(kHeaderBytes + n);
+    return FrameState::Whole;
+}
+
+json snapshotForm(const Snapshot &snapshot)
+{
+    return {{"op", "snapshot"},
+            {"term", snapshot.position.term.count()},
+            {"index", snapshot.position.index.count()},
+            {"voters", encode(snapshot.configuration)},
+            {"data", snapshot.data}};
+}
+
+Snapshot snapshotFrom(const json &j)
+{
+    const Position position{Term(j.at("term").get<std::int64_t>()),
+                            Index(j.at("index").get<std::int64_t>())};
+    const auto configuration = decodeConfiguration(j.at("voters").get<std::string>());
+    if (!configuration)
+        throw json::other_error::create(500, "the voters are not readable", &j);
+    return {position, *configuration, j.at("data").get<std::string>()};
+}
+
+} // namespace hyssop::replog
--- /dev/null
+++ b/libs/replog/src/Impl.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "Log.h"
+#include "Progress.h"
+#include "Wire.h"
+
+#include <map>
+#include <set>
+
+namespace hyssop::replog {
+
+/// State of a replica. Its functions stand in Election.cpp, Leader.cpp, Follower.cpp and
+/// Replica.cpp by the role that they serve.
+class Replica::Impl
+{
+public:
+    Impl(ReplicaOptions options, Storage *storage, Recovered recovered, base::TimePoint now);
+
+    // Replica.cpp
+    void found(const std::vector<ReplicaId> &voters, base::TimePoint now);
+    void receive(const Message &message, base::TimePoint now);
+    void tick(base::TimePoint now);
+    tl::expected<Output, StorageError> flush(base::TimePoint now);
+    void compact(Position position, std::string state);
+    base::TimePoint nextTick() const;
+    bool isLeader() const { return m_role == Role::Leader; }
+    bool hasHeardLeader(base::TimePoint now) const;
+
+    // Leader.cpp
+    tl::expected<Position, ProposeError> propose(std::string payload);
+    tl::expected<Position, ProposeError> change(const Change &change, base::TimePoint now);
+    void prepareStop(base::TimePoint now);
+    bool hasLease(base::TimePoint now) const;
+    bool isCaughtUp(const ReplicaId &id, base::TimePoint now) const;
+
+    ReplicaOptions m_options;
+    Log m_log;
+    HardState m_hard;
+    ReplicaId m_leader;
+    Index m_commit;
+
+private:
+    enum class Role { Follower, PreCandidate, Candidate, Leader };
+
+    // Replica.cpp
+    void send(const ReplicaId &to, Wire wire);
+    void setHardState(Term term, ReplicaId vote);
+    void becomeFollower(Term term, const ReplicaId &leader, base::TimePoint now);
+    /// Whether a message of the current term is left to handle after its term was looked at.
+    bool checkTerm(const ReplicaId &from, const Wire &wire, base::TimePoint now);
+
+    // Election.cpp
+    std::size_t quorum() const;
+    void drawElectionTime(base::TimePoint now);
+    void campaign(base::TimePoint now, bool isHandedOver);
+    void startPreVote(base::TimePoint now);
+    void startVote(base::TimePoint now, bool isHandedOver);
+    void askForVotes(WireKind kind, Term term, bool isHandedOver);
+    void onVoteRequest(const ReplicaId &from, const Wire &wire, base::TimePoint now);
+    void onPreVoteRequest(const ReplicaId &from, const Wire &wire);
+    void onVoteReply(const ReplicaId &from, const Wire &wire, base::TimePoint now);
+    void countVotes(base::TimePoint now);
+    bool mayVote(const Wire &wire, base::TimePoint now) const;
+
+    // Leader.cpp
+    void becomeLeader(base::TimePoint now);
+    Position appendOwn(EntryKind kind, std::string payload);
+    void trackProgress();
+    void tickLeader(base::TimePoint now);
+    std::optional<base::TimePoint> quorumAnsweredAt(base::TimePoint now) const;
+    void advanceCommit();
+    void sendAppends(base::TimePoint now);
+    void sendAppend(const ReplicaId &to, Progress &progress, base::TimePoint now);
+    void sendSnapshotChunk(const ReplicaId &to, Progress &progress, base::TimePoint now);
+    void onAppendReply(const ReplicaId &from, const Wire &wire);
+    void onSnapshotReply(const ReplicaId &from, const Wire &wire);
+    void noteAnswer(Progress &progress, std::int64_t stamp);
+    void handOverWhenReady();
+    tl::expected<Configuration, ProposeFault> changed(const Change &change,
+                                                      base::TimePoint now) const;
+
+    // Follower.cpp
+    void noteLeader(const ReplicaId &from, base::TimePoint now);
+    void onAppend(const ReplicaId &from, Wire wire, base::TimePoint now);
+    void appendFromLeader(std::vector<Entry> entries);
+    Index rejectHint(Position previous) const;
+    void onSnapshotChunk(const ReplicaId &from, const Wire &wire, base::TimePoint now);
+    void installIncoming(const Wire &wire);
+
+    Storage *m_storage;
+    base::Rng m_rng;
+    Role m_role = Role::Follower;
+    Index m_applied; ///< Last entry handed out.
+    std::vector<Message> m_outbox;
+    std::optional<Snapshot> m_restored;
+    Snapshot m_incoming; ///< Snapshot of which some chunks have come.
+
+    base::TimePoint m_electionAt;
+    base::TimePoint m_refuseVotesUntil;
+    std::set<ReplicaId> m_votes; ///< Granted in the current campaign.
+
+    std::map<ReplicaId, Progress> m_progress;
+    base::TimePoint m_leaderSince;
+    base::TimePoint m_heartbeatAt;
+    std::optional<ReplicaId> m_handOverTo; ///< Set: no lease any more in this term.
+    bool m_isHandOverSent = false;
+    base::TimePoint m_handOverUntil;
+    bool m_isStopping = false;
+};
+
+} // namespace hyssop::replog
--- /dev/null
+++ b/libs/replog/src/Log.cpp
@@ -0,0 +1,141 @@
+#include "Log.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace hyssop::replog {
+
+Log::Log(Storage *storage, Recovered recovered)
+    : m_storage(storage)
+    , m_snapshot(std::move(recovered.snapshot))
+    , m_base(m_snapshot.position)
+{
+    m_configurations.emplace(m_base.index, m_snapshot.configuration);
+    for (Entry &entry : recovered.entries) {
+        noteConfiguration(entry);
+        m_entries.push_back(std::move(entry));
+    }
+}
+
+Position Log::last() const
+{
+    return m_entries.empty() ? m_base : m_entries.back().position;
+}
+
+bool Log::isBlank() const
+{
+    return last().index == Index(0);
+}
+
+const Entry &Log::at(Index index) const
+{
+    assert(index >= first() && index <= last().index && "the entry is not held");
+    return m_entries[static_cast<std::size_t>((index - first()).count())];
+}
+
+std::optional<Term> Log::termAt(Index index) const
+{
+    if (index == m_base.index)
+        return m_base.term;
+    if (index < first() || index > last().index)
+        return std::nullopt;
+    return at(index).position.term;
+}
+
+std::vector<Entry> Log::slice(Index from, std::size_t maxBytes) const
+{
+    std::vector<Entry> entries;
+    std::size_t bytes = 0;
+    for (Index it = from; it <= last().index && (entries.empty() || bytes < maxBytes);
+         it += Index(1)) {
+        entries.push_back(at(it));
+        bytes += entries.back().payload.size();
+    }
+    return entries;
+}
+
+std::vector<Entry> Log::range(Index after, Index until) const
+{
+    std::vector<Entry> entries;
+    for (Index it = after + Index(1); it <= until; it += Index(1))
+        entries.push_back(at(it));
+    return entries;
+}
+
+Index Log::startOfTerm(Index index) const
+{
+    const Term term = at(index).position.term;
+    while (index > first() && at(index - Index(1)).position.term == term)
+        index -= Index(1);
+    return index;
+}
+
+void Log::noteConfiguration(const Entry &entry)
+{
+    if (entry.kind != EntryKind::Voters)
+        return;
+    const auto configuration = decodeConfiguration(entry.payload);
+    assert(configuration && "an entry of kind Voters holds no configuration");
+    m_configurations[entry.position.index] = *configuration;
+}
+
+void Log::append(std::vector<Entry> entries)
+{
+    if (entries.empty())
+        return;
+    m_storage->append(entries);
+    for (Entry &entry : entries) {
+        assert(entry.position.index == last().index + Index(1) && "entries leave a gap");
+        noteConfiguration(entry);
+        m_entries.push_back(std::move(entry));
+    }
+}
+
+void Log::truncateFrom(Index first)
+{
+    assert(first > m_snapshot.position.index && "entries in the snapshot are committed");
+    m_storage->truncateFrom(first);
+    while (!m_entries.empty() && m_entries.back().position.index >= first)
+        m_entries.pop_back();
+    m_configurations.erase(m_configurations.lower_bound(first), m_configurations.end());
+}
+
+void Log::forgetConfigurationsBefore(Index index)
+{
+    const auto inForce = std::prev(m_configurations.upper_bound(index));
+    m_configurations.erase(m_configurations.begin(), inForce);
+}
+
+void Log::compact(Index index, std::string state, std::int64_t trailing)
+{
+    assert(termAt(index) && "the log does not hold the position of the snapshot");
+    const auto inForce = std::prev(m_configurations.upper_bound(index));
+    m_snapshot = {{*termAt(index), index}, inForce->second, std::move(state)};
+    m_storage->saveSnapshot(m_snapshot);
+    forgetConfigurationsBefore(index);
+    while (!m_entries.empty()
+           && m_entries.front().position.index.count() + trailing <= index.count()) {
+        m_base = m_entries.front().position;
+        m_entries.pop_front();
+    }
+}
+
+void Log::install(Snapshot snapshot)
+{
+    const Position position = snapshot.position;
+    const bool isHeld = termAt(position.index) == position.term;
+    if (!isHeld) {
+        m_storage->truncateFrom(m_snapshot.position.index + Index(1));
+        m_entries.clear();
+        m_configurations.clear();
+    }
+    m_storage->saveSnapshot(snapshot);
+    while (!m_entries.empty() && m_entries.front().position.index <= position.index)
+        m_entries.pop_front();
+    m_configurations[position.index] = snapshot.configuration;
+    forgetConfigurationsBefore(position.index);
+    m_base = position;
+    m_snapshot = std::move(snapshot);
+}
+
+} // namespace hyssop::replog
