--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller/Caller.h"
+#include "ControlClient.h"
 #include "EntryOptions.h"
 #include "http/Http.h"
 #include "membership/Membership.h"
@@ -47,6 +48,7 @@
         base::RequestId request;
         base::Endpoint address;
         bool isService = false;
+        bool isResume = false;
     };
 
     explicit EntryTask(EntryOptions options);
@@ -74,6 +76,8 @@
     void perform(const routing::CompleteRequest &action);
     void perform(const routing::EndRequest &action);
     void perform(const routing::RetryNoted &action);
+    void perform(const routing::StallNoted &action);
+    void perform(const routing::EjectionNoted &action);
     void scheduleTick();
 
     // Upstreams.
@@ -115,6 +119,7 @@
     std::unique_ptr<upstream::Services> m_services;
     std::unique_ptr<routing::Router> m_router;
     std::unique_ptr<RecordsWatcher> m_watcher;
+    std::unique_ptr<ControlClient> m_control;
     std::unique_ptr<peers::Node> m_peers;
     membership::Directory m_directory;
     std::shared_ptr<const records::Catalogue> m_catalogue;
