Control hosts share the global group: ids per disk, forwarding, hand-over on a stop

Cause: only one control host held the records; the others answered nothing, and a command had to meet the one host that could run it. Change: a replica's id is made with its disk, hosts greet each other and the first one founds the group once all are blank; commands go to the leader or wait a bounded time for one; followers confirm records while they hear the leader; logs are compacted every 5,000 entries; a stop hands over; a host with a new disk joins as a learner and replaces its old voter; the control-group record moves the group. Log time goes on by the monotonic clock from leader to leader. The ledger keeps the group's incarnation and refuses home-scoped keys of another.

--- a/libs/ledger/include/ledger/Ledger.h
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -1,7 +1,17 @@
 /// State machine on the replicated log: records, claims, jobs and leases. Deterministic, no I/O.
 ///
 /// Time inside the ledger is that of the log: milliseconds stamped on each command by the leader,
-/// never falling from one command to the next.
+/// never falling from one command to the next, also when leadership moves. It stands still while
+/// the whole group is down.
+///
+/// Everything stored is bounded; LedgerOptions holds the bounds. What is refused for a bound gets
+/// Status::Full and nothing is stored. Kept are:
+/// - records and leases, without end;
+/// - the verdict on each change id, until \c maxVerdicts later ones;
+/// - a claim that is held, until its owner finishes or releases it or is retired;
+/// - an ended claim, of known or unknown outcome, for \c claimRetention of log time. Within it the
+///   key is never granted again; callers must not use a key again later than that;
+/// - a job until it ends, at its own time limit at the latest, then for \c jobRetention.
 #pragma once
 
 #include "base/Base.h"
@@ -74,6 +84,12 @@
     std::string attempt = {}; ///< As in the claim.
 };
 
+/// Gives an empty group its incarnation; later ones change nothing.
+struct FoundGroup
+{
+    std::int64_t incarnation = 0; ///< Random, not 0.
+};
+
 /// Marks every open claim of a dead owner as of unknown outcome and frees its jobs.
 struct RetireOwner
 {
@@ -115,7 +131,7 @@
 };
 
 using Command = std::variant<PutRecord, Claim, ReleaseClaim, FinishClaim, RetireOwner, SubmitJob,
-                             TakeJob, FinishJob, TakeLease>;
+                             TakeJob, FinishJob, TakeLease, FoundGroup>;
 
 enum class Status {
     Accepted, ///< The command took effect, now or when it was first sent.
@@ -180,6 +196,10 @@
     std::vector<const Job *> jobsOf(const base::TeamId &team) const;
     std::vector<const Job *> jobsIn(JobState state) const;
     std::size_t claimCount() const { return m_claims.size(); }
+    /// Random number of this group since it was founded; 0 before. A home-scoped key
+    /// "home.<data centre>.<group incarnation>.<rest>" is refused by a group of another
+    /// incarnation, which cannot know whether the call ran.
+    std::int64_t groupIncarnation() const { return m_groupIncarnation; }
     std::int64_t logTimeMs() const { return m_logTimeMs; }
 
     /// Whole state as bytes, and back; restore() fails on bytes that snapshot() did not write.
@@ -225,6 +245,8 @@
     Reply run(const TakeJob &command);
     Reply run(const FinishJob &command);
     Reply run(const TakeLease &command);
+    Reply run(const FoundGroup &command);
+    bool isOutOfScope(const std::string &key) const;
     void expire();
     friend struct SnapshotCodec;
 
@@ -232,6 +254,7 @@
     replog::Position m_position;
     replog::Position m_recordsPosition;
     std::int64_t m_logTimeMs = 0;
+    std::int64_t m_groupIncarnation = 0;
     std::int64_t m_lastFencing = 0;
     std::map<RecordKey, records::Record> m_records;
     std::map<std::string, Reply> m_verdicts;
--- a/libs/ledger/src/Codec.cpp
+++ b/libs/ledger/src/Codec.cpp
@@ -124,6 +124,11 @@
             {"duration", c.duration.count()}};
 }
 
+json form(const FoundGroup &c)
+{
+    return {{"op", "found"}, {"incarnation", c.incarnation}};
+}
+
 std::optional<Command> commandFrom(const json &j)
 {
     const std::string op = j.at("op");
@@ -154,6 +159,8 @@
                          static_cast<JobState>(j.at("state").get<int>()), j.at("result")};
     if (op == "lease")
         return TakeLease{j.at("name"), ownerFrom(j.at("owner")), base::Millis(j.at("duration"))};
+    if (op == "found")
+        return FoundGroup{j.at("incarnation").get<std::int64_t>()};
     return std::nullopt;
 }
 
--- a/libs/ledger/src/Ledger.cpp
+++ b/libs/ledger/src/Ledger.cpp
@@ -1,5 +1,7 @@
 #include "ledger/Ledger.h"
 
+#include <charconv>
+
 namespace hyssop::ledger {
 
 namespace {
@@ -17,6 +19,24 @@
     return state == JobState::Done || state == JobState::Failed;
 }
 
+/// Group incarnation that a home-scoped key carries; empty for an opaque key.
+std::optional<std::int64_t> scopeOf(const std::string &key)
+{
+    constexpr std::string_view kPrefix = "home.";
+    if (!key.starts_with(kPrefix))
+        return std::nullopt;
+    const auto centreEnd = key.find('.', kPrefix.size());
+    const auto end = centreEnd == std::string::npos ? centreEnd : key.find('.', centreEnd + 1);
+    if (end == std::string::npos)
+        return std::nullopt;
+    std::int64_t incarnation = 0;
+    const char *const last = key.data() + end;
+    const auto [parsed, ec] = std::from_chars(key.data() + centreEnd + 1, last, incarnation);
+    if (ec != std::errc() || parsed != last)
+        return std::nullopt;
+    return incarnation;
+}
+
 } // namespace
 
 std::string_view jobStateName(JobState state)
@@ -104,8 +124,16 @@
     return reply;
 }
 
+bool Ledger::isOutOfScope(const std::string &key) const
+{
+    const std::optional<std::int64_t> incarnation = scopeOf(key);
+    return incarnation && *incarnation != m_groupIncarnation;
+}
+
 Reply Ledger::run(const Claim &command)
 {
+    if (isOutOfScope(command.key))
+        return answer(Status::Conflict, "scope");
     const ClaimKey key{command.team, command.key};
     const auto it = m_claims.find(key);
     if (it == m_claims.end()) {
@@ -238,6 +266,13 @@
     return reply;
 }
 
+Reply Ledger::run(const FoundGroup &command)
+{
+    if (m_groupIncarnation == 0)
+        m_groupIncarnation = command.incarnation;
+    return answer(Status::Accepted);
+}
+
 void Ledger::expire()
 {
     const std::int64_t claimsBefore = m_logTimeMs - m_options.claimRetention.count();
--- a/libs/ledger/src/Snapshot.cpp
+++ b/libs/ledger/src/Snapshot.cpp
@@ -52,6 +52,7 @@
                {"recordsPosition", positionForm(ledger.m_recordsPosition)},
                {"time", ledger.m_logTimeMs},
                {"fencing", ledger.m_lastFencing},
+               {"incarnation", ledger.m_groupIncarnation},
                {"records", json::array()},
                {"verdicts", json::array()},
                {"claims", json::array()},
@@ -86,6 +87,7 @@
         ledger.m_recordsPosition = positionFrom(j.at("recordsPosition"));
         ledger.m_logTimeMs = j.at("time");
         ledger.m_lastFencing = j.at("fencing");
+        ledger.m_groupIncarnation = j.at("incarnation");
         for (const json &one : j.at("records")) {
             auto record = records::recordFromJson(one.get<std::string>());
             if (!record)
--- a/libs/ledger/tests/LedgerTest.cpp
+++ b/libs/ledger/tests/LedgerTest.cpp
@@ -116,6 +116,52 @@
     CHECK(second.fencing > first.fencing);
 }
 
+TEST_CASE("a verdict survives a snapshot and a thousand later changes")
+{
+    Rig rig;
+    const PutRecord first{"c1", records::Version(0), team(1, R"({"weight":1})")};
+    rig.run(first);
+    const Reply conflict = rig.run(PutRecord{"late", records::Version(0), team(1, "{}")});
+    for (int n = 2; n <= 1002; ++n) {
+        rig.run(PutRecord{"c" + std::to_string(n), records::Version(n - 1), team(n, "{}")});
+        if (n % 300 == 0)
+            REQUIRE(rig.ledger.restore(rig.ledger.snapshot()));
+    }
+    CHECK(rig.run(first).status == Status::Accepted);
+    const Reply again = rig.run(PutRecord{"late", records::Version(0), team(1, "{}")});
+    CHECK(again.status == Status::Conflict);
+    CHECK(again.current == conflict.current);
+}
+
+TEST_CASE("a home-scoped key is claimed only in the incarnation of the group that it names")
+{
+    Rig rig;
+    rig.run(FoundGroup{42});
+    rig.run(FoundGroup{43});
+    CHECK(rig.ledger.groupIncarnation() == 42);
+    Claim scoped = claim(kEntryA);
+    scoped.key = "home.floro-sal.41.k";
+    const Reply refused = rig.run(scoped);
+    CHECK(refused.status == Status::Conflict);
+    CHECK(refused.message == "scope");
+    CHECK(rig.ledger.claimCount() == 0);
+    scoped.key = "home.floro-sal.42.k";
+    CHECK(rig.run(scoped).status == Status::Accepted);
+    // Keys that only resemble the form are opaque.
+    for (const char *key : {"home.x", "home.sal.4x.k", "home.sal.k"}) {
+        scoped.key = key;
+        CHECK(rig.run(scoped).status == Status::Accepted);
+    }
+}
+
+TEST_CASE("log time does not fall when a leader's clock is behind")
+{
+    Rig rig;
+    rig.run(TakeLease{"orders", kEntryA, base::Millis(100)}, 1000);
+    rig.run(TakeLease{"orders", kEntryA, base::Millis(100)}, 10);
+    CHECK(rig.ledger.logTimeMs() == 1000);
+}
+
 TEST_CASE("a snapshot restores the whole state")
 {
     Rig rig;
@@ -123,6 +169,7 @@
     rig.run(claim(kEntryA));
     rig.run(SubmitJob{base::JobId("j"), base::TeamId("desk"), "{}", base::Millis(1000)});
     rig.run(TakeLease{"orders", kEntryA, base::Millis(100)});
+    rig.run(FoundGroup{7});
     Ledger other;
     REQUIRE(other.restore(rig.ledger.snapshot()));
     CHECK(other.snapshot() == rig.ledger.snapshot());
--- a/libs/replog/include/replog/Replog.h
+++ b/libs/replog/include/replog/Replog.h
@@ -161,6 +161,8 @@
 
 enum class ChangeKind { AddLearner, Promote, Remove };
 
+std::string_view changeKindName(ChangeKind kind);
+
 /// One change of a group's voters or learners.
 struct Change
 {
@@ -177,6 +179,11 @@
 std::optional<Change> nextChange(const Replica &leader, const std::vector<ReplicaId> &wanted,
                                  base::TimePoint now);
 
+/// Id of a host's replica in \a folder: the stored one, or a new one made with \a random where the
+/// folder holds no log, since an empty disk has forgotten its votes.
+tl::expected<ReplicaId, StorageError> loadReplicaId(const std::filesystem::path &folder,
+                                                    const base::HostId &host, std::uint64_t random);
+
 /// Host part of an id.
 base::HostId hostOf(const ReplicaId &id);
 
@@ -197,7 +204,9 @@
     tl::expected<Position, ProposeError> propose(std::string payload, base::TimePoint now);
     /// Changes voters, one at a time; a new one joins as a learner and is promoted once caught up.
     tl::expected<Position, ProposeError> change(const Change &change, base::TimePoint now);
-    /// Refuses proposals from now on and, when leading, hands over to the voter furthest ahead.
+    /// Hands leadership over to the voter furthest ahead, if there is one that has caught up.
+    void handOver(base::TimePoint now);
+    /// Refuses proposals and elections from now on and hands over.
     void prepareStop(base::TimePoint now);
     void receive(const Message &message, base::TimePoint now);
     void tick(base::TimePoint now);
--- a/libs/replog/src/FileStorage.cpp
+++ b/libs/replog/src/FileStorage.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr auto kSnapshotFile = "snapshot";
+constexpr auto kReplicaIdFile = "replica-id";
 constexpr auto kSegmentPrefix = "segment-";
 
 StorageError damaged(const std::filesystem::path &path, const std::string &what)
@@ -286,6 +287,32 @@
 
 } // namespace
 
+tl::expected<ReplicaId, StorageError> loadReplicaId(const std::filesystem::path &folder,
+                                                    const base::HostId &host, std::uint64_t random)
+{
+    std::error_code ec;
+    std::filesystem::create_directories(folder, ec);
+    const std::filesystem::path path = folder / kReplicaIdFile;
+    bool hasLog = std::filesystem::exists(folder / kSnapshotFile, ec);
+    for (const auto &it : std::filesystem::directory_iterator(folder, ec))
+        hasLog = hasLog || it.path().filename().string().starts_with(kSegmentPrefix);
+    if (hasLog) {
+        const auto text = readFile(path);
+        if (!text)
+            return tl::unexpected(text.error());
+        const ReplicaId id(*text);
+        if (hostOf(id) != host)
+            return tl::unexpected(StorageError{
+                    StorageFault::Damaged, fmt::format("{} belongs to replica '{}', not to host {}",
+                                                       folder.string(), id.text(), host.text())});
+        return id;
+    }
+    const ReplicaId id(fmt::format("{}.{:016x}", host.text(), random));
+    if (const auto replaced = replaceFile(path, id.text()); !replaced)
+        return tl::unexpected(replaced.error());
+    return id;
+}
+
 std::unique_ptr<Storage> fileStorage(std::filesystem::path folder, base::Bytes segmentSize)
 {
     return std::make_unique<FileStorage>(std::move(folder), segmentSize);
--- a/libs/replog/src/Impl.h
+++ b/libs/replog/src/Impl.h
@@ -30,6 +30,7 @@
     tl::expected<Position, ProposeError> propose(std::string payload);
     tl::expected<Position, ProposeError> change(const Change &change, base::TimePoint now);
     void prepareStop(base::TimePoint now);
+    void handOver(base::TimePoint now);
     bool hasLease(base::TimePoint now) const;
     bool isCaughtUp(const ReplicaId &id, base::TimePoint now) const;
 
--- a/libs/replog/src/Leader.cpp
+++ b/libs/replog/src/Leader.cpp
@@ -293,6 +293,11 @@
 void Replica::Impl::prepareStop(base::TimePoint now)
 {
     m_isStopping = true;
+    handOver(now);
+}
+
+void Replica::Impl::handOver(base::TimePoint now)
+{
     if (!isLeader() || m_handOverTo)
         return;
     const ReplicaId *best = nullptr;
--- a/libs/replog/src/NextChange.cpp
+++ b/libs/replog/src/NextChange.cpp
@@ -38,6 +38,19 @@
 
 } // namespace
 
+std::string_view changeKindName(ChangeKind kind)
+{
+    switch (kind) {
+    case ChangeKind::AddLearner:
+        return "add_learner";
+    case ChangeKind::Promote:
+        return "promote";
+    case ChangeKind::Remove:
+        return "remove";
+    }
+    return "unknown";
+}
+
 base::HostId hostOf(const ReplicaId &id)
 {
     return base::HostId(id.text().substr(0, id.text().rfind('.')));
--- a/libs/replog/src/Replica.cpp
+++ b/libs/replog/src/Replica.cpp
@@ -193,6 +193,11 @@
     m_impl->prepareStop(now);
 }
 
+void Replica::handOver(base::TimePoint now)
+{
+    m_impl->handOver(now);
+}
+
 void Replica::receive(const Message &message, base::TimePoint now)
 {
     m_impl->receive(message, now);
--- a/programs/hyssop-control/ControlTask.cpp
+++ b/programs/hyssop-control/ControlTask.cpp
@@ -1,5 +1,7 @@
 #include "ControlTask.h"
 
+#include <algorithm>
+
 namespace hyssop::control {
 
 namespace {
@@ -7,6 +9,9 @@
 constexpr auto kGlobal = "global";
 /// How often timers of groups and watches are looked at.
 constexpr base::Millis kPumpInterval{20};
+constexpr base::Millis kReplicateTimeout{1'000};
+/// How long a stop waits for another host to take over.
+constexpr base::Millis kStopTimeout{3'000};
 
 std::string homeGroup(const base::DataCentreId &dataCentre)
 {
@@ -44,32 +49,40 @@
     return m_groups.contains(kGlobal);
 }
 
-tl::expected<void, std::string> ControlTask::open()
+tl::expected<void, std::string> ControlTask::openGroup(const std::string &name,
+                                                       std::vector<HostAddress> hosts)
 {
-    const auto openGroup =
-            [this](const std::string &name,
-                   std::vector<replog::ReplicaId> voters) -> tl::expected<void, std::string> {
-        replog::ReplicaOptions options;
-        options.group = replog::GroupId(name);
-        options.self = replog::ReplicaId(m_options.host.text());
-        options.voters = std::move(voters);
-        auto group = GroupHost::open(
-                std::move(options), replog::fileStorage(m_options.data / name),
-                [](const replog::Message &) {}, base::monotonicNow());
-        if (!group)
-            return tl::unexpected(name + ": " + group.error().message);
-        m_groups.emplace(name, *std::move(group));
-        return {};
+    GroupOptions options;
+    options.group = replog::GroupId(name);
+    options.host = m_options.host;
+    options.folder = m_options.data / name;
+    options.firstHosts = std::move(hosts);
+    options.heartbeatInterval = m_options.heartbeatInterval;
+    options.electionTimeout = m_options.electionTimeout;
+    options.seed = m_options.seed + m_groups.size();
+    const auto send = [this, name](const base::Endpoint &to, std::string body) {
+        m_peers->replicate(to, {name, m_options.host.text(), std::move(body)}, kReplicateTimeout);
     };
-    const replog::ReplicaId self(m_options.host.text());
-    std::vector<replog::ReplicaId> voters;
-    for (const ReplicaAddress &voter : m_options.globalVoters)
-        voters.push_back(voter.id);
-    if (std::find(voters.begin(), voters.end(), self) != voters.end()) {
+    auto group = GroupHost::open(std::move(options), send, base::monotonicNow());
+    if (!group)
+        return tl::unexpected(name + ": " + group.error().message);
+    m_groups.emplace(name, *std::move(group));
+    return {};
+}
+
+tl::expected<void, std::string> ControlTask::open()
+{
+    const auto isSelf = [this](const HostAddress &it) { return it.host == m_options.host; };
+    const auto &voters = m_options.globalVoters;
+    if (std::any_of(voters.begin(), voters.end(), isSelf)) {
         if (const auto opened = openGroup(kGlobal, voters); !opened)
             return opened;
     }
-    return openGroup(homeGroup(m_options.dataCentre), {self});
+    m_router = std::make_unique<CommandRouter>(m_loop.get(), &m_groups, voters);
+    std::vector<HostAddress> home = m_options.homeVoters;
+    if (home.empty())
+        home.push_back({m_options.host, m_options.listenPeers});
+    return openGroup(homeGroup(m_options.dataCentre), home);
 }
 
 tl::expected<void, std::string> ControlTask::listen()
@@ -87,6 +100,7 @@
         return tl::unexpected("cannot listen on " + m_options.listenPeers.text() + ": "
                               + peers.error().message);
     m_peers = *std::move(peers);
+    m_router->start(m_peers.get());
     base::logEvent("listening", {{"operators", operatorsAt->text()},
                                  {"platform", platformAt->text()},
                                  {"peers", m_peers->address().text()}});
@@ -106,22 +120,53 @@
 {
     m_loop->post([this] {
         m_platform->setReady(false);
-        m_loop->stop();
+        const base::TimePoint now = base::monotonicNow();
+        m_stopUntil = now + kStopTimeout;
+        for (const auto &[name, group] : m_groups)
+            group->prepareStop(now);
+        schedulePump();
     });
 }
 
+void ControlTask::stopWhenHandedOver(base::TimePoint now)
+{
+    if (!m_stopUntil)
+        return;
+    bool isDone = true;
+    for (const auto &[name, group] : m_groups) {
+        const bool isAlone = group->replica().configuration().voters.size() < 2;
+        isDone = isDone && !group->hasWaiting() && (isAlone || !group->replica().isLeader());
+    }
+    if (!isDone && now < *m_stopUntil)
+        return;
+    m_router->stop();
+    m_loop->stop();
+}
+
 void ControlTask::pump()
 {
-    const base::TimePoint now = base::monotonicNow();
+    pumpGroups(base::monotonicNow());
+    m_loop->after(kPumpInterval, [this] { pump(); });
+}
+
+void ControlTask::pumpGroups(base::TimePoint now)
+{
+    if (m_hasFailed)
+        return;
+    m_router->pump(now);
     for (const auto &[name, group] : m_groups) {
         const auto pumped = group->pump(now);
         if (pumped)
             continue;
+        // Nothing of the batch was acknowledged; a restart reads back what is on the disk.
         base::logEvent("log_failed", {{"group", name}, {"message", pumped.error().message}});
+        m_hasFailed = true;
+        m_loop->stop();
         platform::requestStop();
+        return;
     }
     answerWatches(now);
-    m_loop->after(kPumpInterval, [this] { pump(); });
+    stopWhenHandedOver(now);
 }
 
 void ControlTask::schedulePump()
@@ -132,15 +177,7 @@
     // All commands of this turn of the loop share one sync.
     m_loop->after(base::Millis(0), [this] {
         m_isPumpScheduled = false;
-        const base::TimePoint now = base::monotonicNow();
-        for (const auto &[name, group] : m_groups) {
-            if (const auto pumped = group->pump(now); !pumped) {
-                base::logEvent("log_failed",
-                               {{"group", name}, {"message", pumped.error().message}});
-                platform::requestStop();
-            }
-        }
-        answerWatches(now);
+        pumpGroups(base::monotonicNow());
     });
 }
 
@@ -157,7 +194,8 @@
     peers::WatchReply reply;
     if (!isVoter())
         return reply;
-    reply.isConfirmed = m_groups.at(kGlobal)->replica().hasLease(base::monotonicNow());
+    // A follower that hears its leader is behind by a message at most.
+    reply.isConfirmed = m_groups.at(kGlobal)->replica().hasHeardLeader(base::monotonicNow());
     reply.position = recordsPosition();
     reply.hasChanged = request.applied < reply.position;
     if (!reply.hasChanged)
@@ -183,21 +221,16 @@
 void ControlTask::onPut(operators::PutRequest request,
                         operators::Answer<operators::PutReply> answer)
 {
-    if (!isVoter()) {
-        answer({operators::PutStatus::Unavailable,
-                "this host has no voter of the global group",
-                {},
-                0});
-        return;
-    }
     ledger::PutRecord command{request.changeId, request.replaces, request.record};
-    const auto done = [this, answer,
-                       request](const tl::expected<ledger::Reply, GroupHost::ExecuteFault> &reply) {
+    const auto done = [this, answer, request](const peers::ExecuteReply &executed) {
+        const auto reply = executed.status == peers::ExecuteStatus::Done
+                                   ? ledger::decodeReply(executed.reply)
+                                   : std::nullopt;
         operators::PutReply put;
         if (!reply) {
-            put.status = reply.error() == GroupHost::ExecuteFault::NotLeader
-                                 ? operators::PutStatus::Unavailable
-                                 : operators::PutStatus::Unknown;
+            put.status = executed.status == peers::ExecuteStatus::Unknown
+                                 ? operators::PutStatus::Unknown
+                                 : operators::PutStatus::Unavailable;
         } else {
             put.status = reply->status == ledger::Status::Accepted ? operators::PutStatus::Accepted
                                                                    : operators::PutStatus::Conflict;
@@ -212,7 +245,7 @@
                                          {"status", operators::putStatusName(put.status)}});
         answer(put);
     };
-    m_groups.at(kGlobal)->execute(command, done, base::monotonicNow());
+    m_router->execute({kGlobal, ledger::encode(command, 0)}, done, base::monotonicNow());
     schedulePump();
 }
 
@@ -229,7 +262,7 @@
         const replog::Replica &replica = m_groups.at(kGlobal)->replica();
         reply.leader = replica.leader().text();
         reply.term = replica.term().count();
-        reply.isConfirmed = replica.hasLease(base::monotonicNow());
+        reply.isConfirmed = replica.hasHeardLeader(base::monotonicNow());
     }
     reply.position = recordsPosition().index;
     const base::TimePoint now = base::monotonicNow();
@@ -256,25 +289,7 @@
                             peers::Answer<peers::ExecuteReply> answer)
 {
     m_loop->post([this, request = std::move(request), answer = std::move(answer)] {
-        const auto it = m_groups.find(request.group);
-        const auto command = ledger::decodeCommand(request.command);
-        if (it == m_groups.end() || !command) {
-            answer({peers::ExecuteStatus::Unavailable, "", ""});
-            return;
-        }
-        const GroupHost &group = *it->second;
-        const auto done =
-                [answer,
-                 &group](const tl::expected<ledger::Reply, GroupHost::ExecuteFault> &reply) {
-                    const std::string leader = group.replica().leader().text();
-                    if (reply)
-                        answer({peers::ExecuteStatus::Done, ledger::encode(*reply), leader});
-                    else if (reply.error() == GroupHost::ExecuteFault::NotLeader)
-                        answer({peers::ExecuteStatus::NotLeader, "", leader});
-                    else
-                        answer({peers::ExecuteStatus::Unknown, "", leader});
-                };
-        it->second->execute(command->command, done, base::monotonicNow());
+        m_router->execute(request, answer, base::monotonicNow());
         schedulePump();
     });
 }
@@ -285,9 +300,7 @@
         const auto it = m_groups.find(message.group);
         if (it == m_groups.end())
             return;
-        it->second->receive({replog::ReplicaId(message.from),
-                             replog::ReplicaId(m_options.host.text()), message.body},
-                            base::monotonicNow());
+        it->second->receive(message.body, base::monotonicNow());
         schedulePump();
     });
 }
--- a/programs/hyssop-control/ControlTask.h
+++ b/programs/hyssop-control/ControlTask.h
@@ -1,22 +1,16 @@
 #pragma once
 
-#include "GroupHost.h"
+#include "CommandRouter.h"
 #include "http/Http.h"
 #include "operators/Operators.h"
 #include "peers/Peers.h"
 #include "platform/Platform.h"
 
+#include <atomic>
 #include <list>
 
 namespace hyssop::control {
 
-/// A replica and where its process listens for peers.
-struct ReplicaAddress
-{
-    replog::ReplicaId id;
-    base::Endpoint address;
-};
-
 struct ControlOptions
 {
     base::HostId host;
@@ -25,7 +19,11 @@
     base::Endpoint listenPeers;
     base::Endpoint listenPlatform;
     std::filesystem::path data;
-    std::vector<ReplicaAddress> globalVoters;
+    std::vector<HostAddress> globalVoters;
+    std::vector<HostAddress> homeVoters; ///< Empty: this host alone.
+    base::Millis heartbeatInterval{100};
+    base::Millis electionTimeout{1'000};
+    std::uint64_t seed = 1;
     std::string operatorToken;
 };
 
@@ -38,8 +36,10 @@
 
     /// Serves until stop().
     void run();
-    /// Thread-safe.
+    /// Hands leadership over, then ends run(). Thread-safe.
     void stop();
+    /// Whether it stopped because its state could not be kept.
+    bool hasFailed() const { return m_hasFailed; }
 
 private:
     struct Watch
@@ -57,9 +57,13 @@
 
     explicit ControlTask(ControlOptions options);
     tl::expected<void, std::string> open();
+    tl::expected<void, std::string> openGroup(const std::string &name,
+                                              std::vector<HostAddress> hosts);
     tl::expected<void, std::string> listen();
     void pump();
+    void pumpGroups(base::TimePoint now);
     void schedulePump();
+    void stopWhenHandedOver(base::TimePoint now);
     void answerWatches(base::TimePoint now);
     peers::WatchReply watchReply(const peers::WatchRequest &request) const;
     peers::WirePosition recordsPosition() const;
@@ -79,7 +83,8 @@
 
     ControlOptions m_options;
     std::unique_ptr<http::Loop> m_loop;
-    std::map<std::string, std::unique_ptr<GroupHost>> m_groups;
+    Groups m_groups;
+    std::unique_ptr<CommandRouter> m_router;
     platform::Metrics m_metrics;
     std::unique_ptr<operators::Server> m_operators;
     std::unique_ptr<platform::Server> m_platform;
@@ -87,6 +92,8 @@
     std::list<Watch> m_watches;
     std::map<base::HostId, Reporter> m_reporters;
     bool m_isPumpScheduled = false;
+    std::optional<base::TimePoint> m_stopUntil; ///< Set while stopping.
+    std::atomic<bool> m_hasFailed{false};
 };
 
 } // namespace hyssop::control
--- /dev/null
+++ b/programs/hyssop-control/Envelope.cpp
@@ -0,0 +1,54 @@
+#include "Envelope.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hyssop::control {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int kHello = 0;
+constexpr int kMessage = 1;
+
+json form(const Hello &hello)
+{
+    return {kHello, hello.id.text(), hello.isBlank, hello.echo.text()};
+}
+
+json form(const replog::Message &message)
+{
+    return {kMessage, message.from.text(), message.to.text(), message.body};
+}
+
+Envelope envelopeFrom(const json &j)
+{
+    const replog::ReplicaId from(j.at(1).get<std::string>());
+    if (j.at(0).get<int>() == kHello)
+        return Hello{from, j.at(2).get<bool>(), replog::ReplicaId(j.at(3).get<std::string>())};
+    return replog::Message{from, replog::ReplicaId(j.at(2).get<std::string>()),
+                           j.at(3).get<std::string>()};
+}
+
+} // namespace
+
+std::string encode(const Envelope &envelope)
+{
+    std::string bytes;
+    json::to_cbor(std::visit([](const auto &it) { return form(it); }, envelope), bytes);
+    return bytes;
+}
+
+std::optional<Envelope> decodeEnvelope(std::string_view bytes)
+{
+    const json j = json::from_cbor(bytes, true, false);
+    if (j.is_discarded())
+        return std::nullopt;
+    try {
+        return envelopeFrom(j);
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace hyssop::control
--- a/programs/hyssop-control/GroupHost.cpp
+++ b/programs/hyssop-control/GroupHost.cpp
@@ -1,10 +1,16 @@
 #include "GroupHost.h"
 
+#include <algorithm>
+
 namespace hyssop::control {
 
 namespace {
 
-/// Wall-clock milliseconds; the ledger keeps them from falling.
+/// Entries applied after a snapshot before the next one is taken.
+constexpr replog::Index kCompactEvery(5'000);
+constexpr base::Millis kGreetInterval{500};
+
+/// Wall-clock milliseconds; only a new group starts from them.
 std::int64_t wallClockMs()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -13,41 +19,137 @@
 
 } // namespace
 
-GroupHost::GroupHost(std::unique_ptr<replog::Storage> storage,
-                     std::unique_ptr<replog::Replica> replica, Send send)
-    : m_storage(std::move(storage))
-    , m_replica(std::move(replica))
+GroupHost::GroupHost(GroupOptions options, replog::ReplicaId self, Send send)
+    : m_options(std::move(options))
+    , m_self(std::move(self))
+    , m_members(m_options.host, m_options.firstHosts)
+    , m_storage(replog::fileStorage(m_options.folder))
     , m_send(std::move(send))
+    , m_rng(m_options.seed)
 { }
 
-tl::expected<std::unique_ptr<GroupHost>, replog::StorageError> GroupHost::open(
-        replog::ReplicaOptions options, std::unique_ptr<replog::Storage> storage, Send send,
-        base::TimePoint now)
+tl::expected<std::unique_ptr<GroupHost>, replog::StorageError> GroupHost::open(GroupOptions options,
+                                                                               Send send,
+                                                                               base::TimePoint now)
 {
-    auto replica = replog::Replica::open(std::move(options), storage.get(), now);
-    if (!replica)
-        return tl::unexpected(replica.error());
-    return std::unique_ptr<GroupHost>(
-            new GroupHost(std::move(storage), *std::move(replica), std::move(send)));
+    auto self = replog::loadReplicaId(options.folder, options.host, options.seed);
+    if (!self)
+        return tl::unexpected(self.error());
+    std::unique_ptr<GroupHost> host(
+            new GroupHost(std::move(options), *std::move(self), std::move(send)));
+    replog::ReplicaOptions replica;
+    replica.group = host->m_options.group;
+    replica.self = host->m_self;
+    replica.heartbeatInterval = host->m_options.heartbeatInterval;
+    replica.electionTimeout = host->m_options.electionTimeout;
+    replica.seed = host->m_options.seed;
+    auto opened = replog::Replica::open(replica, host->m_storage.get(), now);
+    if (!opened)
+        return tl::unexpected(opened.error());
+    host->m_replica = *std::move(opened);
+    return host;
 }
 
 void GroupHost::execute(const ledger::Command &command, Done done, base::TimePoint now)
 {
-    const auto position = m_replica->propose(ledger::encode(command, wallClockMs()), now);
+    const std::int64_t logTime = m_clock.read(now, wallClockMs());
+    const auto position = m_replica->propose(ledger::encode(command, logTime), now);
     if (position)
         m_waiting.emplace(*position, std::move(done));
     else
         done(tl::unexpected(ExecuteFault::NotLeader));
 }
 
-void GroupHost::receive(const replog::Message &message, base::TimePoint now)
+std::optional<base::Endpoint> GroupHost::leaderAddress() const
+{
+    const replog::ReplicaId leader = m_replica->leader();
+    if (leader.isEmpty() || leader == m_self)
+        return std::nullopt;
+    return m_members.addressOf(replog::hostOf(leader));
+}
+
+void GroupHost::receive(std::string_view body, base::TimePoint now)
+{
+    const auto envelope = decodeEnvelope(body);
+    if (!envelope)
+        return;
+    if (const auto *hello = std::get_if<Hello>(&*envelope))
+        m_members.onHello(*hello);
+    else
+        m_replica->receive(std::get<replog::Message>(*envelope), now);
+}
+
+void GroupHost::greet(base::TimePoint now)
+{
+    if (now < m_greetAt)
+        return;
+    m_greetAt = now + kGreetInterval;
+    for (const HostAddress &host : m_members.hosts()) {
+        if (host.host != m_options.host)
+            m_send(host.address,
+                   encode(m_members.helloTo(host.host, m_self, m_replica->isBlank())));
+    }
+}
+
+void GroupHost::foundWhenReady(base::TimePoint now)
+{
+    if (!m_replica->isBlank())
+        return;
+    if (const auto voters = m_members.foundingVoters(m_self)) {
+        base::logEvent("group_founded", {{"group", m_options.group}, {"voters", voters->size()}});
+        m_replica->found(*voters, now);
+    }
+}
+
+void GroupHost::followRecord()
 {
-    m_replica->receive(message, now);
+    if (m_followed == m_ledger.recordsPosition())
+        return;
+    m_followed = m_ledger.recordsPosition();
+    const auto *record = m_ledger.record(records::Kind::ControlGroup, m_options.group.text());
+    if (!record)
+        return;
+    const auto spec = records::readControlGroup(*record);
+    if (!spec)
+        return;
+    std::vector<HostAddress> hosts;
+    for (const auto &voter : spec->voters)
+        hosts.push_back({voter.host, voter.address});
+    if (!hosts.empty())
+        m_members.setHosts(std::move(hosts));
+}
+
+void GroupHost::lead(base::TimePoint now)
+{
+    const bool isLeader = m_replica->hasLease(now);
+    if (isLeader != m_wasLeader) {
+        m_wasLeader = isLeader;
+        base::logEvent(isLeader ? "leadership_taken" : "leadership_lost",
+                       {{"group", m_options.group}, {"term", m_replica->term().count()}});
+        if (isLeader && m_ledger.groupIncarnation() == 0)
+            execute(
+                    ledger::FoundGroup{static_cast<std::int64_t>(m_rng() >> 1) | 1},
+                    [](const auto &) {}, now);
+    }
+    if (!isLeader)
+        return;
+    const auto wanted = m_members.wanted(m_self, m_replica->configuration());
+    if (const auto change = replog::nextChange(*m_replica, wanted, now)) {
+        if (m_replica->change(*change, now))
+            base::logEvent("voters_change", {{"group", m_options.group},
+                                             {"kind", replog::changeKindName(change->kind)},
+                                             {"replica", change->id}});
+        return;
+    }
+    const bool isWanted = std::find(wanted.begin(), wanted.end(), m_self) != wanted.end();
+    if (!isWanted && m_replica->configuration().voters.size() > 1)
+        m_replica->handOver(now);
 }
 
-void GroupHost::apply(const replog::Entry &entry)
+void GroupHost::apply(const replog::Entry &entry, base::TimePoint now)
 {
     const ledger::Reply reply = m_ledger.apply(entry);
+    m_clock.onApplied(m_ledger.logTimeMs(), now);
     // Commands of earlier terms that this entry overtook were lost with their leader.
     while (!m_waiting.empty() && m_waiting.begin()->first < entry.position) {
         const Done lost = std::move(m_waiting.begin()->second);
@@ -62,19 +164,39 @@
     done(reply);
 }
 
+void GroupHost::compactWhenLong()
+{
+    const replog::Position applied = m_ledger.position();
+    if (applied.index < m_compacted.index + kCompactEvery)
+        return;
+    m_compacted = applied;
+    m_replica->compact(applied, m_ledger.snapshot());
+}
+
 tl::expected<void, replog::StorageError> GroupHost::pump(base::TimePoint now)
 {
+    greet(now);
+    foundWhenReady(now);
     m_replica->tick(now);
+    lead(now);
     auto output = m_replica->flush(now);
     if (!output)
         return tl::unexpected(output.error());
-    if (output->restored && !m_ledger.restore(output->restored->data))
-        return tl::unexpected(replog::StorageError{replog::StorageFault::Damaged,
-                                                   "the snapshot is not readable"});
+    if (output->restored) {
+        if (!m_ledger.restore(output->restored->data))
+            return tl::unexpected(replog::StorageError{replog::StorageFault::Damaged,
+                                                       "the snapshot is not readable"});
+        m_compacted = output->restored->position;
+        m_clock.onApplied(m_ledger.logTimeMs(), now);
+    }
     for (const replog::Entry &entry : output->committed)
-        apply(entry);
-    for (const replog::Message &message : output->messages)
-        m_send(message);
+        apply(entry, now);
+    for (const replog::Message &message : output->messages) {
+        if (const auto address = m_members.addressOf(replog::hostOf(message.to)))
+            m_send(*address, encode(message));
+    }
+    followRecord();
+    compactWhenLong();
     return {};
 }
 
--- /dev/null
+++ b/programs/hyssop-control/Members.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Envelope.h"
+
+#include <map>
+
+namespace hyssop::control {
+
+/// A host of a group and where its process listens for peers.
+struct HostAddress
+{
+    base::HostId host;
+    base::Endpoint address;
+
+    bool operator==(const HostAddress &other) const = default;
+};
+
+/// Hosts that shall carry a group, and which replica each of them has now. No I/O.
+class Members
+{
+public:
+    Members(base::HostId self, std::vector<HostAddress> hosts);
+
+    /// Replaces the hosts that shall carry the group; those before stay reachable.
+    void setHosts(std::vector<HostAddress> hosts);
+    const std::vector<HostAddress> &hosts() const { return m_hosts; }
+    std::optional<base::Endpoint> addressOf(const base::HostId &host) const;
+
+    /// The greeting to send to \a host.
+    Hello helloTo(const base::HostId &host, const replog::ReplicaId &self, bool isBlank) const;
+    void onHello(const Hello &hello);
+
+    /// Voters of a new group, once every host has said to this very replica that it is blank. Only
+    /// the first host founds.
+    std::optional<std::vector<replog::ReplicaId>> foundingVoters(
+            const replog::ReplicaId &self) const;
+
+    /// Ids that shall vote; a host that was not heard of keeps the id that votes for it now.
+    std::vector<replog::ReplicaId> wanted(const replog::ReplicaId &self,
+                                          const replog::Configuration &configuration) const;
+
+private:
+    base::HostId m_self;
+    std::vector<HostAddress> m_hosts;
+    std::map<base::HostId, base::Endpoint> m_addresses; ///< Of every host ever named.
+    std::map<base::HostId, Hello> m_heard;
+};
+
+} // namespace hyssop::control
--- a/programs/hyssop-control/main.cpp
+++ b/programs/hyssop-control/main.cpp
@@ -21,14 +21,22 @@
             .endpoint("listen-platform", "Where /ready, /live and /metrics are served",
                       "127.0.0.1:0")
             .text("global-voters", "First voters of the global group, as HOST=A.B.C.D:PORT,...", "")
+            .text("home-voters",
+                  "First voters of the data centre's own group, as HOST=A.B.C.D:PORT,...; empty: "
+                  "this host alone",
+                  "")
+            .millis("heartbeat-ms", "Time between a leader's heartbeats", base::Millis(100),
+                    base::Millis(10), base::Millis(10'000))
+            .millis("election-timeout-ms", "Time without a leader until an election, at least",
+                    base::Millis(1'000), base::Millis(100), base::Millis(60'000))
             .text("operator-token-file", "File with the bearer token of operators; empty: none",
                   "");
     return builder;
 }
 
-tl::expected<std::vector<control::ReplicaAddress>, std::string> parseVoters(std::string_view text)
+tl::expected<std::vector<control::HostAddress>, std::string> parseVoters(std::string_view text)
 {
-    std::vector<control::ReplicaAddress> voters;
+    std::vector<control::HostAddress> voters;
     while (!text.empty()) {
         const auto comma = text.find(',');
         const std::string_view one = text.substr(0, comma);
@@ -38,7 +46,7 @@
                                      : base::parseEndpoint(one.substr(equals + 1));
         if (!address || equals == 0)
             return tl::unexpected(fmt::format("'{}' is not HOST=A.B.C.D:PORT", one));
-        voters.push_back({replog::ReplicaId(std::string(one.substr(0, equals))), *address});
+        voters.push_back({base::HostId(std::string(one.substr(0, equals))), *address});
         text = comma == std::string_view::npos ? "" : text.substr(comma + 1);
     }
     return voters;
@@ -79,6 +87,16 @@
     if (!voters)
         return badSetting("global-voters", voters.error());
     options.globalVoters = *voters;
+    const auto homeVoters = parseVoters(settings->text("home-voters"));
+    if (!homeVoters)
+        return badSetting("home-voters", homeVoters.error());
+    options.homeVoters = *homeVoters;
+    options.heartbeatInterval = settings->millis("heartbeat-ms");
+    options.electionTimeout = settings->millis("election-timeout-ms");
+    if (options.electionTimeout < options.heartbeatInterval * 3)
+        return badSetting("election-timeout-ms", "must be three heartbeats or more");
+    options.seed = std::random_device()();
+    options.seed = options.seed << 32 | std::random_device()();
     if (const std::string &path = settings->text("operator-token-file"); !path.empty()) {
         const auto token = firstLine(path);
         if (!token)
@@ -94,5 +112,5 @@
     platform::waitForStopSignal();
     (*task)->stop();
     thread.join();
-    return 0;
+    return (*task)->hasFailed() ? 1 : 0;
 }
