--- a/libs/ledger/include/ledger/Ledger.h
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -160,6 +160,7 @@
     std::size_t maxClaims = 200'000;
     std::size_t maxJobs = 50'000;
     base::Millis claimRetention{24LL * 3600 * 1000}; ///< Of ended claims, in log time.
+    base::Millis releaseRetention{10LL * 60 * 1000}; ///< Of released attempts, in log time.
     base::Millis jobRetention{24LL * 3600 * 1000}; ///< Of ended jobs, in log time.
 };
 
@@ -199,7 +200,7 @@
         std::string key;
         auto operator<=>(const ClaimKey &other) const = default;
     };
-    enum class ClaimState { Held, Answered, Unknown };
+    enum class ClaimState { Held, Answered, Unknown, Released };
     struct ClaimEntry
     {
         std::string digest;
--- a/libs/ledger/src/Ledger.cpp
+++ b/libs/ledger/src/Ledger.cpp
@@ -117,7 +117,14 @@
                         command.digest, command.owner, command.attempt, ClaimState::Held, {}, 0});
         return answer(Status::Accepted);
     }
-    const ClaimEntry &held = it->second;
+    ClaimEntry &held = it->second;
+    if (held.state == ClaimState::Released) {
+        const bool isLate = held.owner == command.owner && held.attempt == command.attempt;
+        if (isLate && !command.attempt.empty())
+            return answer(Status::NotOwner, "the attempt was released");
+        held = ClaimEntry{command.digest, command.owner, command.attempt, ClaimState::Held, {}, 0};
+        return answer(Status::Accepted);
+    }
     if (held.digest != command.digest)
         return answer(Status::Conflict, "the key was used with another request");
     if (held.state == ClaimState::Unknown)
@@ -134,14 +141,24 @@
 
 Reply Ledger::run(const ReleaseClaim &command)
 {
-    const auto it = m_claims.find({command.team, command.key});
-    if (it == m_claims.end())
-        return answer(Status::NotFound);
-    if (it->second.owner != command.owner || it->second.attempt != command.attempt
-        || it->second.state != ClaimState::Held)
+    const ClaimKey key{command.team, command.key};
+    const auto it = m_claims.find(key);
+    const bool isKnown = it != m_claims.end();
+    if (isKnown && (it->second.owner != command.owner || it->second.attempt != command.attempt))
         return answer(Status::NotOwner);
-    m_claims.erase(it);
-    return answer(Status::Accepted);
+    if (isKnown && it->second.state == ClaimState::Released)
+        return answer(Status::Accepted);
+    if (isKnown && it->second.state != ClaimState::Held)
+        return answer(Status::NotOwner);
+    const bool hasRoom = isKnown || m_claims.size() < m_options.maxClaims;
+    if (command.attempt.empty() || !hasRoom) {
+        m_claims.erase(key);
+        return answer(isKnown ? Status::Accepted : Status::NotFound);
+    }
+    // Kept for a while, so that a copy of the claim that comes late takes no effect.
+    m_claims[key] =
+            ClaimEntry{{}, command.owner, command.attempt, ClaimState::Released, {}, m_logTimeMs};
+    return answer(isKnown ? Status::Accepted : Status::NotFound);
 }
 
 Reply Ledger::run(const FinishClaim &command)
@@ -241,8 +258,11 @@
 void Ledger::expire()
 {
     const std::int64_t claimsBefore = m_logTimeMs - m_options.claimRetention.count();
-    std::erase_if(m_claims, [claimsBefore](const auto &it) {
-        return it.second.state != ClaimState::Held && it.second.endedMs < claimsBefore;
+    const std::int64_t releasesBefore = m_logTimeMs - m_options.releaseRetention.count();
+    std::erase_if(m_claims, [claimsBefore, releasesBefore](const auto &it) {
+        const bool isReleased = it.second.state == ClaimState::Released;
+        return it.second.state != ClaimState::Held
+               && it.second.endedMs < (isReleased ? releasesBefore : claimsBefore);
     });
     const std::int64_t jobsBefore = m_logTimeMs - m_options.jobRetention.count();
     for (auto &[id, job] : m_jobs) {
--- a/libs/ledger/tests/LedgerTest.cpp
+++ b/libs/ledger/tests/LedgerTest.cpp
@@ -150,3 +150,17 @@
     other.attempt = "a1";
     CHECK(rig.run(other).status == Status::Pending);
 }
+
+TEST_CASE("a claim that arrives after its release takes no effect, and others can claim")
+{
+    Rig rig;
+    Claim late = claim(kEntryA);
+    late.attempt = "a1";
+    const ReleaseClaim release{base::TeamId("shop"), "k", kEntryA, "a1"};
+    CHECK(rig.run(release).status == Status::NotFound);
+    CHECK(rig.run(late).status == Status::NotOwner);
+    Claim other = claim(kEntryB);
+    other.attempt = "b1";
+    CHECK(rig.run(other).status == Status::Accepted);
+    CHECK(rig.run(late).status == Status::Pending);
+}
