Claim calls that may not be repeated before they go out

Service calls on routes that may not be repeated, made with an idempotency key, are claimed in the key's group before any byte leaves; a second call with the key gets the recorded answer at any entry, another body a conflict. A caller that goes after the dispatch no longer cancels it, so that its outcome is kept.

--- /dev/null
+++ b/programs/hyssop-entry/ClaimRunner.cpp
@@ -0,0 +1,197 @@
+#include "ClaimRunner.h"
+
+#include <cassert>
+
+namespace hyssop::entry {
+
+namespace {
+
+/// Wait before a release or an outcome that was not recorded is sent again.
+constexpr base::Millis kSettleDelay{1'000};
+/// With the limit of one command, outcomes are kept for recording for over ten minutes.
+constexpr int kMaxSettleTries = 120;
+
+} // namespace
+
+std::string digestOf(const caller::ServiceCall &call)
+{
+    const std::string head = call.service + '\n' + std::string(http::methodName(call.method)) + '\n'
+                             + call.path + '\n';
+    return base::sha256Hex(head + call.body);
+}
+
+ClaimRunner::ClaimRunner(http::Loop *loop, ControlClient *control, caller::Server *callers,
+                         platform::Metrics *metrics, ledger::Owner owner)
+    : m_loop(loop)
+    , m_control(control)
+    , m_callers(callers)
+    , m_metrics(metrics)
+    , m_owner(std::move(owner))
+{ }
+
+void ClaimRunner::begin(ClaimRequest request)
+{
+    const base::TimePoint now = base::monotonicNow();
+    ledger::Claim claim{request.team, request.key, request.digest, m_owner,
+                        std::to_string(++m_lastAttempt)};
+    ClaimFlow flow({std::move(claim), request.deadline});
+    const base::RequestId id = request.id;
+    m_exchanges.emplace(request.exchange, id);
+    const auto [it, isNew] =
+            m_open.emplace(id, Open{std::move(request), std::move(flow), std::nullopt, 0});
+    assert(isNew && "a request is claimed once");
+    perform(id, it->second.flow.start(now));
+}
+
+bool ClaimRunner::onAnswered(const base::RequestId &id, const upstream::ServiceAnswer &answer)
+{
+    const auto it = m_open.find(id);
+    if (it == m_open.end())
+        return false;
+    perform(id, it->second.flow.onAnswered({answer.status, answer.contentType, answer.body},
+                                           base::monotonicNow()));
+    return true;
+}
+
+bool ClaimRunner::onEnded(const base::RequestId &id, const caller::ErrorBody &error)
+{
+    const auto it = m_open.find(id);
+    if (it == m_open.end())
+        return false;
+    perform(id, it->second.flow.onEnded(error, base::monotonicNow()));
+    return true;
+}
+
+bool ClaimRunner::onCallerGone(http::ExchangeId exchange)
+{
+    const auto it = m_exchanges.find(exchange);
+    if (it == m_exchanges.end())
+        return false;
+    const base::RequestId id = it->second;
+    perform(id, m_open.at(id).flow.onCallerGone(base::monotonicNow()));
+    return true;
+}
+
+void ClaimRunner::perform(const base::RequestId &id, const ClaimActions &actions)
+{
+    // An action may end the flow from within, such as a dispatch that the router refuses.
+    for (const ClaimAction &action : actions) {
+        const auto it = m_open.find(id);
+        assert(it != m_open.end() && "a flow with actions is open");
+        ++it->second.unsettled;
+        std::visit([this, &id, &open = it->second](const auto &one) { perform(id, open, one); },
+                   action);
+        --m_open.at(id).unsettled;
+    }
+    eraseIfDone(id);
+}
+
+void ClaimRunner::perform(const base::RequestId &id, Open &open, const SendClaim &action)
+{
+    const ledger::Claim claim = open.flow.claim();
+    ++open.unsettled;
+    m_control->execute(
+            groupOfKey(claim.key), claim,
+            [this, id](const tl::expected<ledger::Reply, ExecuteFailure> &reply) {
+                const std::string result(reply ? statusName(reply->status)
+                                               : executeFailureName(reply.error()));
+                m_metrics->count("hyssop_claims_total", {{"result", result}});
+                Open &open = m_open.at(id);
+                --open.unsettled;
+                perform(id, open.flow.onClaim(reply, base::monotonicNow()));
+            },
+            action.limit);
+}
+
+void ClaimRunner::perform(const base::RequestId &id, Open &open, const SendRelease &)
+{
+    const ledger::Claim &claim = open.flow.claim();
+    ++open.unsettled;
+    settle(id, ledger::ReleaseClaim{claim.team, claim.key, claim.owner, claim.attempt}, 0);
+}
+
+void ClaimRunner::perform(const base::RequestId &id, Open &open, const SendFinish &action)
+{
+    const ledger::Claim &claim = open.flow.claim();
+    ++open.unsettled;
+    settle(id,
+           ledger::FinishClaim{claim.team, claim.key, claim.owner, action.answer, claim.attempt},
+           0);
+}
+
+void ClaimRunner::settle(const base::RequestId &id, const ledger::Command &command, int tries)
+{
+    const std::string group = groupOfKey(m_open.at(id).flow.claim().key);
+    m_control->execute(
+            group, command,
+            [this, id, command, tries](const tl::expected<ledger::Reply, ExecuteFailure> &reply) {
+                if (reply)
+                    return onSettled(id);
+                m_metrics->count("hyssop_claim_settle_retries_total",
+                                 {{"reason", std::string(executeFailureName(reply.error()))}});
+                if (tries + 1 < kMaxSettleTries) {
+                    m_loop->after(kSettleDelay,
+                                  [this, id, command, tries] { settle(id, command, tries + 1); });
+                    return;
+                }
+                // The claim stays held: nobody dispatches the call again.
+                m_metrics->count("hyssop_claims_unsettled_total");
+                base::logEvent("claim_unsettled", {{"team", m_open.at(id).request.team}});
+                onSettled(id);
+            });
+}
+
+void ClaimRunner::onSettled(const base::RequestId &id)
+{
+    Open &open = m_open.at(id);
+    --open.unsettled;
+    perform(id, open.flow.onSettled(base::monotonicNow()));
+}
+
+void ClaimRunner::perform(const base::RequestId &id, Open &open, const WakeAt &action)
+{
+    if (open.timer)
+        m_loop->cancelTimer(*open.timer);
+    const auto delay = std::chrono::ceil<base::Millis>(action.at - base::monotonicNow());
+    open.timer = m_loop->after(std::max(delay, base::Millis(0)), [this, id] {
+        Open &open = m_open.at(id);
+        open.timer.reset();
+        perform(id, open.flow.wake(base::monotonicNow()));
+    });
+}
+
+void ClaimRunner::perform(const base::RequestId &, Open &open, const Dispatch &)
+{
+    const std::function<void()> dispatch = std::exchange(open.request.dispatch, {});
+    dispatch();
+}
+
+void ClaimRunner::perform(const base::RequestId &, Open &open, const AnswerCaller &action)
+{
+    const ledger::Answer &answer = action.answer;
+    if (!open.flow.hasDispatched())
+        m_metrics->count("hyssop_answers_repeated_total");
+    m_callers->answer(open.request.exchange, answer.status, answer.contentType, answer.body);
+    m_exchanges.erase(open.request.exchange);
+}
+
+void ClaimRunner::perform(const base::RequestId &, Open &open, const FailCaller &action)
+{
+    // What the router ended is counted there.
+    if (!open.flow.hasDispatched())
+        m_metrics->count("hyssop_refusals_total", {{"reason", action.error.code}});
+    m_callers->fail(open.request.exchange, action.error);
+    m_exchanges.erase(open.request.exchange);
+}
+
+void ClaimRunner::eraseIfDone(const base::RequestId &id)
+{
+    const auto it = m_open.find(id);
+    if (it == m_open.end() || !it->second.flow.hasAnswered() || it->second.unsettled > 0)
+        return;
+    if (it->second.timer)
+        m_loop->cancelTimer(*it->second.timer);
+    m_open.erase(it);
+}
+
+} // namespace hyssop::entry
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -84,6 +84,9 @@
     m_platform = std::make_unique<platform::Server>(m_loop.get(), &m_metrics,
                                                     [this] { refreshGauges(); });
     m_control = std::make_unique<ControlClient>(m_loop.get(), &m_metrics, m_options.controls);
+    m_claims = std::make_unique<ClaimRunner>(m_loop.get(), m_control.get(), m_callers.get(),
+                                             &m_metrics,
+                                             ledger::Owner{m_options.host, m_options.incarnation});
     m_watcher = std::make_unique<RecordsWatcher>(
             m_loop.get(), m_options.host, m_options.dataCentre, m_options.controls,
             [this](std::shared_ptr<const records::Catalogue> catalogue) {
@@ -216,7 +219,28 @@
     request.exchange = id;
     request.info = *std::move(info);
     request.service = std::move(call);
-    submit(std::move(request));
+    if (needsClaim(request))
+        claim(std::move(request));
+    else
+        submit(std::move(request));
+}
+
+bool EntryTask::needsClaim(const OpenRequest &request)
+{
+    return !request.info.mayRepeat && !request.service->head.idempotencyKey.empty();
+}
+
+void EntryTask::claim(OpenRequest request)
+{
+    ClaimRequest claim;
+    claim.id = request.info.id;
+    claim.exchange = request.exchange;
+    claim.team = request.info.team;
+    claim.key = request.service->head.idempotencyKey;
+    claim.digest = digestOf(*request.service);
+    claim.deadline = request.info.deadline;
+    claim.dispatch = [this, request = std::move(request)] { submit(request); };
+    m_claims->begin(std::move(claim));
 }
 
 void EntryTask::submit(OpenRequest request)
@@ -231,6 +255,8 @@
 void EntryTask::onCallerGone(http::ExchangeId id)
 {
     const auto it = m_exchanges.find(id);
+    if (m_claims->onCallerGone(id))
+        return;
     if (it != m_exchanges.end())
         feed(routing::CallerGone{it->second});
 }
@@ -359,9 +385,12 @@
                                      {"target", it->second.info.target},
                                      {"reason", reason},
                                      {"outcome", outcome}});
-    m_callers->fail(it->second.exchange, errorFor(action));
-    m_exchanges.erase(it->second.exchange);
+    const http::ExchangeId exchange = it->second.exchange;
+    m_exchanges.erase(exchange);
     m_requests.erase(it);
+    const caller::ErrorBody error = errorFor(action);
+    if (!m_claims->onEnded(action.request, error))
+        m_callers->fail(exchange, error);
 }
 
 void EntryTask::perform(const routing::RetryNoted &action)
@@ -429,7 +458,7 @@
         return;
     const auto request = m_requests.find(it->second.request);
     m_attempts.erase(it);
-    if (request != m_requests.end())
+    if (request != m_requests.end() && !m_claims->onAnswered(request->first, answer))
         m_callers->answer(request->second.exchange, answer.status, answer.contentType, answer.body);
     feed(routing::AttemptFinished{id});
 }
@@ -548,7 +577,8 @@
 
 void EntryTask::endWhenIdle(base::TimePoint until)
 {
-    const bool isIdle = m_requests.empty() && m_engines->unconfirmedCancels() == 0;
+    const bool isIdle = m_requests.empty() && m_claims->openFlows() == 0
+                        && m_engines->unconfirmedCancels() == 0;
     if (isIdle || base::monotonicNow() >= until) {
         // One more turn lets the last answers leave.
         m_loop->after(kStopPoll, [this] { m_loop->stop(); });
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "caller/Caller.h"
-#include "ControlClient.h"
+#include "ClaimRunner.h"
 #include "EntryOptions.h"
 #include "http/Http.h"
 #include "membership/Membership.h"
@@ -66,6 +66,9 @@
                                               const std::string &route, routing::UpstreamKind kind);
     void refuse(http::ExchangeId id, routing::Reason reason);
     void submit(OpenRequest request);
+    /// Whether the call may go out only once it is claimed in the log.
+    static bool needsClaim(const OpenRequest &request);
+    void claim(OpenRequest request);
 
     // Router.
     void feed(const routing::Event &event);
@@ -120,6 +123,7 @@
     std::unique_ptr<routing::Router> m_router;
     std::unique_ptr<RecordsWatcher> m_watcher;
     std::unique_ptr<ControlClient> m_control;
+    std::unique_ptr<ClaimRunner> m_claims;
     std::unique_ptr<peers::Node> m_peers;
     membership::Directory m_directory;
     std::shared_ptr<const records::Catalogue> m_catalogue;
