--- a/libs/membership/include/membership/Membership.h
+++ b/libs/membership/include/membership/Membership.h
@@ -41,25 +41,201 @@
     routing::UpstreamInfo upstream;
 };
 
+/// An announcement's place in time, without its content.
+struct UpstreamRow
+{
+    base::UpstreamId id;
+    std::uint32_t contentTag = 0; ///< Of incarnation and content.
+    std::int64_t sequence = 0;
+};
+
+/// The upstreams of a data centre. Life times run on this host's clock from the receipt.
+///
+/// What has ended is remembered for a while, so that an older announcement which is still under
+/// way between hosts does not bring it back.
 class Directory
 {
 public:
-    /// Takes an announcement; answers with the change, if it was news.
+    /// How long an ended upstream is remembered.
+    static constexpr base::Millis kRememberEnded{600'000};
+
+    /// Time added to each ttl from here on: an upstream tells only some hosts, and what they pass
+    /// on takes so long to arrive.
+    void setAllowance(base::Millis allowance) { m_allowance = allowance; }
+
+    /// Takes an announcement, from the upstream itself or passed on by another host; answers with
+    /// the change, if its content is news.
     std::vector<DirectoryChange> announce(const Announcement &announcement, base::TimePoint now);
+    enum class Refresh {
+        Renewed,
+        Old, ///< Nothing new.
+        Unknown, ///< The content belonging to the row is not held here.
+    };
+    /// Renews an upstream that another host has heard from later.
+    Refresh refresh(const UpstreamRow &row, base::TimePoint now);
     /// Drops what has outlived its ttl.
     std::vector<DirectoryChange> tick(base::TimePoint now);
 
     const Announcement *find(const base::UpstreamId &id) const;
-    /// All announcements with the rest of their ttl, to be passed on to other hosts.
-    std::vector<Announcement> live(base::TimePoint now) const;
+    std::vector<Announcement> all() const;
+    std::vector<UpstreamRow> rows() const;
+    std::size_t size() const { return m_items.size(); }
 
 private:
     struct Item
     {
         Announcement announcement;
+        std::uint32_t contentTag = 0;
         base::TimePoint expires;
     };
+    /// Last word of an upstream that has ended.
+    struct Ended
+    {
+        base::Incarnation incarnation;
+        std::int64_t sequence = 0;
+        std::uint32_t contentTag = 0;
+        base::TimePoint until;
+    };
+
+    bool isOld(const Announcement &announcement) const;
+
     std::map<base::UpstreamId, Item> m_items;
+    std::map<base::UpstreamId, Ended> m_ended;
+    base::Millis m_allowance{0};
+};
+
+/// What hosts tell each other of one host. A higher (incarnation, sequence) replaces a lower one.
+struct HostRow
+{
+    base::HostId id;
+    base::Incarnation incarnation;
+    std::int64_t sequence = 0;
+    base::Endpoint address; ///< For RPC of peers; port 0 when not told.
+};
+
+struct HostChange
+{
+    enum class Kind {
+        Seen, ///< There, or there again.
+        Suspected,
+        Dead,
+        Replaced, ///< Back under a higher incarnation; \c incarnation is the one that ended.
+    };
+    Kind kind = Kind::Seen;
+    base::HostId host;
+    base::Incarnation incarnation;
+};
+
+/// Liveness of the entry hosts of a data centre, by how long nothing new was heard of them.
+class HostTable
+{
+public:
+    static constexpr base::Millis kSuspectAfter{4'000};
+    static constexpr base::Millis kDeadAfter{8'000};
+    /// How long a dead host is remembered.
+    static constexpr base::Millis kForgetAfter{86'400'000};
+
+    explicit HostTable(HostRow self);
+
+    /// Time added to both bounds from here on, for what the news of a host takes to arrive.
+    void setAllowance(base::Millis allowance) { m_allowance = allowance; }
+
+    /// Counts this host's own heartbeat on.
+    void beat() { ++m_self.sequence; }
+    const HostRow &self() const { return m_self; }
+    std::vector<HostChange> hear(const HostRow &row, base::TimePoint now);
+    std::vector<HostChange> tick(base::TimePoint now);
+
+    const HostRow *find(const base::HostId &id) const;
+    bool isDead(const base::HostId &id) const;
+    /// Every host that is not dead, this one included, in id order.
+    std::vector<HostRow> live() const;
+    /// Whether a host has come up within \a span.
+    bool isNew(const base::HostId &id, base::Millis span, base::TimePoint now) const;
+
+private:
+    enum class State { Live, Suspected, Dead };
+    struct Item
+    {
+        HostRow row;
+        State state = State::Live;
+        base::TimePoint since; ///< First heard of this incarnation.
+        base::TimePoint heard; ///< Last news.
+    };
+
+    HostRow m_self;
+    std::map<base::HostId, Item> m_items;
+    base::Millis m_allowance{0};
+};
+
+/// What one host tells another in one message.
+struct SpreadMessage
+{
+    HostRow from;
+    std::vector<HostRow> hosts;
+    std::vector<Announcement> news;
+    std::vector<UpstreamRow> seen;
+    std::vector<base::UpstreamId> wanted; ///< Contents that the sender lacks.
+};
+
+struct SpreadOptions
+{
+    std::vector<base::Endpoint> seeds; ///< Addresses of hosts to begin with.
+    base::Millis beat{250};
+    /// Bound on what rows cost, all targets together; they go out less often beyond it.
+    base::Bytes rowBytesPerSecond{7'000};
+    std::uint64_t seed = 1;
+};
+
+/// Decides what is told to whom, beat by beat, and takes in what is heard.
+///
+/// Changed contents go out on every beat for as many beats as they need to reach everyone. Rows,
+/// which renew and serve as a digest, go out as often as their bound allows; a host that sees a
+/// row without its content asks for it. In a small data centre every host hears from every other;
+/// in a large one each beat goes to one host at a doubling distance and to one drawn by chance.
+class Spread
+{
+public:
+    Spread(SpreadOptions options, HostTable *hosts, Directory *directory);
+
+    struct Outgoing
+    {
+        base::Endpoint to;
+        SpreadMessage message;
+    };
+    std::vector<Outgoing> beat(base::TimePoint now);
+
+    struct Changes
+    {
+        std::vector<DirectoryChange> upstreams;
+        std::vector<HostChange> hosts;
+    };
+    /// Takes an announcement from the upstream itself.
+    std::vector<DirectoryChange> announce(const Announcement &announcement, base::TimePoint now);
+    Changes receive(const SpreadMessage &message, base::TimePoint now);
+    /// Whether every other host is told on every beat.
+    bool tellsAll() const;
+
+private:
+    std::vector<base::Endpoint> targets();
+    /// Beats from rows to rows, so that they keep to their bound.
+    std::size_t rowInterval() const;
+    /// Time that a row may take to reach every host.
+    base::Millis allowance() const;
+    void addRows(SpreadMessage &message, base::TimePoint now) const;
+    void addNews(SpreadMessage &message);
+    void noteNews(const std::vector<DirectoryChange> &changes);
+
+    SpreadOptions m_options;
+    HostTable *m_hosts;
+    Directory *m_directory;
+    base::Rng m_rng;
+    std::size_t m_beats = 0;
+    std::size_t m_rowBeat = 0; ///< Beat on which rows last went out.
+    std::size_t m_rounds = 0; ///< Times that rows went out.
+    std::map<base::UpstreamId, int> m_news; ///< Beats left for each changed content.
+    std::map<base::HostId, std::vector<base::UpstreamId>> m_owed; ///< Asked for by other hosts.
+    std::map<base::HostId, std::vector<base::UpstreamId>> m_wanted; ///< To be asked of them.
 };
 
 } // namespace hyssop::membership
--- /dev/null
+++ b/libs/membership/src/Spread.cpp
@@ -0,0 +1,201 @@
+#include "membership/Membership.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace hyssop::membership {
+
+namespace {
+
+/// Up to so many other hosts, each hears from each.
+constexpr std::size_t kSmall = 7;
+/// Targets of a beat where there are more.
+constexpr std::size_t kTargets = 2;
+/// Bytes of a row as encoded, about.
+constexpr std::size_t kUpstreamRowBytes = 24;
+constexpr std::size_t kHostRowBytes = 28;
+/// Contents in one message.
+constexpr std::size_t kMaxNews = 16;
+/// The longest time between rows, in beats.
+constexpr std::size_t kMaxRowInterval = 8;
+/// Seeds that are no known host are tried on each so many beats.
+constexpr std::size_t kSeedInterval = 4;
+/// How long a host's address is passed on after it came up, and how often later.
+constexpr base::Millis kNewHost{5'000};
+constexpr std::size_t kAddressInterval = 32;
+
+bool contains(const std::vector<base::Endpoint> &list, const base::Endpoint &one)
+{
+    return std::find(list.begin(), list.end(), one) != list.end();
+}
+
+} // namespace
+
+Spread::Spread(SpreadOptions options, HostTable *hosts, Directory *directory)
+    : m_options(std::move(options))
+    , m_hosts(hosts)
+    , m_directory(directory)
+    , m_rng(m_options.seed)
+{ }
+
+bool Spread::tellsAll() const
+{
+    return m_hosts->live().size() <= kSmall + 1;
+}
+
+std::vector<base::Endpoint> Spread::targets()
+{
+    const std::vector<HostRow> live = m_hosts->live();
+    std::vector<base::Endpoint> known;
+    for (const HostRow &row : live) {
+        if (row.id != m_hosts->self().id && row.address.port != 0)
+            known.push_back(row.address);
+    }
+    std::vector<base::Endpoint> chosen = known;
+    if (known.size() > kSmall) {
+        const auto isSelf = [this](const HostRow &it) { return it.id == m_hosts->self().id; };
+        const auto self = static_cast<std::size_t>(std::find_if(live.begin(), live.end(), isSelf)
+                                                   - live.begin());
+        const auto distances = static_cast<std::size_t>(std::bit_width(live.size() - 1));
+        const std::size_t distance = std::size_t(1) << (m_rounds % distances);
+        chosen = {live[(self + distance) % live.size()].address};
+        const std::size_t n =
+                std::uniform_int_distribution<std::size_t>(0, known.size() - 1)(m_rng);
+        if (!contains(chosen, known[n]))
+            chosen.push_back(known[n]);
+    }
+    if (m_beats % kSeedInterval == 0 || known.empty()) {
+        for (const base::Endpoint &seed : m_options.seeds) {
+            if (!contains(known, seed))
+                chosen.push_back(seed);
+        }
+    }
+    std::erase_if(chosen, [](const base::Endpoint &it) { return it.port == 0; });
+    return chosen;
+}
+
+std::size_t Spread::rowInterval() const
+{
+    const std::size_t hosts = m_hosts->live().size();
+    const std::size_t bytes = m_directory->size() * kUpstreamRowBytes + hosts * kHostRowBytes;
+    const std::size_t targets = tellsAll() ? hosts - 1 : kTargets;
+    const auto bound = static_cast<std::size_t>(m_options.rowBytesPerSecond.count()
+                                                * m_options.beat.count() / 1'000);
+    return std::clamp<std::size_t>((bytes * targets + bound - 1) / bound, 1, kMaxRowInterval);
+}
+
+base::Millis Spread::allowance() const
+{
+    const auto hosts = static_cast<unsigned>(m_hosts->live().size());
+    const int rounds = tellsAll() ? 2 : 2 * std::bit_width(hosts);
+    return m_options.beat * static_cast<int>(rowInterval()) * rounds;
+}
+
+void Spread::addRows(SpreadMessage &message, base::TimePoint now) const
+{
+    message.seen = m_directory->rows();
+    const bool tellsAddresses = m_beats % kAddressInterval < kMaxRowInterval;
+    for (HostRow &row : m_hosts->live()) {
+        if (row.id == m_hosts->self().id)
+            continue;
+        if (!tellsAddresses && !m_hosts->isNew(row.id, kNewHost, now))
+            row.address = {};
+        message.hosts.push_back(std::move(row));
+    }
+}
+
+void Spread::addNews(SpreadMessage &message)
+{
+    for (auto it = m_news.begin(); it != m_news.end() && message.news.size() < kMaxNews;) {
+        const Announcement *announcement = m_directory->find(it->first);
+        if (announcement)
+            message.news.push_back(*announcement);
+        const bool isOver = !announcement || --it->second <= 0;
+        it = isOver ? m_news.erase(it) : std::next(it);
+    }
+}
+
+std::vector<Spread::Outgoing> Spread::beat(base::TimePoint now)
+{
+    ++m_beats;
+    m_hosts->beat();
+    m_hosts->setAllowance(allowance());
+    m_directory->setAllowance(allowance());
+    SpreadMessage common;
+    common.from = m_hosts->self();
+    addNews(common);
+    const std::vector<base::Endpoint> chosen = targets();
+    if (m_beats - m_rowBeat >= rowInterval()) {
+        m_rowBeat = m_beats;
+        ++m_rounds;
+        addRows(common, now);
+    }
+    std::vector<Outgoing> out;
+    for (const base::Endpoint &to : chosen)
+        out.push_back({to, common});
+    // Contents asked for, and questions, go to their hosts on top.
+    std::map<base::HostId, SpreadMessage> direct;
+    for (const auto &[host, ids] : std::exchange(m_owed, {})) {
+        for (const base::UpstreamId &id : ids) {
+            if (const Announcement *it = m_directory->find(id))
+                direct[host].news.push_back(*it);
+        }
+    }
+    for (auto &[host, ids] : std::exchange(m_wanted, {}))
+        direct[host].wanted = std::move(ids);
+    for (auto &[host, message] : direct) {
+        const HostRow *row = m_hosts->find(host);
+        message.from = m_hosts->self();
+        if (row && row->address.port != 0)
+            out.push_back({row->address, std::move(message)});
+    }
+    return out;
+}
+
+void Spread::noteNews(const std::vector<DirectoryChange> &changes)
+{
+    const auto hosts = static_cast<unsigned>(m_hosts->live().size());
+    const int beats = 2 * std::bit_width(hosts) + 2;
+    for (const DirectoryChange &change : changes)
+        m_news[change.upstream.id] = beats;
+}
+
+std::vector<DirectoryChange> Spread::announce(const Announcement &announcement, base::TimePoint now)
+{
+    const auto changes = m_directory->announce(announcement, now);
+    noteNews(changes);
+    return changes;
+}
+
+Spread::Changes Spread::receive(const SpreadMessage &message, base::TimePoint now)
+{
+    Changes changes;
+    const auto hear = [&](const HostRow &row) {
+        const auto heard = m_hosts->hear(row, now);
+        changes.hosts.insert(changes.hosts.end(), heard.begin(), heard.end());
+    };
+    hear(message.from);
+    for (const HostRow &row : message.hosts)
+        hear(row);
+    for (const Announcement &announcement : message.news) {
+        const auto taken = m_directory->announce(announcement, now);
+        noteNews(taken);
+        changes.upstreams.insert(changes.upstreams.end(), taken.begin(), taken.end());
+    }
+    std::vector<base::UpstreamId> wanted;
+    for (const UpstreamRow &row : message.seen) {
+        if (m_directory->refresh(row, now) == Directory::Refresh::Unknown
+            && wanted.size() < kMaxNews)
+            wanted.push_back(row.id);
+    }
+    if (!wanted.empty())
+        m_wanted[message.from.id] = std::move(wanted);
+    if (!message.wanted.empty()) {
+        auto &owed = m_owed[message.from.id];
+        owed = message.wanted;
+        owed.resize(std::min(owed.size(), kMaxNews));
+    }
+    return changes;
+}
+
+} // namespace hyssop::membership
--- a/programs/hyssop-entry/Gossip.cpp
+++ b/programs/hyssop-entry/Gossip.cpp
@@ -4,18 +4,75 @@
 
 namespace hyssop::entry {
 
+namespace {
+
+using membership::HostRow;
 using nlohmann::json;
 
+// Rows are arrays: names of fields would cost more than their values.
+
+json toJson(const HostRow &row)
+{
+    json j{row.id.text(), row.incarnation.count(), row.sequence};
+    if (row.address.port != 0)
+        j.push_back(row.address.text());
+    return j;
+}
+
+HostRow hostRow(const json &j)
+{
+    HostRow row;
+    row.id = base::HostId(j.at(0).get<std::string>());
+    row.incarnation = base::Incarnation(j.at(1).get<std::int64_t>());
+    row.sequence = j.at(2).get<std::int64_t>();
+    if (j.size() > 3)
+        row.address = base::parseEndpoint(j.at(3).get<std::string>()).value_or(base::Endpoint());
+    return row;
+}
+
+json toJson(const membership::SpreadMessage &spread)
+{
+    json hosts = json::array();
+    for (const HostRow &row : spread.hosts)
+        hosts.push_back(toJson(row));
+    json news = json::array();
+    for (const membership::Announcement &announcement : spread.news)
+        news.push_back(membership::toJson(announcement));
+    json seen = json::array();
+    for (const membership::UpstreamRow &row : spread.seen)
+        seen.push_back({row.id.text(), row.contentTag, row.sequence});
+    json wanted = json::array();
+    for (const base::UpstreamId &id : spread.wanted)
+        wanted.push_back(id.text());
+    return {toJson(spread.from), hosts, news, seen, wanted};
+}
+
+membership::SpreadMessage spreadMessage(const json &j)
+{
+    membership::SpreadMessage spread;
+    spread.from = hostRow(j.at(0));
+    for (const json &row : j.at(1))
+        spread.hosts.push_back(hostRow(row));
+    for (const json &one : j.at(2)) {
+        if (auto announcement = membership::parseAnnouncement(one.get<std::string>()))
+            spread.news.push_back(*std::move(announcement));
+    }
+    for (const json &row : j.at(3))
+        spread.seen.push_back({base::UpstreamId(row.at(0).get<std::string>()),
+                               row.at(1).get<std::uint32_t>(), row.at(2).get<std::int64_t>()});
+    for (const json &id : j.at(4))
+        spread.wanted.emplace_back(id.get<std::string>());
+    return spread;
+}
+
+} // namespace
+
 std::string encode(const GossipBody &body)
 {
-    json announcements = json::array();
-    for (const membership::Announcement &announcement : body.announcements)
-        announcements.push_back(membership::toJson(announcement));
     json outstanding = json::array();
     for (const routing::PeerOutstanding &one : body.outstanding)
         outstanding.push_back({one.upstream.text(), one.prompt.count(), one.requests});
-    const std::vector<std::uint8_t> cbor =
-            json::to_cbor({{"announcements", announcements}, {"outstanding", outstanding}});
+    const std::vector<std::uint8_t> cbor = json::to_cbor({toJson(body.spread), outstanding});
     return {reinterpret_cast<const char *>(cbor.data()), cbor.size()};
 }
 
@@ -26,13 +83,11 @@
         return std::nullopt;
     GossipBody body;
     try {
-        for (const json &one : j.at("announcements")) {
-            if (auto announcement = membership::parseAnnouncement(one.get<std::string>()))
-                body.announcements.push_back(*std::move(announcement));
-        }
-        for (const json &one : j.at("outstanding"))
-            body.outstanding.push_back({base::HostId(), base::UpstreamId(one.at(0)),
-                                        base::Tokens(one.at(1)), one.at(2)});
+        body.spread = spreadMessage(j.at(0));
+        for (const json &one : j.at(1))
+            body.outstanding.push_back({base::HostId(),
+                                        base::UpstreamId(one.at(0).get<std::string>()),
+                                        base::Tokens(one.at(1).get<std::int64_t>()), one.at(2)});
     } catch (const json::exception &) {
         return std::nullopt;
     }
--- a/programs/hyssop-entry/Gossip.h
+++ b/programs/hyssop-entry/Gossip.h
@@ -5,10 +5,10 @@
 
 namespace hyssop::entry {
 
-/// What one entry host tells the others of its data centre.
+/// What one entry host tells another of its data centre.
 struct GossipBody
 {
-    std::vector<membership::Announcement> announcements;
+    membership::SpreadMessage spread;
     std::vector<routing::PeerOutstanding> outstanding;
 };
 
--- /dev/null
+++ b/programs/hyssop-entry/tests/GossipTest.cpp
@@ -0,0 +1,86 @@
+#include "Gossip.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssop;
+using namespace hyssop::entry;
+
+namespace {
+
+constexpr int kHosts = 39;
+constexpr int kUpstreams = 88;
+constexpr base::Millis kBeat{250};
+constexpr int kSeconds = 20;
+/// Bound on control traffic of a host, bytes a second.
+constexpr std::size_t kControlBound = 23'000;
+
+membership::Announcement announcement(int n, std::int64_t sequence)
+{
+    membership::Announcement it;
+    it.upstream.id = base::UpstreamId("engine-" + std::to_string(n));
+    it.upstream.incarnation = base::Incarnation(1'796'331'850'099);
+    it.upstream.models = {"model-" + std::to_string(n % 36)};
+    it.upstream.kvTokens = base::Tokens(400'000);
+    it.sequence = sequence;
+    it.address = {"10.0.0.1", 9'000};
+    it.ttl = base::Millis(2'000);
+    return it;
+}
+
+} // namespace
+
+TEST_CASE("a gossip body survives its wire form, and cut bytes are refused")
+{
+    GossipBody body;
+    body.spread.from = {base::HostId("a"), base::Incarnation(7), 3, {"127.0.0.1", 8}};
+    body.spread.hosts = {{base::HostId("b"), base::Incarnation(8), 4, {}}};
+    body.spread.news = {announcement(1, 2)};
+    body.spread.seen = {{base::UpstreamId("engine-2"), 77, 5}};
+    body.spread.wanted = {base::UpstreamId("engine-3")};
+    body.outstanding = {{base::HostId(), base::UpstreamId("engine-1"), base::Tokens(9), 2}};
+    const std::string bytes = encode(body);
+    const auto again = decodeGossip(bytes);
+    REQUIRE(again);
+    CHECK(encode(*again) == bytes);
+    CHECK(again->spread.from.address == base::Endpoint{"127.0.0.1", 8});
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        CHECK_FALSE(decodeGossip(std::string_view(bytes).substr(0, n)));
+}
+
+TEST_CASE("gossip at the target size stays within the bound on control traffic")
+{
+    const base::TimePoint start{std::chrono::seconds(1'000)};
+    membership::HostRow self{base::HostId("entry-20"),
+                             base::Incarnation(1'796'331'850'099),
+                             1,
+                             {"10.0.1.20", 8'300}};
+    membership::HostTable hosts(self);
+    membership::Directory directory;
+    membership::Spread spread({}, &hosts, &directory);
+    std::int64_t sequence = 100'000;
+    std::size_t bytes = 0;
+    for (base::TimePoint now = start; now < start + std::chrono::seconds(2 * kSeconds);
+         now += kBeat) {
+        ++sequence;
+        for (int n = 0; n < kHosts; ++n) {
+            membership::HostRow row = self;
+            row.id = base::HostId("entry-" + std::to_string(n));
+            row.sequence = sequence;
+            row.address.port = static_cast<std::uint16_t>(8'000 + n);
+            hosts.hear(row, now);
+        }
+        for (int n = 0; n < kUpstreams; ++n)
+            spread.announce(announcement(n, sequence), now);
+        // Contents are news only in the first half.
+        for (const auto &out : spread.beat(now))
+            bytes += now < start + std::chrono::seconds(kSeconds)
+                             ? 0
+                             : encode({out.message, {}}).size();
+    }
+    const std::size_t bytesPerSecond = bytes / kSeconds;
+    CAPTURE(bytesPerSecond);
+    WARN("gossip sent at the target size: " << bytesPerSecond << " bytes/s");
+    // As much comes in as goes out.
+    CHECK(2 * bytesPerSecond < kControlBound);
+    CHECK(bytesPerSecond > 0);
+}
