Gossip tells deltas, rows and liveness at a bounded cost

Cause: each host sent every announcement to every peer each 250 ms, knew only the peers of its settings, did not notice dead hosts, and an upstream that had ended could be brought back by what other hosts still passed on. Change: membership::Spread decides what is told to whom: changed contents on every beat for as many beats as they need, rows within 7 KB/s, contents asked for where a row shows that they are missing, to all hosts while they are at most eight and else to two a beat. membership::HostTable gives liveness by silence; hosts learn of each other from any seed. A directory remembers what has ended. Outstanding work is told only while every host hears from every other. Conclusion: before, 88 announcements of 330 bytes to 38 peers 4 times a second were 4.4 MB/s. A silent upstream is dropped later at that size, after its ttl and up to 12 s, for what rows take.

--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -1,7 +1,6 @@
 #include "EntryTask.h"
 
 #include "Errors.h"
-#include "Gossip.h"
 
 #include <nlohmann/json.hpp>
 
@@ -9,8 +8,6 @@
 
 namespace {
 
-constexpr base::Millis kBeatInterval{250};
-constexpr base::Millis kGossipTimeout{1'000};
 constexpr base::Millis kStopPoll{20};
 
 double secondsBetween(base::TimePoint from, base::TimePoint to)
@@ -106,6 +103,7 @@
         return tl::unexpected("cannot listen on " + m_options.listenPeers.text() + ": "
                               + node.error().message);
     m_peers = *std::move(node);
+    m_gossiper = makeGossiper();
     m_control->setNode(m_peers.get());
     base::logEvent("listening", {{"callers", callers->text()},
                                  {"upstreams", upstreams->text()},
@@ -120,7 +118,7 @@
                                {"data_centre", m_options.dataCentre},
                                {"incarnation", m_options.incarnation.count()}});
     m_watcher->start(m_peers.get());
-    beat();
+    m_gossiper->start(m_peers.get());
     m_loop->run();
     base::logEvent("stopped", {{"host", m_options.host}});
 }
@@ -201,6 +199,7 @@
     OpenRequest request;
     request.exchange = id;
     request.body = engineBody(call, *m_catalogue->route(call.model));
+    info->body = base::Bytes(static_cast<std::int64_t>(request.body.size()));
     request.info = *std::move(info);
     submit(std::move(request));
 }
@@ -210,6 +209,7 @@
     auto info = admit(id, call.head, call.service, routing::UpstreamKind::Service);
     if (!info)
         return;
+    info->body = base::Bytes(static_cast<std::int64_t>(call.body.size()));
     OpenRequest request;
     request.exchange = id;
     request.info = *std::move(info);
@@ -275,10 +275,15 @@
 
 void EntryTask::perform(const routing::StartAttempt &action)
 {
-    const membership::Announcement *upstream = m_directory.find(action.upstream);
+    const membership::Announcement *upstream = m_gossiper->directory().find(action.upstream);
     const OpenRequest &request = m_requests.at(action.request);
-    const base::Endpoint address = upstream ? upstream->address : base::Endpoint();
-    m_attempts[action.attempt] = {action.request, address, request.service.has_value()};
+    OpenAttempt &open = m_attempts[action.attempt];
+    open.request = action.request;
+    open.isService = request.service.has_value();
+    open.isResume = action.resumesStream;
+    if (upstream)
+        open.address = upstream->address;
+    const base::Endpoint address = open.address;
     m_metrics.count("hyssop_attempts_total", {{"upstream", action.upstream.text()}});
     if (request.service) {
         upstream::ServiceCall call;
@@ -299,6 +304,7 @@
     attempt.body = request.body;
     attempt.remaining = action.remaining;
     attempt.urgency = action.urgency;
+    attempt.priority = action.priority;
     attempt.resumeOffset = action.resumeOffset;
     attempt.resumesStream = action.resumesStream;
     m_engines->start(std::move(attempt));
@@ -363,6 +369,19 @@
     base::logEvent("retry", {{"request", action.request}, {"reason", fault}});
 }
 
+void EntryTask::perform(const routing::StallNoted &action)
+{
+    m_metrics.count("hyssop_stalls_total", {{"upstream", action.upstream.text()}});
+    base::logEvent("stalled", {{"request", action.request}, {"upstream", action.upstream}});
+}
+
+void EntryTask::perform(const routing::EjectionNoted &action)
+{
+    m_metrics.count("hyssop_ejections_total", {{"upstream", action.upstream.text()}});
+    base::logEvent("ejected",
+                   {{"upstream", action.upstream}, {"duration_ms", action.duration.count()}});
+}
+
 // Upstreams.
 
 void EntryTask::onAccepted(const base::AttemptId &id)
@@ -388,11 +407,9 @@
                          base::Millis retryAfter)
 {
     const auto it = m_attempts.find(id);
-    if (it != m_attempts.end() && !routing::provesNotRun(fault)) {
-        // The engine may still be working on it.
-        m_engines->cancel(id, it->second.address);
-    }
-    m_attempts.erase(id);
+    // Others may still run at their engine: the router resumes or cancels them.
+    if (it != m_attempts.end() && routing::provesNotRun(fault) && !it->second.isResume)
+        m_attempts.erase(it);
     m_metrics.count("hyssop_attempt_faults_total",
                     {{"reason", std::string(attemptFaultName(fault))}});
     feed(routing::AttemptFailed{id, fault, retryAfter});
@@ -425,17 +442,15 @@
 
 void EntryTask::onAnnouncement(const membership::Announcement &announcement)
 {
-    apply(m_directory.announce(announcement, base::monotonicNow()));
+    m_gossiper->announce(announcement);
 }
 
-void EntryTask::apply(const std::vector<membership::DirectoryChange> &changes)
+void EntryTask::onUpstream(const membership::DirectoryChange &change)
 {
-    for (const membership::DirectoryChange &change : changes) {
-        if (change.kind == membership::DirectoryChange::Kind::Seen)
-            feed(routing::UpstreamSeen{change.upstream});
-        else
-            feed(routing::UpstreamGone{change.upstream.id});
-    }
+    if (change.kind == membership::DirectoryChange::Kind::Seen)
+        feed(routing::UpstreamSeen{change.upstream});
+    else
+        feed(routing::UpstreamGone{change.upstream.id});
 }
 
 // Other hosts.
@@ -452,20 +467,7 @@
 
 void EntryTask::onGossip(peers::GossipMessage message)
 {
-    m_loop->post([this, message = std::move(message)] { takeGossip(message); });
-}
-
-void EntryTask::takeGossip(const peers::GossipMessage &message)
-{
-    const auto body = decodeGossip(message.body);
-    if (!body)
-        return;
-    for (const membership::Announcement &announcement : body->announcements)
-        onAnnouncement(announcement);
-    for (routing::PeerOutstanding one : body->outstanding) {
-        one.host = message.from;
-        feed(one);
-    }
+    m_loop->post([this, message = std::move(message)] { m_gossiper->receive(message); });
 }
 
 void EntryTask::onQuery(peers::QueryRequest, peers::Answer<std::string> answer)
@@ -473,25 +475,20 @@
     answer("");
 }
 
-void EntryTask::gossip()
+std::unique_ptr<Gossiper> EntryTask::makeGossiper()
 {
-    GossipBody body;
-    body.announcements = m_directory.live(base::monotonicNow());
-    body.outstanding = m_router->outstanding();
-    const std::string bytes = encode(body);
-    for (const base::Endpoint &peer : m_options.peers)
-        m_peers->gossip(peer, {m_options.host, bytes}, kGossipTimeout);
+    Gossiper::Hooks hooks;
+    hooks.onUpstream = [this](const auto &it) { onUpstream(it); };
+    hooks.onHost = [](const auto &) {};
+    hooks.onOutstanding = [this](const auto &it) { feed(it); };
+    hooks.readOutstanding = [this] { return m_router->outstanding(); };
+    const membership::HostRow self{m_options.host, m_options.incarnation, 0, m_peers->address()};
+    return std::make_unique<Gossiper>(m_loop.get(), &m_metrics, self, m_options.peers,
+                                      std::move(hooks));
 }
 
 // Life of the host.
 
-void EntryTask::beat()
-{
-    apply(m_directory.tick(base::monotonicNow()));
-    gossip();
-    m_loop->after(kBeatInterval, [this] { beat(); });
-}
-
 void EntryTask::refreshGauges()
 {
     const routing::RouterStats stats = m_router->stats();
@@ -500,6 +497,8 @@
     m_metrics.set("hyssop_outstanding_prompt_tokens",
                   static_cast<double>(stats.outstanding.count()));
     m_metrics.set("hyssop_upstreams", static_cast<double>(stats.upstreams));
+    m_metrics.set("hyssop_ejected_upstreams", static_cast<double>(stats.ejected));
+    m_metrics.set("hyssop_open_body_bytes", static_cast<double>(stats.body.count()));
     m_metrics.set("hyssop_records_index", static_cast<double>(m_watcher->position().index));
     m_metrics.set("hyssop_records_confirmed", m_watcher->isConfirmed() ? 1 : 0);
     m_metrics.set("hyssop_unconfirmed_cancels",
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -3,6 +3,7 @@
 #include "caller/Caller.h"
 #include "ControlClient.h"
 #include "EntryOptions.h"
+#include "Gossiper.h"
 #include "http/Http.h"
 #include "membership/Membership.h"
 #include "peers/Peers.h"
@@ -48,6 +49,7 @@
         base::RequestId request;
         base::Endpoint address;
         bool isService = false;
+        bool isResume = false;
     };
 
     explicit EntryTask(EntryOptions options);
@@ -75,6 +77,8 @@
     void perform(const routing::CompleteRequest &action);
     void perform(const routing::EndRequest &action);
     void perform(const routing::RetryNoted &action);
+    void perform(const routing::StallNoted &action);
+    void perform(const routing::EjectionNoted &action);
     void scheduleTick();
 
     // Upstreams.
@@ -88,7 +92,7 @@
     void onAnswer(const base::AttemptId &id, upstream::ServiceAnswer answer) override;
     void onFailed(const base::AttemptId &id, routing::AttemptFault fault) override;
     void onAnnouncement(const membership::Announcement &announcement);
-    void apply(const std::vector<membership::DirectoryChange> &changes);
+    void onUpstream(const membership::DirectoryChange &change);
 
     // Other hosts.
     void onWatch(peers::WatchRequest request, peers::Answer<peers::WatchReply> answer) override;
@@ -97,11 +101,9 @@
     void onReplicate(peers::ReplicateMessage) override { }
     void onGossip(peers::GossipMessage message) override;
     void onQuery(peers::QueryRequest request, peers::Answer<std::string> answer) override;
-    void takeGossip(const peers::GossipMessage &message);
-    void gossip();
+    std::unique_ptr<Gossiper> makeGossiper();
 
     // Life of the host.
-    void beat();
     void refreshGauges();
     void beginStop();
     void endWhenIdle(base::TimePoint until);
@@ -118,7 +120,7 @@
     std::unique_ptr<RecordsWatcher> m_watcher;
     std::unique_ptr<ControlClient> m_control;
     std::unique_ptr<peers::Node> m_peers;
-    membership::Directory m_directory;
+    std::unique_ptr<Gossiper> m_gossiper;
     std::shared_ptr<const records::Catalogue> m_catalogue;
     std::map<base::RequestId, OpenRequest> m_requests;
     std::map<http::ExchangeId, base::RequestId> m_exchanges;
--- a/programs/hyssop-entry/Gossip.cpp
+++ b/programs/hyssop-entry/Gossip.cpp
@@ -71,7 +71,8 @@
 {
     json outstanding = json::array();
     for (const routing::PeerOutstanding &one : body.outstanding)
-        outstanding.push_back({one.upstream.text(), one.prompt.count(), one.requests});
+        outstanding.push_back({one.upstream.text(), one.prompt.count(), one.requests,
+                               one.longPrompt.count(), one.kv.count()});
     const std::vector<std::uint8_t> cbor = json::to_cbor({toJson(body.spread), outstanding});
     return {reinterpret_cast<const char *>(cbor.data()), cbor.size()};
 }
@@ -87,7 +88,9 @@
         for (const json &one : j.at(1))
             body.outstanding.push_back({base::HostId(),
                                         base::UpstreamId(one.at(0).get<std::string>()),
-                                        base::Tokens(one.at(1).get<std::int64_t>()), one.at(2)});
+                                        base::Tokens(one.at(1).get<std::int64_t>()), one.at(2),
+                                        base::Tokens(one.at(3).get<std::int64_t>()),
+                                        base::Tokens(one.at(4).get<std::int64_t>())});
     } catch (const json::exception &) {
         return std::nullopt;
     }
--- a/programs/hyssop-entry/tests/GossipTest.cpp
+++ b/programs/hyssop-entry/tests/GossipTest.cpp
@@ -37,7 +37,8 @@
     body.spread.news = {announcement(1, 2)};
     body.spread.seen = {{base::UpstreamId("engine-2"), 77, 5}};
     body.spread.wanted = {base::UpstreamId("engine-3")};
-    body.outstanding = {{base::HostId(), base::UpstreamId("engine-1"), base::Tokens(9), 2}};
+    body.outstanding = {{base::HostId(), base::UpstreamId("engine-1"), base::Tokens(9), 2,
+                         base::Tokens(4), base::Tokens(30)}};
     const std::string bytes = encode(body);
     const auto again = decodeGossip(bytes);
     REQUIRE(again);
@@ -79,7 +80,6 @@
     }
     const std::size_t bytesPerSecond = bytes / kSeconds;
     CAPTURE(bytesPerSecond);
-    WARN("gossip sent at the target size: " << bytesPerSecond << " bytes/s");
     // As much comes in as goes out.
     CHECK(2 * bytesPerSecond < kControlBound);
     CHECK(bytesPerSecond > 0);
