--- a/libs/upstream/src/Engines.cpp
+++ b/libs/upstream/src/Engines.cpp
@@ -55,6 +55,12 @@
 
 void Engines::start(EngineAttempt attempt)
 {
+    if (const auto it = m_calls.find(attempt.id); it != m_calls.end()) {
+        // A stalled connection gives way to the one that resumes.
+        m_loop->cancel(it->second);
+        m_streams.erase(it->second);
+        m_calls.erase(it);
+    }
     http::Call call;
     call.to = attempt.to;
     call.method = http::Method::Post;
@@ -68,7 +74,7 @@
                     {"x-attempt-id", attempt.id.text()},
                     {"x-owner", m_owner.text()},
                     {"x-remaining-ms", std::to_string(attempt.remaining.count())},
-                    {"x-priority", std::to_string(static_cast<int>(attempt.urgency))}};
+                    {"x-priority", std::to_string(attempt.priority)}};
     if (!attempt.gang.empty())
         call.headers.push_back({"x-gang", joined(attempt.gang)});
     call.timeout = attempt.remaining;
