--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -1,7 +1,6 @@
 #include "EntryTask.h"
 
 #include "Errors.h"
-#include "Gossip.h"
 
 #include <nlohmann/json.hpp>
 
@@ -9,8 +8,6 @@
 
 namespace {
 
-constexpr base::Millis kBeatInterval{250};
-constexpr base::Millis kGossipTimeout{1'000};
 constexpr base::Millis kStopPoll{20};
 
 double secondsBetween(base::TimePoint from, base::TimePoint to)
@@ -109,6 +106,7 @@
         return tl::unexpected("cannot listen on " + m_options.listenPeers.text() + ": "
                               + node.error().message);
     m_peers = *std::move(node);
+    m_gossiper = makeGossiper();
     m_control->setNode(m_peers.get());
     base::logEvent("listening", {{"callers", callers->text()},
                                  {"upstreams", upstreams->text()},
@@ -123,7 +121,7 @@
                                {"data_centre", m_options.dataCentre},
                                {"incarnation", m_options.incarnation.count()}});
     m_watcher->start(m_peers.get());
-    beat();
+    m_gossiper->start(m_peers.get());
     m_loop->run();
     base::logEvent("stopped", {{"host", m_options.host}});
 }
@@ -303,7 +301,7 @@
 
 void EntryTask::perform(const routing::StartAttempt &action)
 {
-    const membership::Announcement *upstream = m_directory.find(action.upstream);
+    const membership::Announcement *upstream = m_gossiper->directory().find(action.upstream);
     const OpenRequest &request = m_requests.at(action.request);
     OpenAttempt &open = m_attempts[action.attempt];
     open.request = action.request;
@@ -473,17 +471,15 @@
 
 void EntryTask::onAnnouncement(const membership::Announcement &announcement)
 {
-    apply(m_directory.announce(announcement, base::monotonicNow()));
+    m_gossiper->announce(announcement);
 }
 
-void EntryTask::apply(const std::vector<membership::DirectoryChange> &changes)
+void EntryTask::onUpstream(const membership::DirectoryChange &change)
 {
-    for (const membership::DirectoryChange &change : changes) {
-        if (change.kind == membership::DirectoryChange::Kind::Seen)
-            feed(routing::UpstreamSeen{change.upstream});
-        else
-            feed(routing::UpstreamGone{change.upstream.id});
-    }
+    if (change.kind == membership::DirectoryChange::Kind::Seen)
+        feed(routing::UpstreamSeen{change.upstream});
+    else
+        feed(routing::UpstreamGone{change.upstream.id});
 }
 
 // Other hosts.
@@ -500,20 +496,7 @@
 
 void EntryTask::onGossip(peers::GossipMessage message)
 {
-    m_loop->post([this, message = std::move(message)] { takeGossip(message); });
-}
-
-void EntryTask::takeGossip(const peers::GossipMessage &message)
-{
-    const auto body = decodeGossip(message.body);
-    if (!body)
-        return;
-    for (const membership::Announcement &announcement : body->announcements)
-        onAnnouncement(announcement);
-    for (routing::PeerOutstanding one : body->outstanding) {
-        one.host = message.from;
-        feed(one);
-    }
+    m_loop->post([this, message = std::move(message)] { m_gossiper->receive(message); });
 }
 
 void EntryTask::onQuery(peers::QueryRequest, peers::Answer<std::string> answer)
@@ -521,25 +504,20 @@
     answer("");
 }
 
-void EntryTask::gossip()
+std::unique_ptr<Gossiper> EntryTask::makeGossiper()
 {
-    GossipBody body;
-    body.announcements = m_directory.live(base::monotonicNow());
-    body.outstanding = m_router->outstanding();
-    const std::string bytes = encode(body);
-    for (const base::Endpoint &peer : m_options.peers)
-        m_peers->gossip(peer, {m_options.host, bytes}, kGossipTimeout);
+    Gossiper::Hooks hooks;
+    hooks.onUpstream = [this](const auto &it) { onUpstream(it); };
+    hooks.onHost = [](const auto &) {};
+    hooks.onOutstanding = [this](const auto &it) { feed(it); };
+    hooks.readOutstanding = [this] { return m_router->outstanding(); };
+    const membership::HostRow self{m_options.host, m_options.incarnation, 0, m_peers->address()};
+    return std::make_unique<Gossiper>(m_loop.get(), &m_metrics, self, m_options.peers,
+                                      std::move(hooks));
 }
 
 // Life of the host.
 
-void EntryTask::beat()
-{
-    apply(m_directory.tick(base::monotonicNow()));
-    gossip();
-    m_loop->after(kBeatInterval, [this] { beat(); });
-}
-
 void EntryTask::refreshGauges()
 {
     const routing::RouterStats stats = m_router->stats();
