Split the entry task and reserve gangs, follow engine feeds and cut off slow callers

Cause: one file of 540 lines read calls, ran actions and joined the peers; gangs and engines' feeds were not wired; a caller that did not read made the host keep its answer in memory without bound; a wrong bearer key was answered like an unknown team.

Change: CallHandling reads calls by the records, ActionRunner feeds the router and carries out its actions, OpenRequests keeps what is in flight, and Answer is where the answer of a request goes, so that others than waiting callers can take it. Attempts that may have run are cancelled when the router says so, no longer on every fault, so that resumes find them. Bounds on bodies in flight and on unread answers; 401 for a missing or unknown key; Connection: close while stopping.

--- a/libs/caller/include/caller/Caller.h
+++ b/libs/caller/include/caller/Caller.h
@@ -123,6 +123,11 @@
     /// Answers a call with a body as it is.
     void answer(http::ExchangeId id, int status, std::string contentType, std::string body);
 
+    /// Bytes of a streamed answer that its caller has not taken yet.
+    std::size_t unsentBytes(http::ExchangeId id) const;
+    /// From here on answers ask callers to close their connections.
+    void closeConnections() { m_closesConnections = true; }
+
 private:
     struct Open
     {
@@ -141,11 +146,13 @@
     void onRejected(http::RejectReason reason) override;
     void sendEvent(http::ExchangeId id, const std::string &json);
     void startStream(http::ExchangeId id, Open &open);
+    void respond(http::ExchangeId id, const Open &open, http::Response response);
 
     http::Loop *m_loop;
     Listener *m_listener;
     std::string m_idPrefix;
     std::int64_t m_lastId = 0;
+    bool m_closesConnections = false;
     std::map<http::ExchangeId, Open> m_open;
 };
 
--- a/libs/caller/src/Server.cpp
+++ b/libs/caller/src/Server.cpp
@@ -131,11 +131,10 @@
     http::Response response;
     response.status = error.status;
     response.body = body;
-    response.headers.push_back({kRequestIdHeader, open.requestId.text()});
     if (error.retryAfter.count() > 0)
         response.headers.push_back(
                 {"retry-after", std::to_string(retryAfterSeconds(error.retryAfter))});
-    m_loop->respond(id, std::move(response));
+    respond(id, open, std::move(response));
 }
 
 void Server::answer(http::ExchangeId id, int status, std::string contentType, std::string body)
@@ -148,9 +147,22 @@
     response.contentType =
             contentType.empty() ? "application/octet-stream" : std::move(contentType);
     response.body = std::move(body);
-    response.headers.push_back({kRequestIdHeader, it->second.requestId.text()});
+    const Open open = std::move(it->second);
     m_open.erase(it);
+    respond(id, open, std::move(response));
+}
+
+void Server::respond(http::ExchangeId id, const Open &open, http::Response response)
+{
+    response.headers.push_back({kRequestIdHeader, open.requestId.text()});
+    if (m_closesConnections)
+        response.headers.push_back({"connection", "close"});
     m_loop->respond(id, std::move(response));
 }
 
+std::size_t Server::unsentBytes(http::ExchangeId id) const
+{
+    return m_loop->unsentBytes(id);
+}
+
 } // namespace hyssop::caller
--- /dev/null
+++ b/programs/hyssop-entry/ActionRunner.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "OpenRequests.h"
+#include "platform/Platform.h"
+
+namespace hyssop::entry {
+
+/// Feeds the router and carries out the actions that come back: upstream calls, answers, metrics.
+///
+/// Lives on the entry task's loop, as does everything it is handed.
+class ActionRunner final : public upstream::AttemptListener, public upstream::ServiceListener
+{
+public:
+    /// What an upstream's address is at present; empty when it is not known.
+    using FindAddress = std::function<std::optional<base::Endpoint>(const base::UpstreamId &)>;
+
+    ActionRunner(http::Loop *loop, platform::Metrics *metrics, upstream::OwnerName owner,
+                 routing::RouterOptions options, FindAddress findAddress);
+
+    /// Hands a request with an id of its own to the router; its answer, or an error, goes to
+    /// OpenRequest::answer.
+    void submit(OpenRequest request);
+    /// The receiver of the answer is no longer there.
+    void giveUp(const base::RequestId &id) { feed(routing::CallerGone{id}); }
+    void feed(const routing::Event &event);
+
+    /// A caller that leaves more of its answer unread is cut off.
+    void setMaxUnsentBytes(std::size_t bytes) { m_maxUnsentBytes = bytes; }
+    std::vector<routing::PeerOutstanding> outstanding() const { return m_router.outstanding(); }
+    std::size_t openRequests() const { return m_open.size(); }
+    /// No request is open and nothing is left to be cancelled at an upstream.
+    bool isIdle() const;
+    upstream::Engines &engines() { return m_engines; }
+    upstream::Gangs &gangs() { return m_gangs; }
+    void refreshGauges();
+
+private:
+    void perform(const routing::Actions &actions);
+    void perform(const routing::StartAttempt &action);
+    void perform(const routing::CancelAttempt &action);
+    void perform(const routing::ForwardTokens &action);
+    void perform(const routing::CompleteRequest &action);
+    void perform(const routing::EndRequest &action);
+    void perform(const routing::RetryNoted &action);
+    void perform(const routing::StallNoted &action);
+    void perform(const routing::EjectionNoted &action);
+    void startService(const routing::StartAttempt &action, const OpenRequest &request,
+                      const base::Endpoint &address);
+    void startEngine(const routing::StartAttempt &action, const OpenAttempt &open);
+    void reserveGang(const routing::StartAttempt &action);
+    void onGangReserved(const routing::StartAttempt &action, bool isHeld);
+    void releaseGang(const base::AttemptId &id);
+    void cutOffSlowCaller(const OpenRequest &request);
+    void scheduleTick();
+
+    void onAccepted(const base::AttemptId &id) override;
+    void onTokens(const base::AttemptId &id, std::int64_t offset,
+                  const std::vector<std::string> &tokens) override;
+    void onFinished(const base::AttemptId &id) override;
+    void onFailed(const base::AttemptId &id, routing::AttemptFault fault,
+                  base::Millis retryAfter) override;
+    void onStrayEvent(const base::AttemptId &id) override;
+    void onAnswer(const base::AttemptId &id, upstream::ServiceAnswer answer) override;
+    void onFailed(const base::AttemptId &id, routing::AttemptFault fault) override;
+
+    http::Loop *m_loop;
+    platform::Metrics *m_metrics;
+    FindAddress m_findAddress;
+    routing::Router m_router;
+    upstream::Engines m_engines;
+    upstream::Services m_services;
+    upstream::Gangs m_gangs;
+    OpenRequests m_open;
+    std::vector<std::string> m_pendingTokens; ///< Of the event being handled.
+    std::size_t m_maxUnsentBytes = std::size_t(4) << 20;
+    std::optional<http::TimerId> m_tickTimer;
+    base::TimePoint m_tickAt = base::TimePoint::max();
+};
+
+} // namespace hyssop::entry
--- a/programs/hyssop-entry/EntryOptions.h
+++ b/programs/hyssop-entry/EntryOptions.h
@@ -21,6 +21,9 @@
     std::vector<base::Endpoint> peers; ///< Other entry hosts of the data centre.
     bool checksCallerKeys = false;
     std::size_t maxBodyBytes = 0;
+    base::Bytes maxOpenBody; ///< Bodies of all requests in flight together.
+    std::size_t maxUnsentBytes = 0; ///< Of one answer that its caller does not read.
+    base::Millis stallLimit{0};
     base::Millis bodyTimeout{0};
     base::Millis stopNotice{0}; ///< How long new work is still taken once a stop was asked for.
     base::Millis stopLimit{0}; ///< Bound on finishing the requests in flight.
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -1,10 +1,7 @@
 #include "EntryTask.h"
 
-#include "Errors.h"
 #include "Gossip.h"
 
-#include <nlohmann/json.hpp>
-
 namespace hyssop::entry {
 
 namespace {
@@ -13,46 +10,33 @@
 constexpr base::Millis kGossipTimeout{1'000};
 constexpr base::Millis kStopPoll{20};
 
-double secondsBetween(base::TimePoint from, base::TimePoint to)
-{
-    return std::chrono::duration<double>(to - from).count();
-}
-
-/// Label of a prompt's length in the metrics.
-std::string lengthClass(base::Tokens prompt)
+routing::RouterOptions routerOptions(const EntryOptions &options)
 {
-    if (prompt.count() <= 4'000)
-        return "4k";
-    if (prompt.count() <= 32'000)
-        return "32k";
-    return prompt.count() <= 100'000 ? "100k" : "1m";
+    routing::RouterOptions routing;
+    routing.host = options.host;
+    routing.incarnation = options.incarnation;
+    routing.dataCentre = options.dataCentre;
+    routing.policy = options.policy;
+    routing.maxQueued = options.maxQueued;
+    routing.maxBody = options.maxOpenBody;
+    routing.maxOutstanding = base::Tokens(options.maxOutstandingTokens);
+    routing.stallLimit = options.stallLimit;
+    routing.seed = std::hash<base::HostId>()(options.host);
+    return routing;
 }
 
-std::string engineBody(const caller::CompletionCall &call, const records::RouteSpec &route)
+/// Exchanges are never used again within a process, so each names its request.
+base::RequestId requestIdOf(http::ExchangeId id)
 {
-    nlohmann::json body{{"model", route.model.text()},
-                        {"prompt", call.prompt},
-                        {"max_tokens", call.maxTokens},
-                        {"stream", true}};
-    if (!route.adapter.empty())
-        body["adapter"] = route.adapter;
-    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return base::RequestId("call-" + std::to_string(id.count()));
 }
 
 } // namespace
 
 EntryTask::EntryTask(EntryOptions options)
     : m_options(std::move(options))
-{
-    routing::RouterOptions routing;
-    routing.host = m_options.host;
-    routing.incarnation = m_options.incarnation;
-    routing.dataCentre = m_options.dataCentre;
-    routing.policy = m_options.policy;
-    routing.maxQueued = m_options.maxQueued;
-    routing.maxOutstanding = base::Tokens(m_options.maxOutstandingTokens);
-    m_router = std::make_unique<routing::Router>(std::move(routing));
-}
+    , m_calls(m_options.checksCallerKeys)
+{ }
 
 EntryTask::~EntryTask()
 {
@@ -67,30 +51,46 @@
     if (!loop)
         return tl::unexpected(loop.error().message);
     task->m_loop = *std::move(loop);
+    task->setUp();
     if (const auto listening = task->listen(); !listening)
         return tl::unexpected(listening.error());
     return task;
 }
 
-tl::expected<void, std::string> EntryTask::listen()
+void EntryTask::setUp()
 {
-    const upstream::OwnerName owner{m_options.host, m_options.incarnation};
-    m_engines = std::make_unique<upstream::Engines>(m_loop.get(), owner, this);
-    m_services = std::make_unique<upstream::Services>(m_loop.get(), owner, this);
     m_callers = std::make_unique<caller::Server>(m_loop.get(), this, m_options.host,
                                                  m_options.incarnation);
     m_announcements = std::make_unique<upstream::AnnouncementServer>(
             m_loop.get(), [this](const auto &it) { onAnnouncement(it); });
     m_platform = std::make_unique<platform::Server>(m_loop.get(), &m_metrics,
                                                     [this] { refreshGauges(); });
+    m_runner = std::make_unique<ActionRunner>(
+            m_loop.get(), &m_metrics, upstream::OwnerName{m_options.host, m_options.incarnation},
+            routerOptions(m_options),
+            [this](const base::UpstreamId &id) -> std::optional<base::Endpoint> {
+                const membership::Announcement *upstream = m_directory.find(id);
+                return upstream ? std::optional(upstream->address) : std::nullopt;
+            });
+    m_runner->setMaxUnsentBytes(m_options.maxUnsentBytes);
+    m_feeds = std::make_unique<upstream::EngineFeeds>(
+            m_loop.get(), [this](const auto &load) { m_runner->feed(load); },
+            [this](const auto &change) { m_runner->feed(change); });
     m_control = std::make_unique<ControlClient>(m_loop.get(), &m_metrics, m_options.controls);
     m_watcher = std::make_unique<RecordsWatcher>(
             m_loop.get(), m_options.host, m_options.dataCentre, m_options.controls,
-            [this](std::shared_ptr<const records::Catalogue> catalogue) {
-                m_catalogue = std::move(catalogue);
-                feed(routing::CatalogueChanged{m_catalogue});
-                m_platform->setReady(!m_isStopping);
-            });
+            [this](auto catalogue) { takeCatalogue(std::move(catalogue)); });
+}
+
+void EntryTask::takeCatalogue(std::shared_ptr<const records::Catalogue> catalogue)
+{
+    m_calls.setCatalogue(catalogue);
+    m_runner->feed(routing::CatalogueChanged{std::move(catalogue)});
+    m_platform->setReady(!m_isStopping);
+}
+
+tl::expected<void, std::string> EntryTask::listen()
+{
     const auto callers = m_callers->listen(m_options.listenCallers, m_options.maxBodyBytes,
                                            m_options.bodyTimeout);
     if (!callers)
@@ -129,8 +129,8 @@
 
 void EntryTask::onCall(http::ExchangeId id, caller::Call call)
 {
-    if (auto *completion = std::get_if<caller::CompletionCall>(&call)) {
-        onCompletion(id, std::move(*completion));
+    if (const auto *completion = std::get_if<caller::CompletionCall>(&call)) {
+        onCompletion(id, *completion);
     } else if (auto *service = std::get_if<caller::ServiceCall>(&call)) {
         onService(id, std::move(*service));
     } else {
@@ -138,101 +138,48 @@
     }
 }
 
-std::optional<base::TeamId> EntryTask::teamOf(const caller::CallHead &head) const
+void EntryTask::refuse(http::ExchangeId id, const caller::ErrorBody &error)
 {
-    if (!m_options.checksCallerKeys)
-        return base::TeamId(head.team);
-    const base::TeamId *team = m_catalogue && !head.bearerKey.empty()
-                                       ? m_catalogue->teamOfKey(base::sha256Hex(head.bearerKey))
-                                       : nullptr;
-    return team ? std::optional(*team) : std::nullopt;
+    m_metrics.count("hyssop_refusals_total", {{"reason", error.code}});
+    m_callers->fail(id, error);
 }
 
-void EntryTask::refuse(http::ExchangeId id, routing::Reason reason)
+void EntryTask::onCompletion(http::ExchangeId id, const caller::CompletionCall &call)
 {
-    m_metrics.count("hyssop_refusals_total", {{"reason", std::string(reasonName(reason))}});
-    routing::EndRequest end;
-    end.reason = reason;
-    m_callers->fail(id, errorFor(end));
-}
-
-std::optional<routing::RequestInfo> EntryTask::admit(http::ExchangeId id,
-                                                     const caller::CallHead &head,
-                                                     const std::string &routeName,
-                                                     routing::UpstreamKind kind)
-{
-    const auto team = teamOf(head);
-    if (!team || !m_catalogue || !m_catalogue->team(*team)) {
-        refuse(id, routing::Reason::UnknownTeam);
-        return std::nullopt;
-    }
-    const records::RouteSpec *route = m_catalogue->route(routeName);
-    const bool isService = kind == routing::UpstreamKind::Service;
-    if (!route || isService == route->service.isEmpty()) {
-        refuse(id, routing::Reason::UnknownRoute);
-        return std::nullopt;
-    }
-    const auto &teams = route->teams;
-    if (!teams.empty() && std::find(teams.begin(), teams.end(), *team) == teams.end()) {
-        refuse(id, routing::Reason::TeamNotAllowed);
-        return std::nullopt;
-    }
-    routing::RequestInfo info;
-    info.id = base::RequestId(std::to_string(id.count()));
-    info.team = *team;
-    info.kind = kind;
-    info.target = isService ? route->service.text() : route->model.text();
-    info.role = route->role;
-    info.urgency = head.urgency.value_or(route->urgency);
-    const base::Millis bound = route->deadlineFor(info.urgency);
-    info.deadline = base::monotonicNow() + std::min(bound, head.deadline.value_or(bound));
-    info.mayRepeat = route->mayRepeat;
-    return info;
-}
-
-void EntryTask::onCompletion(http::ExchangeId id, caller::CompletionCall call)
-{
-    auto info = admit(id, call.head, call.model, routing::UpstreamKind::Engine);
-    if (!info)
+    const auto asked = m_calls.read(call, base::monotonicNow());
+    if (!asked) {
+        refuse(id, asked.error());
         return;
-    info->prompt = upstream::countTokens(call.prompt);
-    info->maxOutput = base::Tokens(call.maxTokens);
-    info->prefix = upstream::prefixBlocks(call.prompt);
+    }
     OpenRequest request;
-    request.exchange = id;
-    request.body = engineBody(call, *m_catalogue->route(call.model));
-    info->body = base::Bytes(static_cast<std::int64_t>(request.body.size()));
-    request.info = *std::move(info);
-    submit(std::move(request));
+    request.info = asked->info;
+    request.body = engineBody(call, *asked->route);
+    submit(id, std::move(request));
 }
 
 void EntryTask::onService(http::ExchangeId id, caller::ServiceCall call)
 {
-    auto info = admit(id, call.head, call.service, routing::UpstreamKind::Service);
-    if (!info)
+    const auto asked = m_calls.read(call, base::monotonicNow());
+    if (!asked) {
+        refuse(id, asked.error());
         return;
-    info->body = base::Bytes(static_cast<std::int64_t>(call.body.size()));
+    }
     OpenRequest request;
-    request.exchange = id;
-    request.info = *std::move(info);
+    request.info = asked->info;
     request.service = std::move(call);
-    submit(std::move(request));
+    submit(id, std::move(request));
 }
 
-void EntryTask::submit(OpenRequest request)
+void EntryTask::submit(http::ExchangeId id, OpenRequest request)
 {
-    request.arrived = base::monotonicNow();
-    const routing::RequestInfo info = request.info;
-    m_exchanges.emplace(request.exchange, info.id);
-    m_requests.emplace(info.id, std::move(request));
-    feed(routing::RequestArrived{info});
+    request.info.id = requestIdOf(id);
+    request.answer = std::make_unique<CallerAnswer>(m_callers.get(), id);
+    m_runner->submit(std::move(request));
 }
 
 void EntryTask::onCallerGone(http::ExchangeId id)
 {
-    const auto it = m_exchanges.find(id);
-    if (it != m_exchanges.end())
-        feed(routing::CallerGone{it->second});
+    m_runner->giveUp(requestIdOf(id));
 }
 
 void EntryTask::onBadInput(std::string_view code)
@@ -241,207 +188,8 @@
     base::logEvent("bad_input", {{"code", code}});
 }
 
-// Router.
-
-void EntryTask::feed(const routing::Event &event)
-{
-    perform(m_router->handle(event, base::monotonicNow()));
-    scheduleTick();
-}
-
-void EntryTask::perform(const routing::Actions &actions)
-{
-    for (const routing::Action &action : actions)
-        std::visit([this](const auto &it) { perform(it); }, action);
-}
-
-void EntryTask::scheduleTick()
-{
-    const base::TimePoint next = m_router->nextTick();
-    if (next == m_tickAt)
-        return;
-    if (m_tickTimer)
-        m_loop->cancelTimer(*m_tickTimer);
-    m_tickTimer.reset();
-    m_tickAt = next;
-    if (next == base::TimePoint::max())
-        return;
-    const auto delay = std::chrono::ceil<base::Millis>(next - base::monotonicNow());
-    m_tickTimer = m_loop->after(std::max(delay, base::Millis(0)), [this] {
-        m_tickTimer.reset();
-        m_tickAt = base::TimePoint::max();
-        perform(m_router->tick(base::monotonicNow()));
-        scheduleTick();
-    });
-}
-
-void EntryTask::perform(const routing::StartAttempt &action)
-{
-    const membership::Announcement *upstream = m_directory.find(action.upstream);
-    const OpenRequest &request = m_requests.at(action.request);
-    OpenAttempt &open = m_attempts[action.attempt];
-    open.request = action.request;
-    open.isService = request.service.has_value();
-    open.isResume = action.resumesStream;
-    if (upstream)
-        open.address = upstream->address;
-    const base::Endpoint address = open.address;
-    m_metrics.count("hyssop_attempts_total", {{"upstream", action.upstream.text()}});
-    if (request.service) {
-        upstream::ServiceCall call;
-        call.id = action.attempt;
-        call.to = address;
-        call.method = request.service->method;
-        call.path = request.service->path;
-        call.contentType = request.service->contentType;
-        call.body = request.service->body;
-        call.idempotencyKey = request.service->head.idempotencyKey;
-        call.remaining = action.remaining;
-        m_services->start(std::move(call));
-        return;
-    }
-    upstream::EngineAttempt attempt;
-    attempt.id = action.attempt;
-    attempt.to = address;
-    attempt.body = request.body;
-    attempt.remaining = action.remaining;
-    attempt.urgency = action.urgency;
-    attempt.priority = action.priority;
-    attempt.resumeOffset = action.resumeOffset;
-    attempt.resumesStream = action.resumesStream;
-    m_engines->start(std::move(attempt));
-}
-
-void EntryTask::perform(const routing::CancelAttempt &action)
-{
-    const auto it = m_attempts.find(action.attempt);
-    if (it == m_attempts.end())
-        return;
-    const OpenAttempt attempt = it->second;
-    m_attempts.erase(it);
-    if (attempt.isService)
-        m_services->cancel(action.attempt);
-    else
-        m_engines->cancel(action.attempt, attempt.address);
-}
-
-void EntryTask::perform(const routing::ForwardTokens &action)
-{
-    OpenRequest &request = m_requests.at(action.request);
-    const base::TimePoint now = base::monotonicNow();
-    if (!request.hasFirstToken)
-        m_metrics.observeSeconds("hyssop_first_token_seconds", secondsBetween(request.arrived, now),
-                                 {{"length", lengthClass(request.info.prompt)}});
-    request.hasFirstToken = true;
-    request.lastToken = now;
-    m_pendingTokens.erase(m_pendingTokens.begin(), m_pendingTokens.begin() + action.skip);
-    m_callers->addTokens(request.exchange, m_pendingTokens);
-}
-
-void EntryTask::perform(const routing::CompleteRequest &action)
-{
-    const auto it = m_requests.find(action.request);
-    m_metrics.count("hyssop_requests_total", {{"outcome", "answered"}});
-    if (!it->second.service)
-        m_callers->complete(it->second.exchange);
-    m_exchanges.erase(it->second.exchange);
-    m_requests.erase(it);
-}
-
-void EntryTask::perform(const routing::EndRequest &action)
-{
-    const auto it = m_requests.find(action.request);
-    const std::string reason(reasonName(action.reason));
-    const std::string outcome(outcomeName(action.outcome));
-    m_metrics.count("hyssop_refusals_total", {{"reason", reason}});
-    m_metrics.count("hyssop_requests_total", {{"outcome", outcome}});
-    base::logEvent("request_ended", {{"team", it->second.info.team},
-                                     {"target", it->second.info.target},
-                                     {"reason", reason},
-                                     {"outcome", outcome}});
-    m_callers->fail(it->second.exchange, errorFor(action));
-    m_exchanges.erase(it->second.exchange);
-    m_requests.erase(it);
-}
-
-void EntryTask::perform(const routing::RetryNoted &action)
-{
-    const std::string fault(attemptFaultName(action.fault));
-    m_metrics.count("hyssop_retries_total", {{"reason", fault}});
-    base::logEvent("retry", {{"request", action.request}, {"reason", fault}});
-}
-
-void EntryTask::perform(const routing::StallNoted &action)
-{
-    m_metrics.count("hyssop_stalls_total", {{"upstream", action.upstream.text()}});
-    base::logEvent("stalled", {{"request", action.request}, {"upstream", action.upstream}});
-}
-
-void EntryTask::perform(const routing::EjectionNoted &action)
-{
-    m_metrics.count("hyssop_ejections_total", {{"upstream", action.upstream.text()}});
-    base::logEvent("ejected",
-                   {{"upstream", action.upstream}, {"duration_ms", action.duration.count()}});
-}
-
 // Upstreams.
 
-void EntryTask::onAccepted(const base::AttemptId &id)
-{
-    feed(routing::AttemptAccepted{id});
-}
-
-void EntryTask::onTokens(const base::AttemptId &id, std::int64_t offset,
-                         const std::vector<std::string> &tokens)
-{
-    m_pendingTokens = tokens;
-    feed(routing::AttemptTokens{id, offset, static_cast<std::int64_t>(tokens.size())});
-    m_pendingTokens.clear();
-}
-
-void EntryTask::onFinished(const base::AttemptId &id)
-{
-    m_attempts.erase(id);
-    feed(routing::AttemptFinished{id});
-}
-
-void EntryTask::onFailed(const base::AttemptId &id, routing::AttemptFault fault,
-                         base::Millis retryAfter)
-{
-    const auto it = m_attempts.find(id);
-    // Others may still run at their engine: the router resumes or cancels them.
-    if (it != m_attempts.end() && routing::provesNotRun(fault) && !it->second.isResume)
-        m_attempts.erase(it);
-    m_metrics.count("hyssop_attempt_faults_total",
-                    {{"reason", std::string(attemptFaultName(fault))}});
-    feed(routing::AttemptFailed{id, fault, retryAfter});
-}
-
-void EntryTask::onStrayEvent(const base::AttemptId &)
-{
-    m_metrics.count("hyssop_stray_events_total");
-}
-
-void EntryTask::onAnswer(const base::AttemptId &id, upstream::ServiceAnswer answer)
-{
-    const auto it = m_attempts.find(id);
-    if (it == m_attempts.end())
-        return;
-    const auto request = m_requests.find(it->second.request);
-    m_attempts.erase(it);
-    if (request != m_requests.end())
-        m_callers->answer(request->second.exchange, answer.status, answer.contentType, answer.body);
-    feed(routing::AttemptFinished{id});
-}
-
-void EntryTask::onFailed(const base::AttemptId &id, routing::AttemptFault fault)
-{
-    m_attempts.erase(id);
-    m_metrics.count("hyssop_attempt_faults_total",
-                    {{"reason", std::string(attemptFaultName(fault))}});
-    feed(routing::AttemptFailed{id, fault, base::Millis(0)});
-}
-
 void EntryTask::onAnnouncement(const membership::Announcement &announcement)
 {
     apply(m_directory.announce(announcement, base::monotonicNow()));
@@ -450,10 +198,15 @@
 void EntryTask::apply(const std::vector<membership::DirectoryChange> &changes)
 {
     for (const membership::DirectoryChange &change : changes) {
-        if (change.kind == membership::DirectoryChange::Kind::Seen)
-            feed(routing::UpstreamSeen{change.upstream});
-        else
-            feed(routing::UpstreamGone{change.upstream.id});
+        const base::UpstreamId &id = change.upstream.id;
+        if (change.kind == membership::DirectoryChange::Kind::Gone) {
+            m_feeds->forget(id);
+            m_runner->feed(routing::UpstreamGone{id});
+            continue;
+        }
+        if (change.upstream.kind == routing::UpstreamKind::Engine)
+            m_feeds->follow(id, m_directory.find(id)->address);
+        m_runner->feed(routing::UpstreamSeen{change.upstream});
     }
 }
 
@@ -483,7 +236,7 @@
         onAnnouncement(announcement);
     for (routing::PeerOutstanding one : body->outstanding) {
         one.host = message.from;
-        feed(one);
+        m_runner->feed(one);
     }
 }
 
@@ -496,7 +249,7 @@
 {
     GossipBody body;
     body.announcements = m_directory.live(base::monotonicNow());
-    body.outstanding = m_router->outstanding();
+    body.outstanding = m_runner->outstanding();
     const std::string bytes = encode(body);
     for (const base::Endpoint &peer : m_options.peers)
         m_peers->gossip(peer, {m_options.host, bytes}, kGossipTimeout);
@@ -513,18 +266,9 @@
 
 void EntryTask::refreshGauges()
 {
-    const routing::RouterStats stats = m_router->stats();
-    m_metrics.set("hyssop_queued_requests", static_cast<double>(stats.queued));
-    m_metrics.set("hyssop_active_requests", static_cast<double>(stats.active));
-    m_metrics.set("hyssop_outstanding_prompt_tokens",
-                  static_cast<double>(stats.outstanding.count()));
-    m_metrics.set("hyssop_upstreams", static_cast<double>(stats.upstreams));
-    m_metrics.set("hyssop_ejected_upstreams", static_cast<double>(stats.ejected));
-    m_metrics.set("hyssop_open_body_bytes", static_cast<double>(stats.body.count()));
+    m_runner->refreshGauges();
     m_metrics.set("hyssop_records_index", static_cast<double>(m_watcher->position().index));
     m_metrics.set("hyssop_records_confirmed", m_watcher->isConfirmed() ? 1 : 0);
-    m_metrics.set("hyssop_unconfirmed_cancels",
-                  static_cast<double>(m_engines->unconfirmedCancels()));
 }
 
 void EntryTask::stop()
@@ -538,18 +282,21 @@
         return;
     m_isStopping = true;
     m_platform->setReady(false);
-    base::logEvent("stopping", {{"open_requests", m_requests.size()}});
+    base::logEvent("stopping", {{"open_requests", m_runner->openRequests()}});
     // Requests are still taken until the balancer has noticed.
-    m_loop->after(m_options.stopNotice, [this] {
-        feed(routing::StopAnnounced{});
-        endWhenIdle(base::monotonicNow() + m_options.stopLimit);
-    });
+    m_loop->after(m_options.stopNotice, [this] { refuseNewWork(); });
+}
+
+void EntryTask::refuseNewWork()
+{
+    m_callers->closeConnections();
+    m_runner->feed(routing::StopAnnounced{});
+    endWhenIdle(base::monotonicNow() + m_options.stopLimit);
 }
 
 void EntryTask::endWhenIdle(base::TimePoint until)
 {
-    const bool isIdle = m_requests.empty() && m_engines->unconfirmedCancels() == 0;
-    if (isIdle || base::monotonicNow() >= until) {
+    if (m_runner->isIdle() || base::monotonicNow() >= until) {
         // One more turn lets the last answers leave.
         m_loop->after(kStopPoll, [this] { m_loop->stop(); });
         return;
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "ActionRunner.h"
 #include "caller/Caller.h"
+#include "CallHandling.h"
 #include "ControlClient.h"
 #include "EntryOptions.h"
 #include "http/Http.h"
@@ -11,16 +13,11 @@
 #include "routing/Routing.h"
 #include "upstream/Upstream.h"
 
-#include <map>
-
 namespace hyssop::entry {
 
-/// Joins the peers of an entry host with the router: it turns what comes in into events and
-/// carries out the actions that come back. Everything runs on its loop.
-class EntryTask final : public caller::Listener,
-                        public upstream::AttemptListener,
-                        public upstream::ServiceListener,
-                        public peers::Service
+/// Joins the peers of an entry host with the router: what comes in becomes requests and events.
+/// Everything runs on its loop.
+class EntryTask final : public caller::Listener, public peers::Service
 {
 public:
     static tl::expected<std::unique_ptr<EntryTask>, std::string> start(EntryOptions options);
@@ -32,64 +29,21 @@
     void stop();
 
 private:
-    /// A call from its arrival to its answer.
-    struct OpenRequest
-    {
-        http::ExchangeId exchange;
-        std::string body; ///< For the upstream.
-        std::optional<caller::ServiceCall> service;
-        routing::RequestInfo info;
-        base::TimePoint arrived;
-        bool hasFirstToken = false;
-        base::TimePoint lastToken;
-    };
-    struct OpenAttempt
-    {
-        base::RequestId request;
-        base::Endpoint address;
-        bool isService = false;
-        bool isResume = false;
-    };
-
     explicit EntryTask(EntryOptions options);
+    void setUp();
     tl::expected<void, std::string> listen();
+    void takeCatalogue(std::shared_ptr<const records::Catalogue> catalogue);
 
     // Calls.
     void onCall(http::ExchangeId id, caller::Call call) override;
     void onCallerGone(http::ExchangeId id) override;
     void onBadInput(std::string_view code) override;
-    void onCompletion(http::ExchangeId id, caller::CompletionCall call);
+    void onCompletion(http::ExchangeId id, const caller::CompletionCall &call);
     void onService(http::ExchangeId id, caller::ServiceCall call);
-    std::optional<base::TeamId> teamOf(const caller::CallHead &head) const;
-    /// Fills what the route decides; on a fault the call is answered and nothing comes back.
-    std::optional<routing::RequestInfo> admit(http::ExchangeId id, const caller::CallHead &head,
-                                              const std::string &route, routing::UpstreamKind kind);
-    void refuse(http::ExchangeId id, routing::Reason reason);
-    void submit(OpenRequest request);
-
-    // Router.
-    void feed(const routing::Event &event);
-    void perform(const routing::Actions &actions);
-    void perform(const routing::StartAttempt &action);
-    void perform(const routing::CancelAttempt &action);
-    void perform(const routing::ForwardTokens &action);
-    void perform(const routing::CompleteRequest &action);
-    void perform(const routing::EndRequest &action);
-    void perform(const routing::RetryNoted &action);
-    void perform(const routing::StallNoted &action);
-    void perform(const routing::EjectionNoted &action);
-    void scheduleTick();
+    void refuse(http::ExchangeId id, const caller::ErrorBody &error);
+    void submit(http::ExchangeId id, OpenRequest request);
 
     // Upstreams.
-    void onAccepted(const base::AttemptId &id) override;
-    void onTokens(const base::AttemptId &id, std::int64_t offset,
-                  const std::vector<std::string> &tokens) override;
-    void onFinished(const base::AttemptId &id) override;
-    void onFailed(const base::AttemptId &id, routing::AttemptFault fault,
-                  base::Millis retryAfter) override;
-    void onStrayEvent(const base::AttemptId &id) override;
-    void onAnswer(const base::AttemptId &id, upstream::ServiceAnswer answer) override;
-    void onFailed(const base::AttemptId &id, routing::AttemptFault fault) override;
     void onAnnouncement(const membership::Announcement &announcement);
     void apply(const std::vector<membership::DirectoryChange> &changes);
 
@@ -107,28 +61,22 @@
     void beat();
     void refreshGauges();
     void beginStop();
+    void refuseNewWork();
     void endWhenIdle(base::TimePoint until);
 
     EntryOptions m_options;
     std::unique_ptr<http::Loop> m_loop;
     platform::Metrics m_metrics;
+    CallHandling m_calls;
     std::unique_ptr<caller::Server> m_callers;
     std::unique_ptr<upstream::AnnouncementServer> m_announcements;
     std::unique_ptr<platform::Server> m_platform;
-    std::unique_ptr<upstream::Engines> m_engines;
-    std::unique_ptr<upstream::Services> m_services;
-    std::unique_ptr<routing::Router> m_router;
+    std::unique_ptr<ActionRunner> m_runner;
+    std::unique_ptr<upstream::EngineFeeds> m_feeds;
     std::unique_ptr<RecordsWatcher> m_watcher;
     std::unique_ptr<ControlClient> m_control;
     std::unique_ptr<peers::Node> m_peers;
     membership::Directory m_directory;
-    std::shared_ptr<const records::Catalogue> m_catalogue;
-    std::map<base::RequestId, OpenRequest> m_requests;
-    std::map<http::ExchangeId, base::RequestId> m_exchanges;
-    std::map<base::AttemptId, OpenAttempt> m_attempts;
-    std::vector<std::string> m_pendingTokens; ///< Of the event being handled.
-    std::optional<http::TimerId> m_tickTimer;
-    base::TimePoint m_tickAt = base::TimePoint::max();
     bool m_isStopping = false;
 };
 
--- a/programs/hyssop-entry/main.cpp
+++ b/programs/hyssop-entry/main.cpp
@@ -24,6 +24,12 @@
                     {"adaptive", "least-outstanding", "round-robin"})
             .number("max-body-bytes", "Bound on the body of a request", std::int64_t(16) << 20,
                     1'024, std::int64_t(1) << 30)
+            .number("max-open-body-bytes", "Bound on the bodies of all requests in flight",
+                    std::int64_t(512) << 20, 1'024, std::int64_t(1) << 40)
+            .number("max-unsent-bytes", "Unread part of an answer at which its caller is cut off",
+                    std::int64_t(4) << 20, 1'024, std::int64_t(1) << 30)
+            .millis("stall-limit-ms", "Wait for the next token at which a stream is given up",
+                    base::Millis(10'000), base::Millis(100), base::Millis(600'000))
             .millis("body-timeout-ms", "Bound on the arrival of a body", base::Millis(30'000),
                     base::Millis(10), base::Millis(600'000))
             .number("max-queued", "Requests that may wait for an upstream", 10'000, 1, 1'000'000)
@@ -57,6 +63,9 @@
     options.peers = settings.endpoints("peers");
     options.checksCallerKeys = settings.text("caller-auth") == "keys";
     options.maxBodyBytes = static_cast<std::size_t>(settings.number("max-body-bytes"));
+    options.maxOpenBody = base::Bytes(settings.number("max-open-body-bytes"));
+    options.maxUnsentBytes = static_cast<std::size_t>(settings.number("max-unsent-bytes"));
+    options.stallLimit = settings.millis("stall-limit-ms");
     options.bodyTimeout = settings.millis("body-timeout-ms");
     options.stopNotice = settings.millis("stop-notice-ms");
     options.stopLimit = settings.millis("stop-limit-ms");
