--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -1,13 +1,9 @@
 #include "EntryTask.h"
 
-#include "Gossip.h"
-
 namespace hyssop::entry {
 
 namespace {
 
-constexpr base::Millis kBeatInterval{250};
-constexpr base::Millis kGossipTimeout{1'000};
 constexpr base::Millis kStopPoll{20};
 
 routing::RouterOptions routerOptions(const EntryOptions &options)
@@ -69,7 +65,7 @@
             m_loop.get(), &m_metrics, upstream::OwnerName{m_options.host, m_options.incarnation},
             routerOptions(m_options),
             [this](const base::UpstreamId &id) -> std::optional<base::Endpoint> {
-                const membership::Announcement *upstream = m_directory.find(id);
+                const membership::Announcement *upstream = m_gossiper->directory().find(id);
                 return upstream ? std::optional(upstream->address) : std::nullopt;
             });
     m_runner->setMaxUnsentBytes(m_options.maxUnsentBytes);
@@ -106,6 +102,7 @@
         return tl::unexpected("cannot listen on " + m_options.listenPeers.text() + ": "
                               + node.error().message);
     m_peers = *std::move(node);
+    m_gossiper = makeGossiper();
     m_control->setNode(m_peers.get());
     base::logEvent("listening", {{"callers", callers->text()},
                                  {"upstreams", upstreams->text()},
@@ -120,7 +117,7 @@
                                {"data_centre", m_options.dataCentre},
                                {"incarnation", m_options.incarnation.count()}});
     m_watcher->start(m_peers.get());
-    beat();
+    m_gossiper->start(m_peers.get());
     m_loop->run();
     base::logEvent("stopped", {{"host", m_options.host}});
 }
@@ -192,22 +189,20 @@
 
 void EntryTask::onAnnouncement(const membership::Announcement &announcement)
 {
-    apply(m_directory.announce(announcement, base::monotonicNow()));
+    m_gossiper->announce(announcement);
 }
 
-void EntryTask::apply(const std::vector<membership::DirectoryChange> &changes)
+void EntryTask::onUpstream(const membership::DirectoryChange &change)
 {
-    for (const membership::DirectoryChange &change : changes) {
-        const base::UpstreamId &id = change.upstream.id;
-        if (change.kind == membership::DirectoryChange::Kind::Gone) {
-            m_feeds->forget(id);
-            m_runner->feed(routing::UpstreamGone{id});
-            continue;
-        }
-        if (change.upstream.kind == routing::UpstreamKind::Engine)
-            m_feeds->follow(id, m_directory.find(id)->address);
-        m_runner->feed(routing::UpstreamSeen{change.upstream});
+    const base::UpstreamId &id = change.upstream.id;
+    if (change.kind == membership::DirectoryChange::Kind::Gone) {
+        m_feeds->forget(id);
+        m_runner->feed(routing::UpstreamGone{id});
+        return;
     }
+    if (change.upstream.kind == routing::UpstreamKind::Engine)
+        m_feeds->follow(id, m_gossiper->directory().find(id)->address);
+    m_runner->feed(routing::UpstreamSeen{change.upstream});
 }
 
 // Other hosts.
@@ -224,20 +219,7 @@
 
 void EntryTask::onGossip(peers::GossipMessage message)
 {
-    m_loop->post([this, message = std::move(message)] { takeGossip(message); });
-}
-
-void EntryTask::takeGossip(const peers::GossipMessage &message)
-{
-    const auto body = decodeGossip(message.body);
-    if (!body)
-        return;
-    for (const membership::Announcement &announcement : body->announcements)
-        onAnnouncement(announcement);
-    for (routing::PeerOutstanding one : body->outstanding) {
-        one.host = message.from;
-        m_runner->feed(one);
-    }
+    m_loop->post([this, message = std::move(message)] { m_gossiper->receive(message); });
 }
 
 void EntryTask::onQuery(peers::QueryRequest, peers::Answer<std::string> answer)
@@ -245,25 +227,20 @@
     answer("");
 }
 
-void EntryTask::gossip()
+std::unique_ptr<Gossiper> EntryTask::makeGossiper()
 {
-    GossipBody body;
-    body.announcements = m_directory.live(base::monotonicNow());
-    body.outstanding = m_runner->outstanding();
-    const std::string bytes = encode(body);
-    for (const base::Endpoint &peer : m_options.peers)
-        m_peers->gossip(peer, {m_options.host, bytes}, kGossipTimeout);
+    Gossiper::Hooks hooks;
+    hooks.onUpstream = [this](const auto &it) { onUpstream(it); };
+    hooks.onHost = [](const auto &) {};
+    hooks.onOutstanding = [this](const auto &it) { m_runner->feed(it); };
+    hooks.readOutstanding = [this] { return m_runner->outstanding(); };
+    const membership::HostRow self{m_options.host, m_options.incarnation, 0, m_peers->address()};
+    return std::make_unique<Gossiper>(m_loop.get(), &m_metrics, self, m_options.peers,
+                                      std::move(hooks));
 }
 
 // Life of the host.
 
-void EntryTask::beat()
-{
-    apply(m_directory.tick(base::monotonicNow()));
-    gossip();
-    m_loop->after(kBeatInterval, [this] { beat(); });
-}
-
 void EntryTask::refreshGauges()
 {
     m_runner->refreshGauges();
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -5,6 +5,7 @@
 #include "CallHandling.h"
 #include "ControlClient.h"
 #include "EntryOptions.h"
+#include "Gossiper.h"
 #include "http/Http.h"
 #include "membership/Membership.h"
 #include "peers/Peers.h"
@@ -45,7 +46,7 @@
 
     // Upstreams.
     void onAnnouncement(const membership::Announcement &announcement);
-    void apply(const std::vector<membership::DirectoryChange> &changes);
+    void onUpstream(const membership::DirectoryChange &change);
 
     // Other hosts.
     void onWatch(peers::WatchRequest request, peers::Answer<peers::WatchReply> answer) override;
@@ -54,11 +55,9 @@
     void onReplicate(peers::ReplicateMessage) override { }
     void onGossip(peers::GossipMessage message) override;
     void onQuery(peers::QueryRequest request, peers::Answer<std::string> answer) override;
-    void takeGossip(const peers::GossipMessage &message);
-    void gossip();
+    std::unique_ptr<Gossiper> makeGossiper();
 
     // Life of the host.
-    void beat();
     void refreshGauges();
     void beginStop();
     void refuseNewWork();
@@ -76,7 +75,7 @@
     std::unique_ptr<RecordsWatcher> m_watcher;
     std::unique_ptr<ControlClient> m_control;
     std::unique_ptr<peers::Node> m_peers;
-    membership::Directory m_directory;
+    std::unique_ptr<Gossiper> m_gossiper;
     bool m_isStopping = false;
 };
 
--- /dev/null
+++ b/programs/hyssop-entry/Gossiper.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "http/Http.h"
+#include "membership/Membership.h"
+#include "peers/Peers.h"
+#include "platform/Platform.h"
+
+#include <functional>
+
+namespace hyssop::entry {
+
+/// Keeps this host's view of the data centre's hosts and upstreams, and shares it.
+///
+/// Belongs to the entry task's loop. What is told to whom is decided by membership::Spread.
+class Gossiper
+{
+public:
+    /// Receives what has changed, and reads what this host has outstanding.
+    struct Hooks
+    {
+        std::function<void(const membership::DirectoryChange &)> onUpstream;
+        std::function<void(const membership::HostChange &)> onHost;
+        std::function<void(const routing::PeerOutstanding &)> onOutstanding;
+        std::function<std::vector<routing::PeerOutstanding>()> readOutstanding;
+    };
+
+    static constexpr base::Millis kBeat{250};
+
+    Gossiper(http::Loop *loop, platform::Metrics *metrics, membership::HostRow self,
+             std::vector<base::Endpoint> seeds, Hooks hooks);
+
+    /// Starts to beat; \a node must outlive the loop's run.
+    void start(peers::Node *node);
+    void announce(const membership::Announcement &announcement);
+    void receive(const peers::GossipMessage &message);
+
+    const membership::Directory &directory() const { return m_directory; }
+    const membership::HostTable &hosts() const { return m_hosts; }
+
+private:
+    void beat();
+    void apply(const std::vector<membership::DirectoryChange> &changes);
+    void apply(const std::vector<membership::HostChange> &changes);
+
+    http::Loop *m_loop;
+    platform::Metrics *m_metrics;
+    Hooks m_hooks;
+    membership::HostTable m_hosts;
+    membership::Directory m_directory;
+    membership::Spread m_spread;
+    peers::Node *m_node = nullptr;
+};
+
+} // namespace hyssop::entry
