--- a/programs/hyssop-entry/ClaimRunner.cpp
+++ b/programs/hyssop-entry/ClaimRunner.cpp
@@ -20,55 +20,75 @@
     return base::sha256Hex(head + call.body);
 }
 
-ClaimRunner::ClaimRunner(http::Loop *loop, ControlClient *control, caller::Server *callers,
-                         platform::Metrics *metrics, ledger::Owner owner)
+class ClaimRunner::ClaimedAnswer final : public Answer
+{
+public:
+    ClaimedAnswer(ClaimRunner *runner, base::RequestId id)
+        : m_runner(runner)
+        , m_id(std::move(id))
+    { }
+
+    void addTokens(const std::vector<std::string> &) override { }
+    void complete() override { }
+    void answer(const upstream::ServiceAnswer &answer) override
+    {
+        m_runner->onAnswered(m_id, answer);
+    }
+    void fail(const caller::ErrorBody &error) override { m_runner->onEnded(m_id, error); }
+
+private:
+    ClaimRunner *m_runner;
+    base::RequestId m_id;
+};
+
+ClaimRunner::ClaimRunner(http::Loop *loop, ControlClient *control, platform::Metrics *metrics,
+                         ledger::Owner owner, Submit submit)
     : m_loop(loop)
     , m_control(control)
-    , m_callers(callers)
     , m_metrics(metrics)
     , m_owner(std::move(owner))
+    , m_submit(std::move(submit))
 { }
 
-void ClaimRunner::begin(ClaimRequest request)
+bool ClaimRunner::needsClaim(const OpenRequest &request)
+{
+    return request.service && !request.info.mayRepeat
+           && !request.service->head.idempotencyKey.empty();
+}
+
+void ClaimRunner::begin(OpenRequest request)
 {
+    assert(needsClaim(request) && "only calls with a key that may not be repeated are claimed");
     const base::TimePoint now = base::monotonicNow();
-    ledger::Claim claim{request.team, request.key, request.digest, m_owner,
-                        std::to_string(++m_lastAttempt)};
-    ClaimFlow flow({std::move(claim), request.deadline});
-    const base::RequestId id = request.id;
-    m_exchanges.emplace(request.exchange, id);
-    const auto [it, isNew] =
-            m_open.emplace(id, Open{std::move(request), std::move(flow), std::nullopt, 0});
+    const base::RequestId id = request.info.id;
+    ledger::Claim claim{request.info.team, request.service->head.idempotencyKey,
+                        digestOf(*request.service), m_owner, std::to_string(++m_lastAttempt)};
+    ClaimFlow flow({std::move(claim), request.info.deadline});
+    Open open{std::nullopt, std::move(request.answer), std::move(flow), std::nullopt, 0};
+    request.answer = std::make_unique<ClaimedAnswer>(this, id);
+    open.request = std::move(request);
+    const auto [it, isNew] = m_open.emplace(id, std::move(open));
     assert(isNew && "a request is claimed once");
     perform(id, it->second.flow.start(now));
 }
 
-bool ClaimRunner::onAnswered(const base::RequestId &id, const upstream::ServiceAnswer &answer)
+void ClaimRunner::onAnswered(const base::RequestId &id, const upstream::ServiceAnswer &answer)
 {
-    const auto it = m_open.find(id);
-    if (it == m_open.end())
-        return false;
-    perform(id, it->second.flow.onAnswered({answer.status, answer.contentType, answer.body},
-                                           base::monotonicNow()));
-    return true;
+    perform(id, m_open.at(id).flow.onAnswered({answer.status, answer.contentType, answer.body},
+                                              base::monotonicNow()));
 }
 
-bool ClaimRunner::onEnded(const base::RequestId &id, const caller::ErrorBody &error)
+void ClaimRunner::onEnded(const base::RequestId &id, const caller::ErrorBody &error)
 {
-    const auto it = m_open.find(id);
-    if (it == m_open.end())
-        return false;
-    perform(id, it->second.flow.onEnded(error, base::monotonicNow()));
-    return true;
+    perform(id, m_open.at(id).flow.onEnded(error, base::monotonicNow()));
 }
 
-bool ClaimRunner::onCallerGone(http::ExchangeId exchange)
+bool ClaimRunner::onCallerGone(const base::RequestId &id)
 {
-    const auto it = m_exchanges.find(exchange);
-    if (it == m_exchanges.end())
+    const auto it = m_open.find(id);
+    if (it == m_open.end())
         return false;
-    const base::RequestId id = it->second;
-    perform(id, m_open.at(id).flow.onCallerGone(base::monotonicNow()));
+    perform(id, it->second.flow.onCallerGone(base::monotonicNow()));
     return true;
 }
 
@@ -136,7 +156,7 @@
                 }
                 // The claim stays held: nobody dispatches the call again.
                 m_metrics->count("hyssop_claims_unsettled_total");
-                base::logEvent("claim_unsettled", {{"team", m_open.at(id).request.team}});
+                base::logEvent("claim_unsettled", {{"team", m_open.at(id).flow.claim().team}});
                 onSettled(id);
             });
 }
@@ -162,8 +182,9 @@
 
 void ClaimRunner::perform(const base::RequestId &, Open &open, const Dispatch &)
 {
-    const std::function<void()> dispatch = std::exchange(open.request.dispatch, {});
-    dispatch();
+    OpenRequest request = *std::move(open.request);
+    open.request.reset();
+    m_submit(std::move(request));
 }
 
 void ClaimRunner::perform(const base::RequestId &, Open &open, const AnswerCaller &action)
@@ -171,8 +192,7 @@
     const ledger::Answer &answer = action.answer;
     if (!open.flow.hasDispatched())
         m_metrics->count("hyssop_answers_repeated_total");
-    m_callers->answer(open.request.exchange, answer.status, answer.contentType, answer.body);
-    m_exchanges.erase(open.request.exchange);
+    open.caller->answer({answer.status, answer.contentType, answer.body});
 }
 
 void ClaimRunner::perform(const base::RequestId &, Open &open, const FailCaller &action)
@@ -180,8 +200,7 @@
     // What the router ended is counted there.
     if (!open.flow.hasDispatched())
         m_metrics->count("hyssop_refusals_total", {{"reason", action.error.code}});
-    m_callers->fail(open.request.exchange, action.error);
-    m_exchanges.erase(open.request.exchange);
+    open.caller->fail(action.error);
 }
 
 void ClaimRunner::eraseIfDone(const base::RequestId &id)
--- a/programs/hyssop-entry/ClaimRunner.h
+++ b/programs/hyssop-entry/ClaimRunner.h
@@ -1,27 +1,14 @@
 #pragma once
 
-#include "caller/Caller.h"
 #include "ClaimFlow.h"
 #include "ControlClient.h"
-#include "upstream/Upstream.h"
+#include "OpenRequests.h"
 
 #include <functional>
 #include <map>
 
 namespace hyssop::entry {
 
-/// A call that needs a claim before it goes out.
-struct ClaimRequest
-{
-    base::RequestId id;
-    http::ExchangeId exchange;
-    base::TeamId team;
-    std::string key;
-    std::string digest; ///< Of service, method, path and body.
-    base::TimePoint deadline;
-    std::function<void()> dispatch; ///< Hands the call to the router.
-};
-
 /// Digest of what a claimed call asks for; another call under its key is a conflict.
 std::string digestOf(const caller::ServiceCall &call);
 
@@ -29,27 +16,35 @@
 class ClaimRunner
 {
 public:
-    ClaimRunner(http::Loop *loop, ControlClient *control, caller::Server *callers,
-                platform::Metrics *metrics, ledger::Owner owner);
+    /// Hands a claimed request to the router.
+    using Submit = std::function<void(OpenRequest)>;
+
+    ClaimRunner(http::Loop *loop, ControlClient *control, platform::Metrics *metrics,
+                ledger::Owner owner, Submit submit);
 
-    void begin(ClaimRequest request);
-    /// Each returns whether the request is a claimed one, whose caller is answered from here.
-    bool onAnswered(const base::RequestId &id, const upstream::ServiceAnswer &answer);
-    bool onEnded(const base::RequestId &id, const caller::ErrorBody &error);
-    bool onCallerGone(http::ExchangeId exchange);
+    /// Whether a request may go out only once it is claimed in the log.
+    static bool needsClaim(const OpenRequest &request);
+    void begin(OpenRequest request);
+    /// Returns whether the request is a claimed one, which is not to be cancelled then.
+    bool onCallerGone(const base::RequestId &id);
 
     /// Flows that still have a caller to answer or an outcome to record.
     std::size_t openFlows() const { return m_open.size(); }
 
 private:
+    /// Takes the answer of a claimed request from the router.
+    class ClaimedAnswer;
     struct Open
     {
-        ClaimRequest request;
+        std::optional<OpenRequest> request; ///< Until it is dispatched.
+        std::unique_ptr<Answer> caller; ///< Until the caller was answered.
         ClaimFlow flow;
         std::optional<http::TimerId> timer;
         int unsettled = 0; ///< Commands on their way, claims included.
     };
 
+    void onAnswered(const base::RequestId &id, const upstream::ServiceAnswer &answer);
+    void onEnded(const base::RequestId &id, const caller::ErrorBody &error);
     void perform(const base::RequestId &id, const ClaimActions &actions);
     void perform(const base::RequestId &id, Open &open, const SendClaim &action);
     void perform(const base::RequestId &id, Open &open, const SendRelease &action);
@@ -64,12 +59,11 @@
 
     http::Loop *m_loop;
     ControlClient *m_control;
-    caller::Server *m_callers;
     platform::Metrics *m_metrics;
     ledger::Owner m_owner;
+    Submit m_submit;
     std::int64_t m_lastAttempt = 0;
     std::map<base::RequestId, Open> m_open;
-    std::map<http::ExchangeId, base::RequestId> m_exchanges;
 };
 
 } // namespace hyssop::entry
