--- /dev/null
+++ b/programs/hyssop-entry/Gossiper.cpp
@@ -0,0 +1,117 @@
+#include "Gossiper.h"
+
+#include "Gossip.h"
+
+namespace hyssop::entry {
+
+namespace {
+
+constexpr base::Millis kTimeout{1'000};
+
+membership::SpreadOptions optionsFor(const membership::HostRow &self,
+                                     std::vector<base::Endpoint> seeds)
+{
+    membership::SpreadOptions options;
+    options.seeds = std::move(seeds);
+    options.beat = Gossiper::kBeat;
+    // Hosts that started together must not draw alike.
+    options.seed = std::hash<base::HostId>()(self.id)
+                   ^ static_cast<std::uint64_t>(self.incarnation.count());
+    return options;
+}
+
+std::string_view kindName(membership::HostChange::Kind kind)
+{
+    switch (kind) {
+    case membership::HostChange::Kind::Seen:
+        return "seen";
+    case membership::HostChange::Kind::Suspected:
+        return "suspected";
+    case membership::HostChange::Kind::Dead:
+        return "dead";
+    case membership::HostChange::Kind::Replaced:
+        return "replaced";
+    }
+    return "";
+}
+
+} // namespace
+
+Gossiper::Gossiper(http::Loop *loop, platform::Metrics *metrics, membership::HostRow self,
+                   std::vector<base::Endpoint> seeds, Hooks hooks)
+    : m_loop(loop)
+    , m_metrics(metrics)
+    , m_hooks(std::move(hooks))
+    , m_hosts(self)
+    , m_spread(optionsFor(self, std::move(seeds)), &m_hosts, &m_directory)
+{ }
+
+void Gossiper::start(peers::Node *node)
+{
+    m_node = node;
+    beat();
+}
+
+void Gossiper::beat()
+{
+    const base::TimePoint now = base::monotonicNow();
+    apply(m_directory.tick(now));
+    apply(m_hosts.tick(now));
+    // With many hosts each would hear of the other too rarely for it to be of use.
+    std::vector<routing::PeerOutstanding> outstanding;
+    if (m_spread.tellsAll())
+        outstanding = m_hooks.readOutstanding();
+    std::size_t bytes = 0;
+    for (membership::Spread::Outgoing &out : m_spread.beat(now)) {
+        const std::string body = encode({std::move(out.message), outstanding});
+        bytes += body.size();
+        m_node->gossip(out.to, {m_hosts.self().id, body}, kTimeout);
+    }
+    m_metrics->count("hyssop_gossip_bytes_total", {{"way", "out"}}, static_cast<double>(bytes));
+    m_metrics->set("hyssop_live_hosts", static_cast<double>(m_hosts.live().size()));
+    m_loop->after(kBeat, [this] { beat(); });
+}
+
+void Gossiper::announce(const membership::Announcement &announcement)
+{
+    apply(m_spread.announce(announcement, base::monotonicNow()));
+}
+
+void Gossiper::receive(const peers::GossipMessage &message)
+{
+    m_metrics->count("hyssop_gossip_bytes_total", {{"way", "in"}},
+                     static_cast<double>(message.body.size()));
+    const auto body = decodeGossip(message.body);
+    if (!body) {
+        m_metrics->count("hyssop_malformed_gossip_total");
+        return;
+    }
+    const membership::Spread::Changes changes =
+            m_spread.receive(body->spread, base::monotonicNow());
+    apply(changes.hosts);
+    apply(changes.upstreams);
+    for (routing::PeerOutstanding one : body->outstanding) {
+        one.host = message.from;
+        m_hooks.onOutstanding(one);
+    }
+}
+
+void Gossiper::apply(const std::vector<membership::DirectoryChange> &changes)
+{
+    for (const membership::DirectoryChange &change : changes)
+        m_hooks.onUpstream(change);
+}
+
+void Gossiper::apply(const std::vector<membership::HostChange> &changes)
+{
+    for (const membership::HostChange &change : changes) {
+        const std::string_view kind = kindName(change.kind);
+        m_metrics->count("hyssop_host_changes_total", {{"kind", std::string(kind)}});
+        base::logEvent("host", {{"host", change.host},
+                                {"incarnation", change.incarnation.count()},
+                                {"change", kind}});
+        m_hooks.onHost(change);
+    }
+}
+
+} // namespace hyssop::entry
