Count an even share of the rate where peers' work hides this host's

Cause: at 40 requests a second of the vestfjord mix three prompts to 100k were refused as deadline_too_short with 50 s to spare: a host that had nothing outstanding beside a busy peer took its share of the engines' rate for nothing, and its queue for endless.

Change: the share is what the host has outstanding of all, or an even part among the hosts.

--- a/libs/routing/src/PeerLoad.h
+++ b/libs/routing/src/PeerLoad.h
@@ -21,6 +21,8 @@
 
     void set(const PeerOutstanding &report, base::TimePoint now);
     const Sum &sum(base::TimePoint now);
+    /// Hosts that have something to say of the upstream.
+    std::size_t hosts() const { return m_items.size(); }
 
     static constexpr base::Millis kTtl{1'500};
 
--- a/libs/routing/src/Placement.cpp
+++ b/libs/routing/src/Placement.cpp
@@ -200,6 +200,7 @@
     double rate = 0;
     double mine = 1;
     double all = 1;
+    std::size_t hosts = 1;
     base::Micros best = base::Micros::max();
     for (const auto *group : {&states, &elsewhere}) {
         for (UpstreamState *state : *group) {
@@ -209,13 +210,16 @@
             rate += state->rate.rate();
             mine += static_cast<double>(state->outstanding().count());
             all += static_cast<double>(state->known(now).count());
+            hosts = std::max(hosts, 1 + state->peers.hosts());
         }
     }
     outlook.firstToken = best;
     const SizeClass size = isLong(request) ? SizeClass::Long : SizeClass::Short;
+    // What the engines compute is shared with the other hosts as it is now, or evenly.
+    const double share = std::max(mine / all, 1.0 / static_cast<double>(hosts));
     const auto queued = static_cast<double>(pool.queuedBefore(request.urgency, size));
     if (request.kind == UpstreamKind::Engine)
-        outlook.wait = base::Micros(static_cast<std::int64_t>(queued * 1e6 / (rate * mine / all)));
+        outlook.wait = base::Micros(static_cast<std::int64_t>(queued * 1e6 / (rate * share)));
     outlook.isIdle &= queued == 0;
     outlook.finish = pool.answers.timeFor(request.maxOutput);
     return outlook;
--- a/libs/routing/tests/RouterTest.cpp
+++ b/libs/routing/tests/RouterTest.cpp
@@ -90,6 +90,21 @@
     CHECK(ends[0].retryAfter < 3s);
 }
 
+TEST_CASE("a queue behind other hosts' work is not taken for endless")
+{
+    Rig rig;
+    rig.addEngine("e");
+    PeerOutstanding report;
+    report.host = base::HostId("h2");
+    report.upstream = base::UpstreamId("e");
+    report.prompt = base::Tokens(40'000);
+    rig.router.handle(report, rig.now);
+    CHECK(rig.arrive("waits", 20'000).empty());
+    // 60,000 tokens before it at half the rate and 20,000 of its own: well within the minute.
+    CHECK(rig.arrive("r", 20'000).empty());
+    CHECK(rig.router.stats().queued == 2);
+}
+
 TEST_CASE("limits of a team refuse with their own reasons")
 {
     const auto team =
