--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -73,6 +73,10 @@
             m_loop.get(), [this](const auto &load) { m_runner->feed(load); },
             [this](const auto &change) { m_runner->feed(change); });
     m_control = std::make_unique<ControlClient>(m_loop.get(), &m_metrics, m_options.controls);
+    m_claims = std::make_unique<ClaimRunner>(
+            m_loop.get(), m_control.get(), &m_metrics,
+            ledger::Owner{m_options.host, m_options.incarnation},
+            [this](OpenRequest request) { m_runner->submit(std::move(request)); });
     m_watcher = std::make_unique<RecordsWatcher>(
             m_loop.get(), m_options.host, m_options.dataCentre, m_options.controls,
             [this](auto catalogue) { takeCatalogue(std::move(catalogue)); });
@@ -171,12 +175,16 @@
 {
     request.info.id = requestIdOf(id);
     request.answer = std::make_unique<CallerAnswer>(m_callers.get(), id);
-    m_runner->submit(std::move(request));
+    if (ClaimRunner::needsClaim(request))
+        m_claims->begin(std::move(request));
+    else
+        m_runner->submit(std::move(request));
 }
 
 void EntryTask::onCallerGone(http::ExchangeId id)
 {
-    m_runner->giveUp(requestIdOf(id));
+    if (!m_claims->onCallerGone(requestIdOf(id)))
+        m_runner->giveUp(requestIdOf(id));
 }
 
 void EntryTask::onBadInput(std::string_view code)
@@ -273,7 +281,8 @@
 
 void EntryTask::endWhenIdle(base::TimePoint until)
 {
-    if (m_runner->isIdle() || base::monotonicNow() >= until) {
+    const bool isIdle = m_runner->isIdle() && m_claims->openFlows() == 0;
+    if (isIdle || base::monotonicNow() >= until) {
         // One more turn lets the last answers leave.
         m_loop->after(kStopPoll, [this] { m_loop->stop(); });
         return;
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -3,7 +3,7 @@
 #include "ActionRunner.h"
 #include "caller/Caller.h"
 #include "CallHandling.h"
-#include "ControlClient.h"
+#include "ClaimRunner.h"
 #include "EntryOptions.h"
 #include "Gossiper.h"
 #include "http/Http.h"
@@ -74,6 +74,7 @@
     std::unique_ptr<upstream::EngineFeeds> m_feeds;
     std::unique_ptr<RecordsWatcher> m_watcher;
     std::unique_ptr<ControlClient> m_control;
+    std::unique_ptr<ClaimRunner> m_claims;
     std::unique_ptr<peers::Node> m_peers;
     std::unique_ptr<Gossiper> m_gossiper;
     bool m_isStopping = false;
