--- a/libs/routing/tests/PartsTest.cpp
+++ b/libs/routing/tests/PartsTest.cpp
@@ -62,7 +62,8 @@
         int number = 0;
         for (const std::uint8_t step : steps) {
             if (step % 3 < 2) {
-                const QueueItem one = item(std::string(1, 'a' + step % 5), ++number, 1 + step);
+                const QueueItem one =
+                        item(std::string(1, static_cast<char>('a' + step % 5)), ++number, 1 + step);
                 queue.push(one);
                 expected.emplace(one.request, one);
                 cost += one.cost;
