--- a/tools/lib/system.sh
+++ b/tools/lib/system.sh
@@ -51,8 +51,6 @@
         operators+=("$net.$dc.1:7200")
         callers+=("$net.$dc.11:8000" "$net.$dc.12:8000")
     done
-    # The first voter alone until the others can take part.
-    voters=("${voters[0]}")
     for dc in 1 2 3; do
         start "control-$dc" "$bin/hyssop-control" --host "control-$dc" \
             --data-centre "${centres[dc - 1]}" --data "$work/control-$dc" \
