--- a/libs/routing/tests/PropertyTest.cpp
+++ b/libs/routing/tests/PropertyTest.cpp
@@ -236,3 +236,36 @@
         RC_ASSERT(first.log() == second.log());
     });
 }
+
+TEST_CASE("long prompts are computed at no more than half of the engines, short ones at any")
+{
+    rc::prop("share", [](const std::vector<std::uint16_t> &steps) {
+        Rig rig;
+        for (int n = 0; n < 8; ++n)
+            rig.addEngine("e" + std::to_string(n));
+        std::map<base::AttemptId, base::UpstreamId> computing;
+        int last = 0;
+        for (const std::uint16_t step : steps) {
+            Actions actions;
+            if (step % 3 < 2 || computing.empty()) {
+                const std::int64_t prompt = step % 2 ? 40'000 + step : 1'000;
+                actions = rig.arrive("r" + std::to_string(++last), prompt);
+            } else {
+                auto it = computing.begin();
+                std::advance(it, step % computing.size());
+                actions = rig.router.handle(AttemptTokens{it->first, 0, 1}, rig.now);
+                computing.erase(it);
+            }
+            for (const StartAttempt &start : only<StartAttempt>(actions)) {
+                if (start.priority % 4 >= 2)
+                    computing[start.attempt] = start.upstream;
+            }
+            std::set<base::UpstreamId> engines;
+            for (const auto &[attempt, engine] : computing)
+                engines.insert(engine);
+            RC_ASSERT(engines.size() <= 4U);
+        }
+        const Actions actions = rig.arrive("short", 1'000, records::Urgency::Urgent);
+        RC_ASSERT(only<StartAttempt>(actions).size() == 1U);
+    });
+}
--- a/programs/hyssop-entry/CallHandling.cpp
+++ b/programs/hyssop-entry/CallHandling.cpp
@@ -24,6 +24,13 @@
             caller::ErrorBody{401, "unauthenticated", "no team's record holds this bearer key"});
 }
 
+tl::unexpected<caller::ErrorBody> notReady()
+{
+    constexpr base::Millis kRetryAfter{1'000};
+    return tl::unexpected(caller::ErrorBody{503, "not_ready", "this host has no records yet",
+                                            caller::Outcome::NotRun, kRetryAfter});
+}
+
 } // namespace
 
 CallHandling::CallHandling(bool checksCallerKeys)
@@ -38,13 +45,15 @@
 tl::expected<base::TeamId, caller::ErrorBody> CallHandling::teamOf(
         const caller::CallHead &head) const
 {
+    if (!m_catalogue)
+        return notReady();
     if (!m_checksCallerKeys) {
         const base::TeamId team(head.team);
-        if (!m_catalogue || !m_catalogue->team(team))
+        if (!m_catalogue->team(team))
             return refused(routing::Reason::UnknownTeam);
         return team;
     }
-    if (head.bearerKey.empty() || !m_catalogue)
+    if (head.bearerKey.empty())
         return unauthenticated();
     const base::TeamId *team = m_catalogue->teamOfKey(base::sha256Hex(head.bearerKey));
     if (!team)
