Jobs are recorded before they are accepted, run by any entry of the data centre, and ended

POST /v1/jobs is recorded in the home group before it is answered with 202; the same key leads to the same job, with another body to a conflict. Entries take waiting jobs, run them through the router, rest those that found no upstream until the job's own limit, end the others as done or failed with a reason, and hand over what runs when they stop. Control hosts answer queries on jobs and on the entry hosts that watch records. JobBoard decides without I/O. Shown by test-entry, test-control-queries and test-ledger.

--- a/libs/ledger/src/Ledger.cpp
+++ b/libs/ledger/src/Ledger.cpp
@@ -194,8 +194,11 @@
 
 Reply Ledger::run(const SubmitJob &command)
 {
-    if (m_jobs.contains(command.id))
-        return answer(Status::Accepted);
+    if (const auto it = m_jobs.find(command.id); it != m_jobs.end()) {
+        const bool isSame =
+                it->second.request == command.request && it->second.team == command.team;
+        return answer(isSame ? Status::Accepted : Status::Conflict);
+    }
     if (m_jobs.size() >= m_options.maxJobs)
         return answer(Status::Full, "too many jobs are kept");
     Job job;
--- a/libs/ledger/tests/LedgerTest.cpp
+++ b/libs/ledger/tests/LedgerTest.cpp
@@ -164,3 +164,14 @@
     CHECK(rig.run(other).status == Status::Accepted);
     CHECK(rig.run(late).status == Status::Pending);
 }
+
+TEST_CASE("a job submitted again is the same one, with another request a conflict")
+{
+    Rig rig;
+    SubmitJob submit{base::JobId("job-x-1"), base::TeamId("shop"), "r", base::Millis(1'000)};
+    CHECK(rig.run(submit).status == Status::Accepted);
+    CHECK(rig.run(submit).status == Status::Accepted);
+    submit.request = "other";
+    CHECK(rig.run(submit).status == Status::Conflict);
+    CHECK(rig.ledger.job(submit.id)->request == "r");
+}
--- a/programs/hyssop-control/ControlTask.cpp
+++ b/programs/hyssop-control/ControlTask.cpp
@@ -292,9 +292,23 @@
     });
 }
 
-void ControlTask::onQuery(peers::QueryRequest, peers::Answer<std::string> answer)
+void ControlTask::onQuery(peers::QueryRequest request, peers::Answer<std::string> answer)
 {
-    answer("");
+    m_loop->post([this, request = std::move(request), answer = std::move(answer)] {
+        answer(answerQuery(request, queryView(base::monotonicNow())));
+    });
+}
+
+QueryView ControlTask::queryView(base::TimePoint now) const
+{
+    QueryView view{m_options.host, m_options.dataCentre, {}, {}};
+    for (const auto &[name, group] : m_groups)
+        view.groups.push_back({name, &group->ledger(), group->replica().hasLease(now)});
+    for (const auto &[host, reporter] : m_reporters) {
+        const auto age = std::chrono::duration_cast<base::Millis>(now - reporter.seen);
+        view.reporters.push_back({host, reporter.dataCentre, reporter.applied.index, age.count()});
+    }
+    return view;
 }
 
 } // namespace hyssop::control
--- a/programs/hyssop-control/ControlTask.h
+++ b/programs/hyssop-control/ControlTask.h
@@ -5,6 +5,7 @@
 #include "operators/Operators.h"
 #include "peers/Peers.h"
 #include "platform/Platform.h"
+#include "Queries.h"
 
 #include <list>
 
@@ -64,6 +65,7 @@
     peers::WatchReply watchReply(const peers::WatchRequest &request) const;
     peers::WirePosition recordsPosition() const;
     bool isVoter() const;
+    QueryView queryView(base::TimePoint now) const;
 
     void onPut(operators::PutRequest request,
                operators::Answer<operators::PutReply> answer) override;
--- /dev/null
+++ b/programs/hyssop-control/Queries.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "ledger/Ledger.h"
+#include "operators/Operators.h"
+#include "peers/Peers.h"
+
+namespace hyssop::control {
+
+/// A group of this host, as a query reads it.
+struct GroupView
+{
+    std::string name;
+    const ledger::Ledger *ledger = nullptr;
+    bool isConfirmed = false; ///< Nothing newer was committed elsewhere.
+};
+
+/// What queries read. Nothing in it changes while one is answered.
+struct QueryView
+{
+    base::HostId host;
+    base::DataCentreId dataCentre;
+    std::vector<GroupView> groups;
+    std::vector<operators::HostStatus> reporters; ///< Entry hosts that watch the records here.
+};
+
+/// Answers a query by its topic; empty text when this host cannot tell.
+///
+/// Topics and bodies, all JSON:
+/// - "job" {id}: {found, confirmed, index, job};
+/// - "jobs" {team}: {groups: [{name, confirmed}], jobs}, without requests and results;
+/// - "open-jobs" {}: jobs of this data centre that wait or run, the longest waiting first;
+/// - "reporters" {}: {host, dataCentre, hosts: [{host, dataCentre, position, ageMs}]}.
+std::string answerQuery(const peers::QueryRequest &request, const QueryView &view);
+
+} // namespace hyssop::control
--- /dev/null
+++ b/programs/hyssop-control/tests/QueriesTest.cpp
@@ -0,0 +1,84 @@
+#include "Queries.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace hyssop;
+using namespace hyssop::control;
+using nlohmann::json;
+
+namespace {
+
+const ledger::Owner kEntry{base::HostId("e1"), base::Incarnation(4)};
+
+struct Rig
+{
+    Rig()
+    {
+        run(ledger::SubmitJob{base::JobId("job-hall-a-1"), base::TeamId("desk"), "first",
+                              base::Millis(1'000)},
+            10);
+        run(ledger::SubmitJob{base::JobId("job-hall-a-2"), base::TeamId("other"), "second",
+                              base::Millis(1'000)},
+            20);
+        run(ledger::TakeJob{base::JobId("job-hall-a-1"), kEntry}, 100);
+    }
+
+    void run(const ledger::Command &command, std::int64_t timeMs)
+    {
+        replog::Entry entry;
+        entry.position = {replog::Term(1), replog::Index(++index)};
+        entry.payload = ledger::encode(command, timeMs);
+        home.apply(entry);
+    }
+
+    json ask(const std::string &topic, const json &body) const
+    {
+        QueryView view{base::HostId("c1"), base::DataCentreId("hall-a"), {}, {}};
+        view.groups.push_back({"home-hall-a", &home, true});
+        view.reporters.push_back({base::HostId("e1"), base::DataCentreId("hall-a"), 7, 40});
+        const std::string answer = answerQuery({topic, body.dump()}, view);
+        return answer.empty() ? json() : json::parse(answer);
+    }
+
+    ledger::Ledger home;
+    std::int64_t index = 0;
+};
+
+} // namespace
+
+TEST_CASE("a job is told by the host that keeps its group, and by no other")
+{
+    const Rig rig;
+    const json found = rig.ask("job", {{"id", "job-hall-a-1"}});
+    CHECK(found.at("found") == true);
+    CHECK(found.at("job").at("request") == "first");
+    CHECK(found.at("job").at("host") == "e1");
+    CHECK(found.at("job").at("remainingMs") == 910);
+    CHECK(rig.ask("job", {{"id", "job-hall-a-9"}}).at("found") == false);
+    CHECK(rig.ask("job", {{"id", "job-hall-b-1"}}).is_null());
+    CHECK(rig.ask("job", {{"id", 7}}).is_null());
+}
+
+TEST_CASE("lists hold a team's jobs or the open ones, without requests")
+{
+    const Rig rig;
+    const json listed = rig.ask("jobs", {{"team", "desk"}}).at("jobs");
+    REQUIRE(listed.size() == 1);
+    CHECK_FALSE(listed[0].contains("request"));
+    const json open = rig.ask("open-jobs", json::object()).at("jobs");
+    REQUIRE(open.size() == 2);
+    CHECK(open[0].at("id") == "job-hall-a-2");
+    CHECK(open[0].at("state") == "waiting");
+    CHECK(open[1].at("state") == "running");
+}
+
+TEST_CASE("reporters are told with their data centre, position and age; other topics are not")
+{
+    const Rig rig;
+    const json hosts = rig.ask("reporters", json::object()).at("hosts");
+    REQUIRE(hosts.size() == 1);
+    CHECK(hosts[0].at("position") == 7);
+    CHECK(hosts[0].at("ageMs") == 40);
+    CHECK(rig.ask("weather", json::object()).is_null());
+}
--- a/programs/hyssop-entry/CallHandling.cpp
+++ b/programs/hyssop-entry/CallHandling.cpp
@@ -55,25 +55,25 @@
     return *team;
 }
 
-tl::expected<Asked, caller::ErrorBody> CallHandling::read(const caller::CallHead &head,
+tl::expected<Asked, caller::ErrorBody> CallHandling::read(const base::TeamId &team,
+                                                          const caller::CallHead &head,
                                                           const std::string &routeName,
                                                           routing::UpstreamKind kind,
                                                           base::TimePoint now) const
 {
-    const auto team = teamOf(head);
-    if (!team)
-        return tl::unexpected(team.error());
+    if (!m_catalogue || !m_catalogue->team(team))
+        return refused(routing::Reason::UnknownTeam);
     const records::RouteSpec *route = m_catalogue->route(routeName);
     const bool isService = kind == routing::UpstreamKind::Service;
     if (!route || isService == route->service.isEmpty())
         return refused(routing::Reason::UnknownRoute);
     const auto &teams = route->teams;
-    if (!teams.empty() && std::find(teams.begin(), teams.end(), *team) == teams.end())
+    if (!teams.empty() && std::find(teams.begin(), teams.end(), team) == teams.end())
         return refused(routing::Reason::TeamNotAllowed);
     Asked asked;
-    asked.team = *team;
+    asked.team = team;
     asked.route = route;
-    asked.info.team = *team;
+    asked.info.team = team;
     asked.info.kind = kind;
     asked.info.target = isService ? route->service.text() : route->model.text();
     asked.info.role = route->role;
@@ -87,7 +87,17 @@
 tl::expected<Asked, caller::ErrorBody> CallHandling::read(const caller::CompletionCall &call,
                                                           base::TimePoint now) const
 {
-    auto asked = read(call.head, call.model, routing::UpstreamKind::Engine, now);
+    const auto team = teamOf(call.head);
+    if (!team)
+        return tl::unexpected(team.error());
+    return read(*team, call, now);
+}
+
+tl::expected<Asked, caller::ErrorBody> CallHandling::read(const base::TeamId &team,
+                                                          const caller::CompletionCall &call,
+                                                          base::TimePoint now) const
+{
+    auto asked = read(team, call.head, call.model, routing::UpstreamKind::Engine, now);
     if (!asked)
         return asked;
     asked->info.prompt = upstream::countTokens(call.prompt);
@@ -100,7 +110,10 @@
 tl::expected<Asked, caller::ErrorBody> CallHandling::read(const caller::ServiceCall &call,
                                                           base::TimePoint now) const
 {
-    auto asked = read(call.head, call.service, routing::UpstreamKind::Service, now);
+    const auto team = teamOf(call.head);
+    if (!team)
+        return tl::unexpected(team.error());
+    auto asked = read(*team, call.head, call.service, routing::UpstreamKind::Service, now);
     if (asked)
         asked->info.body = base::Bytes(static_cast<std::int64_t>(call.body.size()));
     return asked;
--- a/programs/hyssop-entry/CallHandling.h
+++ b/programs/hyssop-entry/CallHandling.h
@@ -30,9 +30,14 @@
                                                 base::TimePoint now) const;
     tl::expected<Asked, caller::ErrorBody> read(const caller::ServiceCall &call,
                                                 base::TimePoint now) const;
+    /// For a team that is known already, as that of a job.
+    tl::expected<Asked, caller::ErrorBody> read(const base::TeamId &team,
+                                                const caller::CompletionCall &call,
+                                                base::TimePoint now) const;
 
 private:
-    tl::expected<Asked, caller::ErrorBody> read(const caller::CallHead &head,
+    tl::expected<Asked, caller::ErrorBody> read(const base::TeamId &team,
+                                                const caller::CallHead &head,
                                                 const std::string &routeName,
                                                 routing::UpstreamKind kind,
                                                 base::TimePoint now) const;
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -77,6 +77,13 @@
             m_loop.get(), m_control.get(), &m_metrics,
             ledger::Owner{m_options.host, m_options.incarnation},
             [this](OpenRequest request) { m_runner->submit(std::move(request)); });
+    m_jobs = std::make_unique<JobRunner>(
+            m_loop.get(), m_control.get(), &m_metrics, m_runner.get(), &m_calls,
+            JobRunner::Options{
+                    {m_options.host, m_options.incarnation},
+                    m_options.dataCentre,
+                    std::hash<base::HostId>()(m_options.host)
+                            ^ static_cast<std::uint64_t>(m_options.incarnation.count())});
     m_watcher = std::make_unique<RecordsWatcher>(
             m_loop.get(), m_options.host, m_options.dataCentre, m_options.controls,
             [this](auto catalogue) { takeCatalogue(std::move(catalogue)); });
@@ -122,6 +129,7 @@
                                {"incarnation", m_options.incarnation.count()}});
     m_watcher->start(m_peers.get());
     m_gossiper->start(m_peers.get());
+    m_jobs->start();
     m_loop->run();
     base::logEvent("stopped", {{"host", m_options.host}});
 }
@@ -135,10 +143,27 @@
     } else if (auto *service = std::get_if<caller::ServiceCall>(&call)) {
         onService(id, std::move(*service));
     } else {
-        m_callers->fail(id, {503, "jobs_unavailable", "this host takes no jobs"});
+        onJobs(id, call);
     }
 }
 
+void EntryTask::onJobs(http::ExchangeId id, const caller::Call &call)
+{
+    const auto team = m_calls.teamOf(std::visit(
+            [](const auto &it) -> const auto & { return it.head; }, call));
+    if (!team) {
+        refuse(id, team.error());
+        return;
+    }
+    const auto answer = std::make_shared<CallerAnswer>(m_callers.get(), id);
+    if (const auto *submitted = std::get_if<caller::SubmitJobCall>(&call))
+        m_jobs->submit(answer, *team, *submitted);
+    else if (const auto *asked = std::get_if<caller::GetJobCall>(&call))
+        m_jobs->get(answer, *team, asked->job);
+    else
+        m_jobs->list(answer, *team);
+}
+
 void EntryTask::refuse(http::ExchangeId id, const caller::ErrorBody &error)
 {
     m_metrics.count("hyssop_refusals_total", {{"reason", error.code}});
@@ -252,6 +277,7 @@
 void EntryTask::refreshGauges()
 {
     m_runner->refreshGauges();
+    m_jobs->refreshGauges();
     m_metrics.set("hyssop_records_index", static_cast<double>(m_watcher->position().index));
     m_metrics.set("hyssop_records_confirmed", m_watcher->isConfirmed() ? 1 : 0);
 }
@@ -267,6 +293,7 @@
         return;
     m_isStopping = true;
     m_platform->setReady(false);
+    m_jobs->stop();
     base::logEvent("stopping", {{"open_requests", m_runner->openRequests()}});
     // Requests are still taken until the balancer has noticed.
     m_loop->after(m_options.stopNotice, [this] { refuseNewWork(); });
@@ -281,7 +308,7 @@
 
 void EntryTask::endWhenIdle(base::TimePoint until)
 {
-    const bool isIdle = m_runner->isIdle() && m_claims->openFlows() == 0;
+    const bool isIdle = m_runner->isIdle() && m_jobs->isIdle() && m_claims->openFlows() == 0;
     if (isIdle || base::monotonicNow() >= until) {
         // One more turn lets the last answers leave.
         m_loop->after(kStopPoll, [this] { m_loop->stop(); });
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -7,6 +7,7 @@
 #include "EntryOptions.h"
 #include "Gossiper.h"
 #include "http/Http.h"
+#include "JobRunner.h"
 #include "membership/Membership.h"
 #include "peers/Peers.h"
 #include "platform/Platform.h"
@@ -41,6 +42,7 @@
     void onBadInput(std::string_view code) override;
     void onCompletion(http::ExchangeId id, const caller::CompletionCall &call);
     void onService(http::ExchangeId id, caller::ServiceCall call);
+    void onJobs(http::ExchangeId id, const caller::Call &call);
     void refuse(http::ExchangeId id, const caller::ErrorBody &error);
     void submit(http::ExchangeId id, OpenRequest request);
 
@@ -75,6 +77,7 @@
     std::unique_ptr<RecordsWatcher> m_watcher;
     std::unique_ptr<ControlClient> m_control;
     std::unique_ptr<ClaimRunner> m_claims;
+    std::unique_ptr<JobRunner> m_jobs;
     std::unique_ptr<peers::Node> m_peers;
     std::unique_ptr<Gossiper> m_gossiper;
     bool m_isStopping = false;
--- /dev/null
+++ b/programs/hyssop-entry/JobForms.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "JobBoard.h"
+
+namespace hyssop::entry {
+
+// JSON forms of jobs: in the log, in queries of control hosts, and in answers to callers.
+
+/// What the log keeps of a submission, and the call read back from it.
+std::string jobRequest(const caller::SubmitJobCall &call);
+std::optional<caller::CompletionCall> jobCall(const std::string &request);
+
+/// What the log keeps of a whole answer.
+std::string jobResult(const std::string &text, std::int64_t tokens);
+
+std::string jobQuery(const base::JobId &id);
+std::string jobsQuery(const base::TeamId &team);
+
+std::vector<OpenJob> openJobsFrom(const std::string &answer);
+/// Of several answers to a job's query, the one that is furthest in the log and holds the job.
+std::optional<std::string> newestJob(const std::vector<std::string> &answers);
+/// Whether a control host that is up to date has no such job.
+bool isKnownAbsent(const std::vector<std::string> &answers);
+/// The job, if it runs and \a self has taken it.
+std::optional<TakenJob> takenJobFrom(const std::string &answer, const ledger::Owner &self);
+
+/// Answers to callers. A job of another team gives none.
+std::string acceptedJob(const base::JobId &id);
+std::optional<std::string> jobView(const std::string &answer, const base::TeamId &team);
+std::string jobList(const std::vector<std::string> &answers, std::size_t silentHosts);
+
+} // namespace hyssop::entry
