Storage tests for torn tails, damage and a full disk; rougher simulation

Cause: faults that the storage exists for had no tests, and the simulation's network was calm. Change: each cut of the last frame and each flipped byte is tried; a full disk by a file size limit; one-way cuts, loss up to 25% and more crashes drawn for each seed.

--- a/libs/ledger/tests/ReplicationTest.cpp
+++ b/libs/ledger/tests/ReplicationTest.cpp
@@ -32,6 +32,7 @@
                                                              {"reorder", &Faults::reorder},
                                                              {"duplication", &Faults::duplication},
                                                              {"partitions", &Faults::partitions},
+                                                             {"one-way cuts", &Faults::oneWayCuts},
                                                              {"crashes", &Faults::crashes},
                                                              {"disk losses", &Faults::diskLosses},
                                                              {"clock skew", &Faults::clockSkew},
--- a/libs/ledger/tests/Simulation.cpp
+++ b/libs/ledger/tests/Simulation.cpp
@@ -30,22 +30,22 @@
     void append(const std::vector<replog::Entry> &entries) override
     {
         for (const replog::Entry &entry : entries)
-            m_pending.push_back([this, entry] { m_durable.entries.push_back(entry); });
+            m_pending.emplace_back([this, entry] { m_durable.entries.push_back(entry); });
     }
     void truncateFrom(replog::Index first) override
     {
-        m_pending.push_back([this, first] {
+        m_pending.emplace_back([this, first] {
             std::erase_if(m_durable.entries,
                           [first](const auto &entry) { return entry.position.index >= first; });
         });
     }
     void setHardState(const replog::HardState &state) override
     {
-        m_pending.push_back([this, state] { m_durable.hardState = state; });
+        m_pending.emplace_back([this, state] { m_durable.hardState = state; });
     }
     void saveSnapshot(const replog::Snapshot &snapshot) override
     {
-        m_pending.push_back([this, snapshot] {
+        m_pending.emplace_back([this, snapshot] {
             m_durable.snapshot = snapshot;
             std::erase_if(m_durable.entries, [&snapshot](const auto &entry) {
                 return entry.position.index <= snapshot.position.index;
@@ -95,6 +95,8 @@
     : m_faults(faults)
     , m_rng(seed)
 {
+    m_lossRate = 0.01 * static_cast<double>(draw(25));
+    m_roughness = static_cast<double>(1 + draw(5));
     for (int n = 0; n < kHosts; ++n) {
         auto host = std::make_unique<Host>();
         host->number = n;
@@ -177,16 +179,16 @@
 
 bool Simulation::isCut(const replog::ReplicaId &from, const replog::ReplicaId &to) const
 {
-    const auto side = [this](const replog::ReplicaId &id) {
-        return m_isolated.contains(id.text().at(1) - '0');
-    };
-    return side(from) != side(to);
+    const int sender = from.text().at(1) - '0';
+    const int receiver = to.text().at(1) - '0';
+    return m_isolated.contains(sender) != m_isolated.contains(receiver)
+           || m_cutLinks.contains({sender, receiver});
 }
 
 void Simulation::post(const std::vector<replog::Message> &messages)
 {
     for (const replog::Message &message : messages) {
-        if (!m_isHealed && m_faults.loss && chance(0.05))
+        if (!m_isHealed && m_faults.loss && chance(m_lossRate))
             continue;
         const int copies = !m_isHealed && m_faults.duplication && chance(0.05) ? 2 : 1;
         for (int n = 0; n < copies; ++n) {
@@ -219,7 +221,7 @@
         return;
     }
     const bool hasStopped = host.isStopping && !host.replica->isLeader();
-    if (hasStopped || (m_faults.crashes && chance(0.0015)))
+    if (hasStopped || (m_faults.crashes && chance(0.001 * m_roughness)))
         return crash(host);
     // A second disk is lost only after the repair of the first.
     bool areAllVoters = true;
@@ -235,13 +237,17 @@
 {
     for (const auto &host : m_hosts)
         disturbHost(*host);
-    if (m_faults.partitions && chance(0.004)) {
+    if (m_faults.partitions && chance(0.002 * m_roughness)) {
         m_isolated.clear();
         for (int n = 0; n < kHosts; ++n) {
             if (chance(0.3))
                 m_isolated.insert(n);
         }
     }
+    if (m_faults.oneWayCuts && chance(0.005 * m_roughness))
+        m_cutLinks.emplace(draw(kHosts - 1), draw(kHosts - 1));
+    if (chance(0.003))
+        m_cutLinks.clear();
     if (chance(0.01))
         m_isolated.clear();
 }
@@ -280,6 +286,7 @@
 void Simulation::changeVoters(Host &host)
 {
     std::vector<replog::ReplicaId> wanted;
+    wanted.reserve(kHosts);
     for (int n = 0; n < kFirstVoters; ++n)
         wanted.push_back(m_hosts[n]->id());
     // The spare hosts come and go.
@@ -288,7 +295,8 @@
     const auto change = replog::nextChange(*host.replica, wanted, localNow(host));
     if (change && host.replica->change(*change, localNow(host)))
         ++m_changes;
-    if (!m_isHealed && m_faults.handOvers && host.replica->isLeader() && chance(0.0005)) {
+    if (!m_isHealed && m_faults.handOvers && host.replica->isLeader()
+        && chance(0.001 * m_roughness)) {
         host.isStopping = true;
         host.replica->prepareStop(localNow(host));
     }
@@ -389,6 +397,7 @@
 {
     m_isHealed = true;
     m_isolated.clear();
+    m_cutLinks.clear();
     for (const auto &host : m_hosts) {
         // A stopped replica is started again, as its process would be.
         crash(*host);
--- a/libs/ledger/tests/Simulation.h
+++ b/libs/ledger/tests/Simulation.h
@@ -16,6 +16,7 @@
     bool reorder = true;
     bool duplication = true;
     bool partitions = true;
+    bool oneWayCuts = true;
     bool crashes = true;
     bool diskLosses = true;
     bool clockSkew = true;
@@ -73,11 +74,15 @@
 
     Faults m_faults;
     base::Rng m_rng;
+    /// Drawn for each run, so that calm and rough ones are both tried.
+    double m_lossRate = 0;
+    double m_roughness = 1;
     std::int64_t m_nowMs = 0;
     bool m_isHealed = false;
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::list<Letter> m_letters;
     std::set<int> m_isolated; ///< Hosts on the far side of a partition.
+    std::set<std::pair<int, int>> m_cutLinks; ///< From one host to another, not back.
     std::optional<std::string> m_fault;
     std::size_t m_changes = 0;
     std::size_t m_restores = 0;
--- /dev/null
+++ b/libs/replog/tests/FileStorageTest.cpp
@@ -0,0 +1,198 @@
+#include "replog/Replog.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <sys/resource.h>
+#include <unistd.h>
+
+using namespace hyssop;
+using namespace hyssop::replog;
+
+namespace {
+
+namespace fs = std::filesystem;
+
+struct Folder
+{
+    Folder()
+    {
+        std::string pattern = (fs::temp_directory_path() / "replog-XXXXXX").string();
+        path = ::mkdtemp(pattern.data());
+    }
+    ~Folder() { fs::remove_all(path); }
+    std::vector<fs::path> segments() const
+    {
+        std::vector<fs::path> found;
+        for (const auto &it : fs::directory_iterator(path)) {
+            if (it.path().filename().string().starts_with("segment-"))
+                found.push_back(it.path());
+        }
+        std::sort(found.begin(), found.end());
+        return found;
+    }
+    fs::path path;
+};
+
+Entry entry(std::int64_t index, const std::string &payload = "payload")
+{
+    return {{Term(1), Index(index)}, EntryKind::Command, payload};
+}
+
+/// Writes entries 1 to \a count, each with a sync of its own.
+void fill(const Folder &folder, std::int64_t count, base::Bytes segmentSize)
+{
+    const auto storage = fileStorage(folder.path, segmentSize);
+    REQUIRE(storage->open());
+    storage->setHardState({Term(1), ReplicaId("a")});
+    for (std::int64_t n = 1; n <= count; ++n) {
+        storage->append({entry(n)});
+        REQUIRE(storage->sync());
+    }
+}
+
+tl::expected<Recovered, StorageError> reopen(const Folder &folder)
+{
+    return fileStorage(folder.path)->open();
+}
+
+void flipByte(const fs::path &file, std::int64_t at)
+{
+    std::fstream stream(file, std::ios::in | std::ios::out | std::ios::binary);
+    stream.seekg(at);
+    const auto before = static_cast<char>(stream.get());
+    stream.seekp(at);
+    stream.put(static_cast<char>(before ^ 0x40));
+}
+
+constexpr base::Bytes kLarge(1 << 20);
+constexpr base::Bytes kSmall(200);
+
+} // namespace
+
+TEST_CASE("an incomplete last frame is cut off and all before it is kept, at every length")
+{
+    const Folder whole;
+    fill(whole, 3, kLarge);
+    const Folder shorter;
+    fill(shorter, 2, kLarge);
+    const auto size = fs::file_size(whole.segments().back());
+    const auto lastFrame = size - fs::file_size(shorter.segments().back());
+    for (std::uintmax_t cut = 1; cut < lastFrame; ++cut) {
+        const Folder folder;
+        fs::copy(whole.path, folder.path, fs::copy_options::recursive);
+        fs::resize_file(folder.segments().back(), size - cut);
+        const auto recovered = reopen(folder);
+        REQUIRE(recovered);
+        CHECK(recovered->entries.size() == 2);
+        CHECK(recovered->hardState.vote == ReplicaId("a"));
+        // The repair holds: what is written next is read back.
+        const auto storage = fileStorage(folder.path);
+        REQUIRE(storage->open());
+        storage->append({entry(3, "again")});
+        REQUIRE(storage->sync());
+        CHECK(reopen(folder)->entries.back().payload == "again");
+    }
+}
+
+TEST_CASE("bytes that were never written at the end are cut off")
+{
+    const Folder folder;
+    fill(folder, 3, kLarge);
+    fs::resize_file(folder.segments().back(), fs::file_size(folder.segments().back()) + 4096);
+    CHECK(reopen(folder)->entries.size() == 3);
+}
+
+TEST_CASE("any damaged byte before the end stops the replica with an error that names the file")
+{
+    const Folder whole;
+    fill(whole, 3, kLarge);
+    const auto size = static_cast<std::int64_t>(fs::file_size(whole.segments().back()));
+    for (std::int64_t at = 0; at < size; ++at) {
+        const Folder folder;
+        fs::copy(whole.path, folder.path, fs::copy_options::recursive);
+        flipByte(folder.segments().back(), at);
+        const auto recovered = reopen(folder);
+        REQUIRE_FALSE(recovered);
+        CHECK(recovered.error().fault == StorageFault::Damaged);
+        CHECK(recovered.error().message.find("segment-") != std::string::npos);
+    }
+}
+
+TEST_CASE("a segment before the last that is short or missing stops the replica")
+{
+    const Folder folder;
+    fill(folder, 20, kSmall);
+    const auto segments = folder.segments();
+    REQUIRE(segments.size() > 3);
+    SECTION("short")
+    {
+        fs::resize_file(segments[1], fs::file_size(segments[1]) - 1);
+    }
+    SECTION("missing")
+    {
+        fs::remove(segments[1]);
+    }
+    const auto recovered = reopen(folder);
+    REQUIRE_FALSE(recovered);
+    CHECK(recovered.error().fault == StorageFault::Damaged);
+}
+
+TEST_CASE("a snapshot removes the segments that it covers and keeps term and vote")
+{
+    const Folder folder;
+    fill(folder, 20, kSmall);
+    const auto before = folder.segments().size();
+    {
+        const auto storage = fileStorage(folder.path, kSmall);
+        REQUIRE(storage->open());
+        storage->saveSnapshot({{Term(1), Index(19)}, {{ReplicaId("a")}, {}}, "state"});
+        REQUIRE(storage->sync());
+    }
+    CHECK(folder.segments().size() < before);
+    const auto recovered = reopen(folder);
+    REQUIRE(recovered);
+    CHECK(recovered->snapshot.data == "state");
+    CHECK(recovered->snapshot.configuration.voters == std::vector<ReplicaId>{ReplicaId("a")});
+    CHECK(recovered->entries == std::vector<Entry>{entry(20)});
+    CHECK(recovered->hardState.vote == ReplicaId("a"));
+    flipByte(folder.path / "snapshot", 30);
+    CHECK(reopen(folder).error().fault == StorageFault::Damaged);
+}
+
+TEST_CASE("a full disk is reported, stays reported, and loses nothing that was synced")
+{
+    const Folder folder;
+    fill(folder, 3, kLarge);
+    std::signal(SIGXFSZ, SIG_IGN);
+    rlimit before{};
+    REQUIRE(::getrlimit(RLIMIT_FSIZE, &before) == 0);
+    const auto storage = fileStorage(folder.path);
+    REQUIRE(storage->open());
+    rlimit full = before;
+    full.rlim_cur = fs::file_size(folder.segments().back()) + 10;
+    REQUIRE(::setrlimit(RLIMIT_FSIZE, &full) == 0);
+    storage->append({entry(4, std::string(1000, 'x'))});
+    const auto synced = storage->sync();
+    REQUIRE(::setrlimit(RLIMIT_FSIZE, &before) == 0);
+    REQUIRE_FALSE(synced);
+    CHECK(synced.error().fault == StorageFault::NoSpace);
+    // Space that comes back later does not hide the bytes that were lost.
+    CHECK_FALSE(storage->sync());
+    CHECK(reopen(folder)->entries.size() == 3);
+}
+
+TEST_CASE("a folder without a log gets a new replica id, one with a log keeps its own")
+{
+    const Folder folder;
+    const base::HostId host("a");
+    const auto first = *loadReplicaId(folder.path, host, 1);
+    CHECK(hostOf(first) == host);
+    fill(folder, 1, kLarge);
+    CHECK(*loadReplicaId(folder.path, host, 2) == first);
+    CHECK(loadReplicaId(folder.path, base::HostId("b"), 3).error().fault == StorageFault::Damaged);
+    for (const fs::path &segment : folder.segments())
+        fs::remove(segment);
+    CHECK(*loadReplicaId(folder.path, host, 4) != first);
+}
