--- /dev/null
+++ b/libs/replog/tests/SafetyTest.cpp
@@ -0,0 +1,176 @@
+#include "Wire.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssop;
+using namespace hyssop::replog;
+
+namespace {
+
+class MemoryStorage : public Storage
+{
+public:
+    tl::expected<Recovered, StorageError> open() override { return {}; }
+    void append(const std::vector<Entry> &) override { }
+    void truncateFrom(Index) override { }
+    void setHardState(const HardState &) override { }
+    void saveSnapshot(const Snapshot &) override { }
+    tl::expected<void, StorageError> sync() override { return {}; }
+};
+
+/// One replica "a" of a group of three, to which a test speaks for the others.
+struct Rig
+{
+    Rig()
+    {
+        ReplicaOptions options;
+        options.self = ReplicaId("a");
+        options.voters = {ReplicaId("a"), ReplicaId("b"), ReplicaId("c")};
+        replica = *Replica::open(options, &storage, now);
+    }
+    /// Gives the replica one message and returns its answers.
+    std::vector<Wire> receive(const std::string &from, const Wire &wire)
+    {
+        replica->receive({ReplicaId(from), ReplicaId("a"), encode(wire)}, now);
+        return flush();
+    }
+    std::vector<Wire> flush()
+    {
+        std::vector<Wire> wires;
+        const auto output = replica->flush(now);
+        for (const Message &message : output->messages)
+            wires.push_back(*decodeWire(message.body));
+        return wires;
+    }
+    /// Lets it win an election by the vote of b.
+    void elect()
+    {
+        now += base::Millis(2'001);
+        replica->tick(now);
+        flush();
+        Wire vote = reply(WireKind::PreVoteReply, replica->term() + Term(1));
+        receive("b", vote);
+        vote.kind = WireKind::VoteReply;
+        receive("b", vote);
+        REQUIRE(replica->isLeader());
+    }
+    Wire reply(WireKind kind, Term term) const
+    {
+        Wire wire;
+        wire.kind = kind;
+        wire.term = term;
+        wire.isOk = true;
+        wire.stamp = std::chrono::duration_cast<base::Micros>(now.time_since_epoch()).count();
+        return wire;
+    }
+    /// b says that it holds all entries up to \a index.
+    void acknowledge(Index index)
+    {
+        Wire wire = reply(WireKind::AppendReply, replica->term());
+        wire.index = index;
+        receive("b", wire);
+    }
+
+    MemoryStorage storage;
+    base::TimePoint now{base::Millis(10'000)};
+    std::unique_ptr<Replica> replica;
+};
+
+Wire request(WireKind kind, Term term)
+{
+    Wire wire;
+    wire.kind = kind;
+    wire.term = term;
+    wire.position = {Term(100), Index(100)};
+    return wire;
+}
+
+} // namespace
+
+TEST_CASE("a replica votes for nobody within an election timeout of hearing its leader")
+{
+    Rig rig;
+    Wire heartbeat;
+    heartbeat.term = Term(5);
+    rig.receive("b", heartbeat);
+    rig.now += base::Millis(999);
+    CHECK(rig.receive("c", request(WireKind::PreVote, Term(6))).empty());
+    CHECK(rig.receive("c", request(WireKind::Vote, Term(6))).empty());
+    CHECK(rig.replica->term() == Term(5));
+    rig.now += base::Millis(1);
+    const auto answers = rig.receive("c", request(WireKind::Vote, Term(6)));
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().isOk);
+}
+
+TEST_CASE("a replica votes once in a term and only for a log as long as its own")
+{
+    Rig rig;
+    Wire shorter = request(WireKind::Vote, Term(6));
+    shorter.position = {};
+    CHECK_FALSE(rig.receive("b", shorter).front().isOk);
+    CHECK(rig.receive("c", request(WireKind::Vote, Term(6))).front().isOk);
+    CHECK_FALSE(rig.receive("b", request(WireKind::Vote, Term(6))).front().isOk);
+    CHECK(rig.receive("c", request(WireKind::Vote, Term(6))).front().isOk);
+}
+
+TEST_CASE("entries of an earlier term are not committed by counting")
+{
+    Rig rig;
+    rig.elect();
+    REQUIRE(rig.replica->propose("x", rig.now));
+    rig.flush();
+    const Index ofFirstTerm = rig.replica->last().index;
+    Wire higher = rig.reply(WireKind::AppendReply, Term(9));
+    higher.isOk = false;
+    rig.receive("c", higher);
+    REQUIRE_FALSE(rig.replica->isLeader());
+    rig.elect();
+    rig.acknowledge(ofFirstTerm);
+    CHECK(rig.replica->committed().index == Index(0));
+    rig.acknowledge(ofFirstTerm + Index(1));
+    CHECK(rig.replica->committed().index == ofFirstTerm + Index(1));
+}
+
+TEST_CASE("the lease ends three quarters of an election timeout after a majority answered")
+{
+    Rig rig;
+    rig.elect();
+    CHECK_FALSE(rig.replica->hasLease(rig.now));
+    rig.acknowledge(rig.replica->last().index);
+    CHECK(rig.replica->hasLease(rig.now + base::Millis(749)));
+    CHECK_FALSE(rig.replica->hasLease(rig.now + base::Millis(750)));
+    rig.now += base::Millis(1'000);
+    rig.replica->tick(rig.now);
+    CHECK_FALSE(rig.replica->isLeader());
+}
+
+TEST_CASE("a leader that hands over has no lease and accepts nothing")
+{
+    Rig rig;
+    rig.elect();
+    rig.acknowledge(rig.replica->last().index);
+    REQUIRE(rig.replica->hasLease(rig.now));
+    rig.replica->handOver(rig.now);
+    CHECK_FALSE(rig.replica->hasLease(rig.now));
+    CHECK(rig.replica->propose("x", rig.now).error().fault == ProposeFault::Busy);
+}
+
+TEST_CASE("voters change one at a time, and a learner votes only once it has caught up")
+{
+    Rig rig;
+    rig.elect();
+    const Change add{ChangeKind::AddLearner, ReplicaId("d")};
+    CHECK(rig.replica->change(add, rig.now).error().fault == ProposeFault::Busy);
+    rig.acknowledge(rig.replica->last().index);
+    REQUIRE(rig.replica->change(add, rig.now));
+    const Change remove{ChangeKind::Remove, ReplicaId("c")};
+    CHECK(rig.replica->change(remove, rig.now).error().fault == ProposeFault::Busy);
+    rig.acknowledge(rig.replica->last().index);
+    const Change promote{ChangeKind::Promote, ReplicaId("d")};
+    CHECK(rig.replica->change(promote, rig.now).error().fault == ProposeFault::NotCaughtUp);
+    Wire caughtUp = rig.reply(WireKind::AppendReply, rig.replica->term());
+    caughtUp.index = rig.replica->last().index;
+    rig.receive("d", caughtUp);
+    CHECK(rig.replica->change(promote, rig.now));
+}
