--- a/programs/hyssop-control/CommandRouter.cpp
+++ b/programs/hyssop-control/CommandRouter.cpp
@@ -43,7 +43,8 @@
         return pending.done({peers::ExecuteStatus::Unavailable, "", ""});
     const HostAddress &host = m_globalHosts[m_nextHost++ % m_globalHosts.size()];
     // That host has a replica, but may itself have to forward.
-    forward(host.address, pending.group, std::move(pending));
+    const std::string group = pending.group;
+    forward(host.address, group, std::move(pending));
 }
 
 void CommandRouter::attemptHere(GroupHost &group, Pending pending, base::TimePoint now)
@@ -67,8 +68,10 @@
     if (pending.isForwarded)
         return pending.done({peers::ExecuteStatus::NotLeader, "", leader});
     const auto address = group.leaderAddress();
-    if (address && group.replica().hasHeardLeader(now))
-        return forward(*address, std::string(kForwardedPrefix) + pending.group, std::move(pending));
+    if (address && group.replica().hasHeardLeader(now)) {
+        const std::string marked = std::string(kForwardedPrefix) + pending.group;
+        return forward(*address, marked, std::move(pending));
+    }
     wait(std::move(pending), now);
 }
 
