hyssopctl names every data centre as in force, behind or unreachable

It asks each control host now and takes each entry's newest report; a data centre that only the records name (voters, deployments) is shown as unreachable. A data centre stands as the worst of its hosts. Shown by test-operators.

--- a/libs/operators/include/operators/Operators.h
+++ b/libs/operators/include/operators/Operators.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,30 @@
     std::vector<HostStatus> hosts;
 };
 
+/// A host that has not reported for longer counts as unreachable.
+inline constexpr std::int64_t kUnreachableMs = 5'000;
+
+/// How far a data centre is with a change, the worst of its entry hosts.
+enum class Standing { InForce, Behind, Unreachable };
+
+std::string_view standingName(Standing standing);
+
+struct CentreStanding
+{
+    base::DataCentreId dataCentre;
+    Standing standing = Standing::Unreachable;
+    std::int64_t ageMs = 0; ///< Since its most silent host reported.
+    int hosts = 0; ///< Entry hosts that are known there; 0 when it is known from records only.
+};
+
+/// Last report of each entry host, whichever control hosts it reached.
+std::vector<HostStatus> newestReports(const std::vector<StatusReply> &replies);
+
+/// Each data centre that reported or is \a known, with regard to a change at \a position.
+std::vector<CentreStanding> standingsOf(const std::vector<StatusReply> &replies,
+                                        const std::set<base::DataCentreId> &known,
+                                        std::int64_t position);
+
 std::string toJson(const PutReply &reply);
 std::optional<PutReply> putReplyFromJson(std::string_view json);
 std::string toJson(const StatusReply &reply);
@@ -111,6 +136,9 @@
     tl::expected<PutReply, ClientError> put(const PutRequest &request);
     tl::expected<std::vector<records::Record>, ClientError> records();
     tl::expected<StatusReply, ClientError> status();
+    /// Asks every control host, and leaves out those that do not answer. Entry hosts report to the
+    /// control host they are connected to only.
+    std::vector<StatusReply> statusOfEach();
 
 private:
     struct Reply
--- a/libs/operators/src/Client.cpp
+++ b/libs/operators/src/Client.cpp
@@ -145,4 +145,20 @@
     return tl::unexpected(ClientError{"unexpected answer: " + reply->body});
 }
 
+std::vector<StatusReply> Client::statusOfEach()
+{
+    std::vector<StatusReply> replies;
+    for (const base::Endpoint &to : m_controls) {
+        http::Call call;
+        call.path = "/v1/status";
+        if (!m_token.empty())
+            call.headers.push_back({"authorization", "Bearer " + m_token});
+        const auto reply = askOne(std::move(call), to);
+        auto status = reply ? statusFromJson(reply->body) : std::nullopt;
+        if (status)
+            replies.push_back(*std::move(status));
+    }
+    return replies;
+}
+
 } // namespace hyssop::operators
--- a/libs/operators/tests/OperatorsTest.cpp
+++ b/libs/operators/tests/OperatorsTest.cpp
@@ -84,3 +84,25 @@
     CHECK(reply->status == PutStatus::Invalid);
     CHECK_FALSE(rig.store.last);
 }
+
+TEST_CASE("each data centre stands as the worst of its hosts, and one that is cut off is named")
+{
+    const base::DataCentreId a("a");
+    const base::DataCentreId b("b");
+    const base::DataCentreId c("c");
+    StatusReply first;
+    first.hosts = {{base::HostId("a1"), a, 9, 10}, {base::HostId("b1"), b, 7, 20}};
+    StatusReply second;
+    second.hosts = {{base::HostId("a1"), a, 5, 60'000}, {base::HostId("b2"), b, 9, 30}};
+    const auto standings = standingsOf({first, second}, {c}, 9);
+    REQUIRE(standings.size() == 3);
+    CHECK(standings[0].standing == Standing::InForce);
+    CHECK(standings[0].hosts == 1);
+    CHECK(standings[1].standing == Standing::Behind);
+    CHECK(standings[1].ageMs == 30);
+    CHECK(standings[2].dataCentre == c);
+    CHECK(standings[2].standing == Standing::Unreachable);
+
+    first.hosts[0].ageMs = kUnreachableMs + 1;
+    CHECK(standingsOf({first}, {}, 9)[0].standing == Standing::Unreachable);
+}
--- a/programs/hyssopctl/Commands.cpp
+++ b/programs/hyssopctl/Commands.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <set>
 #include <thread>
 
@@ -13,8 +14,6 @@
 
 constexpr base::Millis kPollInterval{200};
 constexpr int kMaxTries = 10;
-/// A host that has not reported for longer counts as unreachable.
-constexpr std::int64_t kUnreachableMs = 5'000;
 
 std::string label(const records::Record &record)
 {
@@ -80,53 +79,53 @@
     return reply;
 }
 
-/// Hosts of each data centre that are behind \a position or silent.
-struct Progress
+/// Data centres that the records in force name, whether or not they can be reached.
+std::set<base::DataCentreId> knownCentres(operators::Client &client)
 {
-    std::set<std::string> inForce;
-    std::set<std::string> behind;
-    std::set<std::string> unreachable;
-};
+    std::set<base::DataCentreId> known;
+    const auto records = client.records();
+    if (!records)
+        return known;
+    const auto catalogue = records::Catalogue::build(*records, nullptr);
+    for (const auto &[name, group] : catalogue->controlGroups()) {
+        for (const auto &voter : group.voters)
+            known.insert(voter.dataCentre);
+    }
+    for (const auto &[name, deployment] : catalogue->deployments())
+        known.insert(deployment.dataCentre);
+    return known;
+}
 
-Progress progressOf(const operators::StatusReply &status, std::int64_t position)
+bool isInForceEverywhere(const std::vector<operators::CentreStanding> &standings)
 {
-    Progress progress;
-    for (const operators::HostStatus &host : status.hosts) {
-        const std::string &name = host.dataCentre.text();
-        if (host.ageMs > kUnreachableMs)
-            progress.unreachable.insert(name);
-        else if (host.position < position)
-            progress.behind.insert(name);
-        else
-            progress.inForce.insert(name);
+    return std::all_of(standings.begin(), standings.end(),
+                       [](const auto &it) { return it.standing == operators::Standing::InForce; });
+}
+
+void print(const std::vector<operators::CentreStanding> &standings)
+{
+    for (const operators::CentreStanding &it : standings) {
+        const std::string age = it.hosts == 0 ? ", no host has reported"
+                                              : fmt::format(", {} hosts, last report {} ms ago",
+                                                            it.hosts, it.ageMs);
+        fmt::print("{}: {}{}\n", it.dataCentre.text(), standingName(it.standing),
+                   it.standing == operators::Standing::InForce ? "" : age);
     }
-    for (const std::string &name : progress.unreachable)
-        progress.inForce.erase(name);
-    for (const std::string &name : progress.behind)
-        progress.inForce.erase(name);
-    return progress;
 }
 
 int waitUntilInForce(operators::Client &client, std::int64_t position, base::Millis wait)
 {
     const auto until = base::monotonicNow() + wait;
-    Progress progress;
+    const auto known = knownCentres(client);
+    std::vector<operators::CentreStanding> standings;
     do {
-        const auto status = client.status();
-        if (!status)
-            return fail(status.error());
-        progress = progressOf(*status, position);
-        if (progress.behind.empty() && progress.unreachable.empty())
+        standings = standingsOf(client.statusOfEach(), known, position);
+        if (isInForceEverywhere(standings))
             break;
         std::this_thread::sleep_for(kPollInterval);
     } while (base::monotonicNow() < until);
-    for (const std::string &name : progress.inForce)
-        fmt::print("{}: in force\n", name);
-    for (const std::string &name : progress.behind)
-        fmt::print("{}: not yet in force\n", name);
-    for (const std::string &name : progress.unreachable)
-        fmt::print("{}: unreachable\n", name);
-    return progress.behind.empty() && progress.unreachable.empty() ? ExitDone : ExitNotInForce;
+    print(standings);
+    return isInForceEverywhere(standings) ? ExitDone : ExitNotInForce;
 }
 
 std::string drawChangePrefix()
@@ -214,15 +213,11 @@
     fmt::print("answered by {}, leader {}, term {}, records at {}{}\n", status->host.text(),
                status->leader.empty() ? "unknown" : status->leader, status->term, status->position,
                status->isConfirmed ? "" : " (not confirmed)");
-    for (const operators::HostStatus &host : status->hosts) {
-        const char *state = "in force";
-        if (host.ageMs > kUnreachableMs)
-            state = "unreachable";
-        else if (host.position < status->position)
-            state = "behind";
-        fmt::print("{} {}: {} at {}, reported {} ms ago\n", host.dataCentre.text(),
-                   host.host.text(), state, host.position, host.ageMs);
-    }
+    const auto replies = client.statusOfEach();
+    print(standingsOf(replies, knownCentres(client), status->position));
+    for (const operators::HostStatus &host : operators::newestReports(replies))
+        fmt::print("  {} {}: at {}, reported {} ms ago\n", host.dataCentre.text(), host.host.text(),
+                   host.position, host.ageMs);
     return ExitDone;
 }
 
--- a/programs/hyssopctl/main.cpp
+++ b/programs/hyssopctl/main.cpp
@@ -12,7 +12,11 @@
 
 base::SettingsBuilder settingsBuilder()
 {
-    base::SettingsBuilder builder("hyssopctl", "Changes and shows the records of a system.");
+    base::SettingsBuilder builder(
+            "hyssopctl", "Changes and shows the records of a system. Exit codes: 0 done; 1 failed "
+                         "or no control host answered; 2 wrong use; 3 a conflict, with "
+                         "both contents shown; 4 accepted, but not in force in every data "
+                         "centre within the wait.");
     builder.endpoints("controls", "Operators' addresses of control hosts", "")
             .text("token-file", "File with the operators' bearer token; empty: none", "")
             .millis("timeout-ms", "Bound on one answer of a control host", base::Millis(5'000),
