Reclaim what dead hosts left at engines, divided among their peers

Cause: attempts, reservations and held caches of a killed entry host stayed at the engines until they ended by themselves, and its claims and jobs on the log stayed held. A host reclaims what its own earlier starts left. RetireOwner covers the host's earlier starts too, whose numbers are not known after a restart. Addresses learned from gossip can be switched off, so that tests can cut hosts off from each other by a proxy.

--- a/integration/harness/System.cpp
+++ b/integration/harness/System.cpp
@@ -248,6 +248,9 @@
                       join(controls),
                       "--peers",
                       join(peers)};
+    // Addresses that entries tell each other lead past the fault proxy.
+    if (m_plan.hasFaultLinks)
+        append(host.arguments, {"--peer-discovery", "settings"});
     append(host.arguments, m_plan.entryFlags);
 }
 
--- a/libs/ledger/include/ledger/Ledger.h
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -74,7 +74,8 @@
     std::string attempt = {}; ///< As in the claim.
 };
 
-/// Marks every open claim of a dead owner as of unknown outcome and frees its jobs.
+/// Marks every open claim of a dead owner and of its host's earlier starts as of unknown outcome,
+/// and frees their jobs.
 struct RetireOwner
 {
     Owner owner;
--- a/libs/ledger/src/Ledger.cpp
+++ b/libs/ledger/src/Ledger.cpp
@@ -162,14 +162,17 @@
 
 Reply Ledger::run(const RetireOwner &command)
 {
+    const auto isRetired = [&command](const Owner &owner) {
+        return owner.host == command.owner.host && owner.incarnation <= command.owner.incarnation;
+    };
     for (auto &[key, claim] : m_claims) {
-        if (claim.owner != command.owner || claim.state != ClaimState::Held)
+        if (!isRetired(claim.owner) || claim.state != ClaimState::Held)
             continue;
         claim.state = ClaimState::Unknown;
         claim.endedMs = m_logTimeMs;
     }
     for (auto &[id, job] : m_jobs) {
-        if (job.owner == command.owner && job.state == JobState::Running)
+        if (isRetired(job.owner) && job.state == JobState::Running)
             job.state = JobState::Waiting;
     }
     return answer(Status::Accepted);
--- a/libs/ledger/tests/LedgerTest.cpp
+++ b/libs/ledger/tests/LedgerTest.cpp
@@ -83,6 +83,18 @@
     CHECK(rig.run(claim(kEntryA)).status == Status::OutcomeUnknown);
 }
 
+TEST_CASE("a retired owner takes its host's earlier starts with it, and no later one")
+{
+    Rig rig;
+    rig.run(claim(kEntryA));
+    const Owner later{kEntryA.host, base::Incarnation(kEntryA.incarnation.count() + 1)};
+    const Owner earlier{kEntryA.host, base::Incarnation(kEntryA.incarnation.count() - 1)};
+    rig.run(RetireOwner{earlier});
+    CHECK(rig.run(claim(kEntryB)).status == Status::Pending);
+    rig.run(RetireOwner{later});
+    CHECK(rig.run(claim(kEntryB)).status == Status::OutcomeUnknown);
+}
+
 TEST_CASE("a job of a dead owner is taken by another and ends once")
 {
     Rig rig;
--- a/libs/membership/include/membership/Membership.h
+++ b/libs/membership/include/membership/Membership.h
@@ -181,6 +181,7 @@
 struct SpreadOptions
 {
     std::vector<base::Endpoint> seeds; ///< Addresses of hosts to begin with.
+    bool usesSeedsOnly = false; ///< Addresses that hosts tell of are not used.
     base::Millis beat{250};
     /// Bound on what rows cost, all targets together; they go out less often beyond it.
     base::Bytes rowBytesPerSecond{7'000};
@@ -224,6 +225,8 @@
     base::Millis allowance() const;
     void addRows(SpreadMessage &message, base::TimePoint now) const;
     void addNews(SpreadMessage &message);
+    /// Contents asked for, and questions, for their hosts alone.
+    void addDirect(std::vector<Outgoing> &out);
     void noteNews(const std::vector<DirectoryChange> &changes);
 
     SpreadOptions m_options;
--- a/libs/membership/src/Spread.cpp
+++ b/libs/membership/src/Spread.cpp
@@ -45,6 +45,8 @@
 
 std::vector<base::Endpoint> Spread::targets()
 {
+    if (m_options.usesSeedsOnly)
+        return m_options.seeds;
     const std::vector<HostRow> live = m_hosts->live();
     std::vector<base::Endpoint> known;
     for (const HostRow &row : live) {
@@ -133,7 +135,12 @@
     std::vector<Outgoing> out;
     for (const base::Endpoint &to : chosen)
         out.push_back({to, common});
-    // Contents asked for, and questions, go to their hosts on top.
+    addDirect(out);
+    return out;
+}
+
+void Spread::addDirect(std::vector<Outgoing> &out)
+{
     std::map<base::HostId, SpreadMessage> direct;
     for (const auto &[host, ids] : std::exchange(m_owed, {})) {
         for (const base::UpstreamId &id : ids) {
@@ -146,10 +153,14 @@
     for (auto &[host, message] : direct) {
         const HostRow *row = m_hosts->find(host);
         message.from = m_hosts->self();
-        if (row && row->address.port != 0)
+        if (m_options.usesSeedsOnly) {
+            // Which seed the host is behind is not known.
+            for (const base::Endpoint &seed : m_options.seeds)
+                out.push_back({seed, message});
+        } else if (row && row->address.port != 0) {
             out.push_back({row->address, std::move(message)});
+        }
     }
-    return out;
 }
 
 void Spread::noteNews(const std::vector<DirectoryChange> &changes)
--- a/libs/membership/tests/SpreadTest.cpp
+++ b/libs/membership/tests/SpreadTest.cpp
@@ -128,6 +128,26 @@
     }
 }
 
+TEST_CASE("hosts that may use their settings only send to their seeds alone, contents included")
+{
+    HostTable hosts({base::HostId("a"), base::Incarnation(1), 0, {"127.0.70.1", 1}});
+    Directory directory;
+    SpreadOptions options;
+    options.seeds = {{"127.0.70.1", 7}};
+    options.usesSeedsOnly = true;
+    Spread spread(options, &hosts, &directory);
+    SpreadMessage message;
+    message.from = {base::HostId("b"), base::Incarnation(1), 1, {"127.0.70.1", 2}};
+    message.seen = {{base::UpstreamId("e"), 1, 1}};
+    spread.receive(message, base::TimePoint(1000s));
+    bool hasAsked = false;
+    for (const Spread::Outgoing &out : spread.beat(base::TimePoint(1000s))) {
+        CHECK(out.to == options.seeds[0]);
+        hasAsked = hasAsked || !out.message.wanted.empty();
+    }
+    CHECK(hasAsked);
+}
+
 TEST_CASE("a leaving upstream is known as such at every host within 3 seconds")
 {
     for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
--- a/programs/hyssop-entry/EntryOptions.h
+++ b/programs/hyssop-entry/EntryOptions.h
@@ -19,6 +19,7 @@
     base::Endpoint listenPeers;
     std::vector<base::Endpoint> controls; ///< Peer addresses of control hosts.
     std::vector<base::Endpoint> peers; ///< Other entry hosts of the data centre.
+    bool usesPeersOfSettingsOnly = false; ///< Peers' own word on their addresses is not used.
     bool checksCallerKeys = false;
     std::size_t maxBodyBytes = 0;
     base::Millis bodyTimeout{0};
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -104,6 +104,8 @@
                               + node.error().message);
     m_peers = *std::move(node);
     m_gossiper = makeGossiper();
+    m_reclaimer = std::make_unique<Reclaimer>(m_loop.get(), &m_metrics, m_gossiper.get(),
+                                              m_control.get(), m_options.dataCentre);
     m_control->setNode(m_peers.get());
     base::logEvent("listening", {{"callers", callers->text()},
                                  {"upstreams", upstreams->text()},
@@ -119,6 +121,7 @@
                                {"incarnation", m_options.incarnation.count()}});
     m_watcher->start(m_peers.get());
     m_gossiper->start(m_peers.get());
+    m_reclaimer->start();
     m_loop->run();
     base::logEvent("stopped", {{"host", m_options.host}});
 }
@@ -479,12 +482,12 @@
 {
     Gossiper::Hooks hooks;
     hooks.onUpstream = [this](const auto &it) { onUpstream(it); };
-    hooks.onHost = [](const auto &) {};
+    hooks.onHost = [this](const auto &it) { m_reclaimer->onHost(it); };
     hooks.onOutstanding = [this](const auto &it) { feed(it); };
     hooks.readOutstanding = [this] { return m_router->outstanding(); };
     const membership::HostRow self{m_options.host, m_options.incarnation, 0, m_peers->address()};
     return std::make_unique<Gossiper>(m_loop.get(), &m_metrics, self, m_options.peers,
-                                      std::move(hooks));
+                                      m_options.usesPeersOfSettingsOnly, std::move(hooks));
 }
 
 // Life of the host.
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -8,6 +8,7 @@
 #include "membership/Membership.h"
 #include "peers/Peers.h"
 #include "platform/Platform.h"
+#include "Reclaimer.h"
 #include "RecordsWatcher.h"
 #include "routing/Routing.h"
 #include "upstream/Upstream.h"
@@ -121,6 +122,7 @@
     std::unique_ptr<ControlClient> m_control;
     std::unique_ptr<peers::Node> m_peers;
     std::unique_ptr<Gossiper> m_gossiper;
+    std::unique_ptr<Reclaimer> m_reclaimer;
     std::shared_ptr<const records::Catalogue> m_catalogue;
     std::map<base::RequestId, OpenRequest> m_requests;
     std::map<http::ExchangeId, base::RequestId> m_exchanges;
--- a/programs/hyssop-entry/Gossiper.cpp
+++ b/programs/hyssop-entry/Gossiper.cpp
@@ -9,10 +9,11 @@
 constexpr base::Millis kTimeout{1'000};
 
 membership::SpreadOptions optionsFor(const membership::HostRow &self,
-                                     std::vector<base::Endpoint> seeds)
+                                     std::vector<base::Endpoint> seeds, bool usesSeedsOnly)
 {
     membership::SpreadOptions options;
     options.seeds = std::move(seeds);
+    options.usesSeedsOnly = usesSeedsOnly;
     options.beat = Gossiper::kBeat;
     // Hosts that started together must not draw alike.
     options.seed = std::hash<base::HostId>()(self.id)
@@ -38,12 +39,12 @@
 } // namespace
 
 Gossiper::Gossiper(http::Loop *loop, platform::Metrics *metrics, membership::HostRow self,
-                   std::vector<base::Endpoint> seeds, Hooks hooks)
+                   std::vector<base::Endpoint> seeds, bool usesSeedsOnly, Hooks hooks)
     : m_loop(loop)
     , m_metrics(metrics)
     , m_hooks(std::move(hooks))
     , m_hosts(self)
-    , m_spread(optionsFor(self, std::move(seeds)), &m_hosts, &m_directory)
+    , m_spread(optionsFor(self, std::move(seeds), usesSeedsOnly), &m_hosts, &m_directory)
 { }
 
 void Gossiper::start(peers::Node *node)
--- a/programs/hyssop-entry/Gossiper.h
+++ b/programs/hyssop-entry/Gossiper.h
@@ -27,7 +27,7 @@
     static constexpr base::Millis kBeat{250};
 
     Gossiper(http::Loop *loop, platform::Metrics *metrics, membership::HostRow self,
-             std::vector<base::Endpoint> seeds, Hooks hooks);
+             std::vector<base::Endpoint> seeds, bool usesSeedsOnly, Hooks hooks);
 
     /// Starts to beat; \a node must outlive the loop's run.
     void start(peers::Node *node);
--- /dev/null
+++ b/programs/hyssop-entry/Reclaimer.cpp
@@ -0,0 +1,218 @@
+#include "Reclaimer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hyssop::entry {
+
+namespace {
+
+constexpr base::Millis kListTimeout{2'000};
+constexpr std::size_t kMaxListBytes = std::size_t(4) << 20;
+constexpr int kStatusOk = 200;
+
+/// What an engine lists by owner, and the field that holds it.
+struct List
+{
+    const char *path;
+    const char *field;
+};
+
+constexpr List kLists[] = {
+        {"/v1/attempts", "attempts"}, {"/v1/reservations", "reservations"}, {"/v1/kv", "kv"}};
+
+} // namespace
+
+Reclaimer::Reclaimer(http::Loop *loop, platform::Metrics *metrics, const Gossiper *gossiper,
+                     ControlClient *control, base::DataCentreId dataCentre)
+    : m_loop(loop)
+    , m_metrics(metrics)
+    , m_gossiper(gossiper)
+    , m_control(control)
+    , m_dataCentre(std::move(dataCentre))
+    , m_plan(gossiper->hosts().self().id)
+    , m_deletions(loop, {gossiper->hosts().self().id, gossiper->hosts().self().incarnation})
+{ }
+
+Reclaimer::~Reclaimer()
+{
+    for (const auto &[id, listing] : m_calls)
+        m_loop->cancel(id);
+}
+
+void Reclaimer::start()
+{
+    const membership::HostRow &self = m_gossiper->hosts().self();
+    const base::Incarnation before(self.incarnation.count() - 1);
+    m_plan.ended({self.id, before}, true, base::monotonicNow());
+    tick();
+}
+
+void Reclaimer::onHost(const membership::HostChange &change)
+{
+    const EndedOwner owner{change.host, change.incarnation};
+    const base::TimePoint now = base::monotonicNow();
+    switch (change.kind) {
+    case membership::HostChange::Kind::Dead:
+    case membership::HostChange::Kind::Replaced:
+        m_metrics->count("hyssop_reclaimed_hosts_total");
+        m_plan.ended(owner, false, now);
+        break;
+    case membership::HostChange::Kind::Seen:
+        m_plan.returned(owner);
+        break;
+    case membership::HostChange::Kind::Suspected:
+        break;
+    }
+}
+
+std::vector<base::UpstreamId> Reclaimer::engines() const
+{
+    std::vector<base::UpstreamId> ids;
+    for (const membership::Announcement &it : m_gossiper->directory().all()) {
+        if (it.upstream.kind == routing::UpstreamKind::Engine)
+            ids.push_back(it.upstream.id);
+    }
+    return ids;
+}
+
+void Reclaimer::tick()
+{
+    std::vector<base::HostId> live;
+    for (const membership::HostRow &row : m_gossiper->hosts().live())
+        live.push_back(row.id);
+    for (const ReclaimPlan::Step &step : m_plan.next(engines(), live, base::monotonicNow()))
+        take(step);
+    m_metrics->set("hyssop_reclaim_owners", static_cast<double>(m_plan.owners()));
+    m_metrics->set("hyssop_unconfirmed_reclaims", static_cast<double>(m_deletions.unconfirmed()));
+    m_metrics->set("hyssop_reclaims_given_up",
+                   static_cast<double>(m_plan.givenUp() + m_deletions.givenUp()));
+    m_loop->after(kTick, [this] { tick(); });
+}
+
+void Reclaimer::take(const ReclaimPlan::Step &step)
+{
+    if (!step.engine) {
+        tellLog(step);
+        return;
+    }
+    const membership::Announcement *engine = m_gossiper->directory().find(*step.engine);
+    if (!engine) {
+        end(step, ReclaimPlan::Result::Failed);
+        return;
+    }
+    Listing listing;
+    listing.step = step;
+    listing.to = engine->address;
+    ask(std::move(listing));
+}
+
+void Reclaimer::tellLog(const ReclaimPlan::Step &step)
+{
+    if (m_control->controls().empty()) {
+        end(step, ReclaimPlan::Result::Empty);
+        return;
+    }
+    execute(step, {"home-" + m_dataCentre.text(), "global"});
+}
+
+void Reclaimer::execute(const ReclaimPlan::Step &step, std::vector<std::string> groups)
+{
+    const std::string group = groups.front();
+    groups.erase(groups.begin());
+    const ledger::RetireOwner command{{step.owner.host, step.owner.incarnation}};
+    m_control->execute(group, command, [this, step, groups](const auto &reply) {
+        if (!reply || reply->status != ledger::Status::Accepted) {
+            m_metrics->count("hyssop_reclaim_failures_total", {{"reason", "log"}});
+            end(step, ReclaimPlan::Result::Failed);
+        } else if (groups.empty()) {
+            end(step, ReclaimPlan::Result::Empty);
+        } else {
+            execute(step, groups);
+        }
+    });
+}
+
+void Reclaimer::ask(Listing listing)
+{
+    http::Call call;
+    call.to = listing.to;
+    call.path = std::string(kLists[listing.list].path) + "?owner=" + listing.step.owner.host.text();
+    call.connectTimeout = kListTimeout;
+    call.timeout = kListTimeout;
+    listing.status = 0;
+    listing.body.clear();
+    m_calls.emplace(m_loop->call(std::move(call), this), std::move(listing));
+}
+
+void Reclaimer::onHead(http::CallId id, int status, const http::Headers &)
+{
+    m_calls.at(id).status = status;
+}
+
+void Reclaimer::onData(http::CallId id, std::string_view data)
+{
+    Listing &listing = m_calls.at(id);
+    if (listing.body.size() + data.size() > kMaxListBytes)
+        listing.status = 0;
+    else
+        listing.body += data;
+}
+
+bool Reclaimer::orderDeletions(const Listing &listing, bool &hasLeftovers)
+{
+    const List &list = kLists[listing.list];
+    const auto json = base::parseJson(listing.body);
+    if (listing.status != kStatusOk || !json || !json->is_object() || !json->contains(list.field)
+        || !json->at(list.field).is_array())
+        return false;
+    for (const auto &item : json->at(list.field)) {
+        const bool isSound = item.is_object() && item.contains("id") && item.at("id").is_string()
+                             && item.contains("owner") && item.at("owner").is_string();
+        if (!isSound)
+            return false;
+        if (!covers(listing.step.owner, item.at("owner").get<std::string>()))
+            continue;
+        hasLeftovers = true;
+        m_metrics->count("hyssop_reclaimed_total", {{"kind", list.field}});
+        m_deletions.add(listing.to,
+                        std::string(list.path) + '/' + item.at("id").get<std::string>());
+    }
+    return true;
+}
+
+void Reclaimer::onDone(http::CallId id)
+{
+    const auto it = m_calls.find(id);
+    Listing listing = std::move(it->second);
+    m_calls.erase(it);
+    if (!orderDeletions(listing, listing.hasLeftovers)) {
+        m_metrics->count("hyssop_reclaim_failures_total", {{"reason", "malformed"}});
+        end(listing.step, ReclaimPlan::Result::Failed);
+    } else if (++listing.list < std::size(kLists)) {
+        ask(std::move(listing));
+    } else {
+        end(listing.step,
+            listing.hasLeftovers ? ReclaimPlan::Result::Leftovers : ReclaimPlan::Result::Empty);
+    }
+}
+
+void Reclaimer::onFailed(http::CallId id, const http::CallError &error)
+{
+    const auto it = m_calls.find(id);
+    const ReclaimPlan::Step step = it->second.step;
+    m_calls.erase(it);
+    m_metrics->count("hyssop_reclaim_failures_total",
+                     {{"reason", std::string(http::callFailureName(error.failure))}});
+    end(step, ReclaimPlan::Result::Failed);
+}
+
+void Reclaimer::end(const ReclaimPlan::Step &step, ReclaimPlan::Result result)
+{
+    if (result == ReclaimPlan::Result::Leftovers)
+        base::logEvent("reclaimed", {{"owner", step.owner.host},
+                                     {"incarnation", step.owner.incarnation.count()},
+                                     {"engine", *step.engine}});
+    m_plan.done(step, result, base::monotonicNow());
+}
+
+} // namespace hyssop::entry
--- /dev/null
+++ b/programs/hyssop-entry/Reclaimer.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "ControlClient.h"
+#include "Gossiper.h"
+#include "ReclaimPlan.h"
+#include "upstream/Upstream.h"
+
+namespace hyssop::entry {
+
+/// Cancels at the engines what ended hosts of the data centre have left there, and tells the log.
+///
+/// Carries out the steps of a ReclaimPlan: lists attempts, reservations and held caches by owner
+/// and orders the deletion of each. Belongs to the entry task's loop.
+class Reclaimer final : private http::CallHandler
+{
+public:
+    static constexpr base::Millis kTick{500};
+
+    /// \a gossiper, \a control and \a metrics must outlive this object.
+    Reclaimer(http::Loop *loop, platform::Metrics *metrics, const Gossiper *gossiper,
+              ControlClient *control, base::DataCentreId dataCentre);
+    ~Reclaimer() override;
+
+    /// Starts, with what earlier starts of this host have left.
+    void start();
+    void onHost(const membership::HostChange &change);
+
+private:
+    /// Lists of one engine that are read one after the other.
+    struct Listing
+    {
+        ReclaimPlan::Step step;
+        base::Endpoint to;
+        std::size_t list = 0;
+        int status = 0;
+        std::string body;
+        bool hasLeftovers = false;
+    };
+
+    void tick();
+    void take(const ReclaimPlan::Step &step);
+    void tellLog(const ReclaimPlan::Step &step);
+    void execute(const ReclaimPlan::Step &step, std::vector<std::string> groups);
+    void ask(Listing listing);
+    bool orderDeletions(const Listing &listing, bool &hasLeftovers);
+    void end(const ReclaimPlan::Step &step, ReclaimPlan::Result result);
+    std::vector<base::UpstreamId> engines() const;
+    void onHead(http::CallId id, int status, const http::Headers &headers) override;
+    void onData(http::CallId id, std::string_view data) override;
+    void onDone(http::CallId id) override;
+    void onFailed(http::CallId id, const http::CallError &error) override;
+
+    http::Loop *m_loop;
+    platform::Metrics *m_metrics;
+    const Gossiper *m_gossiper;
+    ControlClient *m_control;
+    base::DataCentreId m_dataCentre;
+    ReclaimPlan m_plan;
+    upstream::Deletions m_deletions;
+    std::map<http::CallId, Listing> m_calls;
+};
+
+} // namespace hyssop::entry
--- a/programs/hyssop-entry/main.cpp
+++ b/programs/hyssop-entry/main.cpp
@@ -19,6 +19,8 @@
             .endpoint("listen-peers", "Where RPC of other hosts is served", "127.0.0.1:0")
             .endpoints("controls", "Peer addresses of control hosts, nearest first", "")
             .endpoints("peers", "Peer addresses of the other entry hosts of the data centre", "")
+            .choice("peer-discovery", "How addresses of other entry hosts are learned", "gossip",
+                    {"gossip", "settings"})
             .choice("caller-auth", "How callers prove their team", "off", {"off", "keys"})
             .choice("policy", "Placement policy", "adaptive",
                     {"adaptive", "least-outstanding", "round-robin"})
@@ -55,6 +57,7 @@
     options.listenPeers = settings.endpoint("listen-peers");
     options.controls = settings.endpoints("controls");
     options.peers = settings.endpoints("peers");
+    options.usesPeersOfSettingsOnly = settings.text("peer-discovery") == "settings";
     options.checksCallerKeys = settings.text("caller-auth") == "keys";
     options.maxBodyBytes = static_cast<std::size_t>(settings.number("max-body-bytes"));
     options.bodyTimeout = settings.millis("body-timeout-ms");
