--- a/libs/ledger/src/Ledger.cpp
+++ b/libs/ledger/src/Ledger.cpp
@@ -1,5 +1,7 @@
 #include "ledger/Ledger.h"
 
+#include <charconv>
+
 namespace hyssop::ledger {
 
 namespace {
@@ -17,6 +19,24 @@
     return state == JobState::Done || state == JobState::Failed;
 }
 
+/// Group incarnation that a home-scoped key carries; empty for an opaque key.
+std::optional<std::int64_t> scopeOf(const std::string &key)
+{
+    constexpr std::string_view kPrefix = "home.";
+    if (!key.starts_with(kPrefix))
+        return std::nullopt;
+    const auto centreEnd = key.find('.', kPrefix.size());
+    const auto end = centreEnd == std::string::npos ? centreEnd : key.find('.', centreEnd + 1);
+    if (end == std::string::npos)
+        return std::nullopt;
+    std::int64_t incarnation = 0;
+    const char *const last = key.data() + end;
+    const auto [parsed, ec] = std::from_chars(key.data() + centreEnd + 1, last, incarnation);
+    if (ec != std::errc() || parsed != last)
+        return std::nullopt;
+    return incarnation;
+}
+
 } // namespace
 
 std::string_view jobStateName(JobState state)
@@ -104,8 +124,16 @@
     return reply;
 }
 
+bool Ledger::isOutOfScope(const std::string &key) const
+{
+    const std::optional<std::int64_t> incarnation = scopeOf(key);
+    return incarnation && *incarnation != m_groupIncarnation;
+}
+
 Reply Ledger::run(const Claim &command)
 {
+    if (isOutOfScope(command.key))
+        return answer(Status::Conflict, "scope");
     const ClaimKey key{command.team, command.key};
     const auto it = m_claims.find(key);
     if (it == m_claims.end()) {
@@ -117,7 +145,14 @@
                         command.digest, command.owner, command.attempt, ClaimState::Held, {}, 0});
         return answer(Status::Accepted);
     }
-    const ClaimEntry &held = it->second;
+    ClaimEntry &held = it->second;
+    if (held.state == ClaimState::Released) {
+        const bool isLate = held.owner == command.owner && held.attempt == command.attempt;
+        if (isLate && !command.attempt.empty())
+            return answer(Status::NotOwner, "the attempt was released");
+        held = ClaimEntry{command.digest, command.owner, command.attempt, ClaimState::Held, {}, 0};
+        return answer(Status::Accepted);
+    }
     if (held.digest != command.digest)
         return answer(Status::Conflict, "the key was used with another request");
     if (held.state == ClaimState::Unknown)
@@ -134,14 +169,24 @@
 
 Reply Ledger::run(const ReleaseClaim &command)
 {
-    const auto it = m_claims.find({command.team, command.key});
-    if (it == m_claims.end())
-        return answer(Status::NotFound);
-    if (it->second.owner != command.owner || it->second.attempt != command.attempt
-        || it->second.state != ClaimState::Held)
+    const ClaimKey key{command.team, command.key};
+    const auto it = m_claims.find(key);
+    const bool isKnown = it != m_claims.end();
+    if (isKnown && (it->second.owner != command.owner || it->second.attempt != command.attempt))
         return answer(Status::NotOwner);
-    m_claims.erase(it);
-    return answer(Status::Accepted);
+    if (isKnown && it->second.state == ClaimState::Released)
+        return answer(Status::Accepted);
+    if (isKnown && it->second.state != ClaimState::Held)
+        return answer(Status::NotOwner);
+    const bool hasRoom = isKnown || m_claims.size() < m_options.maxClaims;
+    if (command.attempt.empty() || !hasRoom) {
+        m_claims.erase(key);
+        return answer(isKnown ? Status::Accepted : Status::NotFound);
+    }
+    // Kept for a while, so that a copy of the claim that comes late takes no effect.
+    m_claims[key] =
+            ClaimEntry{{}, command.owner, command.attempt, ClaimState::Released, {}, m_logTimeMs};
+    return answer(isKnown ? Status::Accepted : Status::NotFound);
 }
 
 Reply Ledger::run(const FinishClaim &command)
@@ -241,11 +286,21 @@
     return reply;
 }
 
+Reply Ledger::run(const FoundGroup &command)
+{
+    if (m_groupIncarnation == 0)
+        m_groupIncarnation = command.incarnation;
+    return answer(Status::Accepted);
+}
+
 void Ledger::expire()
 {
     const std::int64_t claimsBefore = m_logTimeMs - m_options.claimRetention.count();
-    std::erase_if(m_claims, [claimsBefore](const auto &it) {
-        return it.second.state != ClaimState::Held && it.second.endedMs < claimsBefore;
+    const std::int64_t releasesBefore = m_logTimeMs - m_options.releaseRetention.count();
+    std::erase_if(m_claims, [claimsBefore, releasesBefore](const auto &it) {
+        const bool isReleased = it.second.state == ClaimState::Released;
+        return it.second.state != ClaimState::Held
+               && it.second.endedMs < (isReleased ? releasesBefore : claimsBefore);
     });
     const std::int64_t jobsBefore = m_logTimeMs - m_options.jobRetention.count();
     for (auto &[id, job] : m_jobs) {
