--- a/libs/ledger/include/ledger/Ledger.h
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -90,7 +90,8 @@
     std::int64_t incarnation = 0; ///< Random, not 0.
 };
 
-/// Marks every open claim of a dead owner as of unknown outcome and frees its jobs.
+/// Marks every open claim of a dead owner and of its host's earlier starts as of unknown outcome,
+/// and frees their jobs.
 struct RetireOwner
 {
     Owner owner;
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -11,6 +11,7 @@
 #include "membership/Membership.h"
 #include "peers/Peers.h"
 #include "platform/Platform.h"
+#include "Reclaimer.h"
 #include "RecordsWatcher.h"
 #include "routing/Routing.h"
 #include "upstream/Upstream.h"
@@ -80,6 +81,7 @@
     std::unique_ptr<JobRunner> m_jobs;
     std::unique_ptr<peers::Node> m_peers;
     std::unique_ptr<Gossiper> m_gossiper;
+    std::unique_ptr<Reclaimer> m_reclaimer;
     bool m_isStopping = false;
 };
 
