Fuzz the parsers of outside bytes, and end the reading of records that never ended

Cause: text of records that begins with a comma made the YAML library produce documents without end, so that reading it never returned. Found by the seeded run of the new fuzz targets. Change: documents are counted first, and text with more documents than lines is refused. A test of the records covers it. Targets for libFuzzer and a bounded seeded run of ten parsers.

--- /dev/null
+++ b/fuzz/Targets.cpp
@@ -0,0 +1,247 @@
+#include "Targets.h"
+
+#include "caller/Caller.h"
+#include "Frames.h"
+#include "Gossip.h"
+#include "ledger/Ledger.h"
+#include "membership/Membership.h"
+#include "records/Records.h"
+#include "upstream/Upstream.h"
+#include "Wire.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hyssop::fuzz {
+
+namespace {
+
+/// Records that were read are valid and survive a turn through JSON.
+bool recordsHold(std::string_view bytes)
+{
+    const auto records = records::readYaml("input", std::string(bytes));
+    if (!records)
+        return !records.error().empty();
+    for (const records::Record &record : *records) {
+        const auto again = records::recordFromJson(records::toJson(record));
+        if (!again || !(*again == record))
+            return false;
+    }
+    return true;
+}
+
+bool recordJsonHolds(std::string_view bytes)
+{
+    const auto record = records::recordFromJson(bytes);
+    if (!record)
+        return true;
+    const auto again = records::recordFromJson(records::toJson(*record));
+    (void)records::validate(*record);
+    return again && *again == *record;
+}
+
+std::vector<std::string> eventsOf(std::string_view bytes, std::size_t portion, bool &isFine)
+{
+    upstream::SseParser parser;
+    std::vector<std::string> events;
+    isFine = true;
+    for (std::size_t at = 0; at < bytes.size() && isFine; at += portion)
+        isFine = parser.feed(bytes.substr(at, portion),
+                             [&](std::string_view data) { events.emplace_back(data); });
+    return events;
+}
+
+/// The events do not depend on how the bytes are cut.
+bool sseHolds(std::string_view bytes)
+{
+    bool isWholeFine = true;
+    bool isCutFine = true;
+    const auto whole = eventsOf(bytes, std::max<std::size_t>(bytes.size(), 1), isWholeFine);
+    const auto cut = eventsOf(bytes, 3, isCutFine);
+    return isWholeFine == isCutFine && (!isWholeFine || whole == cut);
+}
+
+bool announcementHolds(std::string_view bytes)
+{
+    const auto announcement = membership::parseAnnouncement(bytes);
+    if (!announcement)
+        return !announcement.error().message.empty();
+    const std::string text = membership::toJson(*announcement);
+    const auto again = membership::parseAnnouncement(text);
+    return again && membership::toJson(*again) == text;
+}
+
+bool gossipHolds(std::string_view bytes)
+{
+    const auto body = entry::decodeGossip(bytes);
+    if (!body)
+        return true;
+    const std::string text = entry::encode(*body);
+    const auto again = entry::decodeGossip(text);
+    return again && entry::encode(*again) == text;
+}
+
+bool commandHolds(std::string_view bytes)
+{
+    const auto command = ledger::decodeCommand(bytes);
+    if (!command)
+        return true;
+    const std::string text = ledger::encode(command->command, command->logTimeMs);
+    const auto again = ledger::decodeCommand(text);
+    if (!again || ledger::encode(again->command, again->logTimeMs) != text)
+        return false;
+    // The ledger answers every command that it can read, and survives its own snapshot.
+    ledger::Ledger ledger;
+    replog::Entry entry;
+    entry.position = {replog::Term(1), replog::Index(1)};
+    entry.payload = bytes;
+    ledger.apply(entry);
+    ledger::Ledger restored;
+    return restored.restore(ledger.snapshot()) && restored.snapshot() == ledger.snapshot();
+}
+
+bool snapshotHolds(std::string_view bytes)
+{
+    ledger::Ledger ledger;
+    if (!ledger.restore(std::string(bytes)))
+        return true;
+    ledger::Ledger again;
+    return again.restore(ledger.snapshot()) && again.snapshot() == ledger.snapshot();
+}
+
+/// Frames are taken off one after the other until none is whole; each one shortens the rest.
+bool segmentHolds(std::string_view bytes)
+{
+    nlohmann::json json;
+    std::size_t before = bytes.size() + 1;
+    while (bytes.size() < before) {
+        before = bytes.size();
+        if (replog::takeFrame(bytes, json) != replog::FrameState::Whole)
+            return bytes.size() == before;
+    }
+    return bytes.empty();
+}
+
+bool wireHolds(std::string_view bytes)
+{
+    const auto wire = replog::decodeWire(bytes);
+    if (!wire)
+        return true;
+    const std::string text = replog::encode(*wire);
+    const auto again = replog::decodeWire(text);
+    return again && replog::encode(*again) == text;
+}
+
+bool completionHolds(std::string_view bytes)
+{
+    for (const bool isChat : {false, true}) {
+        const auto call = caller::parseCompletion(bytes, isChat);
+        if (!call && (call.error().code.empty() || call.error().status < 400))
+            return false;
+        if (call && (call->maxTokens < 1 || call->isChat != isChat))
+            return false;
+    }
+    return true;
+}
+
+std::string exampleCommand()
+{
+    ledger::PutRecord put;
+    put.changeId = "change-1";
+    put.record.kind = records::Kind::Team;
+    put.record.name = "office-1";
+    put.record.version = records::Version(1);
+    put.record.spec = R"({"weight":4})";
+    return ledger::encode(put, 1'000);
+}
+
+std::string exampleClaim()
+{
+    ledger::Claim claim;
+    claim.team = base::TeamId("office-1");
+    claim.key = "key";
+    claim.digest = "digest";
+    claim.owner = {base::HostId("entry-1"), base::Incarnation(7)};
+    return ledger::encode(claim, 1'000);
+}
+
+std::string exampleSnapshot()
+{
+    ledger::Ledger ledger;
+    replog::Entry entry;
+    entry.position = {replog::Term(1), replog::Index(1)};
+    entry.payload = exampleClaim();
+    ledger.apply(entry);
+    return ledger.snapshot();
+}
+
+std::string exampleSegment()
+{
+    return replog::frame(
+                   {{"op", "append"}, {"term", 1}, {"index", 1}, {"kind", 0}, {"payload", "bytes"}})
+           + replog::frame({{"op", "hard"}, {"term", 2}, {"vote", "control-1"}});
+}
+
+std::string exampleWire()
+{
+    replog::Wire wire;
+    wire.term = replog::Term(3);
+    replog::Entry entry;
+    entry.position = {replog::Term(3), replog::Index(9)};
+    entry.payload = "payload";
+    wire.entries = {entry};
+    return replog::encode(wire);
+}
+
+std::string exampleAnnouncement()
+{
+    return R"({"id":"engine-1","incarnation":3,"sequence":4,"kind":"engine",)"
+           R"("address":"127.0.0.1:9000","dataCentre":"floro-sal","role":"","models":["saga"],)"
+           R"("kvTokens":400000,"checksFencing":true,"state":"serving","ttlMs":2000})";
+}
+
+std::string exampleGossip()
+{
+    entry::GossipBody body;
+    routing::PeerOutstanding &one = body.outstanding.emplace_back();
+    one.upstream = base::UpstreamId("engine-1");
+    one.prompt = base::Tokens(12);
+    one.requests = 3;
+    return entry::encode(body);
+}
+
+std::vector<std::string> exampleRecords()
+{
+    return {"schema: 2\nkind: route\nname: chat\nversion: 1\nspec:\n  model: saga\n"
+            "  urgency: urgent\n  deadlineMs: 30000\n  deadlinesMs:\n    batch: 120000\n",
+            "schema: 1\nkind: team\nname: a\nversion: 3\nspec: {weight: 4}\n---\n"
+            "schema: 1\nkind: route\nname: b\nversion: 1\nspec: {service: s, mayRepeat: false}\n"};
+}
+
+std::vector<Target> makeTargets()
+{
+    return {{"records-yaml", recordsHold, exampleRecords()},
+            {"record-json",
+             recordJsonHolds,
+             {R"({"schema":1,"kind":"team","name":"a","version":1,"spec":{"weight":1}})"}},
+            {"sse", sseHolds, {"data: {\"a\":1}\n\ndata: [DONE]\n\n", ": note\r\ndata: x\r\n\r\n"}},
+            {"announcement", announcementHolds, {exampleAnnouncement()}},
+            {"gossip", gossipHolds, {exampleGossip()}},
+            {"ledger-command", commandHolds, {exampleCommand(), exampleClaim()}},
+            {"ledger-snapshot", snapshotHolds, {exampleSnapshot()}},
+            {"log-segment", segmentHolds, {exampleSegment()}},
+            {"log-message", wireHolds, {exampleWire()}},
+            {"completion",
+             completionHolds,
+             {R"({"model":"chat","prompt":"x","max_tokens":4,"stream":true})",
+              R"({"model":"chat","messages":[{"role":"user","content":"x"}]})"}}};
+}
+
+} // namespace
+
+const std::vector<Target> &targets()
+{
+    static const std::vector<Target> all = makeTargets();
+    return all;
+}
+
+} // namespace hyssop::fuzz
--- a/libs/records/src/YamlReader.cpp
+++ b/libs/records/src/YamlReader.cpp
@@ -1,10 +1,13 @@
 #include "records/Records.h"
 
 #include <nlohmann/json.hpp>
+#include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
 #include <charconv>
 #include <limits>
+#include <sstream>
 
 namespace hyssop::records {
 
@@ -120,6 +123,52 @@
     return tl::unexpected(located(*std::move(fault), file, document));
 }
 
+/// Counts documents and takes no notice of what they hold.
+class DocumentCounter final : public YAML::EventHandler
+{
+public:
+    void OnDocumentStart(const YAML::Mark &mark) override
+    {
+        m_mark = mark;
+        ++m_count;
+    }
+    void OnDocumentEnd() override { }
+    void OnNull(const YAML::Mark &, YAML::anchor_t) override { }
+    void OnAlias(const YAML::Mark &, YAML::anchor_t) override { }
+    void OnScalar(const YAML::Mark &, const std::string &, YAML::anchor_t,
+                  const std::string &) override
+    { }
+    void OnSequenceStart(const YAML::Mark &, const std::string &, YAML::anchor_t,
+                         YAML::EmitterStyle::value) override
+    { }
+    void OnSequenceEnd() override { }
+    void OnMapStart(const YAML::Mark &, const std::string &, YAML::anchor_t,
+                    YAML::EmitterStyle::value) override
+    { }
+    void OnMapEnd() override { }
+
+    std::ptrdiff_t count() const { return m_count; }
+    const YAML::Mark &mark() const { return m_mark; }
+
+private:
+    std::ptrdiff_t m_count = 0;
+    YAML::Mark m_mark;
+};
+
+/// Throws on text of which the library makes documents without end, such as a leading comma.
+void checkDocuments(const std::string &text)
+{
+    // Each document but the first begins on a line of its own.
+    const std::ptrdiff_t most = std::count(text.begin(), text.end(), '\n') + 1;
+    std::istringstream stream(text);
+    YAML::Parser parser(stream);
+    DocumentCounter counter;
+    while (parser.HandleNextDocument(counter)) {
+        if (counter.count() > most)
+            throw YAML::ParserException(counter.mark(), "text outside any document");
+    }
+}
+
 } // namespace
 
 tl::expected<std::vector<Record>, std::vector<RecordError>> readYaml(
@@ -128,6 +177,7 @@
     std::vector<Record> records;
     std::vector<RecordError> faults;
     try {
+        checkDocuments(text);
         for (const YAML::Node &document : YAML::LoadAll(text)) {
             if (document.IsNull())
                 continue;
--- a/libs/records/tests/RecordProperties.cpp
+++ b/libs/records/tests/RecordProperties.cpp
@@ -83,3 +83,13 @@
         RC_ASSERT(diff(a, b).empty() == (a == b));
     }));
 }
+
+TEST_CASE("text of which YAML makes documents without end is an error")
+{
+    for (const char *text : {",,", ",chema: 1\nkind: team\n"}) {
+        const auto records = readYaml("bad.yaml", text);
+        REQUIRE_FALSE(records);
+        CHECK(records.error().front().file == "bad.yaml");
+        CHECK(records.error().front().line == 1);
+    }
+}
