--- a/libs/membership/src/Spread.cpp
+++ b/libs/membership/src/Spread.cpp
@@ -89,7 +89,7 @@
 base::Millis Spread::allowance() const
 {
     const auto hosts = static_cast<unsigned>(m_hosts->live().size());
-    const int rounds = tellsAll() ? 2 : 2 * std::bit_width(hosts);
+    const int rounds = tellsAll() ? 2 : 2 * static_cast<int>(std::bit_width(hosts));
     return m_options.beat * static_cast<int>(rowInterval()) * rounds;
 }
 
@@ -133,6 +133,7 @@
         addRows(common, now);
     }
     std::vector<Outgoing> out;
+    out.reserve(chosen.size());
     for (const base::Endpoint &to : chosen)
         out.push_back({to, common});
     addDirect(out);
@@ -166,7 +167,7 @@
 void Spread::noteNews(const std::vector<DirectoryChange> &changes)
 {
     const auto hosts = static_cast<unsigned>(m_hosts->live().size());
-    const int beats = 2 * std::bit_width(hosts) + 2;
+    const int beats = 2 * static_cast<int>(std::bit_width(hosts)) + 2;
     for (const DirectoryChange &change : changes)
         m_news[change.upstream.id] = beats;
 }
--- a/libs/membership/tests/HostTableTest.cpp
+++ b/libs/membership/tests/HostTableTest.cpp
@@ -20,6 +20,7 @@
 std::vector<Kind> kinds(const std::vector<HostChange> &changes)
 {
     std::vector<Kind> kinds;
+    kinds.reserve(changes.size());
     for (const HostChange &change : changes)
         kinds.push_back(change.kind);
     return kinds;
--- a/libs/routing/bench/BenchRouting.cpp
+++ b/libs/routing/bench/BenchRouting.cpp
@@ -37,6 +37,7 @@
         , m_router(options())
     {
         std::vector<records::Record> teams;
+        teams.reserve(kTeams);
         for (int n = 0; n < kTeams; ++n)
             teams.push_back({records::Kind::Team, name("team-", n), 1, records::Version(1), "{}"});
         m_router.handle(CatalogueChanged{records::Catalogue::build(teams, nullptr)}, m_now);
--- a/programs/bench-state/main.cpp
+++ b/programs/bench-state/main.cpp
@@ -167,6 +167,7 @@
                     settings->text("kind"), start + settings->millis("duration-ms"),
                     std::to_string(start.time_since_epoch().count())};
     std::vector<Worker> workers;
+    workers.reserve(static_cast<std::size_t>(settings->number("outstanding")));
     for (int n = 0; n < settings->number("outstanding"); ++n)
         workers.emplace_back(node->get(), plan, n);
     std::vector<std::thread> threads;
--- a/programs/hyssop-entry/tests/ReclaimPlanTest.cpp
+++ b/programs/hyssop-entry/tests/ReclaimPlanTest.cpp
@@ -19,6 +19,7 @@
 std::vector<base::HostId> hosts(const std::vector<std::string> &names)
 {
     std::vector<base::HostId> ids;
+    ids.reserve(names.size());
     for (const std::string &name : names)
         ids.emplace_back(name);
     return ids;
@@ -27,6 +28,7 @@
 std::vector<base::UpstreamId> engines(int n)
 {
     std::vector<base::UpstreamId> ids;
+    ids.reserve(static_cast<std::size_t>(n));
     for (int i = 0; i < n; ++i)
         ids.emplace_back("engine-" + std::to_string(i));
     return ids;
