hyssopctl measure: how long a change takes until it is in force in each data centre

There was no command for it. It changes one team's record and follows each change to every entry host.

--- a/programs/hyssopctl/main.cpp
+++ b/programs/hyssopctl/main.cpp
@@ -1,4 +1,5 @@
 #include "Commands.h"
+#include "Measure.h"
 
 #include <fmt/format.h>
 
@@ -8,7 +9,7 @@
 
 namespace {
 
-constexpr auto kUsage = "validate FOLDER, diff FOLDER, apply FOLDER, get or status";
+constexpr auto kUsage = "validate FOLDER, diff FOLDER, apply FOLDER, get, status or measure TEAM";
 
 base::SettingsBuilder settingsBuilder()
 {
@@ -25,6 +26,7 @@
             .millis("wait-ms", "Bound on that wait", base::Millis(18'000), base::Millis(1),
                     base::Millis(3'600'000))
             .text("change-id", "apply: prefix of change ids; give the same one to send again", "")
+            .number("changes", "measure: changes of the team's record", 200, 1, 100'000)
             .positional(kUsage);
     return builder;
 }
@@ -33,7 +35,8 @@
 {
     const std::vector<std::string> &words = settings.words();
     const std::string verb = words.empty() ? "" : words[0];
-    const bool takesFolder = verb == "validate" || verb == "diff" || verb == "apply";
+    const bool takesFolder =
+            verb == "validate" || verb == "diff" || verb == "apply" || verb == "measure";
     if (words.size() != (takesFolder ? 2U : 1U)) {
         fmt::print(stderr, "usage: hyssopctl {}\n", kUsage);
         return ctl::ExitBadUse;
@@ -52,6 +55,9 @@
     operators::Client client(settings.endpoints("controls"), token, settings.millis("timeout-ms"));
     if (verb == "diff")
         return ctl::diff(client, words[1]);
+    if (verb == "measure")
+        return ctl::measure(client, words[1], static_cast<int>(settings.number("changes")),
+                            settings.millis("wait-ms"));
     if (verb == "get")
         return ctl::get(client);
     if (verb == "status")
