An accepted change's position comes from the log; partition tests; a torn tail as a crash leaves it

An error body whose outcome is not text threw out of the upstream client. The test of a torn tail appended 40 bytes of which no prefix of a frame can consist; storage rightly calls them damage. Change: the ledger's reply carries the position; outcomes are compared as they are; the torn tails are now parts of what a later start really appended, four lengths instead of three. Tests: claims through every control host (the forwarding that once lost its group's name), a data centre cut off and joined again, an isolated control host that accepts nothing.

--- /dev/null
+++ b/integration/PartitionTest.cpp
@@ -0,0 +1,85 @@
+#include "Calls.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssop;
+using namespace hyssop::harness;
+using operators::PutStatus;
+
+namespace {
+
+constexpr base::Millis kInForceLimit{18'000};
+
+Plan threeCentres(bool hasFaultLinks)
+{
+    Plan plan;
+    plan.dataCentres = {"floro-sal", "forde-sal", "sogndal-sal"};
+    plan.voters = 3;
+    plan.servicesEach = 1;
+    plan.hasFaultLinks = hasFaultLinks;
+    return plan;
+}
+
+std::int64_t runsEverywhere(System &system, const std::string &key)
+{
+    std::int64_t runs = 0;
+    for (const Host *service : system.hosts(Role::Service))
+        runs += runsOf(system, *service, key);
+    return runs;
+}
+
+} // namespace
+
+TEST_CASE("a claim asked of any control host reaches the group's leader")
+{
+    System system(threeCentres(false));
+    bringUp(system);
+    for (Host *entry : system.hosts(Role::Entry)) {
+        INFO(entry->name);
+        CHECK(startBooking(system, *entry, "key-" + entry->name).wait().status == 200);
+        CHECK(runsEverywhere(system, "key-" + entry->name) == 1);
+    }
+}
+
+TEST_CASE("a data centre cut off goes on serving, refuses opaque keys, and joins again with "
+          "nothing lost")
+{
+    System system(threeCentres(true));
+    bringUp(system);
+    Host &entry = *system.hosts(Role::Entry, "floro-sal").front();
+    Host &outside = *system.hosts(Role::Entry, "forde-sal").front();
+    Host &control = *system.hosts(Role::Control, "floro-sal").front();
+    REQUIRE(startBooking(system, entry, "before").wait().status == 200);
+    const std::int64_t heldBefore = appliedAt(system, entry);
+    system.cutOff("floro-sal");
+
+    Completion completion;
+    const Completed completed = complete(system, entry, completion);
+    CHECK(completed.isWhole);
+    const Answer refused = startBooking(system, entry, "during").wait();
+    CHECK(refused.status == 503);
+    CHECK(refused.json()["error"].value("outcome", "") == "not_run");
+    CHECK(refused.json()["error"].value("retry_after_ms", 0) > 0);
+
+    // A host that cannot reach a majority accepts nothing, whether it led before or not.
+    const auto isolated = operators::putReplyFromJson(
+            startPut(system, control, team("office-7", 1, {{"weight", 7}}), "isolated")
+                    .wait()
+                    .body);
+    REQUIRE(isolated);
+    CHECK(isolated->status != PutStatus::Accepted);
+
+    const auto accepted = put(system, team("office-8", 1, {{"weight", 8}}), "outside");
+    REQUIRE(accepted.status == PutStatus::Accepted);
+    CHECK(eventually(kInForceLimit,
+                     [&] { return appliedAt(system, outside) >= accepted.position; }));
+    CHECK(appliedAt(system, entry) >= heldBefore);
+    CHECK(appliedAt(system, entry) < accepted.position);
+
+    system.faults().healAll();
+    CHECK(eventually(kInForceLimit, [&] { return appliedAt(system, entry) >= accepted.position; }));
+    CHECK(eventually(kInForceLimit,
+                     [&] { return startBooking(system, entry, "during").wait().status == 200; }));
+    CHECK(runsEverywhere(system, "before") == 1);
+    CHECK(runsEverywhere(system, "during") == 1);
+}
--- a/integration/RecordsTest.cpp
+++ b/integration/RecordsTest.cpp
@@ -52,6 +52,12 @@
     return largest;
 }
 
+std::string readFile(const std::filesystem::path &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
 } // namespace
 
 TEST_CASE("of operators racing with one version one wins and the others see what won")
@@ -176,9 +182,17 @@
     }
     system.kill(control);
     const std::filesystem::path log = globalLog(system);
-    for (const std::size_t garbage : {std::size_t(1), std::size_t(7), std::size_t(40)}) {
-        // As a crash in the middle of an append leaves it.
-        std::ofstream(log, std::ios::app | std::ios::binary) << std::string(garbage, '\x05');
+    const std::string whole = readFile(log);
+    // What a later start would append, of which a crash leaves a part.
+    system.start(control);
+    system.awaitReady(control);
+    REQUIRE(put(system, numbered(51), "torn-51").status == PutStatus::Accepted);
+    system.kill(control);
+    const std::string later = readFile(log).substr(whole.size());
+    REQUIRE(later.size() > 100);
+    for (const std::size_t part :
+         {std::size_t(1), std::size_t(7), std::size_t(20), std::size_t(40)}) {
+        std::ofstream(log, std::ios::trunc | std::ios::binary) << whole << later.substr(0, part);
         system.start(control);
         system.awaitReady(control);
         CHECK(versionAt(system, control, "numbered") == 50);
--- a/libs/ledger/include/ledger/Ledger.h
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -155,6 +155,7 @@
     std::optional<records::Record> current; ///< Record in force, on a conflict.
     std::optional<Answer> answer;
     std::int64_t fencing = 0; ///< Of the lease taken.
+    std::int64_t position = 0; ///< Log index that holds an accepted change of a record.
 };
 
 struct Job
--- a/libs/ledger/src/Codec.cpp
+++ b/libs/ledger/src/Codec.cpp
@@ -34,7 +34,8 @@
             {"message", reply.message},
             {"current", reply.current ? json(records::toJson(*reply.current)) : json()},
             {"answer", toJson(reply.answer)},
-            {"fencing", reply.fencing}};
+            {"fencing", reply.fencing},
+            {"position", reply.position}};
 }
 
 Reply replyFrom(const json &j)
@@ -48,6 +49,7 @@
     }
     reply.answer = answerFrom(j.at("answer"));
     reply.fencing = j.at("fencing");
+    reply.position = j.value("position", std::int64_t(0));
     return reply;
 }
 
--- a/libs/ledger/src/Ledger.cpp
+++ b/libs/ledger/src/Ledger.cpp
@@ -115,6 +115,8 @@
         m_records[key] = command.record;
         m_recordsPosition = m_position;
     }
+    if (reply.status == Status::Accepted)
+        reply.position = m_recordsPosition.index.count();
     m_verdicts.emplace(command.changeId, reply);
     m_verdictOrder.push_back(command.changeId);
     if (m_verdictOrder.size() > m_options.maxVerdicts) {
--- a/libs/upstream/src/Engines.cpp
+++ b/libs/upstream/src/Engines.cpp
@@ -24,7 +24,10 @@
     if (!json || !json->is_object())
         return false;
     const auto error = json->find("error");
-    return error != json->end() && error->is_object() && error->value("outcome", "") == "not_run";
+    if (error == json->end() || !error->is_object())
+        return false;
+    const auto outcome = error->find("outcome");
+    return outcome != error->end() && *outcome == "not_run";
 }
 
 std::string joined(const std::vector<base::UpstreamId> &ids)
--- a/programs/hyssop-control/ControlTask.cpp
+++ b/programs/hyssop-control/ControlTask.cpp
@@ -236,7 +236,7 @@
                                                                    : operators::PutStatus::Conflict;
             put.message = reply->message;
             put.current = reply->current;
-            put.position = recordsPosition().index;
+            put.position = reply->position;
         }
         base::logEvent("record_change", {{"kind", records::kindName(request.record.kind)},
                                          {"name", request.record.name},
