--- a/programs/hyssop-control/ControlTask.cpp
+++ b/programs/hyssop-control/ControlTask.cpp
@@ -222,7 +222,7 @@
                         operators::Answer<operators::PutReply> answer)
 {
     ledger::PutRecord command{request.changeId, request.replaces, request.record};
-    const auto done = [this, answer, request](const peers::ExecuteReply &executed) {
+    const auto done = [answer, request](const peers::ExecuteReply &executed) {
         const auto reply = executed.status == peers::ExecuteStatus::Done
                                    ? ledger::decodeReply(executed.reply)
                                    : std::nullopt;
