A loop that ends tells the handlers of open calls nothing more

Cause: destroying a loop closed its client connections and called onFailed() on handlers that may be destroyed already: the stand-in's announcer and the entry's service client are. The server side was guarded, the client side was not. It fits the segmentation faults seen when a stand-in engine stopped; that it is their cause is not shown. Change: the loop forgets its calls before it closes connections.

--- a/libs/http/src/Loop.cpp
+++ b/libs/http/src/Loop.cpp
@@ -37,6 +37,8 @@
 Loop::~Loop()
 {
     m_context->isStopping = true;
+    // Handlers may be gone already, so none of them hears of the connections that close here.
+    m_context->calls.clear();
     lws_context_destroy(m_context->lwsContext);
 }
 
--- a/libs/http/tests/LoopTest.cpp
+++ b/libs/http/tests/LoopTest.cpp
@@ -153,3 +153,21 @@
     const Collect collect = rig.call(Method::Post, "/echo", std::string(2 << 20, 'x'));
     CHECK(rig.echo.rejected == std::vector<RejectReason>{RejectReason::BodyTooLarge});
 }
+
+TEST_CASE("a loop that ends tells the handlers of open calls nothing more")
+{
+    Rig rig;
+    Collect collect(rig.loop.get());
+    Call call;
+    call.to = rig.address;
+    call.method = Method::Post;
+    call.path = "/hang";
+    call.body = "{}";
+    rig.loop->call(call, &collect);
+    rig.loop->after(base::Millis(50), [&rig] { rig.loop->stop(); });
+    rig.loop->run();
+    REQUIRE(rig.echo.lastRequest.path == "/hang");
+    rig.loop.reset();
+    CHECK_FALSE(collect.error);
+    CHECK_FALSE(collect.isDone);
+}
