One piece of code reads headers on both sides of the HTTP library

Cause: contextOf, headerText and the reading of other headers stood in the client and the server side. Change: they stand once, beside the loop's context. Conclusion: behaviour is as before.

--- a/libs/http/src/ClientSide.cpp
+++ b/libs/http/src/ClientSide.cpp
@@ -4,11 +4,6 @@
 
 namespace {
 
-Loop::Context &contextOf(lws *wsi)
-{
-    return *static_cast<Loop::Context *>(lws_context_user(lws_get_context(wsi)));
-}
-
 PendingCall *callOf(lws *wsi)
 {
     const auto id = reinterpret_cast<std::intptr_t>(lws_get_opaque_user_data(wsi));
@@ -18,17 +13,6 @@
     return call;
 }
 
-std::string headerText(lws *wsi, lws_token_indexes token)
-{
-    const int n = lws_hdr_total_length(wsi, token);
-    if (n <= 0)
-        return {};
-    std::string text(static_cast<std::size_t>(n) + 1, '\0');
-    lws_hdr_copy(wsi, text.data(), n + 1, token);
-    text.resize(static_cast<std::size_t>(n));
-    return text;
-}
-
 /// The call's own timers bound it; the library's would cut an answer off that comes late.
 void liftLibraryTimeout(Loop::Context &context, CallId id)
 {
@@ -106,12 +90,9 @@
         headers.push_back({"retry-after", retryAfter});
     for (const std::string &name : pending.call.responseHeaders) {
         const std::string key = name + ":";
-        const int n = lws_hdr_custom_length(wsi, key.c_str(), static_cast<int>(key.size()));
-        if (n <= 0)
+        const std::string text = customHeader(wsi, key);
+        if (text.empty())
             continue;
-        std::string text(static_cast<std::size_t>(n) + 1, '\0');
-        lws_hdr_custom_copy(wsi, text.data(), n + 1, key.c_str(), static_cast<int>(key.size()));
-        text.resize(static_cast<std::size_t>(n));
         headers.push_back({name, text});
     }
     pending.hasHead = true;
--- a/libs/http/src/LoopContext.cpp
+++ b/libs/http/src/LoopContext.cpp
@@ -16,6 +16,34 @@
 
 } // namespace
 
+Loop::Context &contextOf(lws *wsi)
+{
+    return *static_cast<Loop::Context *>(lws_context_user(lws_get_context(wsi)));
+}
+
+std::string headerText(lws *wsi, lws_token_indexes token)
+{
+    const int n = lws_hdr_total_length(wsi, token);
+    if (n <= 0)
+        return {};
+    std::string text(static_cast<std::size_t>(n) + 1, '\0');
+    lws_hdr_copy(wsi, text.data(), n + 1, token);
+    text.resize(static_cast<std::size_t>(n));
+    return text;
+}
+
+std::string customHeader(lws *wsi, const std::string &name)
+{
+    const int length = static_cast<int>(name.size());
+    const int n = lws_hdr_custom_length(wsi, name.c_str(), length);
+    if (n <= 0)
+        return {};
+    std::string text(static_cast<std::size_t>(n) + 1, '\0');
+    lws_hdr_custom_copy(wsi, text.data(), n + 1, name.c_str(), length);
+    text.resize(static_cast<std::size_t>(n));
+    return text;
+}
+
 TimerId Loop::Context::startTimer(base::Millis delay, std::function<void()> action)
 {
     auto timer = std::make_unique<Timer>();
--- a/libs/http/src/LoopContext.h
+++ b/libs/http/src/LoopContext.h
@@ -89,6 +89,12 @@
     PendingCall *call(CallId id) const;
 };
 
+Loop::Context &contextOf(lws *wsi);
+/// Value of a header the library knows, or empty text.
+std::string headerText(lws *wsi, lws_token_indexes token);
+/// Value of another header; \a name is lower case and ends with a colon.
+std::string customHeader(lws *wsi, const std::string &name);
+
 int serverCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, std::size_t len);
 int clientCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, std::size_t len);
 
--- a/libs/http/src/ServerSide.cpp
+++ b/libs/http/src/ServerSide.cpp
@@ -10,34 +10,6 @@
 /// Room for the status line and headers of an answer.
 constexpr std::size_t kHeadBytes = 4 * 1024;
 
-Loop::Context &contextOf(lws *wsi)
-{
-    return *static_cast<Loop::Context *>(lws_context_user(lws_get_context(wsi)));
-}
-
-std::string headerText(lws *wsi, lws_token_indexes token)
-{
-    const int n = lws_hdr_total_length(wsi, token);
-    if (n <= 0)
-        return {};
-    std::string text(static_cast<std::size_t>(n) + 1, '\0');
-    lws_hdr_copy(wsi, text.data(), n + 1, token);
-    text.resize(static_cast<std::size_t>(n));
-    return text;
-}
-
-std::string customHeader(lws *wsi, const std::string &name)
-{
-    const int length = static_cast<int>(name.size());
-    const int n = lws_hdr_custom_length(wsi, name.c_str(), length);
-    if (n <= 0)
-        return {};
-    std::string text(static_cast<std::size_t>(n) + 1, '\0');
-    lws_hdr_custom_copy(wsi, text.data(), n + 1, name.c_str(), length);
-    text.resize(static_cast<std::size_t>(n));
-    return text;
-}
-
 Method methodOf(lws *wsi)
 {
     if (lws_hdr_total_length(wsi, WSI_TOKEN_GET_URI) > 0)
