A process of an integration test that ends unasked makes the test fail

Cause: a stand-in or host that died while a test ran, by a signal or a sanitizer's report, was seen only when it changed an answer. Change: at the end of a system each process that has ended without a signal that asked for it and without wait() fails the test, and the log of a failed test shows a sanitizer's report whole. Reports of the undefined behaviour and thread sanitizers end the process, for tests under ctest; one CMake function sets the environment and time limit of every test.

--- a/cmake/HyssopTargets.cmake
+++ b/cmake/HyssopTargets.cmake
@@ -2,6 +2,20 @@
 
 set(HYSSOP_WARNINGS -Wall -Wextra -Werror)
 
+# A sanitizer's report ends the process that it is about, so that the test sees it.
+set(HYSSOP_TEST_ENVIRONMENT
+    "RC_PARAMS=seed=20261203"
+    "UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1"
+    "TSAN_OPTIONS=halt_on_error=1:suppressions=${CMAKE_SOURCE_DIR}/cmake/tsan.supp")
+
+# hyssop_test(NAME COMMAND SECONDS): a test and its time limit. Properties are the same on every
+# run; rapidcheck prints the seed it was given.
+function(hyssop_test NAME COMMAND SECONDS)
+    add_test(NAME ${NAME} COMMAND ${COMMAND} ${ARGN})
+    set_tests_properties(${NAME} PROPERTIES
+        ENVIRONMENT "${HYSSOP_TEST_ENVIRONMENT}" TIMEOUT ${SECONDS})
+endfunction()
+
 # hyssop_library(NAME SOURCES ... DEPENDS ...): a library with include/NAME/ and its test program.
 function(hyssop_library NAME)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;TESTS" ${ARGN})
@@ -14,9 +28,7 @@
         target_include_directories(test-${NAME} PRIVATE src)
         target_compile_options(test-${NAME} PRIVATE ${HYSSOP_WARNINGS})
         target_link_libraries(test-${NAME} PRIVATE hyssop-${NAME} hyssop-testmain rapidcheck)
-        add_test(NAME ${NAME} COMMAND test-${NAME})
-        # Same properties on every run; rapidcheck prints the seed it was given.
-        set_tests_properties(${NAME} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203" TIMEOUT 300)
+        hyssop_test(${NAME} test-${NAME} 300)
     endif()
 endfunction()
 
@@ -37,6 +49,5 @@
     target_include_directories(test-${NAME} PRIVATE .)
     target_compile_options(test-${NAME} PRIVATE ${HYSSOP_WARNINGS})
     target_link_libraries(test-${NAME} PRIVATE ${ARG_DEPENDS} hyssop-testmain rapidcheck)
-    add_test(NAME ${NAME} COMMAND test-${NAME})
-    set_tests_properties(${NAME} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203" TIMEOUT 300)
+    hyssop_test(${NAME} test-${NAME} 300)
 endfunction()
--- a/integration/harness/Faults.h
+++ b/integration/harness/Faults.h
@@ -16,7 +16,8 @@
     base::Endpoint link(const std::string &from, const std::string &to,
                         const base::Endpoint &target, Addresses &addresses);
     void start(Client *client, const std::filesystem::path &log, Addresses &addresses);
-    bool hasStarted() const { return m_process != nullptr; }
+    /// The proxy; null before start().
+    Process *process() const { return m_process.get(); }
 
     /// Sends an order to the links between two ends; an empty name stands for every end.
     void order(const std::string &from, const std::string &to, const nlohmann::json &order);
--- a/integration/harness/Process.cpp
+++ b/integration/harness/Process.cpp
@@ -107,14 +107,22 @@
 void Process::signal(int number)
 {
     // A reaped process' id may belong to another one.
-    if (isRunning())
-        ::kill(m_id, number);
+    if (!isRunning())
+        return;
+    m_isEndExpected = m_isEndExpected || number == SIGKILL || number == SIGTERM;
+    ::kill(m_id, number);
 }
 
 std::optional<Exit> Process::wait(base::Millis limit)
 {
-    eventually(limit, [this] { return !isRunning(); });
+    if (eventually(limit, [this] { return !isRunning(); }))
+        m_isEndExpected = true;
     return m_exit;
 }
 
+std::optional<Exit> Process::unexpectedExit()
+{
+    return isRunning() || m_isEndExpected ? std::nullopt : m_exit;
+}
+
 } // namespace hyssop::harness
--- a/integration/harness/Process.h
+++ b/integration/harness/Process.h
@@ -41,12 +41,15 @@
     void signal(int number);
     /// Waits for the end; empty when the process outlives \a limit.
     std::optional<Exit> wait(base::Millis limit);
+    /// How the process ended when no signal had asked it to and wait() has not told of it.
+    std::optional<Exit> unexpectedExit();
 
 private:
     void reap(int flags);
 
     pid_t m_id = -1;
     std::optional<Exit> m_exit;
+    bool m_isEndExpected = false; ///< A signal asked for it, or wait() has told of it.
 };
 
 /// Calls \a isDone again and again until it answers true; false when \a limit passes first.
--- a/integration/harness/System.cpp
+++ b/integration/harness/System.cpp
@@ -15,6 +15,8 @@
 
 constexpr base::Millis kReadyLimit{30'000};
 constexpr std::size_t kShownLines = 15;
+/// Bound on the lines shown of a sanitizer's report.
+constexpr std::size_t kShownReportLines = 150;
 
 std::filesystem::path makeFolder()
 {
@@ -52,6 +54,13 @@
     return text;
 }
 
+/// Whether a sanitizer's report begins here.
+bool beginsReport(const std::string &line)
+{
+    return line.find("Sanitizer: ") != std::string::npos
+           || line.find("runtime error: ") != std::string::npos;
+}
+
 void showEnd(const std::filesystem::path &log)
 {
     std::ifstream file(log);
@@ -59,11 +68,25 @@
     for (std::string line; std::getline(file, line);)
         lines.push_back(line);
     std::cerr << "--- " << log.filename().string() << '\n';
-    const std::size_t from = lines.size() > kShownLines ? lines.size() - kShownLines : 0;
-    for (std::size_t i = from; i < lines.size(); ++i)
+    const auto report = std::find_if(lines.begin(), lines.end(), beginsReport);
+    const bool hasReport = report != lines.end();
+    const std::size_t end = lines.size() > kShownLines ? lines.size() - kShownLines : 0;
+    const std::size_t from = hasReport ? static_cast<std::size_t>(report - lines.begin()) : end;
+    const std::size_t to =
+            hasReport ? std::min(lines.size(), from + kShownReportLines) : lines.size();
+    for (std::size_t i = from; i < to; ++i)
         std::cerr << lines[i] << '\n';
 }
 
+void checkRuns(const std::string &name, Process *process)
+{
+    const std::optional<Exit> exit = process ? process->unexpectedExit() : std::nullopt;
+    if (!exit)
+        return;
+    INFO(name << " ended by itself, exit code " << exit->code << " signal " << exit->signal);
+    CHECK_FALSE(exit);
+}
+
 } // namespace
 
 double metricSum(std::string_view text, std::string_view name, std::string_view label)
@@ -96,6 +119,7 @@
 
 System::~System()
 {
+    checkProcesses();
     if (hasFailures()) {
         showLogs();
         std::cerr << "logs are kept in " << m_folder.string() << '\n';
@@ -106,8 +130,17 @@
     std::filesystem::remove_all(m_folder, ec);
 }
 
+void System::checkProcesses()
+{
+    for (const auto &host : m_hosts)
+        checkRuns(host->name, host->process.get());
+    checkRuns("fault-proxy", m_faults.process());
+}
+
 void System::showLogs() const
 {
+    if (m_faults.process())
+        showEnd(m_folder / "fault-proxy.log");
     for (const auto &host : m_hosts)
         showEnd(m_folder / (host->name + ".log"));
 }
--- a/integration/harness/System.h
+++ b/integration/harness/System.h
@@ -45,8 +45,9 @@
     std::unique_ptr<Process> process;
 };
 
-/// A running system of real processes, ended with this object. On a failed test the ends of all
-/// logs are printed and the folder is kept.
+/// A running system of real processes, ended with this object. A process that has ended without
+/// being asked to makes the test fail. On a failed test the ends of all logs are printed, a
+/// sanitizer's report whole, and the folder is kept.
 class System
 {
 public:
@@ -89,6 +90,7 @@
     /// Address at which \a from reaches the peers port of \a to.
     std::string reach(const Host &from, const Host &to);
     std::vector<Host *> controlsNearestFirst(const Host &from);
+    void checkProcesses();
     void showLogs() const;
 
     Plan m_plan;
