A control host's answer with a field of another type is read without an exception

Cause: putReplyFromJson read fields by value(), which throws on another type, so one malformed answer ended hyssopctl. Change: such a field counts as missing, and an answer without a status as none.

--- a/libs/operators/src/Forms.cpp
+++ b/libs/operators/src/Forms.cpp
@@ -11,6 +11,13 @@
 constexpr PutStatus kStatuses[]{PutStatus::Accepted, PutStatus::Conflict, PutStatus::Invalid,
                                 PutStatus::Unavailable, PutStatus::Unknown};
 
+/// Text of a field; empty when it is missing or of another type.
+std::string textOf(const json &body, const char *field)
+{
+    const auto it = body.find(field);
+    return it != body.end() && it->is_string() ? it->get<std::string>() : std::string();
+}
+
 json recordForm(const records::Record &record)
 {
     return json::parse(records::toJson(record), nullptr, false);
@@ -51,7 +58,7 @@
     if (!body || !body->is_object())
         return std::nullopt;
     PutReply reply;
-    const std::string name = body->value("status", "");
+    const std::string name = textOf(*body, "status");
     bool isKnown = false;
     for (const PutStatus status : kStatuses) {
         if (putStatusName(status) != name)
@@ -61,8 +68,10 @@
     }
     if (!isKnown)
         return std::nullopt;
-    reply.message = body->value("message", "");
-    reply.position = body->value("position", std::int64_t(0));
+    reply.message = textOf(*body, "message");
+    const auto position = body->find("position");
+    if (position != body->end() && position->is_number_integer())
+        reply.position = position->get<std::int64_t>();
     if (body->contains("current")) {
         if (auto record = records::recordFromJson(body->at("current").dump()))
             reply.current = *std::move(record);
--- a/libs/operators/tests/OperatorsTest.cpp
+++ b/libs/operators/tests/OperatorsTest.cpp
@@ -106,3 +106,13 @@
     first.hosts[0].ageMs = kUnreachableMs + 1;
     CHECK(standingsOf({first}, {}, 9)[0].standing == Standing::Unreachable);
 }
+
+TEST_CASE("an answer with a field of another type is no answer, or one without that field")
+{
+    CHECK_FALSE(putReplyFromJson(R"({"status":7})"));
+    const auto reply = putReplyFromJson(R"({"status":"accepted","message":[],"position":"x"})");
+    REQUIRE(reply);
+    CHECK(reply->status == PutStatus::Accepted);
+    CHECK(reply->message.empty());
+    CHECK(reply->position == 0);
+}
