JSON is read up to 64 levels

Cause: texts are parsed without recursion and written out with it, so a record of 1 MB of brackets, which is within the operators' bound, exhausts the stack of each host that stores or passes it on. Change: parseJson refuses more than 64 levels; only a text with more brackets than that is walked through. CBOR comes from hosts of the system and its own disk and is not bounded yet.

--- a/libs/base/src/Json.cpp
+++ b/libs/base/src/Json.cpp
@@ -2,10 +2,45 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace hyssop::base {
 
+namespace {
+
+/// Arrays and objects within each other that are read.
+constexpr int kMaxJsonDepth = 64;
+
+/// Whether a text may hold more levels than parseJson() reads; texts are written out by recursion,
+/// so an unbounded one would exhaust the stack.
+bool isTooDeep(std::string_view text)
+{
+    const auto opened =
+            std::count(text.begin(), text.end(), '[') + std::count(text.begin(), text.end(), '{');
+    if (opened <= kMaxJsonDepth)
+        return false;
+    int depth = 0;
+    bool isInString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (isInString && c == '\\')
+            ++i;
+        else if (c == '"')
+            isInString = !isInString;
+        else if (!isInString && (c == '[' || c == '{') && ++depth > kMaxJsonDepth)
+            return true;
+        else if (!isInString && (c == ']' || c == '}'))
+            --depth;
+    }
+    return false;
+}
+
+} // namespace
+
 std::optional<nlohmann::json> parseJson(std::string_view text)
 {
+    if (isTooDeep(text))
+        return std::nullopt;
     auto parsed = nlohmann::json::parse(text, nullptr, false);
     if (parsed.is_discarded())
         return std::nullopt;
