Figures of an engine's load report beyond what an engine can have are malformed

Cause: an age of up to 2^63 ms and a count of requests beyond 32 bits were taken as they came; the first overflows when it is taken from the present time, the second was cut to another number.

--- a/libs/upstream/include/upstream/Upstream.h
+++ b/libs/upstream/include/upstream/Upstream.h
@@ -310,7 +310,12 @@
     std::int64_t m_malformed = 0;
 };
 
-/// Reads one event of an engine's feed; empty when it is malformed.
+/// The oldest load report that is read, and the most tokens.
+inline constexpr base::Millis kMaxLoadAge{86'400'000};
+inline constexpr base::Tokens kMaxTokens{1'000'000'000'000};
+
+/// Reads one event of an engine's feed; empty when it is malformed or a figure of it is beyond the
+/// bounds above.
 std::optional<std::variant<routing::LoadReported, routing::CacheChanged>> parseEngineEvent(
         const base::UpstreamId &id, std::string_view text);
 
--- a/libs/upstream/src/EngineFeeds.cpp
+++ b/libs/upstream/src/EngineFeeds.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 namespace hyssop::upstream {
 
 namespace {
@@ -14,13 +16,15 @@
 
 using nlohmann::json;
 
-std::optional<std::int64_t> numberOf(const json &event, const char *field)
+/// A whole number from 0 to \a most.
+std::optional<std::int64_t> numberOf(const json &event, const char *field,
+                                     std::int64_t most = std::numeric_limits<std::int64_t>::max())
 {
     const auto it = event.find(field);
     if (it == event.end() || !it->is_number_integer())
         return std::nullopt;
     const auto n = it->get<std::int64_t>();
-    return n < 0 ? std::nullopt : std::optional(n);
+    return n < 0 || n > most ? std::nullopt : std::optional(n);
 }
 
 std::optional<std::vector<std::uint64_t>> blocksOf(const json &event, const char *field)
@@ -39,11 +43,11 @@
 
 std::optional<routing::LoadReported> loadOf(const json &event)
 {
-    const auto age = numberOf(event, "ageMs");
-    const auto running = numberOf(event, "running");
-    const auto waiting = numberOf(event, "waiting");
-    const auto queued = numberOf(event, "queuedPromptTokens");
-    const auto used = numberOf(event, "usedKvTokens");
+    const auto age = numberOf(event, "ageMs", kMaxLoadAge.count());
+    const auto running = numberOf(event, "running", std::numeric_limits<int>::max());
+    const auto waiting = numberOf(event, "waiting", std::numeric_limits<int>::max());
+    const auto queued = numberOf(event, "queuedPromptTokens", kMaxTokens.count());
+    const auto used = numberOf(event, "usedKvTokens", kMaxTokens.count());
     if (!age || !running || !waiting || !queued || !used)
         return std::nullopt;
     routing::LoadReported load;
--- a/libs/upstream/tests/EngineFeedsTest.cpp
+++ b/libs/upstream/tests/EngineFeedsTest.cpp
@@ -75,3 +75,14 @@
                                      "\"added\":[\"x\"],\"removed\":[]}"));
     CHECK_FALSE(parseEngineEvent(id, "[]"));
 }
+
+TEST_CASE("an event with a figure beyond what an engine can have is malformed")
+{
+    const base::UpstreamId id("e1");
+    CHECK_FALSE(parseEngineEvent(id, "{\"type\":\"load\",\"ageMs\":9000000000000000000,"
+                                     "\"running\":0,\"waiting\":0,"
+                                     "\"queuedPromptTokens\":0,\"usedKvTokens\":0}"));
+    CHECK_FALSE(parseEngineEvent(id, "{\"type\":\"load\",\"ageMs\":1,\"running\":4294967297,"
+                                     "\"waiting\":0,\"queuedPromptTokens\":0,"
+                                     "\"usedKvTokens\":0}"));
+}
