The body of an engine's error is read up to 64 KiB

Cause: an error's body was collected without bound until the attempt's time limit, so a broken engine took memory and time. Change: beyond the bound the call is dropped and the attempt fails as an upstream error. Before: the new test ends with another fault at its time limit; after: at once, test-upstream passes.

--- a/libs/upstream/include/upstream/Upstream.h
+++ b/libs/upstream/include/upstream/Upstream.h
@@ -149,6 +149,9 @@
 class Engines final : private http::CallHandler
 {
 public:
+    /// Bound on the body of an error; a longer one ends the attempt as an upstream error.
+    static constexpr std::size_t kMaxErrorBytes = std::size_t(64) << 10;
+
     Engines(http::Loop *loop, OwnerName owner, AttemptListener *listener);
     ~Engines() override;
 
--- a/libs/upstream/src/Engines.cpp
+++ b/libs/upstream/src/Engines.cpp
@@ -141,6 +141,10 @@
         return;
     if (it->second.status != kStatusOk) {
         it->second.errorBody += data;
+        if (it->second.errorBody.size() > kMaxErrorBytes) {
+            m_loop->cancel(id);
+            fail(id, routing::AttemptFault::UpstreamError);
+        }
         return;
     }
     // The listener may cancel the attempt in the middle of the batch.
--- a/libs/upstream/tests/UpstreamTest.cpp
+++ b/libs/upstream/tests/UpstreamTest.cpp
@@ -25,13 +25,15 @@
         attempt = request.header("x-attempt-id");
         loop->startStream(id, status, "text/event-stream", {});
         loop->sendStream(id, body);
-        loop->endStream(id);
+        if (endsAnswer)
+            loop->endStream(id);
     }
     void onPeerClosed(http::ExchangeId) override { }
     void onRejected(http::RejectReason) override { }
 
     http::Loop *loop = nullptr;
     int status = 200;
+    bool endsAnswer = true;
     std::string body;
     std::string attempt;
     int deletes = 0;
@@ -132,6 +134,16 @@
     CHECK(faultOf("not_run") == routing::AttemptFault::UpstreamError);
 }
 
+TEST_CASE("an error body without end is read up to its bound, not until the time limit")
+{
+    Rig rig;
+    rig.engine.status = 503;
+    rig.engine.endsAnswer = false;
+    rig.run(R"({"error":{"outcome":"not_run","message":")"
+            + std::string(Engines::kMaxErrorBytes, 'x'));
+    CHECK(rig.collect.fault == routing::AttemptFault::UpstreamError);
+}
+
 TEST_CASE("a cancel is repeated until the engine confirms it")
 {
     Rig rig;
