A gang of which one engine refuses to renew its part is given up whole

Cause: answers to renewals were not read, so a gang went on as held when one of its engines had lost its reservation, by its ttl or a restart. Change: on a refusal Gangs gives all parts back and tells its owner, which fails the attempt as one that may have run; the router cancels or ends it.

--- a/libs/upstream/include/upstream/Upstream.h
+++ b/libs/upstream/include/upstream/Upstream.h
@@ -208,16 +208,20 @@
 ///
 /// Members are asked one after the other; an engine may keep the question waiting for memory
 /// within the limit. Reservations end by their ttl at the engine and are renewed while held, so a
-/// host that dies holds nothing for long.
+/// host that dies holds nothing for long. A gang of which one engine refuses to renew is given back
+/// whole.
 class Gangs final : private http::CallHandler
 {
 public:
     using OnReserved = std::function<void(bool isHeld)>;
+    /// A gang that was held is given back, for one of its engines holds nothing any more.
+    using OnLost = std::function<void(const base::AttemptId &id)>;
 
     /// Life of a reservation that is not renewed.
     static constexpr base::Millis kReservationTtl{15'000};
 
-    Gangs(http::Loop *loop, OwnerName owner);
+    Gangs(http::Loop *loop, OwnerName owner, OnLost onLost,
+          base::Millis renewInterval = kReservationTtl / 3);
     ~Gangs() override;
 
     /// Answers once, later; on false whatever had been reserved is being given back.
@@ -251,6 +255,8 @@
     void renew(const base::AttemptId &id);
     void giveBack(const Gang &gang);
     void answer(const base::AttemptId &id, bool isHeld);
+    void renewLater(Gang &gang);
+    void onRenewed(const base::AttemptId &id, bool isReserved);
     void onHead(http::CallId id, int status, const http::Headers &headers) override;
     void onData(http::CallId, std::string_view) override { }
     void onDone(http::CallId id) override;
@@ -258,6 +264,8 @@
 
     http::Loop *m_loop;
     OwnerName m_owner;
+    OnLost m_onLost;
+    base::Millis m_renewInterval;
     std::map<base::AttemptId, Gang> m_gangs;
     std::map<http::CallId, Question> m_questions;
     Deletions m_deletions;
--- a/libs/upstream/src/Gangs.cpp
+++ b/libs/upstream/src/Gangs.cpp
@@ -19,9 +19,11 @@
 
 } // namespace
 
-Gangs::Gangs(http::Loop *loop, OwnerName owner)
+Gangs::Gangs(http::Loop *loop, OwnerName owner, OnLost onLost, base::Millis renewInterval)
     : m_loop(loop)
     , m_owner(std::move(owner))
+    , m_onLost(std::move(onLost))
+    , m_renewInterval(renewInterval)
     , m_deletions(loop, m_owner)
 { }
 
@@ -79,14 +81,27 @@
     return m_loop->call(std::move(call), this);
 }
 
+void Gangs::renewLater(Gang &gang)
+{
+    gang.timer = m_loop->after(m_renewInterval, [this, id = gang.order.id] { renew(id); });
+}
+
 void Gangs::renew(const base::AttemptId &id)
 {
     Gang &gang = m_gangs.at(id);
-    gang.timer = m_loop->after(kReservationTtl / 3, [this, id] { renew(id); });
+    renewLater(gang);
     for (const GangMember &member : gang.order.members)
         m_questions.emplace(ask(gang, member, kRenewTimeout), Question{id, true, 0});
 }
 
+void Gangs::onRenewed(const base::AttemptId &id, bool isReserved)
+{
+    if (isReserved)
+        return;
+    release(id);
+    m_onLost(id);
+}
+
 void Gangs::release(const base::AttemptId &id)
 {
     const auto it = m_gangs.find(id);
@@ -120,7 +135,7 @@
     if (isHeld) {
         it->second.isHeld = true;
         m_loop->cancelTimer(it->second.timer);
-        it->second.timer = m_loop->after(kReservationTtl / 3, [this, id] { renew(id); });
+        renewLater(it->second);
     } else {
         giveBack(it->second);
         m_gangs.erase(it);
@@ -138,10 +153,12 @@
     const auto it = m_questions.find(id);
     const Question question = it->second;
     m_questions.erase(it);
-    if (question.isRenewal)
+    const bool isReserved = question.status == 200 || question.status == 201;
+    if (question.isRenewal) {
+        onRenewed(question.gang, isReserved);
         return;
+    }
     Gang &gang = m_gangs.at(question.gang);
-    const bool isReserved = question.status == 200 || question.status == 201;
     if (isReserved && gang.asked < gang.order.members.size())
         askNext(gang);
     else
--- a/libs/upstream/tests/GangsTest.cpp
+++ b/libs/upstream/tests/GangsTest.cpp
@@ -42,7 +42,14 @@
 {
     Rig()
         : loop(std::move(*http::Loop::create(64)))
-        , gangs(loop.get(), {base::HostId("h"), base::Incarnation(1)})
+        , gangs(
+                  loop.get(), {base::HostId("h"), base::Incarnation(1)},
+                  [this](const base::AttemptId &id) {
+                      lost.push_back(id);
+                      heldAtLoss = gangs.held();
+                      stopWhenReleased();
+                  },
+                  base::Millis(10))
     {
         engines.loop = loop.get();
         http::ServerOptions options;
@@ -82,6 +89,8 @@
     }
 
     std::size_t heldAtAnswer = 0;
+    std::size_t heldAtLoss = 0;
+    std::vector<base::AttemptId> lost;
     std::unique_ptr<http::Loop> loop;
     Reservations engines;
     Gangs gangs;
@@ -130,3 +139,19 @@
     rig.loop->run();
     CHECK_FALSE(isAnswered);
 }
+
+TEST_CASE("a gang of which one engine refuses to renew is given back whole and told as lost")
+{
+    Rig rig;
+    // Three questions reserve, three renew; in the next round the second engine has lost its part.
+    rig.engines.refusedAt = 8;
+    std::vector<bool> answers;
+    rig.gangs.reserve(rig.order(base::Millis(5'000)), [&](bool it) { answers.push_back(it); });
+    rig.loop->run();
+    CHECK(answers == std::vector<bool>{true});
+    CHECK(rig.lost == std::vector{base::AttemptId("g1")});
+    CHECK(rig.heldAtLoss == 0);
+    CHECK(std::count(rig.engines.log.begin(), rig.engines.log.end(),
+                     std::string("delete /v1/reservations/g1"))
+          == 3);
+}
--- a/programs/hyssop-entry/ActionRunner.cpp
+++ b/programs/hyssop-entry/ActionRunner.cpp
@@ -37,7 +37,7 @@
     , m_router(std::move(options))
     , m_engines(loop, owner, this)
     , m_services(loop, owner, this)
-    , m_gangs(loop, owner)
+    , m_gangs(loop, owner, [this](const base::AttemptId &id) { onGangLost(id); })
 { }
 
 void ActionRunner::submit(OpenRequest request)
@@ -162,6 +162,15 @@
     feed(routing::AttemptFailed{action.attempt, routing::AttemptFault::Refused, base::Millis(0)});
 }
 
+void ActionRunner::onGangLost(const base::AttemptId &id)
+{
+    m_metrics->count("hyssop_gangs_total", {{"outcome", "lost"}});
+    base::logEvent("gang_lost", {{"attempt", id}});
+    // What runs at the first engine has lost memory of the others.
+    if (m_open.findAttempt(id))
+        onFailed(id, routing::AttemptFault::UpstreamError, base::Millis(0));
+}
+
 void ActionRunner::releaseGang(const base::AttemptId &id)
 {
     const OpenAttempt *open = m_open.findAttempt(id);
--- a/programs/hyssop-entry/ActionRunner.h
+++ b/programs/hyssop-entry/ActionRunner.h
@@ -47,6 +47,7 @@
     void startService(const routing::StartAttempt &action, const OpenRequest &request,
                       const base::Endpoint &address);
     void startEngine(const routing::StartAttempt &action, const OpenAttempt &open);
+    void onGangLost(const base::AttemptId &id);
     void reserveGang(const routing::StartAttempt &action);
     void onGangReserved(const routing::StartAttempt &action, bool isHeld);
     void releaseGang(const base::AttemptId &id);
