An engine that stops reporting gets no new work after three seconds

Cause: an engine that died silently stayed in use until its announcement ended on every host: ttl and, with 39 hosts, up to 12 s more for the way of announcements between them. Change: each entry host follows each engine's events itself; one that has reported and is then silent for 3 s leaves the router until it reports again. Announcements still decide who is known; what runs there goes on or is resumed as before. Measured: the new test of EngineFeeds passes; the time in use at 39 hosts was not measured.

--- a/libs/upstream/include/upstream/Upstream.h
+++ b/libs/upstream/include/upstream/Upstream.h
@@ -274,23 +274,30 @@
 /// Follows the events of engines: load reports and changes of prefix caches.
 ///
 /// A feed that breaks off or falls silent is opened again with backoff. Nothing is made up for
-/// what was missed: the sequence numbers of cache events show it.
+/// what was missed: the sequence numbers of cache events show it. An engine that has spoken and
+/// then says nothing for kQuietLimit is told as quiet, and once more when it speaks again.
 class EngineFeeds final : private http::CallHandler
 {
 public:
     using OnLoad = std::function<void(routing::LoadReported)>;
     using OnCache = std::function<void(routing::CacheChanged)>;
+    using OnQuiet = std::function<void(const base::UpstreamId &id, bool isQuiet)>;
 
     /// A feed that says nothing for so long is opened again.
     static constexpr base::Millis kSilenceLimit{10'000};
 
-    EngineFeeds(http::Loop *loop, OnLoad onLoad, OnCache onCache);
+    /// Longest time between reports of an engine that can be given work.
+    static constexpr base::Millis kQuietLimit{3'000};
+
+    EngineFeeds(http::Loop *loop, OnLoad onLoad, OnCache onCache, OnQuiet onQuiet = nullptr,
+                base::Millis quietLimit = kQuietLimit);
     ~EngineFeeds() override;
 
     /// Follows an engine; again with the same address changes nothing.
     void follow(const base::UpstreamId &id, const base::Endpoint &to);
     void forget(const base::UpstreamId &id);
     std::int64_t malformed() const { return m_malformed; }
+    bool isQuiet(const base::UpstreamId &id) const;
 
 private:
     struct Feed
@@ -300,12 +307,16 @@
         std::optional<http::TimerId> timer;
         base::Millis delay{0};
         bool isOpen = false; ///< The engine has accepted the call.
+        std::optional<http::TimerId> quietTimer; ///< Runs from the first report on.
+        bool isQuiet = false;
         SseParser parser;
     };
 
     void open(const base::UpstreamId &id);
     void openLater(const base::UpstreamId &id);
     void watchSilence(const base::UpstreamId &id);
+    void watchQuiet(const base::UpstreamId &id);
+    void noteQuiet(const base::UpstreamId &id);
     void close(Feed &feed);
     void onEvent(const base::UpstreamId &id, std::string_view text);
     void onHead(http::CallId id, int status, const http::Headers &headers) override;
@@ -316,6 +327,8 @@
     http::Loop *m_loop;
     OnLoad m_onLoad;
     OnCache m_onCache;
+    OnQuiet m_onQuiet;
+    base::Millis m_quietLimit;
     std::map<base::UpstreamId, Feed> m_feeds;
     std::map<http::CallId, base::UpstreamId> m_calls;
     std::int64_t m_malformed = 0;
--- a/libs/upstream/src/EngineFeeds.cpp
+++ b/libs/upstream/src/EngineFeeds.cpp
@@ -12,6 +12,7 @@
 constexpr base::Millis kFeedTimeout{86'400'000};
 constexpr base::Millis kFirstDelay{200};
 constexpr base::Millis kMaxDelay{5'000};
+constexpr base::Millis kLastLook{100};
 constexpr int kStatusOk = 200;
 
 using nlohmann::json;
@@ -100,16 +101,19 @@
     return std::nullopt;
 }
 
-EngineFeeds::EngineFeeds(http::Loop *loop, OnLoad onLoad, OnCache onCache)
+EngineFeeds::EngineFeeds(http::Loop *loop, OnLoad onLoad, OnCache onCache, OnQuiet onQuiet,
+                         base::Millis quietLimit)
     : m_loop(loop)
     , m_onLoad(std::move(onLoad))
     , m_onCache(std::move(onCache))
+    , m_onQuiet(std::move(onQuiet))
+    , m_quietLimit(quietLimit)
 { }
 
 EngineFeeds::~EngineFeeds()
 {
-    for (auto &[id, feed] : m_feeds)
-        close(feed);
+    while (!m_feeds.empty())
+        forget(m_feeds.begin()->first);
 }
 
 void EngineFeeds::follow(const base::UpstreamId &id, const base::Endpoint &to)
@@ -128,9 +132,17 @@
     if (it == m_feeds.end())
         return;
     close(it->second);
+    if (it->second.quietTimer)
+        m_loop->cancelTimer(*it->second.quietTimer);
     m_feeds.erase(it);
 }
 
+bool EngineFeeds::isQuiet(const base::UpstreamId &id) const
+{
+    const auto it = m_feeds.find(id);
+    return it != m_feeds.end() && it->second.isQuiet;
+}
+
 void EngineFeeds::close(Feed &feed)
 {
     if (feed.call) {
@@ -168,6 +180,25 @@
     });
 }
 
+void EngineFeeds::watchQuiet(const base::UpstreamId &id)
+{
+    Feed &feed = m_feeds.at(id);
+    if (feed.quietTimer)
+        m_loop->cancelTimer(*feed.quietTimer);
+    // After a standstill of this process timers go before what waits to be read: a last look.
+    feed.quietTimer = m_loop->after(m_quietLimit, [this, id] {
+        m_feeds.at(id).quietTimer = m_loop->after(kLastLook, [this, id] { noteQuiet(id); });
+    });
+}
+
+void EngineFeeds::noteQuiet(const base::UpstreamId &id)
+{
+    Feed &feed = m_feeds.at(id);
+    feed.quietTimer.reset();
+    feed.isQuiet = true;
+    m_onQuiet(id, true);
+}
+
 void EngineFeeds::openLater(const base::UpstreamId &id)
 {
     Feed &feed = m_feeds.at(id);
@@ -192,6 +223,12 @@
         return;
     feed.delay = base::Millis(0);
     watchSilence(upstream);
+    if (m_onQuiet)
+        watchQuiet(upstream);
+    if (std::exchange(feed.isQuiet, false))
+        m_onQuiet(upstream, false);
+    if (!m_calls.contains(id))
+        return;
     // A receiver may forget the engine in the middle of the batch.
     SseParser parser = std::move(feed.parser);
     const bool isSound = parser.feed(data, [this, id, upstream](std::string_view event) {
--- a/libs/upstream/tests/EngineFeedsTest.cpp
+++ b/libs/upstream/tests/EngineFeedsTest.cpp
@@ -19,10 +19,12 @@
     void onRequest(http::ExchangeId id, http::Request request) override
     {
         path = request.path;
+        stream = id;
         loop->startStream(id, 200, "text/event-stream", {});
         loop->sendStream(id, texts[std::min(opened, texts.size() - 1)]);
         ++opened;
-        loop->endStream(id);
+        if (breaksOff)
+            loop->endStream(id);
     }
     void onPeerClosed(http::ExchangeId) override { }
     void onRejected(http::RejectReason) override { }
@@ -30,6 +32,8 @@
     http::Loop *loop = nullptr;
     std::vector<std::string> texts;
     std::size_t opened = 0;
+    bool breaksOff = true;
+    http::ExchangeId stream;
     std::string path;
 };
 
@@ -86,3 +90,31 @@
                                      "\"waiting\":0,\"queuedPromptTokens\":0,"
                                      "\"usedKvTokens\":0}"));
 }
+
+TEST_CASE("an engine that stops reporting is told as quiet before its announcement ends")
+{
+    auto loop = std::move(*http::Loop::create(64));
+    Feed engine;
+    engine.loop = loop.get();
+    engine.breaksOff = false;
+    engine.texts = {kLoad};
+    http::ServerOptions options;
+    options.listen = {"127.0.70.1", 0};
+    const base::Endpoint address = *loop->listen(options, &engine);
+    const base::UpstreamId id("e1");
+    std::vector<bool> told;
+    EngineFeeds feeds(
+            loop.get(), [](const auto &) {}, [](const auto &) {},
+            [&](const base::UpstreamId &, bool isQuiet) {
+                told.push_back(isQuiet);
+                if (isQuiet)
+                    engine.loop->sendStream(engine.stream, kLoad);
+                else
+                    loop->stop();
+            },
+            base::Millis(20));
+    feeds.follow(id, address);
+    loop->run();
+    CHECK(told == std::vector<bool>{true, false});
+    CHECK_FALSE(feeds.isQuiet(id));
+}
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -71,7 +71,8 @@
     m_runner->setMaxUnsentBytes(m_options.maxUnsentBytes);
     m_feeds = std::make_unique<upstream::EngineFeeds>(
             m_loop.get(), [this](const auto &load) { m_runner->feed(load); },
-            [this](const auto &change) { m_runner->feed(change); });
+            [this](const auto &change) { m_runner->feed(change); },
+            [this](const base::UpstreamId &id, bool isQuiet) { onQuiet(id, isQuiet); });
     m_control = std::make_unique<ControlClient>(m_loop.get(), &m_metrics, m_options.controls);
     m_claims = std::make_unique<ClaimRunner>(
             m_loop.get(), m_control.get(), &m_metrics,
@@ -238,7 +239,19 @@
     }
     if (change.upstream.kind == routing::UpstreamKind::Engine)
         m_feeds->follow(id, m_gossiper->directory().find(id)->address);
-    m_runner->feed(routing::UpstreamSeen{change.upstream});
+    if (!m_feeds->isQuiet(id))
+        m_runner->feed(routing::UpstreamSeen{change.upstream});
+}
+
+void EntryTask::onQuiet(const base::UpstreamId &id, bool isQuiet)
+{
+    base::logEvent("engine_quiet", {{"upstream", id}, {"quiet", isQuiet ? "yes" : "no"}});
+    if (isQuiet) {
+        m_metrics.count("hyssop_quiet_engines_total", {{"upstream", id.text()}});
+        m_runner->feed(routing::UpstreamGone{id});
+    } else if (const membership::Announcement *engine = m_gossiper->directory().find(id)) {
+        m_runner->feed(routing::UpstreamSeen{engine->upstream});
+    }
 }
 
 // Other hosts.
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -50,6 +50,7 @@
     // Upstreams.
     void onAnnouncement(const membership::Announcement &announcement);
     void onUpstream(const membership::DirectoryChange &change);
+    void onQuiet(const base::UpstreamId &id, bool isQuiet);
 
     // Other hosts.
     void onWatch(peers::WatchRequest request, peers::Answer<peers::WatchReply> answer) override;
