A stopping entry host gives orders that upstreams have not confirmed over to other hosts

Cause: pendingCancels() had no reader: a host waited for its last cancels until its stop limit, and ended with them lost until its peers took it for dead. Change: once only such orders are left for a second, or at the limit, they go to two live hosts in a gossip message, which repeat them until confirmed.

--- a/integration/HostFaultTest.cpp
+++ b/integration/HostFaultTest.cpp
@@ -147,3 +147,29 @@
     for (Host *engine : system.hosts(Role::Engine))
         CHECK(returnsToFloor(system, *engine, kFloorLimit));
 }
+
+TEST_CASE("an entry host that stops gives cancels no engine has confirmed over to another host")
+{
+    Plan plan;
+    plan.entriesEach = 2;
+    System system(plan);
+    bringUp(system);
+    Host &engine = system.host("engine-1-1");
+    Host &entry = system.host("entry-1-1");
+    Completion endless;
+    endless.wantsStream = true;
+    endless.maxTokens = 100'000;
+    const Pending pending = startCompletion(system, entry, endless);
+    REQUIRE(pending.waitForBody("data:").status == 200);
+    engine.process->signal(SIGSTOP);
+    system.client().drop(pending);
+    REQUIRE(eventually(base::Millis(20'000),
+                       [&] { return metric(system, entry, "hyssop_unconfirmed_cancels") == 1; }));
+    // The engine confirms nothing, so that only the handing on lets the host end.
+    system.stop(entry);
+    CHECK(eventually(base::Millis(10'000), [&] {
+        return metric(system, system.host("entry-1-2"), "hyssop_taken_over_orders_total") == 1;
+    }));
+    engine.process->signal(SIGCONT);
+    CHECK(returnsToFloor(system, engine, base::Millis(30'000)));
+}
--- a/libs/upstream/include/upstream/Upstream.h
+++ b/libs/upstream/include/upstream/Upstream.h
@@ -231,6 +231,8 @@
     /// Gangs that hold memory, or may.
     std::size_t held() const { return m_gangs.size(); }
     std::size_t unconfirmedReleases() const { return m_deletions.unconfirmed(); }
+    /// Those releases, so that another host can go on with them.
+    std::vector<Deletions::Order> pendingReleases() const { return m_deletions.pending(); }
 
 private:
     struct Gang
--- a/programs/hyssop-entry/ActionRunner.cpp
+++ b/programs/hyssop-entry/ActionRunner.cpp
@@ -323,10 +323,12 @@
                    {{"upstream", action.upstream}, {"duration_ms", action.duration.count()}});
 }
 
-bool ActionRunner::isIdle() const
+std::vector<upstream::Deletions::Order> ActionRunner::pendingOrders() const
 {
-    return m_open.isEmpty() && m_engines.unconfirmedCancels() == 0
-           && m_gangs.unconfirmedReleases() == 0;
+    std::vector<upstream::Deletions::Order> orders = m_engines.pendingCancels();
+    const auto releases = m_gangs.pendingReleases();
+    orders.insert(orders.end(), releases.begin(), releases.end());
+    return orders;
 }
 
 void ActionRunner::refreshGauges()
--- a/programs/hyssop-entry/ActionRunner.h
+++ b/programs/hyssop-entry/ActionRunner.h
@@ -28,10 +28,8 @@
     void setMaxUnsentBytes(std::size_t bytes) { m_maxUnsentBytes = bytes; }
     std::vector<routing::PeerOutstanding> outstanding() const { return m_router.outstanding(); }
     std::size_t openRequests() const { return m_open.size(); }
-    /// No request is open and nothing is left to be cancelled at an upstream.
-    bool isIdle() const;
-    upstream::Engines &engines() { return m_engines; }
-    upstream::Gangs &gangs() { return m_gangs; }
+    /// Cancels and releases that no upstream has confirmed yet.
+    std::vector<upstream::Deletions::Order> pendingOrders() const;
     void refreshGauges();
 
 private:
@@ -47,9 +45,9 @@
     void startService(const routing::StartAttempt &action, const OpenRequest &request,
                       const base::Endpoint &address);
     void startEngine(const routing::StartAttempt &action, const OpenAttempt &open);
-    void onGangLost(const base::AttemptId &id);
     void reserveGang(const routing::StartAttempt &action);
     void onGangReserved(const routing::StartAttempt &action, bool isHeld);
+    void onGangLost(const base::AttemptId &id);
     void releaseGang(const base::AttemptId &id);
     void cutOffSlowCaller(const OpenRequest &request);
     void scheduleTick();
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -5,6 +5,9 @@
 namespace {
 
 constexpr base::Millis kStopPoll{20};
+/// How long upstreams are given to confirm the last orders before another host goes on with them.
+constexpr base::Millis kConfirmTime{1'000};
+constexpr base::Millis kHandOnTime{1'000};
 
 routing::RouterOptions routerOptions(const EntryOptions &options)
 {
@@ -283,6 +286,7 @@
     hooks.onHost = [this](const auto &it) { m_reclaimer->onHost(it); };
     hooks.onOutstanding = [this](const auto &it) { m_runner->feed(it); };
     hooks.readOutstanding = [this] { return m_runner->outstanding(); };
+    hooks.onHandedOn = [this](const auto &it) { m_reclaimer->takeOver(it); };
     const membership::HostRow self{m_options.host, m_options.incarnation, 0, m_peers->address()};
     return std::make_unique<Gossiper>(m_loop.get(), &m_metrics, self, m_options.peers,
                                       m_options.usesPeersOfSettingsOnly, std::move(hooks));
@@ -324,13 +328,24 @@
 
 void EntryTask::endWhenIdle(base::TimePoint until)
 {
-    const bool isIdle = m_runner->isIdle() && m_jobs->isIdle() && m_claims->openFlows() == 0;
-    if (isIdle || base::monotonicNow() >= until) {
-        // One more turn lets the last answers leave.
-        m_loop->after(kStopPoll, [this] { m_loop->stop(); });
+    const base::TimePoint now = base::monotonicNow();
+    const bool hasWork =
+            m_runner->openRequests() > 0 || !m_jobs->isIdle() || m_claims->openFlows() > 0;
+    if (hasWork || !m_workDone)
+        m_workDone = now;
+    const bool isOver = now >= until;
+    const auto orders = m_runner->pendingOrders();
+    const bool isConfirmed = !hasWork && orders.empty();
+    const bool awaitsConfirmation = hasWork || now - *m_workDone < kConfirmTime;
+    const bool mayEnd = isConfirmed || isOver || !awaitsConfirmation;
+    if (!mayEnd || (!orders.empty() && !m_gossiper->handOn(orders) && !isOver)) {
+        m_loop->after(kStopPoll, [this, until] { endWhenIdle(until); });
         return;
     }
-    m_loop->after(kStopPoll, [this, until] { endWhenIdle(until); });
+    if (!orders.empty())
+        base::logEvent("handed_on", {{"orders", orders.size()}});
+    // Lets the last answers, and what was handed on, leave.
+    m_loop->after(orders.empty() ? kStopPoll : kHandOnTime, [this] { m_loop->stop(); });
 }
 
 } // namespace hyssop::entry
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -84,6 +84,7 @@
     std::unique_ptr<Gossiper> m_gossiper;
     std::unique_ptr<Reclaimer> m_reclaimer;
     bool m_isStopping = false;
+    std::optional<base::TimePoint> m_workDone; ///< Since when only orders to upstreams are left.
 };
 
 } // namespace hyssop::entry
--- a/programs/hyssop-entry/Gossip.cpp
+++ b/programs/hyssop-entry/Gossip.cpp
@@ -47,6 +47,25 @@
     return {toJson(spread.from), hosts, news, seen, wanted};
 }
 
+json toJson(const std::vector<upstream::Deletions::Order> &orders)
+{
+    json j = json::array();
+    for (const upstream::Deletions::Order &order : orders)
+        j.push_back({order.to.text(), order.path});
+    return j;
+}
+
+std::vector<upstream::Deletions::Order> ordersFrom(const json &j)
+{
+    std::vector<upstream::Deletions::Order> orders;
+    for (const json &one : j) {
+        const auto to = base::parseEndpoint(one.at(0).get<std::string>());
+        if (to && orders.size() < kMaxHandedOn)
+            orders.push_back({*to, one.at(1).get<std::string>()});
+    }
+    return orders;
+}
+
 membership::SpreadMessage spreadMessage(const json &j)
 {
     membership::SpreadMessage spread;
@@ -73,7 +92,10 @@
     for (const routing::PeerOutstanding &one : body.outstanding)
         outstanding.push_back({one.upstream.text(), one.prompt.count(), one.requests,
                                one.longPrompt.count(), one.kv.count()});
-    return base::toCbor({toJson(body.spread), outstanding});
+    json j{toJson(body.spread), outstanding};
+    if (!body.handedOn.empty())
+        j.push_back(toJson(body.handedOn));
+    return base::toCbor(j);
 }
 
 std::optional<GossipBody> decodeGossip(std::string_view bytes)
@@ -91,6 +113,8 @@
                                         base::Tokens(one.at(1).get<std::int64_t>()), one.at(2),
                                         base::Tokens(one.at(3).get<std::int64_t>()),
                                         base::Tokens(one.at(4).get<std::int64_t>())});
+        if (j.size() > 2)
+            body.handedOn = ordersFrom(j.at(2));
     } catch (const json::exception &) {
         return std::nullopt;
     }
--- a/programs/hyssop-entry/Gossip.h
+++ b/programs/hyssop-entry/Gossip.h
@@ -2,6 +2,7 @@
 
 #include "membership/Membership.h"
 #include "routing/Routing.h"
+#include "upstream/Upstream.h"
 
 namespace hyssop::entry {
 
@@ -10,8 +11,12 @@
 {
     membership::SpreadMessage spread;
     std::vector<routing::PeerOutstanding> outstanding;
+    /// Orders to upstreams that the sender gives over as it ends; at most kMaxHandedOn.
+    std::vector<upstream::Deletions::Order> handedOn;
 };
 
+inline constexpr std::size_t kMaxHandedOn = 10'000;
+
 std::string encode(const GossipBody &body);
 std::optional<GossipBody> decodeGossip(std::string_view bytes);
 
--- a/programs/hyssop-entry/Gossiper.cpp
+++ b/programs/hyssop-entry/Gossiper.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr base::Millis kTimeout{1'000};
+constexpr std::size_t kHandedOnTo = 2;
 
 membership::SpreadOptions optionsFor(const membership::HostRow &self,
                                      std::vector<base::Endpoint> seeds, bool usesSeedsOnly)
@@ -64,7 +65,7 @@
         outstanding = m_hooks.readOutstanding();
     std::size_t bytes = 0;
     for (membership::Spread::Outgoing &out : m_spread.beat(now)) {
-        const std::string body = encode({std::move(out.message), outstanding});
+        const std::string body = encode({std::move(out.message), outstanding, {}});
         bytes += body.size();
         m_node->gossip(out.to, {m_hosts.self().id, body}, kTimeout);
     }
@@ -95,6 +96,26 @@
         one.host = message.from;
         m_hooks.onOutstanding(one);
     }
+    if (!body->handedOn.empty())
+        m_hooks.onHandedOn(body->handedOn);
+}
+
+bool Gossiper::handOn(std::vector<upstream::Deletions::Order> orders)
+{
+    orders.resize(std::min(orders.size(), kMaxHandedOn));
+    GossipBody body;
+    body.spread.from = m_hosts.self();
+    body.handedOn = std::move(orders);
+    const std::string bytes = encode(body);
+    // Two receivers, for one may be ending as well; an order given twice does no harm.
+    std::size_t receivers = 0;
+    for (const membership::HostRow &row : m_hosts.live()) {
+        if (row.id == m_hosts.self().id || row.address.port == 0 || receivers == kHandedOnTo)
+            continue;
+        m_node->gossip(row.address, {m_hosts.self().id, bytes}, kTimeout);
+        ++receivers;
+    }
+    return receivers > 0;
 }
 
 void Gossiper::apply(const std::vector<membership::DirectoryChange> &changes)
--- a/programs/hyssop-entry/Gossiper.h
+++ b/programs/hyssop-entry/Gossiper.h
@@ -4,6 +4,7 @@
 #include "membership/Membership.h"
 #include "peers/Peers.h"
 #include "platform/Platform.h"
+#include "upstream/Upstream.h"
 
 #include <functional>
 
@@ -22,6 +23,7 @@
         std::function<void(const membership::HostChange &)> onHost;
         std::function<void(const routing::PeerOutstanding &)> onOutstanding;
         std::function<std::vector<routing::PeerOutstanding>()> readOutstanding;
+        std::function<void(const std::vector<upstream::Deletions::Order> &)> onHandedOn;
     };
 
     static constexpr base::Millis kBeat{250};
@@ -33,6 +35,8 @@
     void start(peers::Node *node);
     void announce(const membership::Announcement &announcement);
     void receive(const peers::GossipMessage &message);
+    /// Gives orders to upstreams over to other hosts; false when none is in reach.
+    bool handOn(std::vector<upstream::Deletions::Order> orders);
 
     const membership::Directory &directory() const { return m_directory; }
     const membership::HostTable &hosts() const { return m_hosts; }
--- a/programs/hyssop-entry/Reclaimer.cpp
+++ b/programs/hyssop-entry/Reclaimer.cpp
@@ -65,6 +65,13 @@
     }
 }
 
+void Reclaimer::takeOver(const std::vector<upstream::Deletions::Order> &orders)
+{
+    m_metrics->count("hyssop_taken_over_orders_total", {}, static_cast<double>(orders.size()));
+    for (const upstream::Deletions::Order &order : orders)
+        m_deletions.add(order.to, order.path);
+}
+
 std::vector<base::UpstreamId> Reclaimer::engines() const
 {
     std::vector<base::UpstreamId> ids;
--- a/programs/hyssop-entry/Reclaimer.h
+++ b/programs/hyssop-entry/Reclaimer.h
@@ -24,6 +24,8 @@
     /// Starts, with what earlier starts of this host have left.
     void start();
     void onHost(const membership::HostChange &change);
+    /// Goes on with orders that an ending host had not had confirmed.
+    void takeOver(const std::vector<upstream::Deletions::Order> &orders);
 
 private:
     /// Lists of one engine that are read one after the other.
--- a/programs/hyssop-entry/tests/GossipTest.cpp
+++ b/programs/hyssop-entry/tests/GossipTest.cpp
@@ -39,11 +39,13 @@
     body.spread.wanted = {base::UpstreamId("engine-3")};
     body.outstanding = {{base::HostId(), base::UpstreamId("engine-1"), base::Tokens(9), 2,
                          base::Tokens(4), base::Tokens(30)}};
+    body.handedOn = {{{"127.0.0.1", 9'000}, "/v1/attempts/a1"}};
     const std::string bytes = encode(body);
     const auto again = decodeGossip(bytes);
     REQUIRE(again);
     CHECK(encode(*again) == bytes);
     CHECK(again->spread.from.address == base::Endpoint{"127.0.0.1", 8});
+    CHECK(again->handedOn == body.handedOn);
     for (std::size_t n = 0; n < bytes.size(); ++n)
         CHECK_FALSE(decodeGossip(std::string_view(bytes).substr(0, n)));
 }
@@ -76,7 +78,7 @@
         for (const auto &out : spread.beat(now))
             bytes += now < start + std::chrono::seconds(kSeconds)
                              ? 0
-                             : encode({out.message, {}}).size();
+                             : encode({out.message, {}, {}}).size();
     }
     const std::size_t bytesPerSecond = bytes / kSeconds;
     CAPTURE(bytesPerSecond);
