--- a/integration/BadInputTest.cpp
+++ b/integration/BadInputTest.cpp
@@ -39,6 +39,23 @@
     CHECK(completed.text == expectedText(completion.prompt, completion.maxTokens));
 }
 
+/// A caller that promises a body, sends the beginning and waits gets this status and code.
+void checkSentAway(int promisedBytes, int status, const std::string &code)
+{
+    System system(smallPlan());
+    bringUp(system);
+    const Host &entry = system.host("entry-1-1");
+    RawConnection caller(entry.callers);
+    caller.send("POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Team: office-1\r\nContent-Length: "
+                + std::to_string(promisedBytes) + "\r\n\r\n{\"model\":\"chat\"");
+    const std::string answer = caller.receiveAll();
+    CHECK(answer.starts_with("HTTP/1.1 " + std::to_string(status)));
+    CHECK(answer.find(code) != std::string::npos);
+    CHECK(answer.find("not_run") != std::string::npos);
+    CHECK(metric(system, entry, "hyssop_bad_input_total", '"' + code + '"') == 1);
+    checkServes(system);
+}
+
 struct BadCase
 {
     std::string path;
@@ -112,33 +129,12 @@
 
 TEST_CASE("a body over the limit is refused with its code before it has arrived")
 {
-    System system(smallPlan());
-    bringUp(system);
-    const Host &entry = system.host("entry-1-1");
-    RawConnection caller(entry.callers);
-    caller.send("POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Team: office-1\r\n"
-                "Content-Length: 70000\r\n\r\n{\"model\":\"chat\"");
-    const std::string answer = caller.receiveAll();
-    CHECK(answer.starts_with("HTTP/1.1 413"));
-    CHECK(answer.find("body_too_large") != std::string::npos);
-    CHECK(answer.find("not_run") != std::string::npos);
-    CHECK(metric(system, entry, "hyssop_bad_input_total", "\"body_too_large\"") == 1);
-    checkServes(system);
+    checkSentAway(70'000, 413, "body_too_large");
 }
 
 TEST_CASE("a caller whose body never arrives is sent away in bounded time")
 {
-    System system(smallPlan());
-    bringUp(system);
-    const Host &entry = system.host("entry-1-1");
-    RawConnection caller(entry.callers);
-    caller.send("POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Team: office-1\r\n"
-                "Content-Length: 500\r\n\r\n{\"model\":");
-    const std::string answer = caller.receiveAll();
-    CHECK(answer.starts_with("HTTP/1.1 408"));
-    CHECK(answer.find("body_timeout") != std::string::npos);
-    CHECK(metric(system, entry, "hyssop_bad_input_total", "\"body_timeout\"") == 1);
-    checkServes(system);
+    checkSentAway(500, 408, "body_timeout");
 }
 
 TEST_CASE("a caller that vanishes frees its engine and harms nobody else")
--- a/integration/UpstreamFaultTest.cpp
+++ b/integration/UpstreamFaultTest.cpp
@@ -24,6 +24,25 @@
         CHECK(whole.starts_with(completed.text));
 }
 
+using Streams = std::vector<std::pair<Completion, Pending>>;
+
+/// Streams that have all begun at their engines.
+Streams startStreams(System &system, const std::string &name, int n, std::int64_t maxTokens)
+{
+    Streams streams;
+    for (int i = 0; i < n; ++i) {
+        Completion completion;
+        completion.prompt = name + " " + std::to_string(i);
+        completion.wantsStream = true;
+        completion.maxTokens = maxTokens;
+        streams.emplace_back(completion,
+                             startCompletion(system, system.host("entry-1-1"), completion));
+    }
+    for (const auto &[completion, pending] : streams)
+        REQUIRE(pending.waitForBody("data:").status == 200);
+    return streams;
+}
+
 } // namespace
 
 TEST_CASE("an engine killed mid-stream gives the exact rest or an explicit error event")
@@ -32,17 +51,7 @@
     plan.enginesEach = 2;
     System system(plan);
     bringUp(system);
-    const Host &entry = system.host("entry-1-1");
-    std::vector<std::pair<Completion, Pending>> calls;
-    for (int i = 0; i < 20; ++i) {
-        Completion completion;
-        completion.prompt = "Route dossier " + std::to_string(i);
-        completion.wantsStream = true;
-        completion.maxTokens = 400;
-        calls.emplace_back(completion, startCompletion(system, entry, completion));
-    }
-    for (const auto &[completion, pending] : calls)
-        REQUIRE(pending.waitForBody("data:").status == 200);
+    const Streams calls = startStreams(system, "Route dossier", 20, 400);
     system.kill(system.host("engine-1-1"));
     for (const auto &[completion, pending] : calls)
         checkRightOrTold(readCompletion(pending.wait(), completion), completion);
@@ -162,17 +171,7 @@
     System system(plan);
     bringUp(system);
     const Host &leaving = system.host("engine-1-1");
-    std::vector<std::pair<Completion, Pending>> calls;
-    for (int i = 0; i < 8; ++i) {
-        Completion completion;
-        completion.prompt = "In flight " + std::to_string(i);
-        completion.wantsStream = true;
-        completion.maxTokens = 300;
-        calls.emplace_back(completion,
-                           startCompletion(system, system.host("entry-1-1"), completion));
-    }
-    for (const auto &[completion, pending] : calls)
-        REQUIRE(pending.waitForBody("data:").status == 200);
+    const Streams calls = startStreams(system, "In flight", 8, 300);
     http::Call announce;
     announce.to = system.host("entry-1-1").upstreams;
     announce.method = http::Method::Post;
--- a/integration/harness/System.cpp
+++ b/integration/harness/System.cpp
@@ -26,6 +26,13 @@
     return path;
 }
 
+/// What control and entry hosts are both told.
+std::vector<std::string> hostArguments(const Host &host)
+{
+    return {"--host",         host.name,         "--data-centre",     host.dataCentre,
+            "--listen-peers", host.peers.text(), "--listen-platform", host.platform.text()};
+}
+
 void append(std::vector<std::string> &to, const std::vector<std::string> &more)
 {
     to.insert(to.end(), more.begin(), more.end());
@@ -238,20 +245,9 @@
         voters.push_back(control->name + "="
                          + (isSelf ? host.peers.text() : reach(host, *control)));
     }
-    host.arguments = {"--host",
-                      host.name,
-                      "--data-centre",
-                      host.dataCentre,
-                      "--data",
-                      (m_folder / host.name).string(),
-                      "--listen-peers",
-                      host.peers.text(),
-                      "--listen-operators",
-                      host.operators.text(),
-                      "--listen-platform",
-                      host.platform.text(),
-                      "--global-voters",
-                      join(voters)};
+    host.arguments = hostArguments(host);
+    append(host.arguments, {"--data", (m_folder / host.name).string(), "--listen-operators",
+                            host.operators.text(), "--global-voters", join(voters)});
     append(host.arguments, m_plan.controlFlags);
 }
 
@@ -265,22 +261,10 @@
         if (entry != &host)
             peers.push_back(reach(host, *entry));
     }
-    host.arguments = {"--host",
-                      host.name,
-                      "--data-centre",
-                      host.dataCentre,
-                      "--listen-callers",
-                      host.callers.text(),
-                      "--listen-upstreams",
-                      host.upstreams.text(),
-                      "--listen-platform",
-                      host.platform.text(),
-                      "--listen-peers",
-                      host.peers.text(),
-                      "--controls",
-                      join(controls),
-                      "--peers",
-                      join(peers)};
+    host.arguments = hostArguments(host);
+    append(host.arguments,
+           {"--listen-callers", host.callers.text(), "--listen-upstreams", host.upstreams.text(),
+            "--controls", join(controls), "--peers", join(peers)});
     // Addresses that entries tell each other lead past the fault proxy.
     if (m_plan.hasFaultLinks)
         append(host.arguments, {"--peer-discovery", "settings"});
--- a/standins/fault-proxy/tests/ForwarderTest.cpp
+++ b/standins/fault-proxy/tests/ForwarderTest.cpp
@@ -121,13 +121,20 @@
     std::thread m_thread;
 };
 
+/// A bench with one connection through its link.
+struct OpenLink
+{
+    Bench bench;
+    Socket client{bench.connect()};
+    Socket target{bench.accept()};
+};
+
 } // namespace
 
 TEST_CASE("bytes pass both ways and the end of a stream passes on")
 {
-    Bench bench;
-    Socket client(bench.connect());
-    Socket target(bench.accept());
+    OpenLink link;
+    auto &[bench, client, target] = link;
     client.send("hello");
     CHECK(target.receive(5) == "hello");
     target.send("answer");
@@ -142,9 +149,8 @@
 
 TEST_CASE("a silent cut of one direction leaves the other open, and healing resets the stream")
 {
-    Bench bench;
-    Socket client(bench.connect());
-    Socket target(bench.accept());
+    OpenLink link;
+    auto &[bench, client, target] = link;
     REQUIRE(bench.order({{"action", "rules"}, {"direction", "forward"}, {"drop", true}}));
     client.send("lost");
     target.send("heard");
@@ -159,9 +165,8 @@
 
 TEST_CASE("a reset reaches both ends")
 {
-    Bench bench;
-    Socket client(bench.connect());
-    Socket target(bench.accept());
+    OpenLink link;
+    auto &[bench, client, target] = link;
     client.send("x");
     CHECK(target.receive(1) == "x");
     REQUIRE(bench.order({{"action", "reset"}}));
@@ -171,9 +176,8 @@
 
 TEST_CASE("a half-close ends one direction only")
 {
-    Bench bench;
-    Socket client(bench.connect());
-    Socket target(bench.accept());
+    OpenLink link;
+    auto &[bench, client, target] = link;
     client.send("x");
     CHECK(target.receive(1) == "x");
     REQUIRE(bench.order({{"action", "half-close"}, {"direction", "backward"}}));
@@ -199,9 +203,8 @@
 
 TEST_CASE("delayed and slowed bytes arrive no earlier than their rules allow, whole and in order")
 {
-    Bench bench;
-    Socket client(bench.connect());
-    Socket target(bench.accept());
+    OpenLink link;
+    auto &[bench, client, target] = link;
     REQUIRE(bench.order({{"action", "rules"}, {"delayMs", 50}, {"bytesPerSecond", 100'000}}));
     std::string text;
     for (int i = 0; i < 2'000; ++i)
