Stand-ins share their settings, announcement and stop; programs share running until a stop

Cause: stopWhenIdle() and most of main() stood in the engine and in the service, and the same four lines of threads and signals in five programs. Change: standins/common/Standin and platform::runUntilStopped.

--- a/libs/platform/include/platform/Platform.h
+++ b/libs/platform/include/platform/Platform.h
@@ -63,5 +63,8 @@
 void waitForStopSignal();
 /// Ends waitForStopSignal() from within the process.
 void requestStop();
+/// Calls \a run on a thread of its own and \a stop on this one at the stop signal; returns once
+/// \a run has, which \a stop is to bring about.
+void runUntilStopped(const std::function<void()> &run, const std::function<void()> &stop);
 
 } // namespace hyssop::platform
--- a/libs/platform/src/StopSignal.cpp
+++ b/libs/platform/src/StopSignal.cpp
@@ -1,6 +1,7 @@
 #include "platform/Platform.h"
 
 #include <csignal>
+#include <thread>
 #include <unistd.h>
 
 namespace hyssop::platform {
@@ -36,4 +37,12 @@
     ::kill(::getpid(), SIGTERM);
 }
 
+void runUntilStopped(const std::function<void()> &run, const std::function<void()> &stop)
+{
+    std::thread thread(run);
+    waitForStopSignal();
+    stop();
+    thread.join();
+}
+
 } // namespace hyssop::platform
--- a/programs/hyssop-control/main.cpp
+++ b/programs/hyssop-control/main.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <fstream>
-#include <thread>
 
 using namespace hyssop;
 
@@ -108,9 +107,6 @@
         base::logEvent("start_failed", {{"message", task.error()}});
         return 1;
     }
-    std::thread thread([&task] { (*task)->run(); });
-    platform::waitForStopSignal();
-    (*task)->stop();
-    thread.join();
+    platform::runUntilStopped([&task] { (*task)->run(); }, [&task] { (*task)->stop(); });
     return (*task)->hasFailed() ? 1 : 0;
 }
--- a/programs/hyssop-entry/main.cpp
+++ b/programs/hyssop-entry/main.cpp
@@ -1,7 +1,5 @@
 #include "EntryTask.h"
 
-#include <thread>
-
 using namespace hyssop;
 
 namespace {
@@ -91,9 +89,6 @@
         base::logEvent("start_failed", {{"message", task.error()}});
         return 1;
     }
-    std::thread thread([&task] { (*task)->run(); });
-    platform::waitForStopSignal();
-    (*task)->stop();
-    thread.join();
+    platform::runUntilStopped([&task] { (*task)->run(); }, [&task] { (*task)->stop(); });
     return 0;
 }
--- a/standins/crowd/main.cpp
+++ b/standins/crowd/main.cpp
@@ -2,8 +2,6 @@
 #include "CrowdServer.h"
 #include "platform/Platform.h"
 
-#include <thread>
-
 using namespace hyssop;
 
 namespace {
@@ -67,9 +65,6 @@
                 loop->get(), announcementOf(*settings, n, *address), std::move(one)));
         (*loop)->after(base::Millis(n * 10), [it = announcers.back().get()] { it->start(); });
     }
-    std::thread thread([&loop] { (*loop)->run(); });
-    platform::waitForStopSignal();
-    (*loop)->stop();
-    thread.join();
+    platform::runUntilStopped([&loop] { (*loop)->run(); }, [&loop] { (*loop)->stop(); });
     return 0;
 }
--- a/standins/engine/EngineServer.h
+++ b/standins/engine/EngineServer.h
@@ -4,6 +4,7 @@
 #include "EngineModel.h"
 #include "EventFeed.h"
 #include "OrderRoutes.h"
+#include "Standin.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -23,7 +24,7 @@
 };
 
 /// Serves an EngineModel over the engines' HTTP interface; model time runs at a given speed.
-class EngineServer final : public http::ServerHandler
+class EngineServer final : public StandinServer
 {
 public:
     EngineServer(http::Loop *loop, const EngineSettings &settings,
@@ -31,9 +32,9 @@
 
     tl::expected<base::Endpoint, http::LoopError> listen(const base::Endpoint &address);
     /// New attempts and reservations are refused from here on.
-    void refuseNewWork() { m_isLeaving = true; }
+    void refuseNewWork() override { m_isLeaving = true; }
     /// Whether nothing is running, reserved or still being read.
-    bool isIdle() const;
+    bool isIdle() const override;
 
 private:
     void onRequest(http::ExchangeId id, http::Request request) override;
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -1,33 +1,22 @@
-#include "Announcer.h"
 #include "EngineServer.h"
 #include "platform/Platform.h"
 
-#include <thread>
-
 using namespace hyssop;
 
 namespace {
 
-constexpr base::Millis kIdlePoll{20};
-
 base::SettingsBuilder settingsBuilder()
 {
     base::SettingsBuilder builder("standin-engine", "Stand-in for a model engine, for tests.");
     const base::Millis day(86'400'000);
     const base::Millis none(0);
-    builder.required("id", "Id as an upstream")
-            .required("data-centre", "Data centre")
-            .endpoint("listen", "Where to serve", "127.0.0.1:0")
-            .endpoint("announce-address", "Address to announce; empty: the one served", "")
-            .endpoints("entries", "Entry hosts to announce to", "")
-            .text("model", "Model loaded", "m")
+    standins::addStandinSettings(builder);
+    builder.text("model", "Model loaded", "m")
             .text("role", "Role announced", "")
             .number("kv-tokens", "KV memory in tokens", 400'000, 1'024, 100'000'000)
             .number("prefill-rate", "Prompt tokens a second", 40'000, 100, 100'000'000)
             .number("step-ms", "Base time of a step", 8, 1, 1'000)
             .number("speed", "Model time over real time", 1, 1, 1'000)
-            .millis("ttl-ms", "Life of an announcement", base::Millis(2'000), base::Millis(100),
-                    base::Millis(60'000))
             .millis("keep-ms", "How long an ended attempt can be resumed", base::Millis(30'000),
                     none, day)
             .millis("load-lag-ms", "Age of load reports", none, none, day)
@@ -45,11 +34,7 @@
             .number("fail-close-after", "Tokens sent before the close", 0, 0, 1'000'000)
             .millis("fail-delay-ms", "Delay of every event of an answer", none, none, day)
             .number("fail-cross-percent", "Events also sent to another reader", 0, 0, 100)
-            .number("fail-duplicate-percent", "Events sent twice", 0, 0, 100)
-            .millis("stop-notice-ms", "How long new work is taken after leaving was announced",
-                    base::Millis(3'000), none, day)
-            .millis("stop-limit-ms", "Bound on finishing work in flight", base::Millis(600'000),
-                    none, day);
+            .number("fail-duplicate-percent", "Events sent twice", 0, 0, 100);
     return builder;
 }
 
@@ -95,35 +80,19 @@
     return engine;
 }
 
-membership::Announcement announcementFrom(const base::Settings &settings,
-                                          base::Incarnation incarnation,
-                                          const base::Endpoint &address)
+membership::Announcement engineAnnouncement(const base::Settings &settings,
+                                            base::Incarnation incarnation,
+                                            const base::Endpoint &address)
 {
-    membership::Announcement announcement;
-    announcement.upstream.id = base::UpstreamId(settings.text("id"));
-    announcement.upstream.incarnation = incarnation;
-    announcement.upstream.dataCentre = base::DataCentreId(settings.text("data-centre"));
+    membership::Announcement announcement =
+            standins::announcementFrom(settings, incarnation, address);
     announcement.upstream.role = settings.text("role");
     announcement.upstream.models = {settings.text("model")};
     announcement.upstream.kvTokens = base::Tokens(settings.number("kv-tokens"));
     announcement.checksFencing = settings.text("fencing") == "check";
-    announcement.address = settings.text("announce-address").empty()
-                                   ? address
-                                   : settings.endpoint("announce-address");
-    announcement.ttl = settings.millis("ttl-ms");
     return announcement;
 }
 
-/// Ends the loop once the engine has nothing in flight.
-void stopWhenIdle(http::Loop *loop, const standins::EngineServer &server, base::TimePoint until)
-{
-    if (server.isIdle() || base::monotonicNow() >= until) {
-        loop->after(kIdlePoll, [loop] { loop->stop(); });
-        return;
-    }
-    loop->after(kIdlePoll, [loop, &server, until] { stopWhenIdle(loop, server, until); });
-}
-
 } // namespace
 
 int main(int argc, char **argv)
@@ -135,9 +104,7 @@
     auto loop = http::Loop::create();
     if (!loop)
         return 1;
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    const base::Incarnation incarnation(
-            std::chrono::duration_cast<base::Millis>(sinceEpoch).count());
+    const base::Incarnation incarnation = standins::freshIncarnation();
     std::unique_ptr<standins::Announcer> announcer;
     standins::EngineServer server(loop->get(), engineFrom(*settings, incarnation),
                                   [&announcer](const standins::EngineOrder &loaded) {
@@ -152,21 +119,10 @@
         return 1;
     }
     announcer = std::make_unique<standins::Announcer>(
-            loop->get(), announcementFrom(*settings, incarnation, *address),
+            loop->get(), engineAnnouncement(*settings, incarnation, *address),
             settings->endpoints("entries"));
     announcer->start();
     base::logEvent("listening", {{"engine", address->text()}, {"seed", settings->number("seed")}});
-    std::thread thread([&loop] { (*loop)->run(); });
-    platform::waitForStopSignal();
-    (*loop)->post([&] {
-        base::logEvent("leaving", {{"engine", settings->text("id")}});
-        announcer->leave();
-        (*loop)->after(settings->millis("stop-notice-ms"), [&] {
-            server.refuseNewWork();
-            stopWhenIdle(loop->get(), server,
-                         base::monotonicNow() + settings->millis("stop-limit-ms"));
-        });
-    });
-    thread.join();
+    standins::serveUntilStopped(loop->get(), announcer.get(), &server, *settings);
     return 0;
 }
--- a/standins/service/ServiceServer.h
+++ b/standins/service/ServiceServer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/Http.h"
+#include "Standin.h"
 
 #include <map>
 #include <set>
@@ -18,15 +18,14 @@
 };
 
 /// A plain service that counts every run by idempotency key.
-class ServiceServer final : public http::ServerHandler
+class ServiceServer final : public StandinServer
 {
 public:
     ServiceServer(http::Loop *loop, ServiceSettings settings);
 
     tl::expected<base::Endpoint, http::LoopError> listen(const base::Endpoint &address);
-    /// Calls are refused from here on.
-    void refuseNewWork() { m_isLeaving = true; }
-    bool isIdle() const { return m_open.empty(); }
+    void refuseNewWork() override { m_isLeaving = true; }
+    bool isIdle() const override { return m_open.empty(); }
 
 private:
     void onRequest(http::ExchangeId id, http::Request request) override;
