The stand-in engine's server is split by job

Change: routes of each in a class of their own; EngineServer keeps the model's steps and hands requests out. No behaviour is changed.

--- a/standins/engine/EngineServer.h
+++ b/standins/engine/EngineServer.h
@@ -1,13 +1,10 @@
 #pragma once
 
-#include "AttemptStreams.h"
-#include "EngineModel.h"
-#include "EventFeed.h"
-#include "OrderRoutes.h"
+#include "AttemptRoutes.h"
+#include "KvRoutes.h"
+#include "ReservationRoutes.h"
 #include "Standin.h"
 
-#include <nlohmann/json_fwd.hpp>
-
 namespace hyssop::standins {
 
 struct EngineSettings
@@ -32,7 +29,7 @@
 
     tl::expected<base::Endpoint, http::LoopError> listen(const base::Endpoint &address);
     /// New attempts and reservations are refused from here on.
-    void refuseNewWork() override { m_isLeaving = true; }
+    void refuseNewWork() override;
     /// Whether nothing is running, reserved or still being read.
     bool isIdle() const override;
 
@@ -41,31 +38,8 @@
     void onPeerClosed(http::ExchangeId id) override;
     void onRejected(http::RejectReason) override { }
 
-    void serveAttempts(http::ExchangeId id, const http::Request &request);
-    void complete(http::ExchangeId id, const http::Request &request);
-    /// Code of the reason to refuse an attempt, and its status; nothing when it may start.
-    std::optional<std::pair<int, std::string>> refusal(const std::string &attempt,
-                                                       const nlohmann::json &body,
-                                                       const AttemptFaults &faults) const;
-    void resume(http::ExchangeId id, const std::string &attempt, const http::Request &request);
-    void listAttempts(http::ExchangeId id, const std::string &owner);
-    void cancel(http::ExchangeId id, const std::string &attempt);
-
-    void serveReservations(http::ExchangeId id, const http::Request &request);
-    void reserve(http::ExchangeId id, const http::Request &request);
-    void listReservations(http::ExchangeId id, const std::string &owner);
-    void unreserve(const std::string &reservation);
-    void settleReservations();
-
-    void serveKv(http::ExchangeId id, const http::Request &request);
-    void exportKv(http::ExchangeId id, const nlohmann::json &body);
-    void importKv(http::ExchangeId id, const nlohmann::json &body);
-    void listKv(http::ExchangeId id, const std::string &owner);
-
     void stats(http::ExchangeId id);
     LoadSnapshot load() const;
-    void respond(http::ExchangeId id, int status, std::string body);
-    void refuse(http::ExchangeId id, int status, const std::string &code);
     void schedule(base::Micros modelTime);
     void step();
     void memoryChanged();
@@ -77,12 +51,11 @@
     AttemptStreams m_streams;
     EventFeed m_feed;
     OrderRoutes m_orders;
-    std::map<std::string, http::ExchangeId> m_waitingReservations;
+    Responder m_responder;
+    AttemptRoutes m_attempts;
+    ReservationRoutes m_reservations;
+    KvRoutes m_kv;
     bool m_isScheduled = false;
-    bool m_isSettling = false;
-    bool m_isLeaving = false;
-    std::int64_t m_refused = 0;
-    std::int64_t m_started = 0;
 };
 
 } // namespace hyssop::standins
