--- a/fuzz/Targets.cpp
+++ b/fuzz/Targets.cpp
@@ -1,10 +1,13 @@
 #include "Targets.h"
 
 #include "caller/Caller.h"
+#include "Envelope.h"
 #include "Frames.h"
 #include "Gossip.h"
+#include "JobForms.h"
 #include "ledger/Ledger.h"
 #include "membership/Membership.h"
+#include "operators/Operators.h"
 #include "records/Records.h"
 #include "upstream/Upstream.h"
 #include "Wire.h"
@@ -70,6 +73,69 @@
     return again && membership::toJson(*again) == text;
 }
 
+/// What is read is in a range that the router can reckon with.
+bool engineEventHolds(std::string_view bytes)
+{
+    const auto event = upstream::parseEngineEvent(base::UpstreamId("engine-1"), bytes);
+    const auto *load = event ? std::get_if<routing::LoadReported>(&*event) : nullptr;
+    if (!load)
+        return true;
+    return load->age >= base::Millis(0) && load->age <= upstream::kMaxLoadAge && load->running >= 0
+           && load->waiting >= 0 && load->queuedPrompt >= base::Tokens(0)
+           && load->queuedPrompt <= upstream::kMaxTokens && load->kvUsed >= base::Tokens(0)
+           && load->kvUsed <= upstream::kMaxTokens;
+}
+
+bool putReplyHolds(std::string_view bytes)
+{
+    const auto reply = operators::putReplyFromJson(bytes);
+    if (!reply)
+        return true;
+    const std::string text = operators::toJson(*reply);
+    const auto again = operators::putReplyFromJson(text);
+    return again && operators::toJson(*again) == text;
+}
+
+bool statusReplyHolds(std::string_view bytes)
+{
+    const auto reply = operators::statusFromJson(bytes);
+    if (!reply)
+        return true;
+    const std::string text = operators::toJson(*reply);
+    const auto again = operators::statusFromJson(text);
+    return again && operators::toJson(*again) == text;
+}
+
+bool envelopeHolds(std::string_view bytes)
+{
+    const auto envelope = control::decodeEnvelope(bytes);
+    if (!envelope)
+        return true;
+    const std::string text = control::encode(*envelope);
+    const auto again = control::decodeEnvelope(text);
+    return again && control::encode(*again) == text;
+}
+
+/// Answers of control hosts about jobs, and the requests kept in them.
+bool jobAnswerHolds(std::string_view bytes)
+{
+    const std::string answer(bytes);
+    const ledger::Owner self{base::HostId("entry-1"), base::Incarnation(7)};
+    for (const entry::OpenJob &job : entry::openJobsFrom(answer)) {
+        if (job.id.isEmpty())
+            return false;
+    }
+    const auto newest = entry::newestJob({answer, answer});
+    if (newest && *newest != answer)
+        return false;
+    if (const auto taken = entry::takenJobFrom(answer, self))
+        (void)entry::jobCall(taken->request);
+    (void)entry::jobCall(answer);
+    (void)entry::isKnownAbsent({answer});
+    (void)entry::jobView(answer, base::TeamId("office-1"));
+    return !entry::jobList({answer}, 0).empty();
+}
+
 bool gossipHolds(std::string_view bytes)
 {
     const auto body = entry::decodeGossip(bytes);
@@ -209,6 +275,43 @@
     return entry::encode(body);
 }
 
+std::string exampleEnvelope()
+{
+    return control::encode(control::Hello{replog::ReplicaId("r1"), true, replog::ReplicaId("r2")});
+}
+
+std::string examplePutReply()
+{
+    operators::PutReply reply;
+    reply.status = operators::PutStatus::Conflict;
+    reply.message = "another version is in force";
+    reply.position = 7;
+    return operators::toJson(reply);
+}
+
+std::string exampleStatus()
+{
+    operators::StatusReply reply;
+    reply.host = base::HostId("control-1");
+    reply.hosts = {{base::HostId("entry-1"), base::DataCentreId("floro-sal"), 7, 12}};
+    return operators::toJson(reply);
+}
+
+std::vector<std::string> exampleJobs()
+{
+    return {R"({"found":true,"confirmed":true,"index":4,"job":{"id":"j1","team":"office-1",)"
+            R"("state":"running","owner":"entry-1","incarnation":7,"request":"{}"}})",
+            R"({"jobs":[{"id":"j1","state":"waiting","owner":"","incarnation":0}]})",
+            R"({"body":"{\"model\":\"chat\",\"prompt\":\"x\"}","chat":false,"urgency":"batch"})"};
+}
+
+std::vector<std::string> exampleEngineEvents()
+{
+    return {R"({"type":"load","ageMs":200,"running":3,"waiting":1,"queuedPromptTokens":20000,)"
+            R"("usedKvTokens":150000})",
+            R"({"type":"cache","epoch":3,"sequence":4,"added":[1,2],"removed":[3]})"};
+}
+
 std::vector<std::string> exampleRecords()
 {
     return {"schema: 2\nkind: route\nname: chat\nversion: 1\nspec:\n  model: saga\n"
@@ -230,6 +333,11 @@
             {"ledger-snapshot", snapshotHolds, {exampleSnapshot()}},
             {"log-segment", segmentHolds, {exampleSegment()}},
             {"log-message", wireHolds, {exampleWire()}},
+            {"engine-event", engineEventHolds, exampleEngineEvents()},
+            {"put-reply", putReplyHolds, {examplePutReply()}},
+            {"status-reply", statusReplyHolds, {exampleStatus()}},
+            {"envelope", envelopeHolds, {exampleEnvelope()}},
+            {"job-answer", jobAnswerHolds, exampleJobs()},
             {"completion",
              completionHolds,
              {R"({"model":"chat","prompt":"x","max_tokens":4,"stream":true})",
