--- a/standins/engine/Owners.cpp
+++ b/standins/engine/Owners.cpp
@@ -2,6 +2,12 @@
 
 namespace hyssop::standins {
 
+namespace {
+
+constexpr std::string_view kEncodedSlash = "%2F";
+
+} // namespace
+
 std::string restOf(const std::string &path, std::string_view prefix)
 {
     return path.size() > prefix.size() + 1 ? path.substr(prefix.size() + 1) : std::string();
@@ -9,10 +15,11 @@
 
 std::string ownerOf(const http::Request &request)
 {
-    std::string owner = request.queryValue("owner");
-    if (const auto at = owner.find("%2F"); at != std::string::npos)
-        owner.replace(at, 3, "/");
-    return owner;
+    const std::string owner = request.queryValue("owner");
+    const auto at = owner.find(kEncodedSlash);
+    if (at == std::string::npos)
+        return owner;
+    return owner.substr(0, at) + '/' + owner.substr(at + kEncodedSlash.size());
 }
 
 bool isOwnedBy(const std::string &owner, const std::string &wanted)
