--- a/integration/harness/Calls.cpp
+++ b/integration/harness/Calls.cpp
@@ -52,9 +52,12 @@
     return error.is_object() ? error.value("outcome", "") : "";
 }
 
-Pending startCompletion(System &system, const Host &entry, const Completion &completion)
+namespace {
+
+Pending startModelCall(System &system, const Host &entry, const Completion &completion,
+                       const std::string &path)
 {
-    http::Call call = callTo(entry.callers, http::Method::Post, "/v1/completions");
+    http::Call call = callTo(entry.callers, http::Method::Post, path);
     call.headers.push_back({"x-team", completion.team});
     if (!completion.urgency.empty())
         call.headers.push_back({"x-urgency", completion.urgency});
@@ -68,6 +71,18 @@
     return system.client().start(std::move(call));
 }
 
+} // namespace
+
+Pending startCompletion(System &system, const Host &entry, const Completion &completion)
+{
+    return startModelCall(system, entry, completion, "/v1/completions");
+}
+
+Pending startJob(System &system, const Host &entry, const Completion &completion)
+{
+    return startModelCall(system, entry, completion, "/v1/jobs");
+}
+
 Completed readCompletion(const Answer &answer, const Completion &completion)
 {
     Completed completed;
@@ -112,10 +127,12 @@
 }
 
 Pending startBooking(System &system, const Host &entry, const std::string &key,
-                     const std::string &body)
+                     const std::string &body, const std::string &path, std::int64_t deadlineMs)
 {
-    http::Call call = callTo(entry.callers, http::Method::Post, "/v1/services/booking/check");
+    http::Call call = callTo(entry.callers, http::Method::Post, "/v1/services/booking/" + path);
     call.headers.push_back({"x-team", "office-1"});
+    if (deadlineMs > 0)
+        call.headers.push_back({"x-deadline-ms", std::to_string(deadlineMs)});
     if (!key.empty())
         call.headers.push_back({"idempotency-key", key});
     call.body = body;
--- a/integration/harness/Calls.h
+++ b/integration/harness/Calls.h
@@ -39,9 +39,13 @@
 /// A prompt of that many tokens that begins with \a name.
 std::string longPrompt(const std::string &name, std::int64_t tokens);
 
-/// Starts a call of the booking service; no key when \a key is empty.
+/// Starts a call of the booking service; no key when \a key is empty, and the route's deadline
+/// when \a deadlineMs is 0.
 Pending startBooking(System &system, const Host &entry, const std::string &key,
-                     const std::string &body = "{\"bikes\":2}");
+                     const std::string &body = "{\"bikes\":2}", const std::string &path = "check",
+                     std::int64_t deadlineMs = 0);
+/// Starts the submission of a job; its deadline is the completion's.
+Pending startJob(System &system, const Host &entry, const Completion &completion);
 /// How often a stand-in service ran a key; -1 when it gave no answer.
 std::int64_t runsOf(System &system, const Host &service, const std::string &key);
 std::int64_t totalRuns(System &system, const Host &service);
--- a/integration/harness/Client.cpp
+++ b/integration/harness/Client.cpp
@@ -112,12 +112,18 @@
 
 void Client::onDone(http::CallId id)
 {
-    change(id, [](Answer &answer) { answer.isDone = true; });
+    change(id, [](Answer &answer) {
+        answer.isDone = true;
+        answer.ended = base::monotonicNow();
+    });
 }
 
 void Client::onFailed(http::CallId id, const http::CallError &error)
 {
-    change(id, [&](Answer &answer) { answer.error = error; });
+    change(id, [&](Answer &answer) {
+        answer.error = error;
+        answer.ended = base::monotonicNow();
+    });
 }
 
 } // namespace hyssop::harness
--- a/integration/harness/Client.h
+++ b/integration/harness/Client.h
@@ -19,6 +19,7 @@
     std::string body;
     bool isDone = false; ///< Ended as its framing says.
     std::optional<http::CallError> error;
+    base::TimePoint ended; ///< When it was done or failed.
 
     bool hasEnded() const { return isDone || error; }
     /// The body as JSON; null when it is not.
--- a/integration/harness/System.cpp
+++ b/integration/harness/System.cpp
@@ -44,7 +44,7 @@
     return "standin-service";
 }
 
-std::string join(const std::vector<std::string> &parts)
+std::string commaSeparated(const std::vector<std::string> &parts)
 {
     std::string text;
     for (const std::string &part : parts)
@@ -218,7 +218,7 @@
                       "--listen-platform",
                       host.platform.text(),
                       "--global-voters",
-                      join(voters)};
+                      commaSeparated(voters)};
     append(host.arguments, m_plan.controlFlags);
 }
 
@@ -245,9 +245,9 @@
                       "--listen-peers",
                       host.peers.text(),
                       "--controls",
-                      join(controls),
+                      commaSeparated(controls),
                       "--peers",
-                      join(peers)};
+                      commaSeparated(peers)};
     // Addresses that entries tell each other lead past the fault proxy.
     if (m_plan.hasFaultLinks)
         append(host.arguments, {"--peer-discovery", "settings"});
@@ -260,7 +260,7 @@
     for (Host *entry : hosts(Role::Entry, host.dataCentre))
         entries.push_back(entry->upstreams.text());
     host.arguments = {"--id",     host.name,          "--data-centre", host.dataCentre,
-                      "--listen", host.serves.text(), "--entries",     join(entries)};
+                      "--listen", host.serves.text(), "--entries",     commaSeparated(entries)};
     if (m_plan.hasFaultLinks) {
         const base::Endpoint through =
                 m_faults.link("entries", host.name, host.serves, m_addresses);
@@ -328,16 +328,41 @@
         awaitUpstreams(dataCentre, m_plan.enginesEach + m_plan.servicesEach);
 }
 
-void System::cutOff(const std::string &dataCentre)
+void System::orderAround(const std::string &dataCentre, const nlohmann::json &fromHere,
+                         const nlohmann::json &toHere)
 {
     for (const auto &[ends, address] : m_reach) {
         const bool isFromHere = host(ends.first).dataCentre == dataCentre;
         const bool isToHere = host(ends.second).dataCentre == dataCentre;
         if (isFromHere != isToHere)
-            m_faults.cut(ends.first, ends.second);
+            m_faults.order(ends.first, ends.second, isFromHere ? fromHere : toHere);
     }
 }
 
+void System::cutOff(const std::string &dataCentre)
+{
+    const nlohmann::json cut{{"action", "rules"}, {"drop", true}};
+    orderAround(dataCentre, cut, cut);
+}
+
+void System::silence(const std::string &dataCentre)
+{
+    orderAround(dataCentre, {{"action", "rules"}, {"direction", "forward"}, {"drop", true}},
+                {{"action", "rules"}, {"direction", "backward"}, {"drop", true}});
+}
+
+void System::slowDown(const std::string &dataCentre, base::Millis delay)
+{
+    const nlohmann::json slow{{"action", "rules"}, {"delayMs", delay.count()}};
+    orderAround(dataCentre, slow, slow);
+}
+
+void System::reconnect(const std::string &dataCentre)
+{
+    const nlohmann::json heal{{"action", "heal"}};
+    orderAround(dataCentre, heal, heal);
+}
+
 void System::isolate(const Host &host)
 {
     m_faults.cut(host.name, "");
--- a/integration/harness/System.h
+++ b/integration/harness/System.h
@@ -76,6 +76,12 @@
 
     /// Cuts every link between hosts of the data centre and hosts elsewhere, silently.
     void cutOff(const std::string &dataCentre);
+    /// Cuts only what the data centre sends, silently; what it is sent still arrives.
+    void silence(const std::string &dataCentre);
+    /// Delays each direction of every link between the data centre and hosts elsewhere.
+    void slowDown(const std::string &dataCentre, base::Millis delay);
+    /// Ends any of these.
+    void reconnect(const std::string &dataCentre);
     /// Cuts every link to and from one host, silently.
     void isolate(const Host &host);
 
@@ -89,6 +95,10 @@
     /// Address at which \a from reaches the peers port of \a to.
     std::string reach(const Host &from, const Host &to);
     std::vector<Host *> controlsNearestFirst(const Host &from);
+    /// Sends an order to each link between the data centre and hosts elsewhere: one to those that
+    /// start there, one to those that end there.
+    void orderAround(const std::string &dataCentre, const nlohmann::json &fromHere,
+                     const nlohmann::json &toHere);
     void showLogs() const;
 
     Plan m_plan;
--- a/standins/engine/EngineServer.cpp
+++ b/standins/engine/EngineServer.cpp
@@ -46,6 +46,7 @@
     : m_loop(loop)
     , m_model(settings.parameters)
     , m_speed(settings.speed)
+    , m_logsWork(settings.logsWork)
     , m_faults(settings.faults, settings.feed.seed)
     , m_streams(loop, &m_faults, settings.keep)
     , m_feed(loop, settings.feed, [this] { return load(); })
@@ -78,6 +79,8 @@
 void EngineServer::refuse(http::ExchangeId id, int status, const std::string &code)
 {
     ++m_refused;
+    if (m_logsWork)
+        base::logEvent("work_refused", {{"code", code}});
     respond(id, status, errorBody(code, "not_run"));
 }
 
@@ -172,7 +175,10 @@
         return;
     }
     ++m_started;
-    m_streams.start(attempt, base::sha256Hex(prompt).substr(0, kDigestLetters), faults, id);
+    const std::string digest = base::sha256Hex(prompt);
+    if (m_logsWork)
+        base::logEvent("work_started", {{"work", digest}});
+    m_streams.start(attempt, digest.substr(0, kDigestLetters), faults, id);
     schedule(base::Micros(0));
 }
 
--- a/standins/engine/EngineServer.h
+++ b/standins/engine/EngineServer.h
@@ -20,6 +20,7 @@
     bool checksFencing = true;
     base::Millis loadTime{0};
     std::optional<base::Endpoint> weightStore;
+    bool logsWork = false; ///< A line for each attempt started or refused; outlives the process.
 };
 
 /// Serves an EngineModel over the engines' HTTP interface; model time runs at a given speed.
@@ -72,6 +73,7 @@
     http::Loop *m_loop;
     EngineModel m_model;
     double m_speed;
+    bool m_logsWork;
     FaultPlan m_faults;
     AttemptStreams m_streams;
     EventFeed m_feed;
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -34,6 +34,7 @@
             .millis("event-lag-ms", "Delay of cache events", none, none, day)
             .number("event-loss-percent", "Cache events lost", 0, 0, 100)
             .number("seed", "Seed of losses and faults", 1, 0, 1'000'000'000)
+            .toggle("log-work", "Log each attempt that is started or refused")
             .choice("fencing", "Whether old fencing numbers are refused", "check",
                     {"check", "ignore"})
             .millis("load-model-ms", "Time to load a model", base::Millis(500), none, day)
@@ -89,6 +90,7 @@
     engine.loaded.model = settings.text("model");
     engine.loaded.role = settings.text("role");
     engine.checksFencing = settings.text("fencing") == "check";
+    engine.logsWork = settings.isOn("log-work");
     engine.loadTime = settings.millis("load-model-ms");
     if (!settings.text("weight-store").empty())
         engine.weightStore = settings.endpoint("weight-store");
--- a/standins/service/ServiceServer.cpp
+++ b/standins/service/ServiceServer.cpp
@@ -49,6 +49,8 @@
 void ServiceServer::refuse(http::ExchangeId id, int status, const std::string &code)
 {
     ++m_refused;
+    if (m_settings.logsWork)
+        base::logEvent("work_refused", {{"code", code}});
     http::Response response;
     response.status = status;
     response.headers = {{"x-outcome", "not_run"}};
@@ -62,6 +64,8 @@
     ++m_total;
     if (!key.empty())
         ++m_runs[key];
+    if (m_settings.logsWork)
+        base::logEvent("work_started", {{"work", request.path}});
     if (happens(m_settings.losePercent)) {
         ++m_lost;
         return;
--- a/standins/service/ServiceServer.h
+++ b/standins/service/ServiceServer.h
@@ -15,6 +15,7 @@
     int losePercent = 0; ///< Calls that run and are never answered.
     std::int64_t callsPerMinute = 0; ///< Calls beyond are refused with "not run"; 0: no bound.
     std::uint64_t seed = 1;
+    bool logsWork = false; ///< A line for each call run or refused; outlives the process.
 };
 
 /// A plain service that counts every run by idempotency key.
--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -25,6 +25,7 @@
             .number("lose-percent", "Calls that run and are never answered", 0, 0, 100)
             .number("calls-per-minute", "Calls beyond are refused with not run; 0: no bound", 0, 0,
                     1'000'000)
+            .toggle("log-work", "Log each call that is run or refused")
             .number("seed", "Seed of refusals and losses", 1, 0, 1'000'000'000)
             .millis("stop-notice-ms", "How long new work is taken after leaving was announced",
                     base::Millis(3'000), base::Millis(0), base::Millis(600'000))
@@ -43,6 +44,7 @@
     service.losePercent = static_cast<int>(settings.number("lose-percent"));
     service.callsPerMinute = settings.number("calls-per-minute");
     service.seed = static_cast<std::uint64_t>(settings.number("seed"));
+    service.logsWork = settings.isOn("log-work");
     return service;
 }
 
