A request that cannot end in time any more is refused as not run, with the time to come back

Cause, from the log lines of the requests that ended late at twice the capacity: the check before a request goes to an engine asked for time to the first token only, so that requests were sent with no time left for their answers; the time of answers started from a guess that the first samples hardly moved; a queued request was ended by its deadline or as "out of time" instead of being refused; and an engine that had nothing outstanding for a moment took a request however little time it had left.

Change: admission and the check before sending both ask for time to the last token, with room for an estimate that is too low; the first samples of answers replace the guess; a timer refuses a queued request (deadline_too_short, not run, retry-after) at the moment at which it would be late even for an upstream with nothing before it. An idle upstream is tried against the estimate for new arrivals only.

--- a/libs/routing/src/Admission.cpp
+++ b/libs/routing/src/Admission.cpp
@@ -49,7 +49,7 @@
     const auto remaining = std::chrono::duration_cast<base::Micros>(request.deadline - now);
     // An idle upstream is tried, lest a wrong estimate keeps itself alive.
     const base::Micros needed = outlook.isIdle ? outlook.firstToken / 2 : outlook.total();
-    if (needed < remaining)
+    if (outlook.isIdle ? needed < remaining : isSafelyWithin(needed, remaining))
         return std::nullopt;
     return Refusal{Reason::DeadlineTooShort, boundedRetry(needed - remaining)};
 }
--- a/libs/routing/src/AnswerEstimator.cpp
+++ b/libs/routing/src/AnswerEstimator.cpp
@@ -1,10 +1,12 @@
 #include "AnswerEstimator.h"
 
+#include <algorithm>
+
 namespace hyssop::routing {
 
 namespace {
 
-constexpr double kWeight = 0.05; // of a new sample
+constexpr double kWeight = 0.05; // of a new sample, once there are enough
 
 } // namespace
 
@@ -15,8 +17,10 @@
     const double used = static_cast<double>(tokens) / static_cast<double>(maxOutput.count());
     const double gap =
             std::chrono::duration<double>(duration).count() / static_cast<double>(tokens);
-    m_usedShare += kWeight * (used - m_usedShare);
-    m_gap += kWeight * (gap - m_gap);
+    // The first samples replace what was taken for granted.
+    const double weight = std::max(kWeight, 1.0 / ++m_samples);
+    m_usedShare += weight * (used - m_usedShare);
+    m_gap += weight * (gap - m_gap);
 }
 
 base::Micros AnswerEstimator::timeFor(base::Tokens maxOutput) const
--- a/libs/routing/src/AnswerEstimator.h
+++ b/libs/routing/src/AnswerEstimator.h
@@ -15,6 +15,7 @@
 private:
     double m_usedShare = 0.25; ///< Part of the bound that answers use.
     double m_gap = 0.010; ///< Seconds between tokens.
+    int m_samples = 0;
 };
 
 } // namespace hyssop::routing
--- a/libs/routing/src/Placement.cpp
+++ b/libs/routing/src/Placement.cpp
@@ -25,8 +25,18 @@
     return now + wait;
 }
 
+/// Estimates may be too low by this factor and this time.
+constexpr double kDoubt = 1.25;
+constexpr base::Micros kDoubtTime{100'000};
+
 } // namespace
 
+bool isSafelyWithin(base::Micros estimate, base::Micros remaining)
+{
+    const double doubtful = kDoubt * static_cast<double>(estimate.count());
+    return base::Micros(static_cast<std::int64_t>(doubtful)) + kDoubtTime <= remaining;
+}
+
 Placement::Placement(const RouterOptions &options)
     : m_options(options)
     , m_policy(policyByName(options.policy))
@@ -170,6 +180,27 @@
     return pick(find(pool, request, true, avoided, now), request, now);
 }
 
+bool Placement::canFinish(const Pool &pool, const Choice &choice, const RequestInfo &request,
+                          base::TimePoint now) const
+{
+    const base::Micros needed =
+            choice.candidate.firstToken + pool.answers.timeFor(request.maxOutput);
+    const auto remaining = std::chrono::duration_cast<base::Micros>(request.deadline - now);
+    return isSafelyWithin(needed, remaining);
+}
+
+base::TimePoint Placement::latestStart(const Pool &pool, const RequestInfo &request) const
+{
+    base::Micros least = base::Micros::max();
+    for (const auto *group : {&pool.own, &pool.remote}) {
+        for (const UpstreamState *state : *group)
+            least = std::min(least, state->rate.timeFor(uncached(*state, request)));
+    }
+    if (least == base::Micros::max())
+        return request.deadline;
+    return request.deadline - least - pool.answers.timeFor(request.maxOutput);
+}
+
 Hold Placement::holdFor(const Choice &choice, const RequestInfo &request) const
 {
     Hold hold;
--- a/libs/routing/src/Placement.h
+++ b/libs/routing/src/Placement.h
@@ -17,6 +17,10 @@
     base::Micros total() const { return wait + firstToken + finish; }
 };
 
+/// Whether work estimated at \a estimate ends within \a remaining also when the estimate is
+/// somewhat too low.
+bool isSafelyWithin(base::Micros estimate, base::Micros remaining);
+
 /// Finds the upstream for a request: which ones have room for it, and what each would cost.
 class Placement
 {
@@ -35,6 +39,11 @@
     /// Whether some upstream is large enough to hold \a request alone.
     bool fits(const Pool &pool, const RequestInfo &request) const;
     Outlook outlook(Pool &pool, const RequestInfo &request, base::TimePoint now);
+    /// Whether \a request, sent as \a choice says, can end by its deadline.
+    bool canFinish(const Pool &pool, const Choice &choice, const RequestInfo &request,
+                   base::TimePoint now) const;
+    /// When a queued \a request is late even for an upstream that has nothing before it.
+    base::TimePoint latestStart(const Pool &pool, const RequestInfo &request) const;
     bool bindsAtArrival() const { return m_policy->bindsAtArrival(); }
 
     bool isLong(const RequestInfo &request) const;
--- a/libs/routing/src/Router.cpp
+++ b/libs/routing/src/Router.cpp
@@ -79,7 +79,13 @@
         assert(request && "a timer outlived its request");
         switch (timer->kind) {
         case TimerKind::Deadline:
-            end(*request, Reason::OutOfTime, base::Millis(0), now);
+            if (request->stage == Stage::Queued)
+                giveUp(*request, now);
+            else
+                end(*request, Reason::OutOfTime, base::Millis(0), now);
+            break;
+        case TimerKind::LatestStart:
+            giveUp(*request, now);
             break;
         case TimerKind::Retry:
             onRetryDue(*request, now);
--- a/libs/routing/src/RouterAttempts.cpp
+++ b/libs/routing/src/RouterAttempts.cpp
@@ -174,7 +174,7 @@
 {
     request.retryTimer.reset();
     if (!request.hasAttempt()) {
-        enqueue(request);
+        enqueue(request, now);
         return;
     }
     request.stage = Stage::Active;
--- a/libs/routing/src/RouterDispatch.cpp
+++ b/libs/routing/src/RouterDispatch.cpp
@@ -46,10 +46,10 @@
     else if (isLong)
         request.size = SizeClass::Long;
     m_timers.add({info.deadline, TimerKind::Deadline, info.id});
-    enqueue(request);
+    enqueue(request, now);
 }
 
-void Router::Impl::enqueue(ActiveRequest &request)
+void Router::Impl::enqueue(ActiveRequest &request, base::TimePoint now)
 {
     const records::TeamSpec *team = m_catalogue->team(request.info.team);
     QueueItem item;
@@ -62,7 +62,21 @@
     request.pool->lanes[static_cast<std::size_t>(lane)].push(std::move(item));
     request.pool->mayDispatch = true;
     request.stage = Stage::Queued;
+    request.queuedAt = now;
     ++m_queued;
+    if (m_placement.bindsAtArrival() || request.size == SizeClass::Gang)
+        return;
+    const base::TimePoint latest = m_placement.latestStart(*request.pool, request.info);
+    request.startTimer = Timer{latest, TimerKind::LatestStart, request.info.id};
+    m_timers.add(*request.startTimer);
+}
+
+void Router::Impl::leaveQueue(ActiveRequest &request)
+{
+    if (request.startTimer)
+        m_timers.remove(*request.startTimer);
+    request.startTimer.reset();
+    --m_queued;
 }
 
 void Router::Impl::unqueue(ActiveRequest &request)
@@ -71,7 +85,14 @@
     request.pool->lanes[static_cast<std::size_t>(lane)].remove(request.info.team, request.info.id,
                                                                request.info.deadline);
     request.pool->mayDispatch = true;
-    --m_queued;
+    leaveQueue(request);
+}
+
+void Router::Impl::giveUp(ActiveRequest &request, base::TimePoint now)
+{
+    const Outlook outlook = m_placement.outlook(*request.pool, request.info, now);
+    const Reason reason = request.mayHaveRun ? Reason::OutOfTime : Reason::DeadlineTooShort;
+    end(request, reason, boundedRetry(outlook.wait + outlook.firstToken), now);
 }
 
 void Router::Impl::dispatchChanged(base::TimePoint now)
@@ -117,10 +138,10 @@
     // Placed, or given up because its time would not do.
     if (request.hasAttempt()) {
         lane.pop();
-        --m_queued;
+        leaveQueue(request);
         return true;
     }
-    end(request, Reason::OutOfTime, Admission::kShortestRetry, now);
+    giveUp(request, now);
     return true;
 }
 
@@ -130,8 +151,10 @@
     if (!choice)
         return false;
     const base::Micros firstToken = choice->candidate.firstToken;
-    const bool isIdle = choice->candidate.ahead.count() == 0;
-    if (!m_placement.bindsAtArrival() && !isIdle && now + firstToken > request.info.deadline)
+    // One that has just come was admitted by admission's own rule, which tries idle upstreams.
+    const bool isTried = choice->candidate.ahead.count() == 0 && request.queuedAt == now;
+    if (!m_placement.bindsAtArrival() && !isTried
+        && !m_placement.canFinish(*request.pool, *choice, request.info, now))
         return true;
     request.holds = {m_placement.holdFor(*choice, request.info)};
     request.workAtBind = choice->candidate.ahead + choice->candidate.uncached;
--- a/libs/routing/src/RouterImpl.h
+++ b/libs/routing/src/RouterImpl.h
@@ -38,6 +38,8 @@
     std::int64_t delivered = 0;
     bool mayHaveRun = false;
     base::UpstreamId avoided; ///< Where the last attempt failed.
+    base::TimePoint queuedAt;
+    std::optional<Timer> startTimer; ///< While queued.
     std::optional<Timer> retryTimer;
     std::optional<Timer> progressTimer;
 
@@ -72,8 +74,12 @@
     base::TimePoint nextTick() const;
 
     // Queueing and placement.
-    void enqueue(ActiveRequest &request);
+    void enqueue(ActiveRequest &request, base::TimePoint now);
+    /// Undoes what enqueue() did beside the lane.
+    void leaveQueue(ActiveRequest &request);
     void unqueue(ActiveRequest &request);
+    /// Ends a queued request that cannot end by its deadline any more.
+    void giveUp(ActiveRequest &request, base::TimePoint now);
     void dispatchChanged(base::TimePoint now);
     void dispatch(Pool &pool, base::TimePoint now);
     /// True: the front of the lane was taken out.
--- a/libs/routing/src/Timers.h
+++ b/libs/routing/src/Timers.h
@@ -8,7 +8,7 @@
 namespace hyssop::routing {
 
 /// What a request waits for.
-enum class TimerKind { Deadline, Retry, Progress };
+enum class TimerKind { Deadline, Retry, Progress, LatestStart };
 
 struct Timer
 {
--- a/libs/routing/tests/RouterTest.cpp
+++ b/libs/routing/tests/RouterTest.cpp
@@ -273,3 +273,21 @@
     CHECK(next[0].request == base::RequestId("second"));
     CHECK(only<EndRequest>(rig.arrive("huge", 2'000'000)).at(0).reason == Reason::PromptTooLarge);
 }
+
+TEST_CASE("a queued request is refused as soon as its deadline cannot be met any more")
+{
+    Rig rig;
+    rig.addEngine("e");
+    rig.started("first", 300'000);
+    // Memory for one of them only; 150,000 tokens need 5 s at the rate taken for granted.
+    RequestInfo request = rig.request("r", 150'000);
+    request.deadline = rig.now + 30s;
+    CHECK(rig.arrive(request).empty());
+    CHECK(only<EndRequest>(rig.runTo(kStart + 24s)).empty());
+    const auto ends = only<EndRequest>(rig.runTo(kStart + 25s));
+    REQUIRE(ends.size() == 1);
+    CHECK(ends[0].request == base::RequestId("r"));
+    CHECK(ends[0].reason == Reason::DeadlineTooShort);
+    CHECK(ends[0].outcome == Outcome::NotRun);
+    CHECK(ends[0].retryAfter > 0s);
+}
