Control hosts answer a question for jobs when there is a job

Cause: every entry host asked its control host for open jobs twice a second, and was sent the whole list. Change: the question is held for up to 4 s. A host names the jobs it holds, so that it is told only of others.

--- a/programs/hyssop-control/ControlTask.cpp
+++ b/programs/hyssop-control/ControlTask.cpp
@@ -166,6 +166,7 @@
         return;
     }
     answerWatches(now);
+    answerJobWatches(now);
     stopWhenHandedOver(now);
 }
 
@@ -308,15 +309,45 @@
 void ControlTask::onQuery(peers::QueryRequest request, peers::Answer<std::string> answer)
 {
     m_loop->post([this, request = std::move(request), answer = std::move(answer)] {
-        answer(answerQuery(request, queryView(base::monotonicNow())));
+        const base::TimePoint now = base::monotonicNow();
+        if (auto watch = jobWatchFrom(request, now))
+            watchJobs(*std::move(watch), answer);
+        else
+            answer(answerQuery(request, queryView(now)));
     });
 }
 
+void ControlTask::watchJobs(JobWatch watch, peers::Answer<std::string> answer)
+{
+    m_jobAnswers.emplace(m_jobWatches.add(std::move(watch)), std::move(answer));
+    schedulePump();
+}
+
+void ControlTask::answerJobWatches(base::TimePoint now)
+{
+    const GroupView home = viewOf(homeGroup(m_options.dataCentre), now);
+    const replog::Position position = home.ledger->position();
+    if (!m_jobWatches.isDue(position, now))
+        return;
+    const auto running = home.ledger->jobsIn(ledger::JobState::Running);
+    for (const auto &told : m_jobWatches.pump(waitingJobs(*home.ledger), running, position, now)) {
+        const auto it = m_jobAnswers.find(told.watch);
+        it->second(answerJobWatch(told.jobs, home));
+        m_jobAnswers.erase(it);
+    }
+}
+
+GroupView ControlTask::viewOf(const std::string &name, base::TimePoint now) const
+{
+    const GroupHost &group = *m_groups.at(name);
+    return {name, &group.ledger(), group.replica().hasLease(now)};
+}
+
 QueryView ControlTask::queryView(base::TimePoint now) const
 {
     QueryView view{m_options.host, m_options.dataCentre, {}, {}};
     for (const auto &[name, group] : m_groups)
-        view.groups.push_back({name, &group->ledger(), group->replica().hasLease(now)});
+        view.groups.push_back(viewOf(name, now));
     for (const auto &[host, reporter] : m_reporters) {
         const auto age = std::chrono::duration_cast<base::Millis>(now - reporter.seen);
         view.reporters.push_back({host, reporter.dataCentre, reporter.applied.index, age.count()});
--- a/programs/hyssop-control/ControlTask.h
+++ b/programs/hyssop-control/ControlTask.h
@@ -66,6 +66,9 @@
     void schedulePump();
     void stopWhenHandedOver(base::TimePoint now);
     void answerWatches(base::TimePoint now);
+    void answerJobWatches(base::TimePoint now);
+    void watchJobs(JobWatch watch, peers::Answer<std::string> answer);
+    GroupView viewOf(const std::string &name, base::TimePoint now) const;
     peers::WatchReply watchReply(const peers::WatchRequest &request) const;
     peers::WirePosition recordsPosition() const;
     bool isVoter() const;
@@ -92,6 +95,8 @@
     std::unique_ptr<platform::Server> m_platform;
     std::unique_ptr<peers::Node> m_peers;
     std::list<Watch> m_watches;
+    JobWatches m_jobWatches;
+    std::map<JobWatches::WatchId, peers::Answer<std::string>> m_jobAnswers;
     std::map<base::HostId, Reporter> m_reporters;
     bool m_isPumpScheduled = false;
     std::optional<base::TimePoint> m_stopUntil; ///< Set while stopping.
--- a/programs/hyssop-control/Queries.cpp
+++ b/programs/hyssop-control/Queries.cpp
@@ -13,6 +13,8 @@
 constexpr std::string_view kHomePrefix = "home-";
 /// Bound on the jobs in one answer.
 constexpr std::size_t kMaxListed = 1'000;
+/// Bound on how long a watch is held.
+constexpr base::Millis kMaxWatch{10'000};
 
 std::string textOf(const json &body, const char *field)
 {
@@ -20,6 +22,14 @@
     return it != body.end() && it->is_string() ? it->get<std::string>() : std::string();
 }
 
+/// A number of 0 or more; 0 when there is none.
+std::int64_t numberOf(const json &body, const char *field)
+{
+    const auto it = body.find(field);
+    const bool isNumber = it != body.end() && it->is_number_integer();
+    return isNumber ? std::max<std::int64_t>(it->get<std::int64_t>(), 0) : 0;
+}
+
 std::string dump(const json &value)
 {
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -94,17 +104,10 @@
     const GroupView *group = find(view, std::string(kHomePrefix) + view.dataCentre.text());
     if (!group)
         return {};
-    std::vector<const ledger::Job *> open = group->ledger->jobsIn(ledger::JobState::Waiting);
-    std::stable_sort(open.begin(), open.end(),
-                     [](const auto *a, const auto *b) { return a->submittedMs < b->submittedMs; });
+    auto open = waitingJobs(*group->ledger);
     const auto running = group->ledger->jobsIn(ledger::JobState::Running);
     open.insert(open.end(), running.begin(), running.end());
-    json answer{{"confirmed", group->isConfirmed}, {"jobs", json::array()}};
-    for (const ledger::Job *job : open) {
-        if (answer["jobs"].size() < kMaxListed)
-            answer["jobs"].push_back(summaryOf(*job, *group->ledger));
-    }
-    return dump(answer);
+    return answerJobWatch(open, *group);
 }
 
 std::string answerReporters(const QueryView &view)
@@ -122,6 +125,46 @@
 
 } // namespace
 
+std::optional<JobWatch> jobWatchFrom(const peers::QueryRequest &request, base::TimePoint now)
+{
+    if (request.topic != "open-jobs")
+        return std::nullopt;
+    const auto body = base::parseJson(request.body);
+    if (!body || !body->is_object() || textOf(*body, "host").empty())
+        return std::nullopt;
+    JobWatch watch;
+    watch.owner.host = base::HostId(textOf(*body, "host"));
+    watch.owner.incarnation = base::Incarnation(numberOf(*body, "incarnation"));
+    watch.room = static_cast<std::size_t>(numberOf(*body, "room"));
+    watch.until = now + std::min(base::Millis(numberOf(*body, "waitMs")), kMaxWatch);
+    const auto held = body->find("held");
+    if (held != body->end() && held->is_array()) {
+        for (const json &id : *held) {
+            if (id.is_string())
+                watch.held.emplace(id.get<std::string>());
+        }
+    }
+    return watch;
+}
+
+std::vector<const ledger::Job *> waitingJobs(const ledger::Ledger &ledger)
+{
+    auto waiting = ledger.jobsIn(ledger::JobState::Waiting);
+    std::stable_sort(waiting.begin(), waiting.end(),
+                     [](const auto *a, const auto *b) { return a->submittedMs < b->submittedMs; });
+    return waiting;
+}
+
+std::string answerJobWatch(const std::vector<const ledger::Job *> &jobs, const GroupView &group)
+{
+    json answer{{"confirmed", group.isConfirmed}, {"jobs", json::array()}};
+    for (const ledger::Job *job : jobs) {
+        if (answer["jobs"].size() < kMaxListed)
+            answer["jobs"].push_back(summaryOf(*job, *group.ledger));
+    }
+    return dump(answer);
+}
+
 std::string answerQuery(const peers::QueryRequest &request, const QueryView &view)
 {
     const auto body = base::parseJson(request.body);
--- a/programs/hyssop-control/Queries.h
+++ b/programs/hyssop-control/Queries.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "JobWatches.h"
 #include "ledger/Ledger.h"
 #include "operators/Operators.h"
 #include "peers/Peers.h"
@@ -28,8 +29,15 @@
 /// Topics and bodies, all JSON:
 /// - "job" {id}: {found, confirmed, index, job};
 /// - "jobs" {team}: {groups: [{name, confirmed}], jobs}, without requests and results;
-/// - "open-jobs" {}: jobs of this data centre that wait or run, the longest waiting first;
+/// - "open-jobs" {}: jobs of this data centre that wait or run, the longest waiting first. With
+///   {host, incarnation, held, room, waitMs} it is a watch: see jobWatchFrom();
 /// - "reporters" {}: {host, dataCentre, hosts: [{host, dataCentre, position, ageMs}]}.
+/// The watch that a query asks for; empty when it is none.
+std::optional<JobWatch> jobWatchFrom(const peers::QueryRequest &request, base::TimePoint now);
+/// The longest waiting first.
+std::vector<const ledger::Job *> waitingJobs(const ledger::Ledger &ledger);
+std::string answerJobWatch(const std::vector<const ledger::Job *> &jobs, const GroupView &group);
+
 std::string answerQuery(const peers::QueryRequest &request, const QueryView &view);
 
 } // namespace hyssop::control
--- a/programs/hyssop-control/tests/QueriesTest.cpp
+++ b/programs/hyssop-control/tests/QueriesTest.cpp
@@ -82,3 +82,25 @@
     CHECK(hosts[0].at("ageMs") == 40);
     CHECK(rig.ask("weather", json::object()).is_null());
 }
+
+TEST_CASE("a query for open jobs that names its host is a watch with a bounded time")
+{
+    const base::TimePoint now{std::chrono::hours(1)};
+    const auto ask = [now](const json &body) {
+        return jobWatchFrom({"open-jobs", body.dump()}, now);
+    };
+    const auto watch = ask({{"host", "e1"},
+                            {"incarnation", 4},
+                            {"held", {"job-hall-a-1", 7}},
+                            {"room", 3},
+                            {"waitMs", 3'600'000}});
+    REQUIRE(watch);
+    CHECK(watch->owner == kEntry);
+    CHECK(watch->held == std::set<base::JobId>{base::JobId("job-hall-a-1")});
+    CHECK(watch->room == 3);
+    CHECK(watch->until == now + std::chrono::seconds(10));
+    CHECK(ask({{"host", "e1"}, {"room", -1}, {"waitMs", -5}})->until == now);
+    CHECK(ask({{"host", "e1"}, {"room", -1}})->room == 0);
+    CHECK_FALSE(ask(json::object()));
+    CHECK_FALSE(jobWatchFrom({"jobs", R"({"host":"e1"})"}, now));
+}
--- a/programs/hyssop-entry/ControlClient.cpp
+++ b/programs/hyssop-entry/ControlClient.cpp
@@ -96,10 +96,23 @@
 void ControlClient::query(std::string topic, std::string body, Answered answered,
                           base::Millis limit)
 {
-    assert(m_node && "setNode() comes before query()");
+    begin({std::move(topic), std::move(body)}, limit, ExecutePlan::kTryTimeout,
+          std::move(answered));
+}
+
+void ControlClient::queryHeld(std::string topic, std::string body, base::Millis wait,
+                              Answered answered)
+{
+    const base::Millis tryTimeout = wait + ExecutePlan::kTryTimeout;
+    begin({std::move(topic), std::move(body)}, wait + kQueryLimit, tryTimeout, std::move(answered));
+}
+
+void ControlClient::begin(peers::QueryRequest request, base::Millis limit, base::Millis tryTimeout,
+                          Answered answered)
+{
+    assert(m_node && "setNode() comes before the first query");
     const base::TimePoint now = base::monotonicNow();
-    ExecutePlan plan(true, m_order.order(now), now + limit);
-    peers::QueryRequest request{std::move(topic), std::move(body)};
+    ExecutePlan plan(true, m_order.order(now), now + limit, tryTimeout);
     const auto open = std::make_shared<OpenQuery>(
             OpenQuery{std::move(request), std::move(plan), std::move(answered)});
     follow(open, open->plan.first(now));
--- a/programs/hyssop-entry/ControlClient.h
+++ b/programs/hyssop-entry/ControlClient.h
@@ -36,6 +36,9 @@
     /// Asks one control host after the other until one gives a body that is not empty.
     void query(std::string topic, std::string body, Answered answered,
                base::Millis limit = kQueryLimit);
+    /// As query(), of what a control host may hold back for \a wait until there is something to
+    /// tell.
+    void queryHeld(std::string topic, std::string body, base::Millis wait, Answered answered);
     /// Asks one control host alone.
     void queryOne(std::size_t control, std::string topic, std::string body, Answered answered,
                   base::Millis limit = kQueryLimit);
@@ -60,6 +63,8 @@
     void send(const std::shared_ptr<Open> &open, const ExecutePlan::Try &step);
     void take(const std::shared_ptr<Open> &open, std::size_t control,
               const tl::expected<peers::ExecuteReply, peers::PeerError> &reply);
+    void begin(peers::QueryRequest request, base::Millis limit, base::Millis tryTimeout,
+               Answered answered);
     void follow(const std::shared_ptr<OpenQuery> &open, const ExecutePlan::Step &step);
     void take(const std::shared_ptr<OpenQuery> &open, std::size_t control,
               const tl::expected<std::string, peers::PeerError> &reply);
--- a/programs/hyssop-entry/ExecutePlan.cpp
+++ b/programs/hyssop-entry/ExecutePlan.cpp
@@ -9,8 +9,6 @@
 
 /// How long a control host that failed is asked after the others.
 constexpr base::Millis kSuspectTime{5'000};
-/// Bound on one try; a host that hangs must not use up the whole time.
-constexpr base::Millis kTryTimeout{1'500};
 /// Wait after every host was tried once; doubles each round.
 constexpr base::Millis kFirstBackoff{50};
 constexpr base::Millis kMaxBackoff{1'000};
@@ -75,10 +73,12 @@
     return order;
 }
 
-ExecutePlan::ExecutePlan(bool mayResend, std::vector<std::size_t> order, base::TimePoint until)
+ExecutePlan::ExecutePlan(bool mayResend, std::vector<std::size_t> order, base::TimePoint until,
+                         base::Millis tryTimeout)
     : m_mayResend(mayResend)
     , m_order(std::move(order))
     , m_until(until)
+    , m_tryTimeout(tryTimeout)
 { }
 
 ExecutePlan::Step ExecutePlan::first(base::TimePoint now)
@@ -113,7 +113,7 @@
     const auto left = std::chrono::floor<base::Millis>(m_until - now) - step.delay;
     if (left <= base::Millis(0))
         return failure;
-    step.timeout = std::min(kTryTimeout, left);
+    step.timeout = std::min(m_tryTimeout, left);
     ++m_tries;
     return step;
 }
--- a/programs/hyssop-entry/ExecutePlan.h
+++ b/programs/hyssop-entry/ExecutePlan.h
@@ -52,7 +52,11 @@
     };
     using Step = tl::expected<Try, ExecuteFailure>;
 
-    ExecutePlan(bool mayResend, std::vector<std::size_t> order, base::TimePoint until);
+    /// Bound on one try; a host that hangs must not use up the whole time.
+    static constexpr base::Millis kTryTimeout{1'500};
+
+    ExecutePlan(bool mayResend, std::vector<std::size_t> order, base::TimePoint until,
+                base::Millis tryTimeout = kTryTimeout);
 
     Step first(base::TimePoint now);
     Step failed(TryFault fault, base::TimePoint now);
@@ -63,6 +67,7 @@
     bool m_mayResend;
     std::vector<std::size_t> m_order;
     base::TimePoint m_until;
+    base::Millis m_tryTimeout;
     std::size_t m_tries = 0;
     bool m_mayBeRecorded = false;
 };
--- a/programs/hyssop-entry/JobBoard.cpp
+++ b/programs/hyssop-entry/JobBoard.cpp
@@ -40,6 +40,22 @@
     }));
 }
 
+std::vector<base::JobId> JobBoard::heldIds() const
+{
+    std::vector<base::JobId> ids;
+    ids.reserve(m_held.size());
+    for (const auto &[id, held] : m_held)
+        ids.push_back(id);
+    return ids;
+}
+
+std::size_t JobBoard::room() const
+{
+    if (m_isStopping || running() >= m_options.maxRunning || m_held.size() >= m_options.maxHeld)
+        return 0;
+    return std::min(m_options.maxRunning - running(), m_options.maxHeld - m_held.size());
+}
+
 JobActions JobBoard::onOpenJobs(const std::vector<OpenJob> &jobs)
 {
     JobActions actions;
--- a/programs/hyssop-entry/JobBoard.h
+++ b/programs/hyssop-entry/JobBoard.h
@@ -100,6 +100,9 @@
     bool isEmpty() const { return m_held.empty(); }
     std::size_t running() const;
     std::size_t held() const { return m_held.size(); }
+    std::vector<base::JobId> heldIds() const;
+    /// How many more jobs it would take now.
+    std::size_t room() const;
 
 private:
     enum class State { Taking, Fetching, Running, Resting, Finishing };
--- a/programs/hyssop-entry/JobForms.cpp
+++ b/programs/hyssop-entry/JobForms.cpp
@@ -96,6 +96,20 @@
     return dump({{"team", team.text()}});
 }
 
+std::string openJobsQuery(const ledger::Owner &self, const std::vector<base::JobId> &held,
+                          std::size_t room, base::Millis wait)
+{
+    json ids = json::array();
+    for (const base::JobId &id : held)
+        ids.push_back(id.text());
+    return json{{"host", self.host.text()},
+                {"incarnation", self.incarnation.count()},
+                {"held", ids},
+                {"room", room},
+                {"waitMs", wait.count()}}
+            .dump();
+}
+
 std::vector<OpenJob> openJobsFrom(const std::string &answer)
 {
     std::vector<OpenJob> jobs;
--- a/programs/hyssop-entry/JobForms.h
+++ b/programs/hyssop-entry/JobForms.h
@@ -16,6 +16,10 @@
 std::string jobQuery(const base::JobId &id);
 std::string jobsQuery(const base::TeamId &team);
 
+/// Asks for jobs to take, answered within \a wait; \a room 0: only for those that \a self runs by
+/// the log without holding them.
+std::string openJobsQuery(const ledger::Owner &self, const std::vector<base::JobId> &held,
+                          std::size_t room, base::Millis wait);
 std::vector<OpenJob> openJobsFrom(const std::string &answer);
 /// Of several answers to a job's query, the one that is furthest in the log and holds the job.
 std::optional<std::string> newestJob(const std::vector<std::string> &answers);
--- a/programs/hyssop-entry/JobRunner.cpp
+++ b/programs/hyssop-entry/JobRunner.cpp
@@ -6,7 +6,11 @@
 
 namespace {
 
-constexpr base::Millis kPollInterval{500};
+constexpr base::Millis kTick{250};
+/// How long a control host may hold an answer back when there is no job.
+constexpr base::Millis kJobsWait{4'000};
+/// The shortest time between questions that led to nothing.
+constexpr base::Millis kMinAskInterval{500};
 constexpr base::Millis kFinishDelay{1'000};
 constexpr int kMaxFinishTries = 120;
 /// Bound on a question to one control host.
@@ -118,7 +122,7 @@
 
 void JobRunner::start()
 {
-    poll();
+    tick();
 }
 
 void JobRunner::stop()
@@ -132,17 +136,36 @@
     m_metrics->set("hyssop_jobs_held", static_cast<double>(m_board.held()));
 }
 
-void JobRunner::poll()
+void JobRunner::tick()
 {
-    perform(m_board.tick(base::monotonicNow()));
-    m_control->query(
-            "open-jobs", "{}",
-            [this](const std::optional<std::string> &answer) {
-                if (answer)
-                    perform(m_board.onOpenJobs(openJobsFrom(*answer)));
-                m_loop->after(kPollInterval, [this] { poll(); });
-            },
-            kAskLimit);
+    const base::TimePoint now = base::monotonicNow();
+    perform(m_board.tick(now));
+    // A host without room needs to know only of jobs that it runs by the log.
+    const base::Millis interval = m_board.room() > 0 ? kMinAskInterval : kJobsWait;
+    if (!m_isAsking && now - m_asked >= interval)
+        askForJobs();
+    m_loop->after(kTick, [this] { tick(); });
+}
+
+void JobRunner::askForJobs()
+{
+    m_isAsking = true;
+    m_asked = base::monotonicNow();
+    const std::size_t room = m_board.room();
+    const base::Millis wait = room > 0 ? kJobsWait : base::Millis(0);
+    m_control->queryHeld("open-jobs", openJobsQuery(m_options.self, m_board.heldIds(), room, wait),
+                         wait, [this](const auto &answer) { takeJobs(answer); });
+}
+
+void JobRunner::takeJobs(const std::optional<std::string> &answer)
+{
+    m_isAsking = false;
+    if (!answer)
+        return;
+    const JobActions actions = m_board.onOpenJobs(openJobsFrom(*answer));
+    perform(actions);
+    if (!actions.empty() && m_board.room() > 0)
+        askForJobs();
 }
 
 void JobRunner::perform(const JobActions &actions)
--- a/programs/hyssop-entry/JobRunner.h
+++ b/programs/hyssop-entry/JobRunner.h
@@ -43,7 +43,9 @@
     /// Answers of several control hosts to one question.
     struct Asked;
 
-    void poll();
+    void tick();
+    void askForJobs();
+    void takeJobs(const std::optional<std::string> &answer);
     void perform(const JobActions &actions);
     void perform(const SendTake &action);
     void perform(const FetchJob &action);
@@ -67,6 +69,8 @@
     std::string m_group;
     base::Rng m_rng;
     JobBoard m_board;
+    bool m_isAsking = false;
+    base::TimePoint m_asked; ///< When control hosts were last asked for jobs.
     std::int64_t m_lastRun = 0;
     std::map<base::JobId, TakenJob> m_taken;
     std::map<base::JobId, base::RequestId> m_runs;
