The test harness keeps a port reserved for as long as a test may use it

The harness asked the kernel for a port and closed the socket, so a later question could get the same port again: two listeners of one host then had one port. Ruled out: a socket left from the killed entry, since the failing start was the first of its system. 800 ports asked for on one address gave 778 different ones.

Change: the asking socket stays bound, never listening, until the test's system ends. A program that listens with SO_REUSEADDR takes the port; the kernel gives it to nobody else, also between a kill and the restart.

--- a/integration/harness/Addresses.cpp
+++ b/integration/harness/Addresses.cpp
@@ -18,6 +18,12 @@
 
 } // namespace
 
+Addresses::~Addresses()
+{
+    for (const int fd : m_reserved)
+        ::close(fd);
+}
+
 std::string Addresses::nextHost()
 {
     const int block = kFirstBlock + static_cast<int>(::getpid()) % kBlocks;
@@ -36,7 +42,10 @@
     socklen_t size = sizeof name;
     if (bound == 0)
         ::getsockname(fd, reinterpret_cast<sockaddr *>(&name), &size);
-    ::close(fd);
+    // Only after the choice of the port: it is to be free, and then open to one that listens.
+    const int on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    m_reserved.push_back(fd);
     return {host, ntohs(name.sin_port)};
 }
 
