Long prompts may use all engines but a fifth where the mix asks for it

Cause: long prompts were held to half of a data centre's engines, rounded down: two of five, while the vestfjord mix has about three quarters of its tokens in them. They queued for engines while others idled, and an archive prompt in the KV cache of one of the two kept dossiers of 32k to 100k out.

Change: the share still follows the offered mix; its upper bound is all but a fifth of the engines, at least one. The half came from no target, and engines serve short prompts before long ones.

What is left of it: prompts to 32k pass long ones at the engine.

--- a/libs/routing/src/LongShare.cpp
+++ b/libs/routing/src/LongShare.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr double kMaxShare = 0.5;
+/// Part of the engines that long prompts leave alone whatever the mix; short ones pass long ones at
+/// every engine, so it need not be large.
+constexpr double kLeastReserve = 0.2;
 /// Engines over the share of the tokens, for prompts come in bursts.
 constexpr double kHeadroom = 1.25;
 /// Tokens offered after which a part of 1/e of the old mix is left.
@@ -25,10 +27,10 @@
 
 std::size_t LongShare::enginesFor(std::size_t engines) const
 {
-    const double share = m_all > 0 ? std::min(kMaxShare, kHeadroom * m_long / m_all) : 0;
-    const auto wanted = static_cast<std::size_t>(std::ceil(share * static_cast<double>(engines)));
-    const auto most = static_cast<std::size_t>(kMaxShare * static_cast<double>(engines));
-    return std::max<std::size_t>(1, std::min(wanted, most));
+    const auto count = static_cast<double>(engines);
+    const double share = m_all > 0 ? kHeadroom * m_long / m_all : 0;
+    const double most = count - std::ceil(kLeastReserve * count);
+    return static_cast<std::size_t>(std::max(1.0, std::min(std::ceil(share * count), most)));
 }
 
 } // namespace hyssop::routing
--- a/libs/routing/src/LongShare.h
+++ b/libs/routing/src/LongShare.h
@@ -12,7 +12,7 @@
 {
 public:
     void offer(base::Tokens prompt, bool isLong);
-    /// Of \a engines, at least one and not all but for a single one.
+    /// Of \a engines: at least one, and not all but for a single one.
     std::size_t enginesFor(std::size_t engines) const;
 
 private:
