Callers can ask for the scope of home-scoped keys

Cause: a key kept in one data centre carries the incarnation of its home group, which no caller could learn; a key whose scope was no number went to the home group without any check of its scope, and one that ended after the scope was refused by the global group. Change: control hosts answer the query "scope", entry hosts GET /v1/scope with the prefix of such keys. One function of the ledger says what a home-scoped key is, for the entry host and the log alike. Measured: before, no query gave the scope. Conclusion: home-scoped keys work end to end while a data centre is cut off.

--- a/integration/PartitionTest.cpp
+++ b/integration/PartitionTest.cpp
@@ -83,3 +83,58 @@
     CHECK(runsEverywhere(system, "before") == 1);
     CHECK(runsEverywhere(system, "during") == 1);
 }
+
+TEST_CASE("a data centre cut off on every link runs bookings with home-scoped keys exactly once")
+{
+    System system(threeCentres(true));
+    bringUp(system);
+    Host &entry = *system.hosts(Role::Entry, "floro-sal").front();
+    system.cutOff("floro-sal");
+    const Answer scope = askScope(system, entry);
+    REQUIRE(scope.status == 200);
+    CHECK(scope.json().value("data_centre", "") == "floro-sal");
+    const std::string key = scope.json().value("key_prefix", "") + "order-1";
+
+    const Answer first = startBooking(system, entry, key).wait();
+    CHECK(first.status == 200);
+    const Answer again = startBooking(system, entry, key).wait();
+    CHECK(again.status == 200);
+    CHECK(again.body == first.body);
+    const Answer other = startBooking(system, entry, key, "{\"bikes\":3}").wait();
+    CHECK(other.json()["error"].value("code", "") == "key_conflict");
+    CHECK(runsEverywhere(system, key) == 1);
+}
+
+TEST_CASE("a home group that lost its disk refuses keys of its earlier incarnation as not run")
+{
+    Plan plan;
+    plan.servicesEach = 1;
+    System system(plan);
+    bringUp(system);
+    Host &entry = system.host("entry-1-1");
+    Host &control = system.host("control-1");
+    const std::string before = askScope(system, entry).json().value("key_prefix", "");
+    REQUIRE(startBooking(system, entry, before + "order-1").wait().status == 200);
+    system.kill(control);
+    std::filesystem::remove_all(system.folder() / "control-1" / "home-floro-sal");
+    system.start(control);
+    system.awaitReady(control);
+
+    Answer scope;
+    REQUIRE(eventually(kInForceLimit, [&] {
+        scope = askScope(system, entry);
+        return scope.status == 200;
+    }));
+    const std::string after = scope.json().value("key_prefix", "");
+    CHECK(after != before);
+    for (const char *name : {"order-1", "order-2"}) {
+        const Answer refused = startBooking(system, entry, before + name).wait();
+        CHECK(refused.status == 409);
+        CHECK(refused.json()["error"].value("code", "") == "key_scope");
+        CHECK(refused.json()["error"].value("outcome", "") == "not_run");
+    }
+    CHECK(startBooking(system, entry, after + "order-2").wait().status == 200);
+    CHECK(runsEverywhere(system, before + "order-1") == 1);
+    CHECK(runsEverywhere(system, before + "order-2") == 0);
+    CHECK(runsEverywhere(system, after + "order-2") == 1);
+}
--- a/integration/harness/Calls.cpp
+++ b/integration/harness/Calls.cpp
@@ -122,6 +122,13 @@
     return system.client().start(std::move(call));
 }
 
+Answer askScope(System &system, const Host &entry)
+{
+    http::Call call = callTo(entry.callers, http::Method::Get, "/v1/scope");
+    call.headers.push_back({"x-team", "office-1"});
+    return system.client().start(std::move(call)).wait();
+}
+
 std::int64_t runsOf(System &system, const Host &service, const std::string &key)
 {
     const json runs = system.client().get(service.serves, "/v1/runs").json();
--- a/integration/harness/Calls.h
+++ b/integration/harness/Calls.h
@@ -42,6 +42,8 @@
 /// Starts a call of the booking service; no key when \a key is empty.
 Pending startBooking(System &system, const Host &entry, const std::string &key,
                      const std::string &body = "{\"bikes\":2}");
+/// Asks an entry host for the scope of home-scoped keys.
+Answer askScope(System &system, const Host &entry);
 /// How often a stand-in service ran a key; -1 when it gave no answer.
 std::int64_t runsOf(System &system, const Host &service, const std::string &key);
 std::int64_t totalRuns(System &system, const Host &service);
--- a/libs/caller/include/caller/Caller.h
+++ b/libs/caller/include/caller/Caller.h
@@ -65,7 +65,14 @@
     CallHead head;
 };
 
-using Call = std::variant<CompletionCall, ServiceCall, SubmitJobCall, GetJobCall, ListJobsCall>;
+/// Asks for the scope that home-scoped keys of this data centre carry.
+struct ScopeCall
+{
+    CallHead head;
+};
+
+using Call = std::variant<CompletionCall, ServiceCall, SubmitJobCall, GetJobCall, ListJobsCall,
+                          ScopeCall>;
 
 /// What is known of a call that got no whole answer.
 enum class Outcome { NotRun, Failed, Unknown };
--- a/libs/caller/src/Parse.cpp
+++ b/libs/caller/src/Parse.cpp
@@ -170,6 +170,8 @@
         return parseService(request, *std::move(head));
     if (path == kJobs || path.starts_with("/v1/jobs/"))
         return parseJobs(request, *std::move(head));
+    if (path == "/v1/scope" && request.method == http::Method::Get)
+        return Call(ScopeCall{*std::move(head)});
     const bool isChat = path == "/v1/chat/completions";
     if ((isChat || path == "/v1/completions") && request.method == http::Method::Post) {
         auto completion = parseCompletion(request.body, isChat);
--- a/libs/ledger/include/ledger/Ledger.h
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -56,6 +56,16 @@
     std::string attempt = {};
 };
 
+/// Where a home-scoped key "home.<data centre>.<incarnation>.<rest>" is kept.
+struct HomeScope
+{
+    base::DataCentreId dataCentre;
+    std::int64_t incarnation = 0; ///< Of the data centre's home group.
+};
+
+/// Scope that a key names; empty for every other key, which is opaque.
+std::optional<HomeScope> homeScopeOf(std::string_view key);
+
 /// Gives a claim back; allowed only to its owner and attempt, when nothing was sent.
 struct ReleaseClaim
 {
--- a/libs/ledger/src/Ledger.cpp
+++ b/libs/ledger/src/Ledger.cpp
@@ -19,26 +19,28 @@
     return state == JobState::Done || state == JobState::Failed;
 }
 
-/// Group incarnation that a home-scoped key carries; empty for an opaque key.
-std::optional<std::int64_t> scopeOf(const std::string &key)
+} // namespace
+
+std::optional<HomeScope> homeScopeOf(std::string_view key)
 {
     constexpr std::string_view kPrefix = "home.";
     if (!key.starts_with(kPrefix))
         return std::nullopt;
-    const auto centreEnd = key.find('.', kPrefix.size());
-    const auto end = centreEnd == std::string::npos ? centreEnd : key.find('.', centreEnd + 1);
-    if (end == std::string::npos)
+    key.remove_prefix(kPrefix.size());
+    const auto centreEnd = key.find('.');
+    if (centreEnd == 0 || centreEnd == std::string_view::npos)
+        return std::nullopt;
+    const auto end = key.find('.', centreEnd + 1);
+    if (end == std::string_view::npos || end + 1 == key.size())
         return std::nullopt;
-    std::int64_t incarnation = 0;
+    HomeScope scope{base::DataCentreId(std::string(key.substr(0, centreEnd)))};
     const char *const last = key.data() + end;
-    const auto [parsed, ec] = std::from_chars(key.data() + centreEnd + 1, last, incarnation);
+    const auto [parsed, ec] = std::from_chars(key.data() + centreEnd + 1, last, scope.incarnation);
     if (ec != std::errc() || parsed != last)
         return std::nullopt;
-    return incarnation;
+    return scope;
 }
 
-} // namespace
-
 std::string_view jobStateName(JobState state)
 {
     switch (state) {
@@ -128,8 +130,8 @@
 
 bool Ledger::isOutOfScope(const std::string &key) const
 {
-    const std::optional<std::int64_t> incarnation = scopeOf(key);
-    return incarnation && *incarnation != m_groupIncarnation;
+    const std::optional<HomeScope> scope = homeScopeOf(key);
+    return scope && scope->incarnation != m_groupIncarnation;
 }
 
 Reply Ledger::run(const Claim &command)
--- a/libs/ledger/tests/LedgerTest.cpp
+++ b/libs/ledger/tests/LedgerTest.cpp
@@ -163,7 +163,7 @@
     scoped.key = "home.floro-sal.42.k";
     CHECK(rig.run(scoped).status == Status::Accepted);
     // Keys that only resemble the form are opaque.
-    for (const char *key : {"home.x", "home.sal.4x.k", "home.sal.k"}) {
+    for (const char *key : {"home.x", "home.sal.4x.k", "home.sal.k", "home.sal.41."}) {
         scoped.key = key;
         CHECK(rig.run(scoped).status == Status::Accepted);
     }
--- a/programs/hyssop-control/Queries.cpp
+++ b/programs/hyssop-control/Queries.cpp
@@ -107,6 +107,15 @@
     return dump(answer);
 }
 
+std::string answerScope(const json &body, const QueryView &view)
+{
+    const GroupView *group = find(view, std::string(kHomePrefix) + textOf(body, "dataCentre"));
+    if (!group || group->ledger->groupIncarnation() == 0)
+        return {};
+    return dump({{"incarnation", std::to_string(group->ledger->groupIncarnation())},
+                 {"confirmed", group->isConfirmed}});
+}
+
 std::string answerReporters(const QueryView &view)
 {
     json answer{{"host", view.host.text()},
@@ -133,6 +142,8 @@
         return answerJobs(*body, view);
     if (request.topic == "open-jobs")
         return answerOpenJobs(view);
+    if (request.topic == "scope")
+        return answerScope(*body, view);
     if (request.topic == "reporters")
         return answerReporters(view);
     return {};
--- a/programs/hyssop-control/Queries.h
+++ b/programs/hyssop-control/Queries.h
@@ -29,6 +29,7 @@
 /// - "job" {id}: {found, confirmed, index, job};
 /// - "jobs" {team}: {groups: [{name, confirmed}], jobs}, without requests and results;
 /// - "open-jobs" {}: jobs of this data centre that wait or run, the longest waiting first;
+/// - "scope" {dataCentre}: {incarnation, confirmed} of its home group, the first as text;
 /// - "reporters" {}: {host, dataCentre, hosts: [{host, dataCentre, position, ageMs}]}.
 std::string answerQuery(const peers::QueryRequest &request, const QueryView &view);
 
--- a/programs/hyssop-control/tests/QueriesTest.cpp
+++ b/programs/hyssop-control/tests/QueriesTest.cpp
@@ -73,6 +73,17 @@
     CHECK(open[1].at("state") == "running");
 }
 
+TEST_CASE("the scope of a home group is told once the group has one, by a host that keeps it")
+{
+    Rig rig;
+    const json asked{{"dataCentre", "hall-a"}};
+    CHECK(rig.ask("scope", asked).is_null());
+    rig.run(ledger::FoundGroup{9'007'199'254'740'993}, 200);
+    CHECK(rig.ask("scope", asked).at("incarnation") == "9007199254740993");
+    CHECK(rig.ask("scope", asked).at("confirmed") == true);
+    CHECK(rig.ask("scope", {{"dataCentre", "hall-b"}}).is_null());
+}
+
 TEST_CASE("reporters are told with their data centre, position and age; other topics are not")
 {
     const Rig rig;
--- a/programs/hyssop-entry/ClaimFlow.cpp
+++ b/programs/hyssop-entry/ClaimFlow.cpp
@@ -17,7 +17,6 @@
 /// Claims without a certain answer after which the call is given up.
 constexpr int kMaxUnconfirmed = 3;
 constexpr base::Millis kRetryAfter{1'000};
-constexpr std::string_view kHomePrefix = "home.";
 
 base::Millis pollDelay(int polls)
 {
@@ -28,17 +27,8 @@
 
 std::string groupOfKey(std::string_view key)
 {
-    constexpr auto kGlobal = "global";
-    if (!key.starts_with(kHomePrefix))
-        return kGlobal;
-    const std::string_view rest = key.substr(kHomePrefix.size());
-    const auto centreEnd = rest.find('.');
-    if (centreEnd == 0 || centreEnd == std::string_view::npos)
-        return kGlobal;
-    const auto incarnationEnd = rest.find('.', centreEnd + 1);
-    const bool isWhole =
-            incarnationEnd != std::string_view::npos && incarnationEnd + 1 < rest.size();
-    return isWhole ? "home-" + std::string(rest.substr(0, centreEnd)) : kGlobal;
+    const auto scope = ledger::homeScopeOf(key);
+    return scope ? "home-" + scope->dataCentre.text() : "global";
 }
 
 ClaimFlow::ClaimFlow(ClaimedCall call)
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -1,10 +1,13 @@
 #include "EntryTask.h"
 
+#include "Scope.h"
+
 namespace hyssop::entry {
 
 namespace {
 
 constexpr base::Millis kStopPoll{20};
+constexpr base::Millis kScopeRetryAfter{1'000};
 
 routing::RouterOptions routerOptions(const EntryOptions &options)
 {
@@ -145,6 +148,8 @@
         onCompletion(id, *completion);
     } else if (auto *service = std::get_if<caller::ServiceCall>(&call)) {
         onService(id, std::move(*service));
+    } else if (const auto *scope = std::get_if<caller::ScopeCall>(&call)) {
+        onScope(id, *scope);
     } else {
         onJobs(id, call);
     }
@@ -167,6 +172,23 @@
         m_jobs->list(answer, *team);
 }
 
+void EntryTask::onScope(http::ExchangeId id, const caller::ScopeCall &call)
+{
+    if (const auto team = m_calls.teamOf(call.head); !team) {
+        refuse(id, team.error());
+        return;
+    }
+    const auto answered = [this, id](const std::optional<std::string> &answer) {
+        const auto view = answer ? scopeView(m_options.dataCentre, *answer) : std::nullopt;
+        if (view)
+            m_callers->answer(id, 200, "application/json", *view);
+        else
+            refuse(id, {503, "scope_unreachable", "no control host in reach keeps the home group",
+                        caller::Outcome::NotRun, kScopeRetryAfter});
+    };
+    m_control->query("scope", scopeQuery(m_options.dataCentre), answered);
+}
+
 void EntryTask::refuse(http::ExchangeId id, const caller::ErrorBody &error)
 {
     m_metrics.count("hyssop_refusals_total", {{"reason", error.code}});
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -44,6 +44,7 @@
     void onCompletion(http::ExchangeId id, const caller::CompletionCall &call);
     void onService(http::ExchangeId id, caller::ServiceCall call);
     void onJobs(http::ExchangeId id, const caller::Call &call);
+    void onScope(http::ExchangeId id, const caller::ScopeCall &call);
     void refuse(http::ExchangeId id, const caller::ErrorBody &error);
     void submit(http::ExchangeId id, OpenRequest request);
 
--- /dev/null
+++ b/programs/hyssop-entry/Scope.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "base/Base.h"
+
+#include <optional>
+
+namespace hyssop::entry {
+
+// Scope of home-scoped keys, in queries of control hosts and in answers to callers.
+
+std::string scopeQuery(const base::DataCentreId &dataCentre);
+/// Answer to a caller from a control host's answer; empty when that is not readable.
+std::optional<std::string> scopeView(const base::DataCentreId &dataCentre,
+                                     const std::string &answer);
+
+} // namespace hyssop::entry
--- a/programs/hyssop-entry/tests/ClaimFlowTest.cpp
+++ b/programs/hyssop-entry/tests/ClaimFlowTest.cpp
@@ -212,4 +212,5 @@
     CHECK(groupOfKey("home.hall-a.77.") == "global");
     CHECK(groupOfKey("home.hall-a") == "global");
     CHECK(groupOfKey("home..77.x") == "global");
+    CHECK(groupOfKey("home.hall-a.7x.order-17") == "global");
 }
