A port is handed out once to the hosts of a test

Cause: the kernel may name a port again that was free a moment ago, as long as nobody has bound it, so two links of a fault proxy got one address and it did not start (seen once in two runs of test-partitions: address already in use). Change: ports already handed out are asked for again. Conclusion: one cause of starts that failed now and then is gone.

--- a/integration/harness/Addresses.cpp
+++ b/integration/harness/Addresses.cpp
@@ -16,16 +16,8 @@
 constexpr int kBlocks = 40;
 constexpr int kHostsPerBlock = 250;
 
-} // namespace
-
-std::string Addresses::nextHost()
-{
-    const int block = kFirstBlock + static_cast<int>(::getpid()) % kBlocks;
-    const int host = 1 + m_last++ % kHostsPerBlock;
-    return "127.0." + std::to_string(block) + "." + std::to_string(host);
-}
-
-base::Endpoint Addresses::nextEndpoint(const std::string &host)
+/// A port that is free now.
+base::Endpoint freeEndpoint(const std::string &host)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in name{};
@@ -40,4 +32,23 @@
     return {host, ntohs(name.sin_port)};
 }
 
+} // namespace
+
+std::string Addresses::nextHost()
+{
+    const int block = kFirstBlock + static_cast<int>(::getpid()) % kBlocks;
+    const int host = 1 + m_last++ % kHostsPerBlock;
+    return "127.0." + std::to_string(block) + "." + std::to_string(host);
+}
+
+base::Endpoint Addresses::nextEndpoint(const std::string &host)
+{
+    // The port is free until its process binds it, so the kernel may choose it twice.
+    for (;;) {
+        base::Endpoint endpoint = freeEndpoint(host);
+        if (m_handedOut.insert(endpoint).second)
+            return endpoint;
+    }
+}
+
 } // namespace hyssop::harness
--- a/integration/harness/System.cpp
+++ b/integration/harness/System.cpp
@@ -121,7 +121,7 @@
     const std::string address = m_addresses.nextHost();
     for (base::Endpoint *endpoint : {&host->peers, &host->platform, &host->callers,
                                      &host->upstreams, &host->operators, &host->serves})
-        *endpoint = Addresses::nextEndpoint(address);
+        *endpoint = m_addresses.nextEndpoint(address);
     m_hosts.push_back(std::move(host));
     return *m_hosts.back();
 }
