--- a/integration/harness/Addresses.cpp
+++ b/integration/harness/Addresses.cpp
@@ -16,24 +16,14 @@
 constexpr int kBlocks = 40;
 constexpr int kHostsPerBlock = 250;
 
-/// A port that is free now.
-base::Endpoint freeEndpoint(const std::string &host)
+} // namespace
+
+Addresses::~Addresses()
 {
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in name{};
-    name.sin_family = AF_INET;
-    ::inet_pton(AF_INET, host.c_str(), &name.sin_addr);
-    const int bound = ::bind(fd, reinterpret_cast<sockaddr *>(&name), sizeof name);
-    assert(bound == 0 && "the caller asks for more ports than the address has");
-    socklen_t size = sizeof name;
-    if (bound == 0)
-        ::getsockname(fd, reinterpret_cast<sockaddr *>(&name), &size);
-    ::close(fd);
-    return {host, ntohs(name.sin_port)};
+    for (const int fd : m_reserved)
+        ::close(fd);
 }
 
-} // namespace
-
 std::string Addresses::nextHost()
 {
     const int block = kFirstBlock + static_cast<int>(::getpid()) % kBlocks;
@@ -43,12 +33,20 @@
 
 base::Endpoint Addresses::nextEndpoint(const std::string &host)
 {
-    // The port is free until its process binds it, so the kernel may choose it twice.
-    for (;;) {
-        base::Endpoint endpoint = freeEndpoint(host);
-        if (m_handedOut.insert(endpoint).second)
-            return endpoint;
-    }
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    ::inet_pton(AF_INET, host.c_str(), &name.sin_addr);
+    const int bound = ::bind(fd, reinterpret_cast<sockaddr *>(&name), sizeof name);
+    assert(bound == 0 && "the caller asks for more ports than the address has");
+    socklen_t size = sizeof name;
+    if (bound == 0)
+        ::getsockname(fd, reinterpret_cast<sockaddr *>(&name), &size);
+    // Only after the choice of the port: it is to be free, and then open to one that listens.
+    const int on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    m_reserved.push_back(fd);
+    return {host, ntohs(name.sin_port)};
 }
 
 } // namespace hyssop::harness
