--- a/integration/harness/Calls.h
+++ b/integration/harness/Calls.h
@@ -46,6 +46,8 @@
                      std::int64_t deadlineMs = 0);
 /// Starts the submission of a job; its deadline is the completion's.
 Pending startJob(System &system, const Host &entry, const Completion &completion);
+/// Asks an entry host for the scope of home-scoped keys.
+Answer askScope(System &system, const Host &entry);
 /// How often a stand-in service ran a key; -1 when it gave no answer.
 std::int64_t runsOf(System &system, const Host &service, const std::string &key);
 std::int64_t totalRuns(System &system, const Host &service);
