--- a/standins/engine/AttemptRoutes.cpp
+++ b/standins/engine/AttemptRoutes.cpp
@@ -17,12 +17,14 @@
 } // namespace
 
 AttemptRoutes::AttemptRoutes(Responder *responder, EngineModel *model, AttemptStreams *streams,
-                             FaultPlan *faults, const OrderRoutes *orders, Hooks hooks)
+                             FaultPlan *faults, const OrderRoutes *orders, bool logsWork,
+                             Hooks hooks)
     : m_responder(responder)
     , m_model(model)
     , m_streams(streams)
     , m_faults(faults)
     , m_orders(orders)
+    , m_logsWork(logsWork)
     , m_hooks(std::move(hooks))
 { }
 
@@ -88,7 +90,10 @@
         return;
     }
     ++m_started;
-    m_streams->start(attempt, base::sha256Hex(prompt).substr(0, kDigestLetters), faults, id);
+    const std::string digest = base::sha256Hex(prompt);
+    if (m_logsWork)
+        base::logEvent("work_started", {{"work", digest}});
+    m_streams->start(attempt, digest.substr(0, kDigestLetters), faults, id);
     m_hooks.onStarted();
 }
 
--- a/standins/engine/AttemptRoutes.h
+++ b/standins/engine/AttemptRoutes.h
@@ -21,7 +21,7 @@
 
     /// All that is handed in must outlive this object.
     AttemptRoutes(Responder *responder, EngineModel *model, AttemptStreams *streams,
-                  FaultPlan *faults, const OrderRoutes *orders, Hooks hooks);
+                  FaultPlan *faults, const OrderRoutes *orders, bool logsWork, Hooks hooks);
 
     /// POST of a completion.
     void complete(http::ExchangeId id, const http::Request &request);
@@ -44,6 +44,7 @@
     AttemptStreams *m_streams;
     FaultPlan *m_faults;
     const OrderRoutes *m_orders;
+    bool m_logsWork;
     Hooks m_hooks;
     bool m_isLeaving = false;
     std::int64_t m_started = 0;
--- a/standins/engine/EngineServer.cpp
+++ b/standins/engine/EngineServer.cpp
@@ -25,8 +25,8 @@
     , m_feed(loop, settings.feed, [this] { return load(); })
     , m_orders(loop, DesiredState(settings.loaded, settings.checksFencing), settings.weightStore,
                settings.loadTime, std::move(onServing))
-    , m_responder(loop)
-    , m_attempts(&m_responder, &m_model, &m_streams, &m_faults, &m_orders,
+    , m_responder(loop, settings.logsWork)
+    , m_attempts(&m_responder, &m_model, &m_streams, &m_faults, &m_orders, settings.logsWork,
                  {[this] { schedule(base::Micros(0)); }, [this] { memoryChanged(); }})
     , m_reservations(loop, &m_responder, &m_model, &m_streams, [this] { memoryChanged(); })
     , m_kv(&m_responder, &m_model, &m_feed, [this] { memoryChanged(); })
--- a/standins/engine/EngineServer.h
+++ b/standins/engine/EngineServer.h
@@ -18,6 +18,7 @@
     bool checksFencing = true;
     base::Millis loadTime{0};
     std::optional<base::Endpoint> weightStore;
+    bool logsWork = false; ///< A line for each attempt started or refused; outlives the process.
 };
 
 /// Serves an EngineModel over the engines' HTTP interface; model time runs at a given speed.
--- a/standins/engine/Responder.cpp
+++ b/standins/engine/Responder.cpp
@@ -15,6 +15,8 @@
 void Responder::refuse(http::ExchangeId id, int status, const std::string &code)
 {
     ++m_refused;
+    if (m_logsWork)
+        base::logEvent("work_refused", {{"code", code}});
     respond(id, status, errorBody(code, "not_run"));
 }
 
--- a/standins/engine/Responder.h
+++ b/standins/engine/Responder.h
@@ -8,8 +8,10 @@
 class Responder
 {
 public:
-    explicit Responder(http::Loop *loop)
+    /// \a logsWork: a log line for each refusal.
+    Responder(http::Loop *loop, bool logsWork)
         : m_loop(loop)
+        , m_logsWork(logsWork)
     { }
 
     void respond(http::ExchangeId id, int status, std::string body);
@@ -19,6 +21,7 @@
 
 private:
     http::Loop *m_loop;
+    bool m_logsWork;
     std::int64_t m_refused = 0;
 };
 
