A listed job without an id is passed over

Cause: openJobsFrom took any element of a control host's list for a job, so one without an id was to be taken as a job named by the empty text.

--- a/programs/hyssop-entry/JobForms.cpp
+++ b/programs/hyssop-entry/JobForms.cpp
@@ -123,7 +123,8 @@
                             ? ledger::JobState::Waiting
                             : ledger::JobState::Running;
         job.owner = ownerOf(one);
-        jobs.push_back(std::move(job));
+        if (!job.id.isEmpty())
+            jobs.push_back(std::move(job));
     }
     return jobs;
 }
--- a/programs/hyssop-entry/tests/JobFormsTest.cpp
+++ b/programs/hyssop-entry/tests/JobFormsTest.cpp
@@ -63,3 +63,10 @@
     CHECK(read->head.urgency == records::Urgency::Batch);
     CHECK_FALSE(jobCall("{}"));
 }
+
+TEST_CASE("a listed job without an id is passed over")
+{
+    const auto jobs = openJobsFrom(R"({"jobs":[{"state":"waiting"},7,{"id":"j1"}]})");
+    REQUIRE(jobs.size() == 1);
+    CHECK(jobs.front().id == base::JobId("j1"));
+}
