--- a/programs/hyssop-control/Queries.h
+++ b/programs/hyssop-control/Queries.h
@@ -31,6 +31,7 @@
 /// - "jobs" {team}: {groups: [{name, confirmed}], jobs}, without requests and results;
 /// - "open-jobs" {}: jobs of this data centre that wait or run, the longest waiting first. With
 ///   {host, incarnation, held, room, waitMs} it is a watch: see jobWatchFrom();
+/// - "scope" {dataCentre}: {incarnation, confirmed} of its home group, the first as text;
 /// - "reporters" {}: {host, dataCentre, hosts: [{host, dataCentre, position, ageMs}]}.
 /// The watch that a query asks for; empty when it is none.
 std::optional<JobWatch> jobWatchFrom(const peers::QueryRequest &request, base::TimePoint now);
