A second control host is asked for records when the first does not answer in time

Cause: an entry host asked one control host each second, waited 3 s for one that hangs, and said nothing of stale records but a gauge of confirmation. Change: `WatchPlan` decides without I/O: answers are held for 3 s; 1 s later another control host is asked too, and the one that answers as confirmed is asked from then on. The body of `/ready` and the gauges `hyssop_records_age_seconds` and `hyssop_records_stale` say when records were not confirmed for 9 s, with the reason; readiness stays 200.

--- a/integration/RecordsTest.cpp
+++ b/integration/RecordsTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <fstream>
 
 using namespace hyssop;
@@ -10,6 +11,9 @@
 
 namespace {
 
+/// What a change may take until it is in force.
+constexpr base::Millis kInForce{18'000};
+
 nlohmann::json numbered(std::int64_t version)
 {
     return route("numbered", version, {{"model", "saga"}, {"deadlineMs", 1'000 + version}});
@@ -136,6 +140,49 @@
     CHECK(eventually(base::Millis(18'000), [&] { return appliedAt(system, entry) > position; }));
 }
 
+TEST_CASE("a frozen control host holds no change up beyond 18 seconds, whoever watched it")
+{
+    Plan plan;
+    plan.dataCentres = {"floro-sal", "forde-sal", "sogndal-sal"};
+    plan.voters = 3;
+    System system(plan);
+    bringUp(system);
+    // Each entry host watches the control host of its own data centre.
+    Host &frozen = system.host("control-1");
+    frozen.process->signal(SIGSTOP);
+    operators::PutReply reply;
+    const base::TimePoint start = base::monotonicNow();
+    REQUIRE(eventually(kInForce, [&] {
+        const Answer answer =
+                startPut(system, system.host("control-2"), numbered(1), "frozen").wait();
+        const auto verdict = operators::putReplyFromJson(answer.body);
+        reply = verdict ? *verdict : operators::PutReply();
+        return verdict && verdict->status == PutStatus::Accepted;
+    }));
+    for (const Host *entry : system.hosts(Role::Entry)) {
+        INFO(entry->name);
+        CHECK(eventually(kInForce, [&] { return appliedAt(system, *entry) >= reply.position; }));
+        CHECK(base::monotonicNow() - start < kInForce);
+        CHECK(system.client().get(entry->platform, "/ready").body == "ready\n");
+    }
+    frozen.process->signal(SIGCONT);
+}
+
+TEST_CASE("without control hosts an entry stays ready and says that its records are stale")
+{
+    System system;
+    bringUp(system);
+    const Host &entry = system.host("entry-1-1");
+    CHECK(metric(system, entry, "hyssop_records_stale") == 0);
+    system.kill(system.host("control-1"));
+    CHECK(eventually(kInForce, [&] { return metric(system, entry, "hyssop_records_stale") == 1; }));
+    const Answer ready = system.client().get(entry.platform, "/ready");
+    CHECK(ready.status == 200);
+    CHECK(ready.body.find("records stale for") != std::string::npos);
+    system.start(system.host("control-1"));
+    CHECK(eventually(kInForce, [&] { return metric(system, entry, "hyssop_records_stale") == 0; }));
+}
+
 TEST_CASE("a full disk stops changes with a clear error and loses no accepted change")
 {
     System system;
--- a/libs/platform/include/platform/Platform.h
+++ b/libs/platform/include/platform/Platform.h
@@ -45,6 +45,8 @@
     /// Not ready: the balancer is to send no new work.
     void setReady(bool isReady) { m_isReady = isReady; }
     bool isReady() const { return m_isReady; }
+    /// Gives a note for the body of /ready, of lines of text; the status does not follow it.
+    void setNote(std::function<std::string()> note) { m_note = std::move(note); }
 
 private:
     void onRequest(http::ExchangeId id, http::Request request) override;
@@ -54,6 +56,7 @@
     http::Loop *m_loop;
     Metrics *m_metrics;
     std::function<void()> m_refresh;
+    std::function<std::string()> m_note;
     bool m_isReady = false;
 };
 
--- a/libs/platform/src/Server.cpp
+++ b/libs/platform/src/Server.cpp
@@ -23,6 +23,8 @@
     if (request.path == "/ready") {
         response.status = m_isReady ? 200 : 503;
         response.body = m_isReady ? "ready\n" : "not ready\n";
+        if (m_note)
+            response.body += m_note();
     } else if (request.path == "/live") {
         response.body = "live\n";
     } else if (request.path == "/metrics") {
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -90,6 +90,7 @@
     m_watcher = std::make_unique<RecordsWatcher>(
             m_loop.get(), m_options.host, m_options.dataCentre, m_options.controls,
             [this](auto catalogue) { takeCatalogue(std::move(catalogue)); });
+    m_platform->setNote([this] { return m_watcher->staleNote(base::monotonicNow()); });
 }
 
 void EntryTask::takeCatalogue(std::shared_ptr<const records::Catalogue> catalogue)
@@ -305,6 +306,10 @@
     m_jobs->refreshGauges();
     m_metrics.set("hyssop_records_index", static_cast<double>(m_watcher->position().index));
     m_metrics.set("hyssop_records_confirmed", m_watcher->isConfirmed() ? 1 : 0);
+    const base::TimePoint now = base::monotonicNow();
+    m_metrics.set("hyssop_records_age_seconds",
+                  std::chrono::duration<double>(m_watcher->age(now)).count());
+    m_metrics.set("hyssop_records_stale", m_watcher->staleNote(now).empty() ? 0 : 1);
 }
 
 void EntryTask::stop()
--- a/programs/hyssop-entry/RecordsWatcher.cpp
+++ b/programs/hyssop-entry/RecordsWatcher.cpp
@@ -2,15 +2,6 @@
 
 namespace hyssop::entry {
 
-namespace {
-
-/// How long a control host may hold an answer back when there is nothing new.
-constexpr base::Millis kWatchWait{1'000};
-constexpr base::Millis kWatchTimeout{3'000};
-constexpr base::Millis kRetryDelay{100};
-
-} // namespace
-
 RecordsWatcher::RecordsWatcher(http::Loop *loop, base::HostId host, base::DataCentreId dataCentre,
                                std::vector<base::Endpoint> controls, OnChange onChange)
     : m_loop(loop)
@@ -18,54 +9,82 @@
     , m_dataCentre(std::move(dataCentre))
     , m_controls(std::move(controls))
     , m_onChange(std::move(onChange))
+    , m_plan(m_controls.size(), base::monotonicNow())
 { }
 
 void RecordsWatcher::start(peers::Node *node)
 {
     m_node = node;
-    if (!m_controls.empty())
-        ask();
+    step();
+}
+
+void RecordsWatcher::step()
+{
+    const base::TimePoint now = base::monotonicNow();
+    if (const auto next = m_plan.step(now))
+        ask(*next);
+    if (m_timer)
+        m_loop->cancelTimer(*m_timer);
+    m_timer.reset();
+    const base::TimePoint next = m_plan.nextTime();
+    if (next == base::TimePoint::max())
+        return;
+    const auto delay = std::chrono::ceil<base::Millis>(std::max(next, now) - now);
+    m_timer = m_loop->after(delay, [this] {
+        m_timer.reset();
+        step();
+    });
 }
 
-void RecordsWatcher::ask()
+void RecordsWatcher::ask(const WatchPlan::Ask &ask)
 {
     peers::WatchRequest request;
     request.host = m_host;
     request.dataCentre = m_dataCentre;
     request.applied = m_position;
-    request.wait = kWatchWait;
-    m_node->watch(m_controls[m_next], std::move(request), kWatchTimeout, [this](auto reply) {
-        m_loop->post([this, reply = std::move(reply)] { take(reply); });
-    });
+    request.wait = WatchPlan::kWait;
+    m_node->watch(
+            m_controls[ask.control], std::move(request), WatchPlan::kTimeout,
+            [this, question = ask.question](auto reply) {
+                m_loop->post([this, question, reply = std::move(reply)] { take(question, reply); });
+            });
 }
 
-void RecordsWatcher::askAgain(base::Millis delay)
+void RecordsWatcher::take(std::int64_t question,
+                          const tl::expected<peers::WatchReply, peers::PeerError> &reply)
 {
-    m_loop->after(delay, [this] { ask(); });
+    WatchPlan::Result result = WatchPlan::Result::Failed;
+    if (reply)
+        result = reply->isConfirmed ? WatchPlan::Result::Confirmed : WatchPlan::Result::Unconfirmed;
+    m_plan.answered(question, result, base::monotonicNow());
+    if (reply && reply->hasChanged && m_position < reply->position)
+        apply(*reply);
+    step();
 }
 
-void RecordsWatcher::take(const tl::expected<peers::WatchReply, peers::PeerError> &reply)
+void RecordsWatcher::apply(const peers::WatchReply &reply)
 {
-    m_isConfirmed = reply && reply->isConfirmed;
-    if (!m_isConfirmed)
-        m_next = (m_next + 1) % m_controls.size();
-    if (!reply || !reply->hasChanged || reply->position <= m_position) {
-        askAgain(m_isConfirmed ? base::Millis(0) : kRetryDelay);
-        return;
-    }
     std::vector<records::Record> records;
-    for (const std::string &json : reply->records) {
+    for (const std::string &json : reply.records) {
         if (auto record = records::recordFromJson(json))
             records.push_back(*std::move(record));
     }
-    m_position = reply->position;
+    m_position = reply.position;
     m_catalogue = records::Catalogue::build(records, m_catalogue.get());
     base::logEvent("records_applied", {{"term", m_position.term},
                                        {"index", m_position.index},
                                        {"records", records.size()},
                                        {"unreadable", m_catalogue->unreadable().size()}});
     m_onChange(m_catalogue);
-    askAgain(base::Millis(0));
+}
+
+std::string RecordsWatcher::staleNote(base::TimePoint now) const
+{
+    if (!m_plan.isStale(now))
+        return {};
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(m_plan.age(now));
+    return "records stale for " + std::to_string(seconds.count())
+           + " s: " + std::string(m_plan.reason()) + "\n";
 }
 
 } // namespace hyssop::entry
--- a/programs/hyssop-entry/RecordsWatcher.h
+++ b/programs/hyssop-entry/RecordsWatcher.h
@@ -3,6 +3,7 @@
 #include "http/Http.h"
 #include "peers/Peers.h"
 #include "records/Records.h"
+#include "WatchPlan.h"
 
 #include <functional>
 #include <memory>
@@ -12,7 +13,8 @@
 
 /// Follows the records on the control hosts and never goes back to lower ones.
 ///
-/// Lives on the entry task's loop; answers come over from the peers' thread by post().
+/// Which control host is asked when is decided by WatchPlan. Lives on the entry task's loop;
+/// answers come over from the peers' thread by post().
 class RecordsWatcher
 {
 public:
@@ -26,12 +28,18 @@
 
     peers::WirePosition position() const { return m_position; }
     /// Whether the last answer came from a control host that had confirmed its records.
-    bool isConfirmed() const { return m_isConfirmed; }
+    bool isConfirmed() const { return m_plan.isConfirmed(); }
+    /// Time since the records were last known to be the latest.
+    base::Millis age(base::TimePoint now) const { return m_plan.age(now); }
+    /// "records stale for N s: REASON", or empty while they are not.
+    std::string staleNote(base::TimePoint now) const;
 
 private:
-    void ask();
-    void take(const tl::expected<peers::WatchReply, peers::PeerError> &reply);
-    void askAgain(base::Millis delay);
+    void step();
+    void ask(const WatchPlan::Ask &ask);
+    void take(std::int64_t question,
+              const tl::expected<peers::WatchReply, peers::PeerError> &reply);
+    void apply(const peers::WatchReply &reply);
 
     http::Loop *m_loop;
     base::HostId m_host;
@@ -39,9 +47,9 @@
     std::vector<base::Endpoint> m_controls;
     OnChange m_onChange;
     peers::Node *m_node = nullptr;
-    std::size_t m_next = 0;
+    WatchPlan m_plan;
+    std::optional<http::TimerId> m_timer;
     peers::WirePosition m_position;
-    bool m_isConfirmed = false;
     std::shared_ptr<const records::Catalogue> m_catalogue;
 };
 
