A call that may not be repeated and has no claim is not sent again once a byte has left

Cause: the decision to retry took an upstream's "refused" as proof for every call, so that a booking without a key was sent a second time on the word of the first upstream.

Change: such a call is retried only after a connection that was never made. A call under a claim, and one that may be repeated, are retried as before. The caller of the refused one is told "not run" and when to come back, which is the upstream's own retry-after.

--- a/libs/routing/include/routing/Routing.h
+++ b/libs/routing/include/routing/Routing.h
@@ -46,6 +46,8 @@
     base::Bytes body; ///< Memory that the request holds while it is open.
     base::TimePoint deadline;
     bool mayRepeat = true;
+    /// Claimed under the caller's key, so that a call which did not run may be sent again.
+    bool hasClaim = false;
 };
 
 /// Why a request was refused or ended without a whole answer.
--- a/libs/routing/src/RouterAttempts.cpp
+++ b/libs/routing/src/RouterAttempts.cpp
@@ -104,14 +104,27 @@
     }
     request.avoided = request.holds.front().upstream;
     release(request, now);
-    const bool mayRetry = (isClean || request.info.mayRepeat) && request.delivered == 0;
     if (isOutOfTime)
         end(request, Reason::OutOfTime, base::Millis(0), now);
-    else if (mayRetry)
+    else if (mayRetry(request, fault, isClean))
         retryLater(request, fault, retryAfter, now);
     else
         end(request, request.delivered > 0 ? Reason::StreamBroken : Reason::UpstreamFailed,
-            request.info.mayRepeat ? Admission::kShortestRetry : base::Millis(0), now);
+            request.info.mayRepeat || !request.mayHaveRun
+                    ? boundedRetry(std::chrono::duration_cast<base::Micros>(retryAfter))
+                    : base::Millis(0),
+            now);
+}
+
+bool Router::Impl::mayRetry(const ActiveRequest &request, AttemptFault fault, bool isClean)
+{
+    if (request.delivered > 0)
+        return false;
+    if (request.info.mayRepeat)
+        return true;
+    // Without a claim nothing but the upstream's word would stand between the call and a second
+    // run.
+    return isClean && (request.info.hasClaim || fault == AttemptFault::ConnectFailed);
 }
 
 void Router::Impl::noteHealth(ActiveRequest &request, AttemptFault fault, base::TimePoint now)
--- a/libs/routing/src/RouterImpl.h
+++ b/libs/routing/src/RouterImpl.h
@@ -96,6 +96,8 @@
                  base::TimePoint now);
     void noteHealth(ActiveRequest &request, AttemptFault fault, base::TimePoint now);
     bool canResume(const ActiveRequest &request, AttemptFault fault) const;
+    /// \a isClean: the fault proves that the attempt did not run.
+    static bool mayRetry(const ActiveRequest &request, AttemptFault fault, bool isClean);
     void resumeLater(ActiveRequest &request, AttemptFault fault, base::TimePoint now);
     void retryLater(ActiveRequest &request, AttemptFault fault, base::Millis retryAfter,
                     base::TimePoint now);
--- a/libs/routing/tests/AttemptTest.cpp
+++ b/libs/routing/tests/AttemptTest.cpp
@@ -85,6 +85,40 @@
     CHECK_FALSE(again[0].resumesStream);
 }
 
+TEST_CASE("a call without a claim that may not be repeated is not sent again once a byte has left")
+{
+    const auto fault = GENERATE(AttemptFault::Refused, AttemptFault::Timeout,
+                                AttemptFault::ClosedEarly, AttemptFault::UpstreamError);
+    Rig rig;
+    rig.addEngine("e1");
+    rig.addEngine("e2");
+    RequestInfo request = rig.request("r", 100);
+    request.mayRepeat = false;
+    const auto first = only<StartAttempt>(rig.arrive(request)).at(0);
+    const Actions failed = rig.router.handle(AttemptFailed{first.attempt, fault, 300ms}, rig.now);
+    const auto ends = only<EndRequest>(failed);
+    REQUIRE(ends.size() == 1);
+    const bool isRefused = fault == AttemptFault::Refused;
+    CHECK(ends[0].outcome == (isRefused ? Outcome::NotRun : Outcome::Failed));
+    CHECK(ends[0].retryAfter == (isRefused ? 300ms : 0ms));
+    CHECK(only<StartAttempt>(rig.runTo(kStart + 61s)).empty());
+}
+
+TEST_CASE("a call that may not be repeated is sent again when no byte left or its claim covers it")
+{
+    const bool hasClaim = GENERATE(false, true);
+    Rig rig;
+    rig.addEngine("e1");
+    rig.addEngine("e2");
+    RequestInfo request = rig.request("r", 100);
+    request.mayRepeat = false;
+    request.hasClaim = hasClaim;
+    const auto first = only<StartAttempt>(rig.arrive(request)).at(0);
+    const AttemptFault fault = hasClaim ? AttemptFault::Refused : AttemptFault::ConnectFailed;
+    rig.router.handle(AttemptFailed{first.attempt, fault, {}}, rig.now);
+    CHECK(only<StartAttempt>(rig.runTo(kStart + 1s)).size() == 1);
+}
+
 TEST_CASE("a stalled stream is cancelled and counted")
 {
     Rig rig;
--- a/libs/routing/tests/PropertyTest.cpp
+++ b/libs/routing/tests/PropertyTest.cpp
@@ -66,7 +66,9 @@
     {
         base::TimePoint deadline;
         bool mayRepeat = true;
+        bool hasClaim = false;
         int mayHaveRun = 0; ///< Attempts that are under way or may have run.
+        bool hasSent = false; ///< An attempt was sent and refused.
     };
 
     /// Checks what each tick brings at the time it is due.
@@ -87,9 +89,10 @@
                               static_cast<records::Urgency>(draw / 6 % records::kUrgencies));
         request.team = base::TeamId(draw / 18 % 2 ? "shop" : "desk");
         request.mayRepeat = draw / 36 % 2;
+        request.hasClaim = !request.mayRepeat && draw / 5 % 2;
         request.body = base::Bytes(1'000);
         request.deadline = m_rig.now + base::Millis(1 + draw / 72 % (kLongest / 1ms));
-        m_open[request.id] = {request.deadline, request.mayRepeat};
+        m_open[request.id] = {request.deadline, request.mayRepeat, request.hasClaim};
         check(m_rig.arrive(request));
     }
 
@@ -118,8 +121,10 @@
         // What comes of a cancelled attempt is no longer listened to, so it proves nothing.
         const bool isProof =
                 provesNotRun(fault) && !m_accepted.contains(id) && !m_cancelled.contains(id);
-        if (open != m_open.end() && isProof && m_notRun.insert(id).second)
+        if (open != m_open.end() && isProof && m_notRun.insert(id).second) {
             --open->second.mayHaveRun;
+            open->second.hasSent |= fault == AttemptFault::Refused;
+        }
         feed(AttemptFailed{id, fault, base::Millis(0)});
     }
 
@@ -162,6 +167,7 @@
             return;
         }
         RC_ASSERT(open.mayRepeat || open.mayHaveRun == 0);
+        RC_ASSERT(open.mayRepeat || open.hasClaim || !open.hasSent);
         RC_ASSERT(!m_delivering.contains(it.request));
         ++open.mayHaveRun;
         m_attempts[it.attempt] = it.request;
--- a/programs/hyssop-entry/ClaimRunner.cpp
+++ b/programs/hyssop-entry/ClaimRunner.cpp
@@ -66,6 +66,7 @@
     ClaimFlow flow({std::move(claim), request.info.deadline});
     Open open{std::nullopt, std::move(request.answer), std::move(flow), std::nullopt, 0};
     request.answer = std::make_unique<ClaimedAnswer>(this, id);
+    request.info.hasClaim = true;
     open.request = std::move(request);
     const auto [it, isNew] = m_open.emplace(id, std::move(open));
     assert(isNew && "a request is claimed once");
