A caller that does not read its answer is counted once

Cause: every batch of tokens beyond the bound counted and logged the same caller again until the given-up request ended on the loop's next turn: 5 counts for one caller. Change: the open request remembers that it is being cut off. A test with real processes: a caller that never reads 300,000 tokens is cut off, the engine's memory returns to its floor, others are served.

--- a/integration/BadInputTest.cpp
+++ b/integration/BadInputTest.cpp
@@ -160,3 +160,26 @@
     CHECK(metric(system, entry, "hyssop_refusals_total", "\"caller_gone\"") == 1);
     checkServes(system);
 }
+
+TEST_CASE(
+        "a caller that does not read its answer is cut off in bounded memory and harms nobody else")
+{
+    Plan plan = smallPlan();
+    plan.entryFlags.insert(plan.entryFlags.end(), {"--max-unsent-bytes", "1048576"});
+    plan.engineFlags = {"--speed", "200", "--step-ms", "1"};
+    System system(plan);
+    bringUp(system);
+    const Host &entry = system.host("entry-1-1");
+    const Host &engine = system.host("engine-1-1");
+    // Far more than the buffers of both ends of a connection hold.
+    const std::string body = R"({"model":"chat","prompt":"x","stream":true,"max_tokens":300000})";
+    RawConnection caller(entry.callers);
+    caller.send("POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Team: office-1\r\nContent-Length: "
+                + std::to_string(body.size()) + "\r\n\r\n" + body);
+    CHECK(eventually(base::Millis(20'000),
+                     [&] { return metric(system, entry, "hyssop_slow_callers_total") == 1; }));
+    CHECK(eventually(base::Millis(10'000),
+                     [&] { return metric(system, entry, "hyssop_active_requests") == 0; }));
+    CHECK(returnsToFloor(system, engine, base::Millis(20'000)));
+    checkServes(system);
+}
--- a/programs/hyssop-entry/ActionRunner.cpp
+++ b/programs/hyssop-entry/ActionRunner.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace hyssop::entry {
 
@@ -261,8 +262,10 @@
         cutOffSlowCaller(request);
 }
 
-void ActionRunner::cutOffSlowCaller(const OpenRequest &request)
+void ActionRunner::cutOffSlowCaller(OpenRequest &request)
 {
+    if (std::exchange(request.isCutOff, true))
+        return;
     m_metrics->count("hyssop_slow_callers_total");
     base::logEvent("slow_caller", {{"team", request.info.team}});
     // Later, for the router's actions are still being carried out.
--- a/programs/hyssop-entry/ActionRunner.h
+++ b/programs/hyssop-entry/ActionRunner.h
@@ -50,7 +50,7 @@
     void reserveGang(const routing::StartAttempt &action);
     void onGangReserved(const routing::StartAttempt &action, bool isHeld);
     void releaseGang(const base::AttemptId &id);
-    void cutOffSlowCaller(const OpenRequest &request);
+    void cutOffSlowCaller(OpenRequest &request);
     void scheduleTick();
 
     void onAccepted(const base::AttemptId &id) override;
--- a/programs/hyssop-entry/OpenRequests.h
+++ b/programs/hyssop-entry/OpenRequests.h
@@ -17,6 +17,7 @@
     base::TimePoint arrived;
     base::TimePoint lastToken;
     bool hasFirstToken = false;
+    bool isCutOff = false; ///< Its caller does not read; to be given up.
 };
 
 /// An attempt from its start until it has ended or was cancelled.
