Each peer's library and each program has an error type of its own for a failed start

Cause: the libraries for callers, upstreams, platform and operators handed the HTTP library's error on, and the programs passed bare strings. Change: ListenError in each of the four, StartError in the two programs; each turns the error from below and names whose address it was.

--- a/libs/caller/include/caller/Caller.h
+++ b/libs/caller/include/caller/Caller.h
@@ -105,14 +105,20 @@
     virtual void onBadInput(std::string_view code) = 0;
 };
 
+/// Why the address for callers could not be served.
+struct ListenError
+{
+    std::string message;
+};
+
 class Server final : public http::ServerHandler
 {
 public:
     Server(http::Loop *loop, Listener *listener, base::HostId host, base::Incarnation incarnation);
 
-    tl::expected<base::Endpoint, http::LoopError> listen(const base::Endpoint &address,
-                                                         std::size_t maxBodyBytes,
-                                                         base::Millis bodyTimeout);
+    tl::expected<base::Endpoint, ListenError> listen(const base::Endpoint &address,
+                                                     std::size_t maxBodyBytes,
+                                                     base::Millis bodyTimeout);
 
     /// Adds tokens to the answer of a completion; streamed at once where the caller asked for it.
     void addTokens(http::ExchangeId id, const std::vector<std::string> &tokens);
--- a/libs/caller/src/Server.cpp
+++ b/libs/caller/src/Server.cpp
@@ -20,16 +20,18 @@
     , m_idPrefix("req-" + host.text() + "-" + std::to_string(incarnation.count()) + "-")
 { }
 
-tl::expected<base::Endpoint, http::LoopError> Server::listen(const base::Endpoint &address,
-                                                             std::size_t maxBodyBytes,
-                                                             base::Millis bodyTimeout)
+tl::expected<base::Endpoint, ListenError> Server::listen(const base::Endpoint &address,
+                                                         std::size_t maxBodyBytes,
+                                                         base::Millis bodyTimeout)
 {
     http::ServerOptions options;
     options.listen = address;
     options.headers = callHeaders();
     options.maxBodyBytes = maxBodyBytes;
     options.bodyTimeout = bodyTimeout;
-    return m_loop->listen(std::move(options), this);
+    return m_loop->listen(std::move(options), this).map_error([](const http::LoopError &cause) {
+        return ListenError{"callers: " + cause.message};
+    });
 }
 
 void Server::onRequest(http::ExchangeId id, http::Request request)
--- a/libs/operators/include/operators/Operators.h
+++ b/libs/operators/include/operators/Operators.h
@@ -101,13 +101,19 @@
     virtual void onStatus(Answer<StatusReply> answer) = 0;
 };
 
+/// Why the address for operators could not be served.
+struct ListenError
+{
+    std::string message;
+};
+
 class Server final : public http::ServerHandler
 {
 public:
     /// An empty \a token leaves the interface open to all who can reach it.
     Server(http::Loop *loop, Listener *listener, std::string token);
 
-    tl::expected<base::Endpoint, http::LoopError> listen(const base::Endpoint &address);
+    tl::expected<base::Endpoint, ListenError> listen(const base::Endpoint &address);
 
 private:
     void onRequest(http::ExchangeId id, http::Request request) override;
--- a/libs/operators/src/Server.cpp
+++ b/libs/operators/src/Server.cpp
@@ -59,13 +59,15 @@
     , m_token(std::move(token))
 { }
 
-tl::expected<base::Endpoint, http::LoopError> Server::listen(const base::Endpoint &address)
+tl::expected<base::Endpoint, ListenError> Server::listen(const base::Endpoint &address)
 {
     http::ServerOptions options;
     options.listen = address;
     options.headers = {"x-change-id"};
     options.maxBodyBytes = kMaxRecordBytes;
-    return m_loop->listen(std::move(options), this);
+    return m_loop->listen(std::move(options), this).map_error([](const http::LoopError &cause) {
+        return ListenError{"operators: " + cause.message};
+    });
 }
 
 void Server::onRequest(http::ExchangeId id, http::Request request)
--- a/libs/platform/include/platform/Platform.h
+++ b/libs/platform/include/platform/Platform.h
@@ -34,6 +34,12 @@
     std::unique_ptr<Impl> m_impl;
 };
 
+/// Why the address for the platform could not be served.
+struct ListenError
+{
+    std::string message;
+};
+
 /// Serves /ready, /live and /metrics.
 class Server final : public http::ServerHandler
 {
@@ -41,7 +47,7 @@
     /// \a refresh brings gauges up to date before each reading of the metrics.
     Server(http::Loop *loop, Metrics *metrics, std::function<void()> refresh = {});
 
-    tl::expected<base::Endpoint, http::LoopError> listen(const base::Endpoint &address);
+    tl::expected<base::Endpoint, ListenError> listen(const base::Endpoint &address);
     /// Not ready: the balancer is to send no new work.
     void setReady(bool isReady) { m_isReady = isReady; }
     bool isReady() const { return m_isReady; }
--- a/libs/platform/src/Server.cpp
+++ b/libs/platform/src/Server.cpp
@@ -8,12 +8,14 @@
     , m_refresh(std::move(refresh))
 { }
 
-tl::expected<base::Endpoint, http::LoopError> Server::listen(const base::Endpoint &address)
+tl::expected<base::Endpoint, ListenError> Server::listen(const base::Endpoint &address)
 {
     http::ServerOptions options;
     options.listen = address;
     options.maxBodyBytes = 0;
-    return m_loop->listen(std::move(options), this);
+    return m_loop->listen(std::move(options), this).map_error([](const http::LoopError &cause) {
+        return ListenError{"the platform: " + cause.message};
+    });
 }
 
 void Server::onRequest(http::ExchangeId id, http::Request request)
--- a/libs/upstream/include/upstream/Upstream.h
+++ b/libs/upstream/include/upstream/Upstream.h
@@ -370,6 +370,12 @@
     std::map<base::AttemptId, http::CallId> m_ids;
 };
 
+/// Why the address for announcements could not be served.
+struct ListenError
+{
+    std::string message;
+};
+
 /// Takes announcements of upstreams over HTTP.
 class AnnouncementServer final : public http::ServerHandler
 {
@@ -377,7 +383,7 @@
     using Receiver = std::function<void(const membership::Announcement &)>;
     AnnouncementServer(http::Loop *loop, Receiver receiver);
 
-    tl::expected<base::Endpoint, http::LoopError> listen(const base::Endpoint &address);
+    tl::expected<base::Endpoint, ListenError> listen(const base::Endpoint &address);
     std::int64_t malformed() const { return m_malformed; }
 
 private:
--- a/libs/upstream/src/AnnouncementServer.cpp
+++ b/libs/upstream/src/AnnouncementServer.cpp
@@ -25,14 +25,15 @@
     , m_receiver(std::move(receiver))
 { }
 
-tl::expected<base::Endpoint, http::LoopError> AnnouncementServer::listen(
-        const base::Endpoint &address)
+tl::expected<base::Endpoint, ListenError> AnnouncementServer::listen(const base::Endpoint &address)
 {
     http::ServerOptions options;
     options.listen = address;
     options.maxBodyBytes = kMaxAnnouncementBytes;
     options.bodyTimeout = base::Millis(5'000);
-    return m_loop->listen(std::move(options), this);
+    return m_loop->listen(std::move(options), this).map_error([](const http::LoopError &cause) {
+        return ListenError{"announcements: " + cause.message};
+    });
 }
 
 void AnnouncementServer::onRequest(http::ExchangeId id, http::Request request)
--- a/programs/hyssop-control/ControlTask.cpp
+++ b/programs/hyssop-control/ControlTask.cpp
@@ -30,12 +30,12 @@
     m_peers.reset();
 }
 
-tl::expected<std::unique_ptr<ControlTask>, std::string> ControlTask::start(ControlOptions options)
+tl::expected<std::unique_ptr<ControlTask>, StartError> ControlTask::start(ControlOptions options)
 {
     std::unique_ptr<ControlTask> task(new ControlTask(std::move(options)));
     auto loop = http::Loop::create();
     if (!loop)
-        return tl::unexpected(loop.error().message);
+        return tl::unexpected(StartError{loop.error().message});
     task->m_loop = *std::move(loop);
     if (const auto opened = task->open(); !opened)
         return tl::unexpected(opened.error());
@@ -49,8 +49,8 @@
     return m_groups.contains(kGlobal);
 }
 
-tl::expected<void, std::string> ControlTask::openGroup(const std::string &name,
-                                                       std::vector<HostAddress> hosts)
+tl::expected<void, StartError> ControlTask::openGroup(const std::string &name,
+                                                      std::vector<HostAddress> hosts)
 {
     GroupOptions options;
     options.group = replog::GroupId(name);
@@ -65,12 +65,12 @@
     };
     auto group = GroupHost::open(std::move(options), send, base::monotonicNow());
     if (!group)
-        return tl::unexpected(name + ": " + group.error().message);
+        return tl::unexpected(StartError{name + ": " + group.error().message});
     m_groups.emplace(name, *std::move(group));
     return {};
 }
 
-tl::expected<void, std::string> ControlTask::open()
+tl::expected<void, StartError> ControlTask::open()
 {
     const auto isSelf = [this](const HostAddress &it) { return it.host == m_options.host; };
     const auto &voters = m_options.globalVoters;
@@ -85,20 +85,20 @@
     return openGroup(homeGroup(m_options.dataCentre), home);
 }
 
-tl::expected<void, std::string> ControlTask::listen()
+tl::expected<void, StartError> ControlTask::listen()
 {
     m_operators = std::make_unique<operators::Server>(m_loop.get(), this, m_options.operatorToken);
     const auto operatorsAt = m_operators->listen(m_options.listenOperators);
     if (!operatorsAt)
-        return tl::unexpected(operatorsAt.error().message);
+        return tl::unexpected(StartError{operatorsAt.error().message});
     m_platform = std::make_unique<platform::Server>(m_loop.get(), &m_metrics);
     const auto platformAt = m_platform->listen(m_options.listenPlatform);
     if (!platformAt)
-        return tl::unexpected(platformAt.error().message);
+        return tl::unexpected(StartError{platformAt.error().message});
     auto peers = peers::Node::start(m_options.listenPeers, this);
     if (!peers)
-        return tl::unexpected("cannot listen on " + m_options.listenPeers.text() + ": "
-                              + peers.error().message);
+        return tl::unexpected(StartError{"cannot listen on " + m_options.listenPeers.text() + ": "
+                                         + peers.error().message});
     m_peers = *std::move(peers);
     m_router->start(m_peers.get());
     base::logEvent("listening", {{"operators", operatorsAt->text()},
--- a/programs/hyssop-control/ControlTask.h
+++ b/programs/hyssop-control/ControlTask.h
@@ -28,11 +28,17 @@
     std::string operatorToken;
 };
 
+/// Why the process cannot start.
+struct StartError
+{
+    std::string message;
+};
+
 /// Owns the groups of a control host, the operators' interface and the watches of entry hosts.
 class ControlTask final : public operators::Listener, public peers::Service
 {
 public:
-    static tl::expected<std::unique_ptr<ControlTask>, std::string> start(ControlOptions options);
+    static tl::expected<std::unique_ptr<ControlTask>, StartError> start(ControlOptions options);
     ~ControlTask() override;
 
     /// Serves until stop().
@@ -57,10 +63,10 @@
     };
 
     explicit ControlTask(ControlOptions options);
-    tl::expected<void, std::string> open();
-    tl::expected<void, std::string> openGroup(const std::string &name,
-                                              std::vector<HostAddress> hosts);
-    tl::expected<void, std::string> listen();
+    tl::expected<void, StartError> open();
+    tl::expected<void, StartError> openGroup(const std::string &name,
+                                             std::vector<HostAddress> hosts);
+    tl::expected<void, StartError> listen();
     void pump();
     void pumpGroups(base::TimePoint now);
     void schedulePump();
--- a/programs/hyssop-control/main.cpp
+++ b/programs/hyssop-control/main.cpp
@@ -105,7 +105,7 @@
     }
     auto task = control::ControlTask::start(std::move(options));
     if (!task) {
-        base::logEvent("start_failed", {{"message", task.error()}});
+        base::logEvent("start_failed", {{"message", task.error().message}});
         return 1;
     }
     std::thread thread([&task] { (*task)->run(); });
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -40,12 +40,12 @@
     m_peers.reset();
 }
 
-tl::expected<std::unique_ptr<EntryTask>, std::string> EntryTask::start(EntryOptions options)
+tl::expected<std::unique_ptr<EntryTask>, StartError> EntryTask::start(EntryOptions options)
 {
     std::unique_ptr<EntryTask> task(new EntryTask(std::move(options)));
     auto loop = http::Loop::create();
     if (!loop)
-        return tl::unexpected(loop.error().message);
+        return tl::unexpected(StartError{loop.error().message});
     task->m_loop = *std::move(loop);
     task->setUp();
     if (const auto listening = task->listen(); !listening)
@@ -96,22 +96,22 @@
     m_platform->setReady(!m_isStopping);
 }
 
-tl::expected<void, std::string> EntryTask::listen()
+tl::expected<void, StartError> EntryTask::listen()
 {
     const auto callers = m_callers->listen(m_options.listenCallers, m_options.maxBodyBytes,
                                            m_options.bodyTimeout);
     if (!callers)
-        return tl::unexpected(callers.error().message);
+        return tl::unexpected(StartError{callers.error().message});
     const auto upstreams = m_announcements->listen(m_options.listenUpstreams);
     if (!upstreams)
-        return tl::unexpected(upstreams.error().message);
+        return tl::unexpected(StartError{upstreams.error().message});
     const auto platform = m_platform->listen(m_options.listenPlatform);
     if (!platform)
-        return tl::unexpected(platform.error().message);
+        return tl::unexpected(StartError{platform.error().message});
     auto node = peers::Node::start(m_options.listenPeers, this);
     if (!node)
-        return tl::unexpected("cannot listen on " + m_options.listenPeers.text() + ": "
-                              + node.error().message);
+        return tl::unexpected(StartError{"cannot listen on " + m_options.listenPeers.text() + ": "
+                                         + node.error().message});
     m_peers = *std::move(node);
     m_gossiper = makeGossiper();
     m_reclaimer = std::make_unique<Reclaimer>(m_loop.get(), &m_metrics, m_gossiper.get(),
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -18,12 +18,18 @@
 
 namespace hyssop::entry {
 
+/// Why the process cannot start.
+struct StartError
+{
+    std::string message;
+};
+
 /// Joins the peers of an entry host with the router: what comes in becomes requests and events.
 /// Everything runs on its loop.
 class EntryTask final : public caller::Listener, public peers::Service
 {
 public:
-    static tl::expected<std::unique_ptr<EntryTask>, std::string> start(EntryOptions options);
+    static tl::expected<std::unique_ptr<EntryTask>, StartError> start(EntryOptions options);
     ~EntryTask() override;
 
     /// Serves until a stop has let the requests in flight end.
@@ -34,7 +40,7 @@
 private:
     explicit EntryTask(EntryOptions options);
     void setUp();
-    tl::expected<void, std::string> listen();
+    tl::expected<void, StartError> listen();
     void takeCatalogue(std::shared_ptr<const records::Catalogue> catalogue);
 
     // Calls.
--- a/programs/hyssop-entry/main.cpp
+++ b/programs/hyssop-entry/main.cpp
@@ -88,7 +88,7 @@
     platform::blockStopSignals();
     auto task = entry::EntryTask::start(optionsFrom(*settings));
     if (!task) {
-        base::logEvent("start_failed", {{"message", task.error()}});
+        base::logEvent("start_failed", {{"message", task.error().message}});
         return 1;
     }
     std::thread thread([&task] { (*task)->run(); });
