--- a/programs/hyssop-entry/ActionRunner.h
+++ b/programs/hyssop-entry/ActionRunner.h
@@ -49,7 +49,7 @@
     void onGangReserved(const routing::StartAttempt &action, bool isHeld);
     void onGangLost(const base::AttemptId &id);
     void releaseGang(const base::AttemptId &id);
-    void cutOffSlowCaller(const OpenRequest &request);
+    void cutOffSlowCaller(OpenRequest &request);
     void scheduleTick();
 
     void onAccepted(const base::AttemptId &id) override;
