A claim is refused at once where the control host hears no quorum

Cause: a control host that had lost the quorum still waited for a leader, just as long as the entry host waited for one try, so claims ended without a certain answer and were sent three times: up to 4.7 s until the refusal. Change: a control host notes when it last heard each replica of a group and answers "no quorum" when fewer than a majority of the voters were heard within 2 s. The entry host takes that as final. Outcomes are still sent for recording for ten minutes: the number of tries follows the shorter failures. Conclusion: a caller in a cut-off data centre may go elsewhere at once. Where no control host of a data centre is a voter of the global group, the first tries still wait for their time limits.

--- a/integration/PartitionTest.cpp
+++ b/integration/PartitionTest.cpp
@@ -20,6 +20,12 @@
     return plan;
 }
 
+/// Claims of an entry host that ended so.
+double claimsOf(System &system, const Host &entry, const std::string &result)
+{
+    return metric(system, entry, "hyssop_claims_total", "result=\"" + result + "\"");
+}
+
 std::int64_t runsEverywhere(System &system, const std::string &key)
 {
     std::int64_t runs = 0;
@@ -138,3 +144,33 @@
     CHECK(runsEverywhere(system, before + "order-2") == 0);
     CHECK(runsEverywhere(system, after + "order-2") == 1);
 }
+
+TEST_CASE("a data centre cut off refuses an opaque key after one question to its control host")
+{
+    System system(threeCentres(true));
+    bringUp(system);
+    Host &entry = *system.hosts(Role::Entry, "floro-sal").front();
+    system.cutOff("floro-sal");
+    int calls = 0;
+    REQUIRE(eventually(kInForceLimit, [&] {
+        CHECK(startBooking(system, entry, "cut-" + std::to_string(++calls)).wait().status == 503);
+        return metric(system, entry, "hyssop_control_tries_failed_total", "no_quorum") > 0;
+    }));
+    constexpr int kRefused = 5;
+    const double refusedBefore = claimsOf(system, entry, "not_recorded");
+    const double unsureBefore = claimsOf(system, entry, "may_be_recorded");
+    for (int i = 0; i < kRefused; ++i) {
+        const Answer refused = startBooking(system, entry, "late-" + std::to_string(i)).wait();
+        const auto error = refused.json()["error"];
+        CHECK(error.value("code", "") == "claims_unreachable");
+        CHECK(error.value("outcome", "") == "not_run");
+        CHECK(error.value("retry_after_ms", 0) > 0);
+    }
+    // One claim each, with a certain answer: none was waited for or sent again.
+    CHECK(claimsOf(system, entry, "not_recorded") == refusedBefore + kRefused);
+    CHECK(claimsOf(system, entry, "may_be_recorded") == unsureBefore);
+    system.faults().healAll();
+    CHECK(eventually(kInForceLimit,
+                     [&] { return startBooking(system, entry, "late-0").wait().status == 200; }));
+    CHECK(runsEverywhere(system, "late-0") == 1);
+}
--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -50,6 +50,8 @@
     NotLeader, ///< Nothing was recorded.
     Unavailable, ///< Nothing was recorded.
     Unknown, ///< The command may yet be committed.
+    NoQuorum, ///< Nothing was recorded, and nothing can be while the group's voters are out of
+              ///< reach.
 };
 
 struct ExecuteReply
--- a/libs/peers/schema/peer.capnp
+++ b/libs/peers/schema/peer.capnp
@@ -24,6 +24,7 @@
   notLeader @1;     # Nothing was recorded; leader may name the one to ask.
   unavailable @2;   # Nothing was recorded.
   unknown @3;       # The command may yet be committed.
+  noQuorum @4;      # Nothing was recorded; too few voters of the group are in reach.
 }
 
 interface Peer {
--- a/programs/hyssop-control/CommandRouter.cpp
+++ b/programs/hyssop-control/CommandRouter.cpp
@@ -72,6 +72,9 @@
         const std::string marked = std::string(kForwardedPrefix) + pending.group;
         return forward(*address, marked, std::move(pending));
     }
+    // Waiting for a leader would be in vain, and the caller may go elsewhere at once.
+    if (!group.isQuorumInReach(now))
+        return pending.done({peers::ExecuteStatus::NoQuorum, "", ""});
     wait(std::move(pending), now);
 }
 
--- a/programs/hyssop-control/GroupHost.cpp
+++ b/programs/hyssop-control/GroupHost.cpp
@@ -19,10 +19,10 @@
 
 } // namespace
 
-GroupHost::GroupHost(GroupOptions options, replog::ReplicaId self, Send send)
+GroupHost::GroupHost(GroupOptions options, replog::ReplicaId self, Send send, base::TimePoint now)
     : m_options(std::move(options))
     , m_self(std::move(self))
-    , m_members(m_options.host, m_options.firstHosts)
+    , m_members(m_options.host, m_options.firstHosts, now)
     , m_storage(replog::fileStorage(m_options.folder))
     , m_send(std::move(send))
     , m_rng(m_options.seed)
@@ -36,7 +36,7 @@
     if (!self)
         return tl::unexpected(self.error());
     std::unique_ptr<GroupHost> host(
-            new GroupHost(std::move(options), *std::move(self), std::move(send)));
+            new GroupHost(std::move(options), *std::move(self), std::move(send), now));
     replog::ReplicaOptions replica;
     replica.group = host->m_options.group;
     replica.self = host->m_self;
@@ -68,15 +68,25 @@
     return m_members.addressOf(replog::hostOf(leader));
 }
 
+bool GroupHost::isQuorumInReach(base::TimePoint now) const
+{
+    return m_replica->hasHeardLeader(now)
+           || m_members.isQuorumInReach(m_self, m_replica->configuration(), now);
+}
+
 void GroupHost::receive(std::string_view body, base::TimePoint now)
 {
     const auto envelope = decodeEnvelope(body);
     if (!envelope)
         return;
-    if (const auto *hello = std::get_if<Hello>(&*envelope))
+    if (const auto *hello = std::get_if<Hello>(&*envelope)) {
         m_members.onHello(*hello);
-    else
-        m_replica->receive(std::get<replog::Message>(*envelope), now);
+        m_members.onHeard(hello->id, now);
+        return;
+    }
+    const auto &message = std::get<replog::Message>(*envelope);
+    m_members.onHeard(message.from, now);
+    m_replica->receive(message, now);
 }
 
 void GroupHost::greet(base::TimePoint now)
--- a/programs/hyssop-control/GroupHost.h
+++ b/programs/hyssop-control/GroupHost.h
@@ -45,11 +45,13 @@
     const ledger::Ledger &ledger() const { return m_ledger; }
     const replog::Replica &replica() const { return *m_replica; }
     bool hasWaiting() const { return !m_waiting.empty(); }
+    /// Whether this host hears enough voters for the group to have a leader that takes commands.
+    bool isQuorumInReach(base::TimePoint now) const;
     /// Address of the leader, when it is another host and known.
     std::optional<base::Endpoint> leaderAddress() const;
 
 private:
-    GroupHost(GroupOptions options, replog::ReplicaId self, Send send);
+    GroupHost(GroupOptions options, replog::ReplicaId self, Send send, base::TimePoint now);
     void apply(const replog::Entry &entry, base::TimePoint now);
     void greet(base::TimePoint now);
     void foundWhenReady(base::TimePoint now);
--- a/programs/hyssop-control/Members.cpp
+++ b/programs/hyssop-control/Members.cpp
@@ -4,8 +4,16 @@
 
 namespace hyssop::control {
 
-Members::Members(base::HostId self, std::vector<HostAddress> hosts)
+namespace {
+
+/// A replica silent for this long is out of reach; greetings come four times as often.
+constexpr base::Millis kReachLimit{2'000};
+
+} // namespace
+
+Members::Members(base::HostId self, std::vector<HostAddress> hosts, base::TimePoint now)
     : m_self(std::move(self))
+    , m_since(now)
 {
     setHosts(std::move(hosts));
 }
@@ -36,6 +44,25 @@
     m_heard[replog::hostOf(hello.id)] = hello;
 }
 
+void Members::onHeard(const replog::ReplicaId &id, base::TimePoint now)
+{
+    m_heardAt[id] = now;
+}
+
+bool Members::isQuorumInReach(const replog::ReplicaId &self,
+                              const replog::Configuration &configuration, base::TimePoint now) const
+{
+    if (now < m_since + kReachLimit || configuration.voters.empty())
+        return true;
+    const auto isInReach = [&](const replog::ReplicaId &voter) {
+        const auto it = m_heardAt.find(voter);
+        return voter == self || (it != m_heardAt.end() && now < it->second + kReachLimit);
+    };
+    const auto &voters = configuration.voters;
+    const auto inReach = std::count_if(voters.begin(), voters.end(), isInReach);
+    return static_cast<std::size_t>(inReach) > voters.size() / 2;
+}
+
 std::optional<std::vector<replog::ReplicaId>> Members::foundingVoters(
         const replog::ReplicaId &self) const
 {
--- a/programs/hyssop-control/Members.h
+++ b/programs/hyssop-control/Members.h
@@ -19,7 +19,7 @@
 class Members
 {
 public:
-    Members(base::HostId self, std::vector<HostAddress> hosts);
+    Members(base::HostId self, std::vector<HostAddress> hosts, base::TimePoint now);
 
     /// Replaces the hosts that shall carry the group; those before stay reachable.
     void setHosts(std::vector<HostAddress> hosts);
@@ -30,6 +30,13 @@
     Hello helloTo(const base::HostId &host, const replog::ReplicaId &self, bool isBlank) const;
     void onHello(const Hello &hello);
 
+    /// Notes that a replica was heard, by a greeting or by a message of the log.
+    void onHeard(const replog::ReplicaId &id, base::TimePoint now);
+    /// Whether a majority of the voters, \a self among them, was heard lately. True within the
+    /// first moments too, when nobody can have been heard yet.
+    bool isQuorumInReach(const replog::ReplicaId &self, const replog::Configuration &configuration,
+                         base::TimePoint now) const;
+
     /// Voters of a new group, once every host has said to this very replica that it is blank. Only
     /// the first host founds.
     std::optional<std::vector<replog::ReplicaId>> foundingVoters(
@@ -44,6 +51,8 @@
     std::vector<HostAddress> m_hosts;
     std::map<base::HostId, base::Endpoint> m_addresses; ///< Of every host ever named.
     std::map<base::HostId, Hello> m_heard;
+    base::TimePoint m_since;
+    std::map<replog::ReplicaId, base::TimePoint> m_heardAt;
 };
 
 } // namespace hyssop::control
--- a/programs/hyssop-entry/ClaimRunner.cpp
+++ b/programs/hyssop-entry/ClaimRunner.cpp
@@ -8,8 +8,8 @@
 
 /// Wait before a release or an outcome that was not recorded is sent again.
 constexpr base::Millis kSettleDelay{1'000};
-/// With the limit of one command, outcomes are kept for recording for over ten minutes.
-constexpr int kMaxSettleTries = 120;
+/// A group out of reach refuses at once, so outcomes are kept for recording for ten minutes.
+constexpr int kMaxSettleTries = 600;
 
 } // namespace
 
--- a/programs/hyssop-entry/ControlClient.cpp
+++ b/programs/hyssop-entry/ControlClient.cpp
@@ -13,6 +13,8 @@
 
 TryFault faultOf(peers::ExecuteStatus status)
 {
+    if (status == peers::ExecuteStatus::NoQuorum)
+        return TryFault::NoQuorum;
     return status == peers::ExecuteStatus::Unknown ? TryFault::Lost : TryFault::Refused;
 }
 
@@ -89,7 +91,7 @@
     m_metrics->count("hyssop_control_tries_failed_total",
                      {{"reason", std::string(tryFaultName(fault))}});
     // A host that answers is not at fault when its group has no leader.
-    if (fault != TryFault::Refused)
+    if (fault != TryFault::Refused && fault != TryFault::NoQuorum)
         m_order.failed(control, base::monotonicNow());
 }
 
--- a/programs/hyssop-entry/ExecutePlan.cpp
+++ b/programs/hyssop-entry/ExecutePlan.cpp
@@ -31,6 +31,8 @@
     switch (fault) {
     case TryFault::Refused:
         return "refused";
+    case TryFault::NoQuorum:
+        return "no_quorum";
     case TryFault::NotSent:
         return "not_sent";
     case TryFault::Lost:
@@ -95,16 +97,21 @@
         if (!m_mayResend)
             return tl::unexpected(ExecuteFailure::MayBeRecorded);
     }
+    if (fault == TryFault::NoQuorum)
+        return tl::unexpected(failure());
     return next(now);
 }
 
-ExecutePlan::Step ExecutePlan::next(base::TimePoint now)
+ExecuteFailure ExecutePlan::failure() const
 {
     // A later refusal says nothing about an earlier try that was lost.
-    const auto failure = tl::unexpected(m_mayBeRecorded ? ExecuteFailure::MayBeRecorded
-                                                        : ExecuteFailure::NotRecorded);
+    return m_mayBeRecorded ? ExecuteFailure::MayBeRecorded : ExecuteFailure::NotRecorded;
+}
+
+ExecutePlan::Step ExecutePlan::next(base::TimePoint now)
+{
     if (m_order.empty() || m_tries >= kMaxRounds * m_order.size())
-        return failure;
+        return tl::unexpected(failure());
     const std::size_t round = m_tries / m_order.size();
     const std::size_t place = m_tries % m_order.size();
     Try step;
@@ -112,7 +119,7 @@
     step.delay = place == 0 && round > 0 ? backoff(round - 1) : base::Millis(0);
     const auto left = std::chrono::floor<base::Millis>(m_until - now) - step.delay;
     if (left <= base::Millis(0))
-        return failure;
+        return tl::unexpected(failure());
     step.timeout = std::min(m_tryTimeout, left);
     ++m_tries;
     return step;
--- a/programs/hyssop-entry/ExecutePlan.h
+++ b/programs/hyssop-entry/ExecutePlan.h
@@ -17,6 +17,7 @@
 /// How one try of a command at one control host ended without an answer.
 enum class TryFault {
     Refused, ///< The host answered that nothing was recorded.
+    NoQuorum, ///< The host answered that its group takes no commands now; no other is asked.
     NotSent, ///< No byte left.
     Lost, ///< It was sent, and no answer or no certain one came.
 };
@@ -63,6 +64,7 @@
 
 private:
     Step next(base::TimePoint now);
+    ExecuteFailure failure() const;
 
     bool m_mayResend;
     std::vector<std::size_t> m_order;
--- a/programs/hyssop-entry/tests/ExecutePlanTest.cpp
+++ b/programs/hyssop-entry/tests/ExecutePlanTest.cpp
@@ -40,6 +40,23 @@
     CHECK(again.failed(TryFault::Lost, kStart)->control == 1);
 }
 
+TEST_CASE(
+        "a group without a quorum ends the command at once, as not recorded unless a try was lost")
+{
+    ExecutePlan plan(true, {0, 1, 2}, kStart + Millis(5'000));
+    plan.first(kStart);
+    const auto ended = plan.failed(TryFault::NoQuorum, kStart);
+    REQUIRE_FALSE(ended);
+    CHECK(ended.error() == ExecuteFailure::NotRecorded);
+
+    ExecutePlan lost(true, {0, 1, 2}, kStart + Millis(5'000));
+    lost.first(kStart);
+    REQUIRE(lost.failed(TryFault::Lost, kStart));
+    const auto unsure = lost.failed(TryFault::NoQuorum, kStart);
+    REQUIRE_FALSE(unsure);
+    CHECK(unsure.error() == ExecuteFailure::MayBeRecorded);
+}
+
 TEST_CASE("refusals after a lost try do not make it unrecorded")
 {
     ExecutePlan plan(true, {0}, kStart + Millis(100));
