A command whose leader died is sent again until it is confirmed

Cause: the control host ended a command as unknown when the leader that it was forwarded to died, though the ledger takes a repetition for the same command. Commands at a leader that had stepped down waited until a later entry overtook them. A host that was taken out of a group went on waiting for its leader. Change: CommandPlan decides, without I/O, where a command goes next: it is sent again within its time if the ledger answers a repetition alike, and once an answer was lost no refusal says that nothing was recorded. A leader that steps down answers at once. A host outside the group asks those that carry it. Conclusion: the death of a leader costs a caller time, not certainty.

--- a/libs/ledger/include/ledger/Ledger.h
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -144,6 +144,9 @@
 using Command = std::variant<PutRecord, Claim, ReleaseClaim, FinishClaim, RetireOwner, SubmitJob,
                              TakeJob, FinishJob, TakeLease, FoundGroup>;
 
+/// Whether the ledger answers a command that is sent again as it did the first time.
+bool mayResend(const Command &command);
+
 enum class Status {
     Accepted, ///< The command took effect, now or when it was first sent.
     Conflict, ///< Another content, owner or digest stands there; \c Reply::current shows it.
--- a/libs/ledger/src/Ledger.cpp
+++ b/libs/ledger/src/Ledger.cpp
@@ -41,6 +41,16 @@
     return scope;
 }
 
+bool mayResend(const Command &command)
+{
+    if (const auto *claim = std::get_if<Claim>(&command))
+        return !claim->attempt.empty();
+    if (const auto *release = std::get_if<ReleaseClaim>(&command))
+        return !release->attempt.empty();
+    // Changes carry change ids; the others set a state that a repetition leaves as it is.
+    return true;
+}
+
 std::string_view jobStateName(JobState state)
 {
     switch (state) {
--- a/programs/hyssop-control/CommandRouter.cpp
+++ b/programs/hyssop-control/CommandRouter.cpp
@@ -7,11 +7,18 @@
 constexpr std::string_view kGlobal = "global";
 /// Goes before the group's name on a command that another host forwards.
 constexpr std::string_view kForwardedPrefix = "forwarded/";
-/// How long a command waits for a leader.
-constexpr base::Millis kLeaderWait{1'500};
-constexpr base::Millis kForwardTimeout{2'000};
 constexpr std::size_t kMaxWaiting = 4'096;
 
+CommandPlan::Fault faultOf(const tl::expected<peers::ExecuteReply, peers::PeerError> &reply)
+{
+    using Fault = CommandPlan::Fault;
+    if (!reply)
+        return reply.error().mayHaveArrived ? Fault::Lost : Fault::Refused;
+    if (reply->status == peers::ExecuteStatus::NoQuorum)
+        return Fault::NoQuorum;
+    return reply->status == peers::ExecuteStatus::Unknown ? Fault::Lost : Fault::Refused;
+}
+
 } // namespace
 
 CommandRouter::CommandRouter(http::Loop *loop, const Groups *groups,
@@ -21,105 +28,129 @@
     , m_globalHosts(std::move(globalHosts))
 { }
 
-void CommandRouter::execute(peers::ExecuteRequest request, Done done, base::TimePoint now)
+void CommandRouter::execute(peers::ExecuteRequest request, Done done, base::TimePoint now,
+                            base::Millis limit)
 {
-    Pending pending;
-    pending.isForwarded = request.group.starts_with(kForwardedPrefix);
-    pending.group = pending.isForwarded ? request.group.substr(kForwardedPrefix.size())
-                                        : std::move(request.group);
-    pending.command = std::move(request.command);
-    pending.done = std::move(done);
-    pending.until = now + kLeaderWait;
-    attempt(std::move(pending), now);
+    const auto command = ledger::decodeCommand(request.command);
+    if (!command)
+        return done({peers::ExecuteStatus::Unavailable, "", ""});
+    const bool isForwarded = request.group.starts_with(kForwardedPrefix);
+    std::string group =
+            isForwarded ? request.group.substr(kForwardedPrefix.size()) : std::move(request.group);
+    CommandPlan plan(isForwarded, ledger::mayResend(command->command), now + limit);
+    Pending pending{std::move(group), std::move(request.command), plan, std::move(done)};
+    const auto step = pending.plan.next(stateOf(pending.group, now), now);
+    follow(step, std::move(pending), now);
 }
 
-void CommandRouter::attempt(Pending pending, base::TimePoint now)
+const std::vector<HostAddress> &CommandRouter::keepersOf(const std::string &group) const
 {
-    const auto it = m_groups->find(pending.group);
+    static const std::vector<HostAddress> kNone;
+    const auto it = m_groups->find(group);
     if (it != m_groups->end())
-        return attemptHere(*it->second, std::move(pending), now);
-    const bool isReachable = pending.group == kGlobal && !m_globalHosts.empty();
-    if (!isReachable || pending.isForwarded || now >= pending.until)
-        return pending.done({peers::ExecuteStatus::Unavailable, "", ""});
-    const HostAddress &host = m_globalHosts[m_nextHost++ % m_globalHosts.size()];
-    // That host has a replica, but may itself have to forward.
-    const std::string group = pending.group;
-    forward(host.address, group, std::move(pending));
+        return it->second->hosts();
+    return group == kGlobal ? m_globalHosts : kNone;
+}
+
+GroupState CommandRouter::stateOf(const std::string &group, base::TimePoint now) const
+{
+    GroupState state;
+    state.keepersElsewhere = keepersOf(group).size();
+    const auto it = m_groups->find(group);
+    if (it == m_groups->end())
+        return state;
+    const GroupHost &host = *it->second;
+    state.isLeader = host.replica().isLeader();
+    state.isKept = host.isMember() || state.isLeader;
+    state.isLeaderKnown = host.leaderAddress() && host.replica().hasHeardLeader(now);
+    state.isQuorumInReach = host.isQuorumInReach(now);
+    return state;
 }
 
-void CommandRouter::attemptHere(GroupHost &group, Pending pending, base::TimePoint now)
+void CommandRouter::follow(CommandPlan::Step step, Pending pending, base::TimePoint now)
 {
-    const std::string leader = group.replica().leader().text();
-    if (group.replica().isLeader()) {
-        const auto command = ledger::decodeCommand(pending.command);
-        if (!command)
-            return pending.done({peers::ExecuteStatus::Unavailable, "", leader});
-        const auto answered =
-                [this, pending](const tl::expected<ledger::Reply, GroupHost::ExecuteFault> &reply) {
-                    if (reply)
-                        pending.done({peers::ExecuteStatus::Done, ledger::encode(*reply), ""});
-                    else if (reply.error() == GroupHost::ExecuteFault::Lost)
-                        pending.done({peers::ExecuteStatus::Unknown, "", ""});
-                    else
-                        m_waiting.push_back(pending);
-                };
-        return group.execute(command->command, answered, now);
+    switch (step) {
+    case CommandPlan::Step::Propose:
+        return propose(std::move(pending), now);
+    case CommandPlan::Step::ForwardToLeader: {
+        const auto address = m_groups->at(pending.group)->leaderAddress();
+        std::string marked = std::string(kForwardedPrefix) + pending.group;
+        return forward(*address, std::move(marked), std::move(pending), now);
     }
-    if (pending.isForwarded)
-        return pending.done({peers::ExecuteStatus::NotLeader, "", leader});
-    const auto address = group.leaderAddress();
-    if (address && group.replica().hasHeardLeader(now)) {
-        const std::string marked = std::string(kForwardedPrefix) + pending.group;
-        return forward(*address, marked, std::move(pending));
+    case CommandPlan::Step::ForwardToKeeper: {
+        const auto &keepers = keepersOf(pending.group);
+        const HostAddress &host = keepers[m_nextHost++ % keepers.size()];
+        std::string group = pending.group;
+        return forward(host.address, std::move(group), std::move(pending), now);
     }
-    // Waiting for a leader would be in vain, and the caller may go elsewhere at once.
-    if (!group.isQuorumInReach(now))
-        return pending.done({peers::ExecuteStatus::NoQuorum, "", ""});
-    wait(std::move(pending), now);
+    case CommandPlan::Step::Wait:
+        if (m_waiting.size() < kMaxWaiting)
+            return m_waiting.push_back(std::move(pending));
+        pending.plan.stop();
+        break;
+    case CommandPlan::Step::End:
+        break;
+    }
+    const auto group = m_groups->find(pending.group);
+    const std::string leader =
+            group == m_groups->end() ? "" : group->second->replica().leader().text();
+    pending.done({pending.plan.status(), "", leader});
 }
 
-void CommandRouter::forward(const base::Endpoint &to, std::string group, Pending pending)
+void CommandRouter::propose(Pending pending, base::TimePoint now)
+{
+    GroupHost &group = *m_groups->at(pending.group);
+    const auto command = ledger::decodeCommand(pending.command);
+    const auto answered =
+            [this, pending](const tl::expected<ledger::Reply, GroupHost::ExecuteFault> &reply) {
+                if (reply)
+                    return pending.done({peers::ExecuteStatus::Done, ledger::encode(*reply), ""});
+                const bool isLost = reply.error() == GroupHost::ExecuteFault::Lost;
+                const base::TimePoint failedAt = base::monotonicNow();
+                Pending next = pending;
+                const auto step = next.plan.failed(
+                        isLost ? CommandPlan::Fault::Lost : CommandPlan::Fault::Refused, failedAt);
+                follow(step, std::move(next), failedAt);
+            };
+    group.execute(command->command, answered, now);
+}
+
+void CommandRouter::forward(const base::Endpoint &to, std::string group, Pending pending,
+                            base::TimePoint now)
 {
     peers::ExecuteRequest request{std::move(group), pending.command};
+    const base::Millis timeout = pending.plan.forwardTimeout(now);
     const auto answered = [this, pending = std::move(pending)](auto reply) {
-        m_loop->post([this, pending, reply = std::move(reply)] {
-            const base::TimePoint now = base::monotonicNow();
-            if (!reply && !reply.error().mayHaveArrived)
-                return wait(pending, now);
-            if (!reply)
-                return pending.done({peers::ExecuteStatus::Unknown, "", ""});
-            const bool isRefused = reply->status == peers::ExecuteStatus::NotLeader
-                                   || reply->status == peers::ExecuteStatus::Unavailable;
-            if (isRefused)
-                return wait(pending, now);
-            pending.done(*reply);
-        });
+        m_loop->post([this, pending, reply = std::move(reply)] { take(reply, pending); });
     };
-    m_node->execute(to, std::move(request), kForwardTimeout, answered);
+    m_node->execute(to, std::move(request), timeout, answered);
 }
 
-void CommandRouter::wait(Pending pending, base::TimePoint now)
+void CommandRouter::take(const tl::expected<peers::ExecuteReply, peers::PeerError> &reply,
+                         Pending pending)
 {
-    if (now >= pending.until || m_waiting.size() >= kMaxWaiting)
-        return pending.done({peers::ExecuteStatus::Unavailable, "", ""});
-    m_waiting.push_back(std::move(pending));
+    if (reply && reply->status == peers::ExecuteStatus::Done)
+        return pending.done(*reply);
+    const base::TimePoint now = base::monotonicNow();
+    const auto step = pending.plan.failed(faultOf(reply), now);
+    follow(step, std::move(pending), now);
 }
 
 void CommandRouter::pump(base::TimePoint now)
 {
     std::deque<Pending> waiting = std::exchange(m_waiting, {});
     for (Pending &pending : waiting) {
-        if (now >= pending.until)
-            pending.done({peers::ExecuteStatus::Unavailable, "", ""});
-        else
-            attempt(std::move(pending), now);
+        const auto step = pending.plan.next(stateOf(pending.group, now), now);
+        follow(step, std::move(pending), now);
     }
 }
 
 void CommandRouter::stop()
 {
-    for (const Pending &pending : std::exchange(m_waiting, {}))
-        pending.done({peers::ExecuteStatus::Unavailable, "", ""});
+    for (Pending &pending : std::exchange(m_waiting, {})) {
+        const auto step = pending.plan.stop();
+        follow(step, std::move(pending), base::monotonicNow());
+    }
 }
 
 } // namespace hyssop::control
--- a/programs/hyssop-control/ControlTask.cpp
+++ b/programs/hyssop-control/ControlTask.cpp
@@ -246,7 +246,8 @@
                                          {"status", operators::putStatusName(put.status)}});
         answer(put);
     };
-    m_router->execute({kGlobal, ledger::encode(command, 0)}, done, base::monotonicNow());
+    m_router->execute({kGlobal, ledger::encode(command, 0)}, done, base::monotonicNow(),
+                      CommandRouter::kOperatorLimit);
     schedulePump();
 }
 
--- a/programs/hyssop-control/GroupHost.cpp
+++ b/programs/hyssop-control/GroupHost.cpp
@@ -174,6 +174,12 @@
     done(reply);
 }
 
+void GroupHost::answerLost()
+{
+    for (const auto &[position, done] : std::exchange(m_waiting, {}))
+        done(tl::unexpected(ExecuteFault::Lost));
+}
+
 void GroupHost::compactWhenLong()
 {
     const replog::Position applied = m_ledger.position();
@@ -201,6 +207,9 @@
     }
     for (const replog::Entry &entry : output->committed)
         apply(entry, now);
+    // Another leader may yet commit them; who sent them is to ask there.
+    if (!m_replica->isLeader())
+        answerLost();
     for (const replog::Message &message : output->messages) {
         if (const auto address = m_members.addressOf(replog::hostOf(message.to)))
             m_send(*address, encode(message));
--- a/programs/hyssop-control/GroupHost.h
+++ b/programs/hyssop-control/GroupHost.h
@@ -26,7 +26,10 @@
 class GroupHost
 {
 public:
-    enum class ExecuteFault { NotLeader, Lost };
+    enum class ExecuteFault {
+        NotLeader, ///< Nothing was recorded.
+        Lost, ///< Leadership ended before it was committed; it may yet be.
+    };
     using Done = std::function<void(tl::expected<ledger::Reply, ExecuteFault>)>;
     /// Sends bytes to the same group at another host.
     using Send = std::function<void(const base::Endpoint &, std::string)>;
@@ -44,6 +47,10 @@
 
     const ledger::Ledger &ledger() const { return m_ledger; }
     const replog::Replica &replica() const { return *m_replica; }
+    /// Hosts that shall carry the group, as far as this one knows.
+    const std::vector<HostAddress> &hosts() const { return m_members.hosts(); }
+    /// Whether this host is one of them; one that was taken out hears nothing of the group.
+    bool isMember() const { return m_members.isMember(); }
     bool hasWaiting() const { return !m_waiting.empty(); }
     /// Whether this host hears enough voters for the group to have a leader that takes commands.
     bool isQuorumInReach(base::TimePoint now) const;
@@ -53,6 +60,7 @@
 private:
     GroupHost(GroupOptions options, replog::ReplicaId self, Send send, base::TimePoint now);
     void apply(const replog::Entry &entry, base::TimePoint now);
+    void answerLost();
     void greet(base::TimePoint now);
     void foundWhenReady(base::TimePoint now);
     void lead(base::TimePoint now);
--- a/programs/hyssop-control/Members.cpp
+++ b/programs/hyssop-control/Members.cpp
@@ -25,6 +25,12 @@
         m_addresses[host.host] = host.address;
 }
 
+bool Members::isMember() const
+{
+    return std::any_of(m_hosts.begin(), m_hosts.end(),
+                       [this](const HostAddress &host) { return host.host == m_self; });
+}
+
 std::optional<base::Endpoint> Members::addressOf(const base::HostId &host) const
 {
     const auto it = m_addresses.find(host);
--- a/programs/hyssop-control/Members.h
+++ b/programs/hyssop-control/Members.h
@@ -24,6 +24,8 @@
     /// Replaces the hosts that shall carry the group; those before stay reachable.
     void setHosts(std::vector<HostAddress> hosts);
     const std::vector<HostAddress> &hosts() const { return m_hosts; }
+    /// Whether this host shall carry the group.
+    bool isMember() const;
     std::optional<base::Endpoint> addressOf(const base::HostId &host) const;
 
     /// The greeting to send to \a host.
--- /dev/null
+++ b/programs/hyssop-control/tests/LogClockTest.cpp
@@ -0,0 +1,34 @@
+#include "LogClock.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssop;
+using namespace hyssop::control;
+using base::Millis;
+
+namespace {
+
+constexpr base::TimePoint kStart{std::chrono::hours(1)};
+constexpr std::int64_t kWall = 1'700'000'000'000;
+
+} // namespace
+
+TEST_CASE("an empty log starts from the wall clock, and later ones do not read it")
+{
+    LogClock clock;
+    CHECK(clock.read(kStart, kWall) == kWall);
+    clock.onApplied(5'000, kStart);
+    CHECK(clock.read(kStart, kWall) == 5'000);
+    CHECK(clock.read(kStart + Millis(70), 0) == 5'070);
+}
+
+TEST_CASE("log time goes on from the last stamp and never falls for an earlier one")
+{
+    LogClock clock;
+    clock.onApplied(5'000, kStart);
+    clock.onApplied(4'000, kStart + Millis(10));
+    CHECK(clock.read(kStart + Millis(20), kWall) == 5'020);
+    // A stamp ahead of this host's reckoning is taken over.
+    clock.onApplied(9'000, kStart + Millis(30));
+    CHECK(clock.read(kStart + Millis(31), kWall) == 9'001);
+}
--- a/programs/hyssop-control/tests/MembersTest.cpp
+++ b/programs/hyssop-control/tests/MembersTest.cpp
@@ -60,6 +60,9 @@
     Members members = membersAt("a");
     members.setHosts({at("a", 1), at("d", 4)});
     CHECK(members.wanted(kSelf, kThree) == std::vector<ReplicaId>{kSelf});
+    CHECK(members.isMember());
+    members.setHosts({at("d", 4)});
+    CHECK_FALSE(members.isMember());
     CHECK(members.addressOf(base::HostId("b"))->port == 2);
     CHECK(members.addressOf(base::HostId("d"))->port == 4);
     CHECK_FALSE(members.addressOf(base::HostId("e")));
--- a/programs/hyssop-entry/ControlClient.cpp
+++ b/programs/hyssop-entry/ControlClient.cpp
@@ -33,7 +33,7 @@
 {
     assert(m_node && "setNode() comes before execute()");
     const base::TimePoint now = base::monotonicNow();
-    ExecutePlan plan(mayResend(command), m_order.order(now), now + limit);
+    ExecutePlan plan(ledger::mayResend(command), m_order.order(now), now + limit);
     // The leader stamps its own time on the command.
     peers::ExecuteRequest request{std::move(group), ledger::encode(command, 0)};
     const auto open =
--- a/programs/hyssop-entry/ExecutePlan.cpp
+++ b/programs/hyssop-entry/ExecutePlan.cpp
@@ -41,16 +41,6 @@
     return "unknown";
 }
 
-bool mayResend(const ledger::Command &command)
-{
-    if (const auto *claim = std::get_if<ledger::Claim>(&command))
-        return !claim->attempt.empty();
-    if (const auto *release = std::get_if<ledger::ReleaseClaim>(&command))
-        return !release->attempt.empty();
-    // Changes carry change ids; the others set a state that a repetition leaves as it is.
-    return true;
-}
-
 ControlOrder::ControlOrder(std::size_t controls)
     : m_suspectUntil(controls)
 { }
--- a/programs/hyssop-entry/ExecutePlan.h
+++ b/programs/hyssop-entry/ExecutePlan.h
@@ -24,9 +24,6 @@
 
 std::string_view tryFaultName(TryFault fault);
 
-/// Whether the ledger answers a command that is sent again as it did the first time.
-bool mayResend(const ledger::Command &command);
-
 /// Orders control hosts for the next command: nearest first, those that failed lately last.
 class ControlOrder
 {
--- a/programs/hyssop-entry/tests/ExecutePlanTest.cpp
+++ b/programs/hyssop-entry/tests/ExecutePlanTest.cpp
@@ -98,7 +98,7 @@
 TEST_CASE("a claim without an attempt's name is never sent twice")
 {
     ledger::Claim claim{base::TeamId("t"), "k", "d", {}};
-    CHECK_FALSE(mayResend(claim));
+    CHECK_FALSE(ledger::mayResend(claim));
     claim.attempt = "a1";
-    CHECK(mayResend(claim));
+    CHECK(ledger::mayResend(claim));
 }
