What a retired owner asks for late is refused and holds nothing

Cause: a copy of a claim that reached the log after its owner had been retired was granted, and stayed pending since nobody retired the owner again. Change: the ledger remembers retired owners for ten minutes of log time and refuses their claims and their taking of jobs. An owner that lives and was taken for dead hears this and has itself reinstated.

--- a/libs/ledger/include/ledger/Ledger.h
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -100,13 +100,23 @@
     std::int64_t incarnation = 0; ///< Random, not 0.
 };
 
+/// Message of a refusal to a retired owner.
+inline constexpr std::string_view kRetired = "the owner was retired";
+
 /// Marks every open claim of a dead owner and of its host's earlier starts as of unknown outcome,
-/// and frees their jobs.
+/// and frees their jobs. What they ask for later, as a copy that was still on its way, is refused
+/// with Status::NotOwner and \c kRetired.
 struct RetireOwner
 {
     Owner owner;
 };
 
+/// Takes an owner's retirement back; sent only by that owner, which is alive then.
+struct ReinstateOwner
+{
+    Owner owner;
+};
+
 enum class JobState { Waiting, Running, Done, Failed };
 
 std::string_view jobStateName(JobState state);
@@ -142,7 +152,7 @@
 };
 
 using Command = std::variant<PutRecord, Claim, ReleaseClaim, FinishClaim, RetireOwner, SubmitJob,
-                             TakeJob, FinishJob, TakeLease, FoundGroup>;
+                             TakeJob, FinishJob, TakeLease, FoundGroup, ReinstateOwner>;
 
 /// Whether the ledger answers a command that is sent again as it did the first time.
 bool mayResend(const Command &command);
@@ -191,6 +201,8 @@
     std::size_t maxClaims = 200'000;
     std::size_t maxJobs = 50'000;
     base::Millis claimRetention{24LL * 3600 * 1000}; ///< Of ended claims, in log time.
+    /// Of retired owners, in log time; no copy of a command is under way for longer.
+    base::Millis retirementRetention{10LL * 60 * 1000};
     base::Millis releaseRetention{10LL * 60 * 1000}; ///< Of released attempts, in log time.
     base::Millis jobRetention{24LL * 3600 * 1000}; ///< Of ended jobs, in log time.
 };
@@ -252,6 +264,12 @@
         std::int64_t fencing = 0;
     };
 
+    struct Retirement
+    {
+        base::Incarnation incarnation; ///< Of the latest start that is dead.
+        std::int64_t atMs = 0;
+    };
+
     Reply run(const PutRecord &command);
     Reply run(const Claim &command);
     Reply run(const ReleaseClaim &command);
@@ -262,6 +280,8 @@
     Reply run(const FinishJob &command);
     Reply run(const TakeLease &command);
     Reply run(const FoundGroup &command);
+    Reply run(const ReinstateOwner &command);
+    bool isRetired(const Owner &owner) const;
     bool isOutOfScope(const std::string &key) const;
     void expire();
     friend struct SnapshotCodec;
@@ -278,6 +298,7 @@
     std::map<ClaimKey, ClaimEntry> m_claims;
     std::map<base::JobId, Job> m_jobs;
     std::map<std::string, Lease> m_leases;
+    std::map<base::HostId, Retirement> m_retired;
 };
 
 /// Encodes a command for the log, stamped with the leader's time.
--- a/libs/ledger/src/Codec.cpp
+++ b/libs/ledger/src/Codec.cpp
@@ -94,6 +94,11 @@
     return {{"op", "retire"}, {"owner", toJson(c.owner)}};
 }
 
+json form(const ReinstateOwner &c)
+{
+    return {{"op", "reinstate"}, {"owner", toJson(c.owner)}};
+}
+
 json form(const SubmitJob &c)
 {
     return {{"op", "submit"},
@@ -150,6 +155,8 @@
                            answerFrom(j.at("answer")), j.value("attempt", "")};
     if (op == "retire")
         return RetireOwner{ownerFrom(j.at("owner"))};
+    if (op == "reinstate")
+        return ReinstateOwner{ownerFrom(j.at("owner"))};
     if (op == "submit")
         return SubmitJob{base::JobId(j.at("id")), base::TeamId(j.at("team")), j.at("request"),
                          base::Millis(j.at("limit"))};
--- a/libs/ledger/src/Ledger.cpp
+++ b/libs/ledger/src/Ledger.cpp
@@ -150,6 +150,9 @@
         return answer(Status::Conflict, "scope");
     const ClaimKey key{command.team, command.key};
     const auto it = m_claims.find(key);
+    const bool isFree = it == m_claims.end() || it->second.state == ClaimState::Released;
+    if (isFree && isRetired(command.owner))
+        return answer(Status::NotOwner, std::string(kRetired));
     if (it == m_claims.end()) {
         if (m_claims.size() >= m_options.maxClaims)
             return answer(Status::Full, "too many claims are kept");
@@ -219,11 +222,24 @@
     return answer(Status::Accepted);
 }
 
+bool Ledger::isRetired(const Owner &owner) const
+{
+    const auto it = m_retired.find(owner.host);
+    return it != m_retired.end() && owner.incarnation <= it->second.incarnation;
+}
+
+Reply Ledger::run(const ReinstateOwner &command)
+{
+    if (isRetired(command.owner))
+        m_retired.erase(command.owner.host);
+    return answer(Status::Accepted);
+}
+
 Reply Ledger::run(const RetireOwner &command)
 {
-    const auto isRetired = [&command](const Owner &owner) {
-        return owner.host == command.owner.host && owner.incarnation <= command.owner.incarnation;
-    };
+    if (!isRetired(command.owner))
+        m_retired[command.owner.host].incarnation = command.owner.incarnation;
+    m_retired[command.owner.host].atMs = m_logTimeMs;
     for (auto &[key, claim] : m_claims) {
         if (!isRetired(claim.owner) || claim.state != ClaimState::Held)
             continue;
@@ -264,6 +280,8 @@
     Job &job = it->second;
     if (job.state == JobState::Running && job.owner == command.owner)
         return answer(Status::Accepted);
+    if (isRetired(command.owner))
+        return answer(Status::NotOwner, std::string(kRetired));
     if (job.state != JobState::Waiting)
         return answer(Status::Conflict, std::string(jobStateName(job.state)));
     job.state = JobState::Running;
@@ -319,6 +337,9 @@
         return it.second.state != ClaimState::Held
                && it.second.endedMs < (isReleased ? releasesBefore : claimsBefore);
     });
+    const std::int64_t retiredBefore = m_logTimeMs - m_options.retirementRetention.count();
+    std::erase_if(m_retired,
+                  [retiredBefore](const auto &it) { return it.second.atMs < retiredBefore; });
     const std::int64_t jobsBefore = m_logTimeMs - m_options.jobRetention.count();
     for (auto &[id, job] : m_jobs) {
         if (hasEnded(job.state) || job.limitMs == 0 || m_logTimeMs < job.submittedMs + job.limitMs)
--- a/libs/ledger/src/Snapshot.cpp
+++ b/libs/ledger/src/Snapshot.cpp
@@ -57,7 +57,8 @@
                {"verdicts", json::array()},
                {"claims", json::array()},
                {"jobs", json::array()},
-               {"leases", json::array()}};
+               {"leases", json::array()},
+               {"retired", json::array()}};
         for (const auto &[key, record] : ledger.m_records)
             j["records"].push_back(records::toJson(record));
         for (const std::string &id : ledger.m_verdictOrder)
@@ -78,6 +79,9 @@
                                    {"owner", toJson(lease.owner)},
                                    {"until", lease.untilMs},
                                    {"fencing", lease.fencing}});
+        for (const auto &[host, retirement] : ledger.m_retired)
+            j["retired"].push_back({{"owner", toJson(Owner{host, retirement.incarnation})},
+                                    {"at", retirement.atMs}});
         return j;
     }
 
@@ -117,6 +121,10 @@
             ledger.m_leases.emplace(
                     one.at("name"),
                     Ledger::Lease{ownerFrom(one.at("owner")), one.at("until"), one.at("fencing")});
+        for (const json &one : j.value("retired", json::array())) {
+            const Owner owner = ownerFrom(one.at("owner"));
+            ledger.m_retired[owner.host] = {owner.incarnation, one.at("at")};
+        }
         return true;
     }
 };
--- a/libs/ledger/tests/LedgerTest.cpp
+++ b/libs/ledger/tests/LedgerTest.cpp
@@ -98,6 +98,35 @@
     CHECK(rig.run(claim(kEntryB)).status == Status::OutcomeUnknown);
 }
 
+TEST_CASE("what a retired owner asks for late is refused and holds nothing, until it is reinstated")
+{
+    Rig rig;
+    const Owner later{kEntryA.host, base::Incarnation(kEntryA.incarnation.count() + 1)};
+    rig.run(SubmitJob{base::JobId("j"), base::TeamId("desk"), "{}", base::Millis(1000)});
+    rig.run(RetireOwner{kEntryA});
+    const Reply late = rig.run(claim(kEntryA));
+    CHECK(late.status == Status::NotOwner);
+    CHECK(late.message == kRetired);
+    CHECK(rig.run(TakeJob{base::JobId("j"), kEntryA}).message == kRetired);
+    Ledger restored;
+    REQUIRE(restored.restore(rig.ledger.snapshot()));
+    CHECK(restored.snapshot() == rig.ledger.snapshot());
+    CHECK(rig.run(claim(kEntryB)).status == Status::Accepted);
+    rig.run(ReinstateOwner{kEntryA});
+    CHECK(rig.run(TakeJob{base::JobId("j"), kEntryA}).status == Status::Accepted);
+    rig.run(RetireOwner{kEntryA});
+    CHECK(rig.run(TakeJob{base::JobId("j"), later}).status == Status::Accepted);
+}
+
+TEST_CASE("a retirement is forgotten when no copy of a command can be under way any more")
+{
+    Rig rig;
+    rig.run(RetireOwner{kEntryA}, 1'000);
+    const std::int64_t kept = LedgerOptions().retirementRetention.count();
+    CHECK(rig.run(claim(kEntryA), 1'000 + kept).status == Status::NotOwner);
+    CHECK(rig.run(claim(kEntryA), 1'001 + kept).status == Status::Accepted);
+}
+
 TEST_CASE("a job of a dead owner is taken by another and ends once")
 {
     Rig rig;
--- a/programs/hyssop-entry/ControlClient.cpp
+++ b/programs/hyssop-entry/ControlClient.cpp
@@ -18,6 +18,15 @@
     return status == peers::ExecuteStatus::Unknown ? TryFault::Lost : TryFault::Refused;
 }
 
+std::optional<ledger::Owner> claimantOf(const ledger::Command &command)
+{
+    if (const auto *claim = std::get_if<ledger::Claim>(&command))
+        return claim->owner;
+    if (const auto *take = std::get_if<ledger::TakeJob>(&command))
+        return take->owner;
+    return std::nullopt;
+}
+
 } // namespace
 
 ControlClient::ControlClient(http::Loop *loop, platform::Metrics *metrics,
@@ -36,11 +45,18 @@
     ExecutePlan plan(ledger::mayResend(command), m_order.order(now), now + limit);
     // The leader stamps its own time on the command.
     peers::ExecuteRequest request{std::move(group), ledger::encode(command, 0)};
-    const auto open =
-            std::make_shared<Open>(Open{std::move(request), std::move(plan), std::move(done)});
+    const auto open = std::make_shared<Open>(
+            Open{std::move(request), std::move(plan), std::move(done), claimantOf(command)});
     follow(open, open->plan.first(now));
 }
 
+void ControlClient::reinstate(const Open &open)
+{
+    m_metrics->count("hyssop_reinstatements_total");
+    base::logEvent("reinstated", {{"group", open.request.group}});
+    execute(open.request.group, ledger::ReinstateOwner{*open.claimant}, [](const auto &) {});
+}
+
 void ControlClient::follow(const std::shared_ptr<Open> &open, const ExecutePlan::Step &step)
 {
     if (!step) {
@@ -74,6 +90,8 @@
         answer = ledger::decodeReply(reply->reply);
     if (answer) {
         m_order.answered(control);
+        if (open->claimant && answer->message == ledger::kRetired)
+            reinstate(*open);
         open->done(*std::move(answer));
         return;
     }
--- a/programs/hyssop-entry/ControlClient.h
+++ b/programs/hyssop-entry/ControlClient.h
@@ -51,6 +51,7 @@
         peers::ExecuteRequest request;
         ExecutePlan plan;
         Done done;
+        std::optional<ledger::Owner> claimant; ///< This process, where the command takes something.
     };
     struct OpenQuery
     {
@@ -59,6 +60,8 @@
         Answered answered;
     };
 
+    /// Tells the log that this process lives, after it was taken for dead.
+    void reinstate(const Open &open);
     void follow(const std::shared_ptr<Open> &open, const ExecutePlan::Step &step);
     void send(const std::shared_ptr<Open> &open, const ExecutePlan::Try &step);
     void take(const std::shared_ptr<Open> &open, std::size_t control,
