--- a/integration/RecordsTest.cpp
+++ b/integration/RecordsTest.cpp
@@ -136,6 +136,38 @@
     CHECK(eventually(base::Millis(18'000), [&] { return appliedAt(system, entry) > position; }));
 }
 
+TEST_CASE("a change whose answer was lost gets its first verdict when it is sent again")
+{
+    Plan plan;
+    plan.hasFaultLinks = true;
+    System system(plan);
+    bringUp(system);
+    const Host &control = system.host("control-1");
+    Host through;
+    through.operators = control.operatorsThrough;
+    system.faults().order("operators", control.name,
+                          {{"action", "rules"}, {"direction", "backward"}, {"drop", true}});
+    const Pending lost = startPut(system, through, numbered(1), "first");
+    REQUIRE(eventually(base::Millis(18'000),
+                       [&] { return versionAt(system, control, "numbered") == 1; }));
+    const operators::PutReply second = put(system, numbered(2), "second");
+    REQUIRE(second.status == PutStatus::Accepted);
+    CHECK(lost.now().status == 0);
+    system.client().drop(lost);
+
+    system.faults().healAll();
+    const auto again = operators::putReplyFromJson(
+            startPut(system, through, numbered(1), "first").wait().body);
+    REQUIRE(again);
+    CHECK(again->status == PutStatus::Accepted);
+    CHECK(again->position < second.position);
+    const auto other = operators::putReplyFromJson(
+            startPut(system, through, numbered(1), "third").wait().body);
+    REQUIRE(other);
+    CHECK(other->status == PutStatus::Conflict);
+    CHECK(versionAt(system, control, "numbered") == 2);
+}
+
 TEST_CASE("a full disk stops changes with a clear error and loses no accepted change")
 {
     System system;
--- a/integration/harness/System.cpp
+++ b/integration/harness/System.cpp
@@ -197,6 +197,8 @@
 
 void System::writeControl(Host &host)
 {
+    if (m_plan.hasFaultLinks)
+        host.operatorsThrough = m_faults.link("operators", host.name, host.operators, m_addresses);
     std::vector<std::string> voters;
     for (Host *control : hosts(Role::Control)) {
         if (static_cast<int>(voters.size()) == m_plan.voters)
--- a/integration/harness/System.h
+++ b/integration/harness/System.h
@@ -40,6 +40,7 @@
     base::Endpoint callers; ///< Of entries.
     base::Endpoint upstreams; ///< Of entries.
     base::Endpoint operators; ///< Of controls.
+    base::Endpoint operatorsThrough; ///< The same through the fault proxy, from "operators".
     base::Endpoint serves; ///< Of engines and services.
     std::vector<std::string> arguments;
     std::unique_ptr<Process> process;
