--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -43,12 +43,12 @@
     m_peers.reset();
 }
 
-tl::expected<std::unique_ptr<EntryTask>, std::string> EntryTask::start(EntryOptions options)
+tl::expected<std::unique_ptr<EntryTask>, StartError> EntryTask::start(EntryOptions options)
 {
     std::unique_ptr<EntryTask> task(new EntryTask(std::move(options)));
     auto loop = http::Loop::create();
     if (!loop)
-        return tl::unexpected(loop.error().message);
+        return tl::unexpected(StartError{loop.error().message});
     task->m_loop = *std::move(loop);
     task->setUp();
     if (const auto listening = task->listen(); !listening)
@@ -90,6 +90,7 @@
     m_watcher = std::make_unique<RecordsWatcher>(
             m_loop.get(), m_options.host, m_options.dataCentre, m_options.controls,
             [this](auto catalogue) { takeCatalogue(std::move(catalogue)); });
+    m_platform->setNote([this] { return m_watcher->staleNote(base::monotonicNow()); });
 }
 
 void EntryTask::takeCatalogue(std::shared_ptr<const records::Catalogue> catalogue)
@@ -99,22 +100,22 @@
     m_platform->setReady(!m_isStopping);
 }
 
-tl::expected<void, std::string> EntryTask::listen()
+tl::expected<void, StartError> EntryTask::listen()
 {
     const auto callers = m_callers->listen(m_options.listenCallers, m_options.maxBodyBytes,
                                            m_options.bodyTimeout);
     if (!callers)
-        return tl::unexpected(callers.error().message);
+        return tl::unexpected(StartError{callers.error().message});
     const auto upstreams = m_announcements->listen(m_options.listenUpstreams);
     if (!upstreams)
-        return tl::unexpected(upstreams.error().message);
+        return tl::unexpected(StartError{upstreams.error().message});
     const auto platform = m_platform->listen(m_options.listenPlatform);
     if (!platform)
-        return tl::unexpected(platform.error().message);
+        return tl::unexpected(StartError{platform.error().message});
     auto node = peers::Node::start(m_options.listenPeers, this);
     if (!node)
-        return tl::unexpected("cannot listen on " + m_options.listenPeers.text() + ": "
-                              + node.error().message);
+        return tl::unexpected(StartError{"cannot listen on " + m_options.listenPeers.text() + ": "
+                                         + node.error().message});
     m_peers = *std::move(node);
     m_gossiper = makeGossiper();
     m_reclaimer = std::make_unique<Reclaimer>(m_loop.get(), &m_metrics, m_gossiper.get(),
@@ -305,6 +306,10 @@
     m_jobs->refreshGauges();
     m_metrics.set("hyssop_records_index", static_cast<double>(m_watcher->position().index));
     m_metrics.set("hyssop_records_confirmed", m_watcher->isConfirmed() ? 1 : 0);
+    const base::TimePoint now = base::monotonicNow();
+    m_metrics.set("hyssop_records_age_seconds",
+                  std::chrono::duration<double>(m_watcher->age(now)).count());
+    m_metrics.set("hyssop_records_stale", m_watcher->staleNote(now).empty() ? 0 : 1);
 }
 
 void EntryTask::stop()
