--- a/programs/hyssop-entry/ExecutePlan.h
+++ b/programs/hyssop-entry/ExecutePlan.h
@@ -17,15 +17,13 @@
 /// How one try of a command at one control host ended without an answer.
 enum class TryFault {
     Refused, ///< The host answered that nothing was recorded.
+    NoQuorum, ///< The host answered that its group takes no commands now; no other is asked.
     NotSent, ///< No byte left.
     Lost, ///< It was sent, and no answer or no certain one came.
 };
 
 std::string_view tryFaultName(TryFault fault);
 
-/// Whether the ledger answers a command that is sent again as it did the first time.
-bool mayResend(const ledger::Command &command);
-
 /// Orders control hosts for the next command: nearest first, those that failed lately last.
 class ControlOrder
 {
@@ -63,6 +61,7 @@
 
 private:
     Step next(base::TimePoint now);
+    ExecuteFailure failure() const;
 
     bool m_mayResend;
     std::vector<std::size_t> m_order;
