A control host gathers how far every data centre's entry hosts are

Change: a status asks the other voters what was reported to them, for a second at most, and joins the newest report of each host; hyssopctl uses it when the host is confirmed, else it asks each as before.

--- a/integration/RecordsTest.cpp
+++ b/integration/RecordsTest.cpp
@@ -168,6 +168,30 @@
     frozen.process->signal(SIGCONT);
 }
 
+TEST_CASE("each control host tells how far the entry hosts of every data centre are")
+{
+    Plan plan;
+    plan.dataCentres = {"floro-sal", "forde-sal", "sogndal-sal"};
+    plan.voters = 3;
+    System system(plan);
+    bringUp(system);
+    const operators::PutReply reply = put(system, numbered(1), "gathered");
+    REQUIRE(reply.status == PutStatus::Accepted);
+    for (const Host *control : system.hosts(Role::Control)) {
+        INFO(control->name);
+        CHECK(eventually(kInForce, [&] {
+            const auto status = statusOf(system, *control);
+            if (!status)
+                return false;
+            const auto standings = operators::standingsOf({*status}, {}, reply.position);
+            return standings.size() == plan.dataCentres.size()
+                   && std::all_of(standings.begin(), standings.end(), [](const auto &it) {
+                          return it.standing == operators::Standing::InForce;
+                      });
+        }));
+    }
+}
+
 TEST_CASE("without control hosts an entry stays ready and says that its records are stale")
 {
     System system;
--- a/programs/hyssop-control/ControlTask.cpp
+++ b/programs/hyssop-control/ControlTask.cpp
@@ -10,6 +10,8 @@
 /// How often timers of groups and watches are looked at.
 constexpr base::Millis kPumpInterval{20};
 constexpr base::Millis kReplicateTimeout{1'000};
+/// How long a status waits for what other control hosts know.
+constexpr base::Millis kGatherTimeout{1'000};
 /// How long a stop waits for another host to take over.
 constexpr base::Millis kStopTimeout{3'000};
 
@@ -255,7 +257,7 @@
     return isVoter() ? m_groups.at(kGlobal)->ledger().records() : std::vector<records::Record>();
 }
 
-void ControlTask::onStatus(operators::Answer<operators::StatusReply> answer)
+operators::StatusReply ControlTask::ownStatus(base::TimePoint now) const
 {
     operators::StatusReply reply;
     reply.host = m_options.host;
@@ -263,15 +265,58 @@
         const replog::Replica &replica = m_groups.at(kGlobal)->replica();
         reply.leader = replica.leader().text();
         reply.term = replica.term().count();
-        reply.isConfirmed = replica.hasHeardLeader(base::monotonicNow());
+        reply.isConfirmed = replica.hasHeardLeader(now);
     }
     reply.position = recordsPosition().index;
-    const base::TimePoint now = base::monotonicNow();
-    for (const auto &[host, reporter] : m_reporters) {
-        const auto age = std::chrono::duration_cast<base::Millis>(now - reporter.seen);
-        reply.hosts.push_back({host, reporter.dataCentre, reporter.applied.index, age.count()});
+    reply.hosts = queryView(now).reporters;
+    return reply;
+}
+
+/// A status for which other control hosts are asked what was reported to them.
+struct ControlTask::Gathering
+{
+    std::vector<operators::StatusReply> replies; ///< The first is this host's own.
+    std::size_t pending = 0;
+    operators::Answer<operators::StatusReply> answer;
+
+    void finishOne()
+    {
+        if (--pending > 0)
+            return;
+        operators::StatusReply whole = replies.front();
+        whole.hosts = operators::newestReports(replies);
+        answer(std::move(whole));
     }
-    answer(std::move(reply));
+};
+
+void ControlTask::onStatus(operators::Answer<operators::StatusReply> answer)
+{
+    const auto gathering = std::make_shared<Gathering>();
+    gathering->answer = std::move(answer);
+    gathering->replies.push_back(ownStatus(base::monotonicNow()));
+    // This host's own part counts as one, so that nothing ends before all were asked.
+    gathering->pending = 1;
+    for (const HostAddress &voter : m_options.globalVoters) {
+        if (voter.host == m_options.host)
+            continue;
+        ++gathering->pending;
+        gather(gathering, voter.address);
+    }
+    gathering->finishOne();
+}
+
+void ControlTask::gather(const std::shared_ptr<Gathering> &gathering, const base::Endpoint &from)
+{
+    m_peers->query(from, {"reporters", "{}"}, kGatherTimeout, [this, gathering](auto reply) {
+        m_loop->post([gathering, reply = std::move(reply)] {
+            if (reply) {
+                operators::StatusReply told;
+                told.hosts = reportersFrom(*reply);
+                gathering->replies.push_back(std::move(told));
+            }
+            gathering->finishOne();
+        });
+    });
 }
 
 void ControlTask::onWatch(peers::WatchRequest request, peers::Answer<peers::WatchReply> answer)
--- a/programs/hyssop-control/ControlTask.h
+++ b/programs/hyssop-control/ControlTask.h
@@ -79,6 +79,9 @@
     peers::WirePosition recordsPosition() const;
     bool isVoter() const;
     QueryView queryView(base::TimePoint now) const;
+    operators::StatusReply ownStatus(base::TimePoint now) const;
+    struct Gathering;
+    void gather(const std::shared_ptr<Gathering> &gathering, const base::Endpoint &from);
 
     void onPut(operators::PutRequest request,
                operators::Answer<operators::PutReply> answer) override;
--- a/programs/hyssop-control/Queries.cpp
+++ b/programs/hyssop-control/Queries.cpp
@@ -174,6 +174,21 @@
     return dump(answer);
 }
 
+std::vector<operators::HostStatus> reportersFrom(const std::string &answer)
+{
+    std::vector<operators::HostStatus> hosts;
+    const auto parsed = base::parseJson(answer);
+    if (!parsed || !parsed->is_object() || !parsed->contains("hosts"))
+        return hosts;
+    for (const json &one : parsed->at("hosts")) {
+        if (one.is_object() && !textOf(one, "host").empty())
+            hosts.push_back({base::HostId(textOf(one, "host")),
+                             base::DataCentreId(textOf(one, "dataCentre")),
+                             numberOf(one, "position"), numberOf(one, "ageMs")});
+    }
+    return hosts;
+}
+
 std::string answerQuery(const peers::QueryRequest &request, const QueryView &view)
 {
     const auto body = base::parseJson(request.body);
--- a/programs/hyssop-control/Queries.h
+++ b/programs/hyssop-control/Queries.h
@@ -39,6 +39,9 @@
 std::vector<const ledger::Job *> waitingJobs(const ledger::Ledger &ledger);
 std::string answerJobWatch(const std::vector<const ledger::Job *> &jobs, const GroupView &group);
 
+/// What another control host answers to "reporters"; empty when it cannot be read.
+std::vector<operators::HostStatus> reportersFrom(const std::string &answer);
+
 std::string answerQuery(const peers::QueryRequest &request, const QueryView &view);
 
 } // namespace hyssop::control
--- a/programs/hyssop-control/tests/QueriesTest.cpp
+++ b/programs/hyssop-control/tests/QueriesTest.cpp
@@ -92,6 +92,14 @@
     CHECK(hosts[0].at("position") == 7);
     CHECK(hosts[0].at("ageMs") == 40);
     CHECK(rig.ask("weather", json::object()).is_null());
+    const auto read = reportersFrom(rig.ask("reporters", json::object()).dump());
+    REQUIRE(read.size() == 1);
+    CHECK(read[0].host == base::HostId("e1"));
+    CHECK(read[0].dataCentre == base::DataCentreId("hall-a"));
+    CHECK(read[0].position == 7);
+    CHECK(read[0].ageMs == 40);
+    CHECK(reportersFrom("").empty());
+    CHECK(reportersFrom(R"({"hosts":[3,{"host":7}]})").empty());
 }
 
 TEST_CASE("a query for open jobs that names its host is a watch with a bounded time")
--- a/programs/hyssopctl/Commands.cpp
+++ b/programs/hyssopctl/Commands.cpp
@@ -96,6 +96,16 @@
     return known;
 }
 
+/// Reports of all entry hosts: a control host that hears its group has gathered them; else each is
+/// asked for its own.
+std::vector<operators::StatusReply> gatheredStatus(operators::Client &client)
+{
+    const auto status = client.status();
+    if (status && status->isConfirmed)
+        return {*status};
+    return client.statusOfEach();
+}
+
 bool isInForceEverywhere(const std::vector<operators::CentreStanding> &standings)
 {
     return std::all_of(standings.begin(), standings.end(),
@@ -119,7 +129,7 @@
     const auto known = knownCentres(client);
     std::vector<operators::CentreStanding> standings;
     do {
-        standings = standingsOf(client.statusOfEach(), known, position);
+        standings = standingsOf(gatheredStatus(client), known, position);
         if (isInForceEverywhere(standings))
             break;
         std::this_thread::sleep_for(kPollInterval);
@@ -213,7 +223,7 @@
     fmt::print("answered by {}, leader {}, term {}, records at {}{}\n", status->host.text(),
                status->leader.empty() ? "unknown" : status->leader, status->term, status->position,
                status->isConfirmed ? "" : " (not confirmed)");
-    const auto replies = client.statusOfEach();
+    const auto replies = gatheredStatus(client);
     print(standingsOf(replies, knownCentres(client), status->position));
     for (const operators::HostStatus &host : operators::newestReports(replies))
         fmt::print("  {} {}: at {}, reported {} ms ago\n", host.dataCentre.text(), host.host.text(),
