A blocked lane asks only the upstreams that changed whether they have room

Cause: each event that freed or filled an upstream tried the front of every lane of its pool again, and each try measured all upstreams of the pool, though only one had changed.

Change: a pool keeps which upstreams changed since its lanes were last tried, and each lane the front that found no room. That front is tried in full only when one of the changed ones has room for it, when any upstream may have (the recheck each 100 ms, a change of members), or where other data centres serve the pool. Nothing is skipped that could start: a test frees each of three engines in turn.

--- a/libs/routing/src/Placement.cpp
+++ b/libs/routing/src/Placement.cpp
@@ -111,6 +111,12 @@
     return candidate.ahead + std::min(candidate.uncached, half) <= bound;
 }
 
+bool Placement::hasRoomFor(UpstreamState &state, const RequestInfo &request,
+                           base::TimePoint now) const
+{
+    return hasRoom(state, measure(state, request, now), request, now);
+}
+
 std::vector<UpstreamState *> Placement::eligible(Pool &pool, const RequestInfo &request,
                                                  bool isOwnDataCentre, base::TimePoint now) const
 {
--- a/libs/routing/src/Placement.h
+++ b/libs/routing/src/Placement.h
@@ -36,6 +36,7 @@
     /// An upstream with room for \a request, or none; not \a avoided where another one is there.
     std::optional<Choice> choose(Pool &pool, const RequestInfo &request,
                                  const base::UpstreamId &avoided, base::TimePoint now);
+    bool hasRoomFor(UpstreamState &state, const RequestInfo &request, base::TimePoint now) const;
     /// Whether some upstream is large enough to hold \a request alone.
     bool fits(const Pool &pool, const RequestInfo &request) const;
     Outlook outlook(Pool &pool, const RequestInfo &request, base::TimePoint now);
--- a/libs/routing/src/Pool.cpp
+++ b/libs/routing/src/Pool.cpp
@@ -4,6 +4,20 @@
 
 namespace hyssop::routing {
 
+void Pool::markAll()
+{
+    mayDispatch = true;
+    mayAllHaveRoom = true;
+    changed.clear();
+}
+
+void Pool::mark(UpstreamState *upstream)
+{
+    mayDispatch = true;
+    if (!mayAllHaveRoom)
+        changed.push_back(upstream);
+}
+
 bool Pool::hasQueued() const
 {
     return std::any_of(lanes.begin(), lanes.end(),
--- a/libs/routing/src/Pool.h
+++ b/libs/routing/src/Pool.h
@@ -35,7 +35,16 @@
     std::array<TeamQueue, kLanes> lanes; ///< By urgency, then size.
     std::int64_t taken = 0; ///< Requests taken from the lanes.
     bool mayDispatch = false; ///< Something changed since the lanes were last tried.
-
+    /// Any upstream may have got room since then, not only those in \c changed.
+    bool mayAllHaveRoom = true;
+    std::vector<UpstreamState *> changed;
+    /// Front of each lane for which no upstream had room.
+    std::array<base::RequestId, kLanes> blockedFront;
+
+    /// Any upstream may have got room.
+    void markAll();
+    /// \a upstream may have got room.
+    void mark(UpstreamState *upstream);
     bool isServed() const { return !own.empty() || !remote.empty(); }
     bool hasQueued() const;
     /// Cost of what is queued to be served before a request of \a urgency and \a size.
--- a/libs/routing/src/Router.cpp
+++ b/libs/routing/src/Router.cpp
@@ -59,7 +59,7 @@
         return;
     state->peers.set(event, now);
     for (Pool *pool : state->pools)
-        pool->mayDispatch = true;
+        pool->mark(state);
 }
 
 void Router::Impl::on(const CatalogueChanged &event, base::TimePoint)
@@ -98,7 +98,7 @@
     if (now < m_recheckAt)
         return;
     for (const auto &[key, pool] : m_upstreams.pools())
-        pool->mayDispatch = true;
+        pool->markAll();
 }
 
 base::TimePoint Router::Impl::nextTick() const
--- a/libs/routing/src/RouterDispatch.cpp
+++ b/libs/routing/src/RouterDispatch.cpp
@@ -3,6 +3,7 @@
 #include "GangPlanner.h"
 #include "RouterImpl.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace hyssop::routing {
@@ -99,8 +100,11 @@
 {
     m_lastNow = now;
     for (const auto &[key, pool] : m_upstreams.pools()) {
-        if (std::exchange(pool->mayDispatch, false))
-            dispatch(*pool, now);
+        if (!std::exchange(pool->mayDispatch, false))
+            continue;
+        dispatch(*pool, now);
+        pool->mayAllHaveRoom = false;
+        pool->changed.clear();
     }
     if (m_queued == 0)
         m_recheckAt = base::TimePoint::max();
@@ -121,18 +125,33 @@
         }
         if (lane == kLanes)
             return;
-        if (serve(pool, pool.lanes[lane], now))
+        if (serve(pool, lane, now))
             ++pool.taken;
         else
             isBlocked[lane] = true;
     }
 }
 
-bool Router::Impl::serve(Pool &, TeamQueue &lane, base::TimePoint now)
+bool Router::Impl::isStillBlocked(const Pool &pool, const ActiveRequest &request,
+                                  const base::RequestId &blocked, base::TimePoint now)
 {
+    const bool isKnown = blocked == request.info.id && request.size != SizeClass::Gang
+                         && !pool.mayAllHaveRoom && pool.remote.empty();
+    return isKnown && std::none_of(pool.changed.begin(), pool.changed.end(), [&](auto *state) {
+               return m_placement.hasRoomFor(*state, request.info, now);
+           });
+}
+
+bool Router::Impl::serve(Pool &pool, std::size_t number, base::TimePoint now)
+{
+    TeamQueue &lane = pool.lanes[number];
+    base::RequestId &blocked = pool.blockedFront[number];
     ActiveRequest &request = m_requests.at(lane.front()->request);
+    if (isStillBlocked(pool, request, blocked, now))
+        return false;
     const bool isPlaced =
             request.size == SizeClass::Gang ? placeGang(request, now) : place(request, now);
+    blocked = isPlaced ? base::RequestId() : request.info.id;
     if (!isPlaced)
         return false;
     // Placed, or given up because its time would not do.
@@ -229,11 +248,11 @@
 void Router::Impl::markChanged(const ActiveRequest &request)
 {
     for (const Hold &hold : request.holds) {
-        const UpstreamState *state = m_upstreams.find(hold.upstream);
+        UpstreamState *state = m_upstreams.find(hold.upstream);
         if (!state)
             continue;
         for (Pool *pool : state->pools)
-            pool->mayDispatch = true;
+            pool->mark(state);
     }
 }
 
--- a/libs/routing/src/RouterImpl.h
+++ b/libs/routing/src/RouterImpl.h
@@ -82,8 +82,11 @@
     void giveUp(ActiveRequest &request, base::TimePoint now);
     void dispatchChanged(base::TimePoint now);
     void dispatch(Pool &pool, base::TimePoint now);
-    /// True: the front of the lane was taken out.
-    bool serve(Pool &pool, TeamQueue &lane, base::TimePoint now);
+    /// True: the front of the lane of that number was taken out.
+    bool serve(Pool &pool, std::size_t number, base::TimePoint now);
+    /// Whether \a request was \a blocked before and no upstream that changed since has room for it.
+    bool isStillBlocked(const Pool &pool, const ActiveRequest &request,
+                        const base::RequestId &blocked, base::TimePoint now);
     bool place(ActiveRequest &request, base::TimePoint now);
     bool placeGang(ActiveRequest &request, base::TimePoint now);
     void bind(ActiveRequest &request, base::Micros firstToken, base::TimePoint now);
--- a/libs/routing/src/UpstreamTable.cpp
+++ b/libs/routing/src/UpstreamTable.cpp
@@ -99,7 +99,7 @@
     };
     std::sort(pool.longOrder.begin(), pool.longOrder.end(),
               [&](const auto *a, const auto *b) { return rank(a) < rank(b); });
-    pool.mayDispatch = true;
+    pool.markAll();
 }
 
 Pool *UpstreamTable::poolFor(const RequestInfo &request)
--- a/libs/routing/tests/RouterTest.cpp
+++ b/libs/routing/tests/RouterTest.cpp
@@ -47,6 +47,30 @@
     CHECK(next[0].request == base::RequestId("c"));
 }
 
+TEST_CASE("a request that no upstream had room for starts when any one of them gets it")
+{
+    const std::string freed = GENERATE("e1", "e2", "e3");
+    Rig rig;
+    std::map<std::string, base::AttemptId> holders;
+    for (const std::string id : {"e1", "e2", "e3"}) {
+        rig.addEngine(id);
+        holders[id] = rig.started("of-" + id, 30'000).attempt;
+    }
+    CHECK(rig.arrive("waits", 30'000).empty());
+    // Something changes at another engine, without room there.
+    const std::string other = freed == "e1" ? "e2" : "e1";
+    PeerOutstanding report;
+    report.host = base::HostId("h2");
+    report.upstream = base::UpstreamId(other);
+    report.prompt = base::Tokens(50'000);
+    CHECK(rig.router.handle(report, rig.now).empty());
+    const auto next =
+            only<StartAttempt>(rig.router.handle(AttemptFinished{holders.at(freed)}, rig.now));
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].request == base::RequestId("waits"));
+    CHECK(next[0].upstream == base::UpstreamId(freed));
+}
+
 TEST_CASE("every admitted request ends at its deadline")
 {
     Rig rig;
