--- a/libs/routing/src/RateEstimator.cpp
+++ b/libs/routing/src/RateEstimator.cpp
@@ -14,7 +14,6 @@
 constexpr double kWeight = 0.1; // of a new sample
 /// Samples that an average with this weight stands for.
 constexpr double kEffectiveSamples = (2 - kWeight) / kWeight;
-constexpr double kConfidence = 2; // standard errors
 
 } // namespace
 
@@ -33,7 +32,7 @@
     if (!isMeasured())
         return;
     const double count = std::min<double>(m_samples, kEffectiveSamples);
-    const double bound = kConfidence * std::sqrt(m_variance / count);
+    const double bound = m_confidence * std::sqrt(m_variance / count);
     if (std::abs(m_mean - m_rate) > bound)
         m_rate = m_mean;
 }
--- a/libs/routing/src/RateEstimator.h
+++ b/libs/routing/src/RateEstimator.h
@@ -11,6 +11,13 @@
 class RateEstimator
 {
 public:
+    /// Standard errors that the mean must leave the rate by; 0 makes a plain moving average.
+    static constexpr double kConfidence = 2;
+
+    explicit RateEstimator(double confidence = kConfidence)
+        : m_confidence(confidence)
+    { }
+
     /// \a work is what the engine computed in \a elapsed, this request's own part included.
     void observe(base::Tokens work, base::Micros elapsed);
     /// Rate in use, in tokens a second.
@@ -24,6 +31,7 @@
     static constexpr int kMinSamples = 5;
 
 private:
+    double m_confidence;
     double m_rate = kInitialRate;
     double m_mean = 0;
     double m_variance = 0;
