The rate of an engine is a plain moving average

Cause: the confidence bound kept the rate in use behind the engine's own rate when that changed.

Not compared on whole systems.

--- a/libs/routing/src/RateEstimator.cpp
+++ b/libs/routing/src/RateEstimator.cpp
@@ -1,7 +1,6 @@
 #include "RateEstimator.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace hyssop::routing {
 
@@ -12,8 +11,6 @@
 /// Below this, fixed costs of a call hide the rate.
 constexpr base::Tokens kMinWork{2'048};
 constexpr double kWeight = 0.1; // of a new sample
-/// Samples that an average with this weight stands for.
-constexpr double kEffectiveSamples = (2 - kWeight) / kWeight;
 
 } // namespace
 
@@ -26,14 +23,8 @@
             std::clamp(static_cast<double>(work.count()) / seconds, kMinRate, kMaxRate);
     ++m_samples;
     const double weight = std::max(kWeight, 1.0 / m_samples);
-    const double delta = sample - m_mean;
-    m_mean += weight * delta;
-    m_variance = (1 - weight) * (m_variance + weight * delta * delta);
-    if (!isMeasured())
-        return;
-    const double count = std::min<double>(m_samples, kEffectiveSamples);
-    const double bound = m_confidence * std::sqrt(m_variance / count);
-    if (std::abs(m_mean - m_rate) > bound)
+    m_mean += weight * (sample - m_mean);
+    if (isMeasured())
         m_rate = m_mean;
 }
 
--- a/libs/routing/src/RateEstimator.h
+++ b/libs/routing/src/RateEstimator.h
@@ -4,20 +4,11 @@
 
 namespace hyssop::routing {
 
-/// Prompt tokens that an engine computes in a second, from measured times to first token.
-///
-/// The rate in use changes only when the mean of the samples has left it by more than the
-/// confidence bound of that mean, so that noise does not move placement.
+/// Prompt tokens that an engine computes in a second: a moving average over measured times to first
+/// token.
 class RateEstimator
 {
 public:
-    /// Standard errors that the mean must leave the rate by; 0 makes a plain moving average.
-    static constexpr double kConfidence = 2;
-
-    explicit RateEstimator(double confidence = kConfidence)
-        : m_confidence(confidence)
-    { }
-
     /// \a work is what the engine computed in \a elapsed, this request's own part included.
     void observe(base::Tokens work, base::Micros elapsed);
     /// Rate in use, in tokens a second.
@@ -31,10 +22,8 @@
     static constexpr int kMinSamples = 5;
 
 private:
-    double m_confidence;
     double m_rate = kInitialRate;
     double m_mean = 0;
-    double m_variance = 0;
     int m_samples = 0;
 };
 
