Long functions of settings, announcements and the HTTP library are split by job

Cause: five functions had 44 to 58 lines and mixed reading, checking and framing. Change: CommandLine wraps TCLAP; the HTTP callbacks tell progress of a call from its end; the server's write goes through one function; the announcement's lists have readers of their own. No behaviour changes.

--- a/libs/base/src/SettingsBuilder.cpp
+++ b/libs/base/src/SettingsBuilder.cpp
@@ -1,13 +1,11 @@
-#include "base/Base.h"
+#include "CommandLine.h"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
-#include <tclap/CmdLine.h>
 
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
-#include <memory>
 
 namespace hyssop::base {
 
@@ -52,6 +50,13 @@
     return std::nullopt;
 }
 
+std::string helpText(const std::string &help, const std::string &flag,
+                     const std::optional<std::string> &fallback)
+{
+    return fmt::format("{} [{}{}]", help, environmentName(flag),
+                       fallback ? ", default '" + *fallback + "'" : std::string(", required"));
+}
+
 } // namespace
 
 SettingsBuilder::SettingsBuilder(std::string program, std::string description)
@@ -145,49 +150,19 @@
 tl::expected<Settings, SettingsError> SettingsBuilder::parse(int argc, const char *const *argv,
                                                              const Lookup &lookup) const
 {
-    TCLAP::CmdLine cmd(m_description, ' ', kVersion);
-    cmd.setExceptionHandling(false);
-    std::vector<std::unique_ptr<TCLAP::ValueArg<std::string>>> values;
-    std::vector<std::unique_ptr<TCLAP::SwitchArg>> toggles;
+    CommandLine line(m_description, kVersion);
     // TCLAP lists arguments in reverse order of their addition.
-    for (auto it = m_specs.rbegin(); it != m_specs.rend(); ++it) {
-        const std::string help = fmt::format("{} [{}{}]", it->help, environmentName(it->flag),
-                                             it->fallback ? ", default '" + *it->fallback + "'"
-                                                          : std::string(", required"));
-        if (it->isToggle)
-            toggles.push_back(std::make_unique<TCLAP::SwitchArg>("", it->flag, help, cmd));
-        else
-            values.push_back(std::make_unique<TCLAP::ValueArg<std::string>>(
-                    "", it->flag, help, false, "", it->shape, cmd));
-    }
-    std::unique_ptr<TCLAP::UnlabeledMultiArg<std::string>> words;
+    for (auto it = m_specs.rbegin(); it != m_specs.rend(); ++it)
+        line.add(it->flag, helpText(it->help, it->flag, it->fallback), it->shape, it->isToggle);
     if (!m_positionalHelp.empty())
-        words = std::make_unique<TCLAP::UnlabeledMultiArg<std::string>>("words", m_positionalHelp,
-                                                                        false, "word", cmd);
-    try {
-        std::vector<std::string> args(argv, argv + argc);
-        cmd.parse(args);
-    } catch (const TCLAP::ExitException &) {
-        return tl::unexpected(SettingsError{"", "", true});
-    } catch (const TCLAP::ArgException &e) {
-        return tl::unexpected(SettingsError{e.argId(), e.error()});
-    }
+        line.addWords(m_positionalHelp);
+    if (auto error = line.parse(argc, argv))
+        return tl::unexpected(*std::move(error));
 
     Settings settings;
-    const auto fromFlag = [&](const std::string &flag) -> std::optional<std::string> {
-        for (const auto &it : values) {
-            if (it->getName() == flag && it->isSet())
-                return it->getValue();
-        }
-        for (const auto &it : toggles) {
-            if (it->getName() == flag && it->isSet())
-                return "true";
-        }
-        return std::nullopt;
-    };
     for (const Spec &spec : m_specs) {
-        std::optional<std::string> value = fromFlag(spec.flag);
         const std::string variable = environmentName(spec.flag);
+        std::optional<std::string> value = line.value(spec.flag);
         if (const char *it = value ? nullptr : lookup(variable.c_str()))
             value = it;
         if (!value)
@@ -199,8 +174,7 @@
             return tl::unexpected(SettingsError{spec.flag, *fault});
         settings.m_values[spec.flag] = *value;
     }
-    if (words)
-        settings.m_words = words->getValue();
+    settings.m_words = line.words();
     return settings;
 }
 
--- a/libs/http/src/ClientSide.cpp
+++ b/libs/http/src/ClientSide.cpp
@@ -162,62 +162,65 @@
     owned->handler->onFailed(id, error);
 }
 
-int clientCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, std::size_t len)
+/// Handles what happens on the connection of an open call; -1 closes the connection.
+int callProgressed(lws *wsi, PendingCall &pending, lws_callback_reasons reason, void *in,
+                   std::size_t len)
 {
-    if (reason == LWS_CALLBACK_EVENT_WAIT_CANCELLED || !wsi)
-        return 0;
     switch (reason) {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
-        PendingCall *pending = callOf(wsi);
-        if (!pending)
-            return -1;
-        pending->hasSent = true;
+        pending.hasSent = true;
         auto **p = static_cast<unsigned char **>(in);
-        return appendHeaders(wsi, *pending, p, *p + len) ? 0 : -1;
+        return appendHeaders(wsi, pending, p, *p + len) ? 0 : -1;
     }
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE: {
-        PendingCall *pending = callOf(wsi);
-        return pending ? writeBody(wsi, *pending) : -1;
-    }
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP: {
-        PendingCall *pending = callOf(wsi);
-        if (!pending)
-            return -1;
-        readHead(wsi, *pending);
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+        return writeBody(wsi, pending);
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+        readHead(wsi, pending);
         return 0;
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+        return pullData(wsi);
+    default: // LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ
+        pending.receivedBytes += len;
+        pending.handler->onData(pending.id, std::string_view(static_cast<const char *>(in), len));
+        return 0;
+    }
+}
+
+/// Handles the end of an open call's connection.
+void callEnded(lws *wsi, PendingCall &pending, lws_callback_reasons reason)
+{
+    pending.wsi = nullptr;
+    if (reason == LWS_CALLBACK_COMPLETED_CLIENT_HTTP) {
+        pending.isComplete = true;
+        finishCall(contextOf(wsi), pending.id);
+    } else if (reason == LWS_CALLBACK_CLIENT_CONNECTION_ERROR) {
+        failCall(contextOf(wsi), pending.id,
+                 pending.hasSent ? CallFailure::ClosedEarly : CallFailure::ConnectFailed);
+    } else {
+        closed(wsi, pending);
     }
+}
+
+int clientCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, std::size_t len)
+{
+    if (reason == LWS_CALLBACK_EVENT_WAIT_CANCELLED || !wsi)
+        return 0;
+    switch (reason) {
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        return callOf(wsi) ? pullData(wsi) : -1;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ: {
         PendingCall *pending = callOf(wsi);
-        if (!pending)
-            return -1;
-        pending->receivedBytes += len;
-        const CallId id = pending->id;
-        pending->handler->onData(id, std::string_view(static_cast<const char *>(in), len));
-        return 0;
+        return pending ? callProgressed(wsi, *pending, reason, in, len) : -1;
     }
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        if (PendingCall *pending = callOf(wsi)) {
-            pending->isComplete = true;
-            pending->wsi = nullptr;
-            finishCall(contextOf(wsi), pending->id);
-        }
-        return -1;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-        if (PendingCall *pending = callOf(wsi)) {
-            pending->wsi = nullptr;
-            failCall(contextOf(wsi), pending->id,
-                     pending->hasSent ? CallFailure::ClosedEarly : CallFailure::ConnectFailed);
-        }
-        return 0;
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
     case LWS_CALLBACK_WSI_DESTROY:
-        if (PendingCall *pending = callOf(wsi)) {
-            pending->wsi = nullptr;
-            closed(wsi, *pending);
-        }
-        return 0;
+        if (PendingCall *pending = callOf(wsi))
+            callEnded(wsi, *pending, reason);
+        return reason == LWS_CALLBACK_COMPLETED_CLIENT_HTTP ? -1 : 0;
     default:
         return lws_callback_http_dummy(wsi, reason, user, in, len);
     }
--- a/libs/http/src/ServerSide.cpp
+++ b/libs/http/src/ServerSide.cpp
@@ -1,6 +1,7 @@
 #include "LoopContext.h"
 
 #include <array>
+#include <utility>
 #include <cstring>
 
 namespace hyssop::http {
@@ -152,6 +153,30 @@
     return 0;
 }
 
+/// False when the connection is broken.
+bool writeOut(lws *wsi, std::string_view bytes, lws_write_protocol protocol)
+{
+    // libwebsockets writes its framing into the room before the bytes.
+    std::string buf(LWS_PRE, '\0');
+    buf += bytes;
+    auto *start = reinterpret_cast<unsigned char *>(buf.data()) + LWS_PRE;
+    return lws_write(wsi, start, bytes.size(), protocol) >= 0;
+}
+
+/// Writes what is next of the answer; false when the connection is broken.
+bool writeNext(lws *wsi, Exchange &exchange)
+{
+    // Header blocks that this library did not end itself are sent as they are.
+    if (!exchange.head.empty())
+        return writeOut(wsi, std::exchange(exchange.head, {}), LWS_WRITE_HTTP_HEADERS);
+    if (exchange.out.empty())
+        return true;
+    const std::string bytes = exchange.out.substr(0, kWriteChunkBytes);
+    exchange.out.erase(0, bytes.size());
+    const bool isLast = exchange.isEnded && exchange.out.empty();
+    return writeOut(wsi, bytes, isLast ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP);
+}
+
 /// Returns -1 when the connection is to be closed.
 int writeSome(lws *wsi, std::int64_t *slot)
 {
@@ -159,35 +184,13 @@
     Exchange *exchange = context.exchange(ExchangeId(*slot));
     if (!exchange)
         return 0;
-    if (!exchange->head.empty()) {
-        std::string buf(LWS_PRE, '\0');
-        buf += exchange->head;
-        const std::size_t n = exchange->head.size();
-        exchange->head.clear();
-        const bool isLast = exchange->isEnded && exchange->out.empty();
-        // Header blocks that this library did not end itself are sent as they are.
-        if (lws_write(wsi, reinterpret_cast<unsigned char *>(buf.data()) + LWS_PRE, n,
-                      LWS_WRITE_HTTP_HEADERS)
-            < 0)
-            return -1;
-        if (!isLast) {
-            lws_callback_on_writable(wsi);
-            return 0;
-        }
-    } else if (!exchange->out.empty()) {
-        const std::size_t n = std::min(exchange->out.size(), kWriteChunkBytes);
-        std::string buf(LWS_PRE, '\0');
-        buf.append(exchange->out, 0, n);
-        exchange->out.erase(0, n);
-        const bool isLast = exchange->isEnded && exchange->out.empty();
-        if (lws_write(wsi, reinterpret_cast<unsigned char *>(buf.data()) + LWS_PRE, n,
-                      isLast ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
-            < 0)
-            return -1;
-        if (!exchange->out.empty()) {
-            lws_callback_on_writable(wsi);
-            return 0;
-        }
+    const bool wasHead = !exchange->head.empty();
+    if (!writeNext(wsi, *exchange))
+        return -1;
+    const bool isWhole = exchange->isEnded && exchange->out.empty();
+    if (!exchange->out.empty() || (wasHead && !isWhole)) {
+        lws_callback_on_writable(wsi);
+        return 0;
     }
     if (!exchange->isEnded)
         return 0;
--- a/libs/membership/src/Announcement.cpp
+++ b/libs/membership/src/Announcement.cpp
@@ -26,6 +26,26 @@
     return it != json.end() && it->is_number_integer() ? it->get<std::int64_t>() : fallback;
 }
 
+bool isTrue(const nlohmann::json &json, const char *field)
+{
+    const auto it = json.find(field);
+    return it != json.end() && it->is_boolean() && it->get<bool>();
+}
+
+std::optional<std::vector<std::string>> modelsOf(const nlohmann::json &json)
+{
+    const auto it = json.find("models");
+    if (it == json.end() || !it->is_array() || it->size() > kMaxModels)
+        return std::nullopt;
+    std::vector<std::string> models;
+    for (const auto &model : *it) {
+        if (!model.is_string())
+            return std::nullopt;
+        models.push_back(model.get<std::string>());
+    }
+    return models;
+}
+
 } // namespace
 
 tl::expected<Announcement, AnnouncementError> parseAnnouncement(std::string_view text)
@@ -55,18 +75,12 @@
     announcement.address = *address;
     upstream.dataCentre = base::DataCentreId(textOf(*json, "dataCentre"));
     upstream.role = textOf(*json, "role");
-    const auto models = json->find("models");
-    if (models == json->end() || !models->is_array() || models->size() > kMaxModels)
+    auto models = modelsOf(*json);
+    if (!models)
         return fault("models", "not a list of names");
-    for (const auto &model : *models) {
-        if (!model.is_string())
-            return fault("models", "not a list of names");
-        upstream.models.push_back(model.get<std::string>());
-    }
+    upstream.models = *std::move(models);
     upstream.kvTokens = base::Tokens(numberOf(*json, "kvTokens", 0));
-    const auto checks = json->find("checksFencing");
-    announcement.checksFencing =
-            checks != json->end() && checks->is_boolean() && checks->get<bool>();
+    announcement.checksFencing = isTrue(*json, "checksFencing");
     const std::string state = textOf(*json, "state");
     if (state != "serving" && state != "leaving")
         return fault("state", "not serving or leaving");
