--- a/libs/http/src/ServerSide.cpp
+++ b/libs/http/src/ServerSide.cpp
@@ -1,8 +1,8 @@
 #include "LoopContext.h"
 
 #include <array>
-#include <utility>
 #include <cstring>
+#include <utility>
 
 namespace hyssop::http {
 
