--- a/libs/routing/src/RateEstimator.h
+++ b/libs/routing/src/RateEstimator.h
@@ -4,10 +4,8 @@
 
 namespace hyssop::routing {
 
-/// Prompt tokens that an engine computes in a second, from measured times to first token.
-///
-/// The rate in use changes only when the mean of the samples has left it by more than the
-/// confidence bound of that mean, so that noise does not move placement.
+/// Prompt tokens that an engine computes in a second: a moving average over measured times to first
+/// token.
 class RateEstimator
 {
 public:
@@ -26,7 +24,6 @@
 private:
     double m_rate = kInitialRate;
     double m_mean = 0;
-    double m_variance = 0;
     int m_samples = 0;
 };
 
