Deployments are brought to engines by one entry host that holds a lease

Cause: deployment records were read and validated, but nothing gave engines orders.

Change: a library of deciding classes (lease by the holder's own clock, assignment of deployments to engines, rate limits of loads, planner of readings and orders) and a runner in the entry host. Engines that check get the fencing number; for the others a new holder first waits out the order's time limit. A call may name a time after which none of its bytes is written, so that a host that stood still sends no order of a lost lease. The record names the engines that may be used and whether a route may lose its last one. Status at /deployments, metrics and log events.

Conclusion: the deciding part is shown by its unit and property tests; a test with real processes is to follow.

--- a/libs/http/include/http/Http.h
+++ b/libs/http/include/http/Http.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -123,6 +124,9 @@
     std::vector<std::string> responseHeaders; ///< Lower-case names to collect.
     base::Millis connectTimeout{2'000};
     base::Millis timeout{30'000}; ///< Until the end of the answer.
+    /// Nothing is written from then on, also when this process stood still meanwhile; the call
+    /// fails instead. Without it only the timeouts bound the sending.
+    std::optional<base::TimePoint> sendBefore = {};
 };
 
 /// Why a Loop could not be set up.
--- a/libs/http/src/ClientSide.cpp
+++ b/libs/http/src/ClientSide.cpp
@@ -13,6 +13,11 @@
     return call;
 }
 
+bool mayStillSend(const PendingCall &pending)
+{
+    return !pending.call.sendBefore || base::monotonicNow() < *pending.call.sendBefore;
+}
+
 /// The call's own timers bound it; the library's would cut an answer off that comes late.
 void liftLibraryTimeout(Loop::Context &context, CallId id)
 {
@@ -169,7 +174,7 @@
     switch (reason) {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
         PendingCall *pending = callOf(wsi);
-        if (!pending)
+        if (!pending || !mayStillSend(*pending))
             return -1;
         pending->hasSent = true;
         auto **p = static_cast<unsigned char **>(in);
@@ -177,7 +182,7 @@
     }
     case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE: {
         PendingCall *pending = callOf(wsi);
-        return pending ? writeBody(wsi, *pending) : -1;
+        return pending && mayStillSend(*pending) ? writeBody(wsi, *pending) : -1;
     }
     case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP: {
         PendingCall *pending = callOf(wsi);
--- /dev/null
+++ b/libs/orders/tests/AssignTest.cpp
@@ -0,0 +1,91 @@
+#include "Rig.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssop;
+using namespace hyssop::orders;
+
+namespace {
+
+std::vector<std::string> idsOf(const Assignments &assignments)
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, assignment] : assignments.engines)
+        ids.push_back(id.text());
+    return ids;
+}
+
+using Ids = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("engines that hold what is wanted stay, and the others are chosen where least is lost")
+{
+    const auto catalogue = catalogueOf({deploymentRecord("d", {{"model", "a"}, {"replicas", 2}}),
+                                        routeRecord("used", {{"model", "b"}})});
+    const std::vector<EngineView> engines{steady("e1", "b"), steady("e2", "b"), steady("e3", "c"),
+                                          steady("e4", "a")};
+    CHECK(idsOf(assign(kDataCentre, *catalogue, engines)) == Ids{"e3", "e4"});
+}
+
+TEST_CASE("deployments of another data centre take no engine here")
+{
+    const auto catalogue =
+            catalogueOf({deploymentRecord("d", {{"model", "a"}, {"dataCentre", "forde-sal"}})});
+    CHECK(assign(kDataCentre, *catalogue, {steady("e1", "b")}).engines.empty());
+}
+
+TEST_CASE("the last engine of a route is taken only where the record says so")
+{
+    nlohmann::json spec{{"model", "a"}, {"replicas", 2}};
+    const auto route = routeRecord("used", {{"model", "b"}});
+    const std::vector<EngineView> engines{steady("e1", "b"), steady("e2", "b")};
+    const auto kept =
+            assign(kDataCentre, *catalogueOf({deploymentRecord("d", spec), route}), engines);
+    CHECK(idsOf(kept) == Ids{"e1"});
+    CHECK(kept.missing.at("d") == 1);
+    CHECK(kept.heldByRoutes.contains("d"));
+    spec["mayUnloadLast"] = true;
+    const auto taken =
+            assign(kDataCentre, *catalogueOf({deploymentRecord("d", spec), route}), engines);
+    CHECK(idsOf(taken) == Ids{"e1", "e2"});
+    CHECK(taken.missing.empty());
+}
+
+TEST_CASE("a role that a route needs counts as its model does")
+{
+    EngineView only = steady("e1", "a");
+    only.engine.role = "chat";
+    only.desired->role = only.loaded->role = "chat";
+    const auto catalogue = catalogueOf({deploymentRecord("d", {{"model", "a"}, {"role", "long"}}),
+                                        routeRecord("used", {{"model", "a"}, {"role", "chat"}})});
+    CHECK(assign(kDataCentre, *catalogue, {only}).engines.empty());
+}
+
+TEST_CASE("a new version goes round one engine at a time, and to a lone engine in place")
+{
+    const auto catalogue = catalogueOf(
+            {deploymentRecord("d", {{"model", "a"}, {"modelVersion", "2"}, {"replicas", 2}}),
+             routeRecord("used", {{"model", "a"}})});
+    std::vector<EngineView> engines{steady("e1", "a"), steady("e2", "a")};
+    CHECK(idsOf(assign(kDataCentre, *catalogue, engines)) == Ids{"e1"});
+    engines[0].desired->version = "2";
+    CHECK(idsOf(assign(kDataCentre, *catalogue, engines)) == Ids{"e1"});
+    engines[0].loaded->version = "2";
+    CHECK(idsOf(assign(kDataCentre, *catalogue, engines)) == Ids{"e1", "e2"});
+    CHECK(idsOf(assign(kDataCentre, *catalogue, {steady("e1", "a")})) == Ids{"e1"});
+}
+
+TEST_CASE("only engines that the record names are used, and none that leaves or is not known")
+{
+    const auto catalogue = catalogueOf({deploymentRecord(
+            "d", {{"model", "a"}, {"replicas", 9}, {"upstreams", {"e2", "e3", "e4"}}})});
+    std::vector<EngineView> engines{steady("e1", "b"), steady("e2", "b"), steady("e3", "b"),
+                                    steady("e4", "b")};
+    engines[2].engine.isLeaving = true;
+    engines[3].desired.reset();
+    const auto assignments = assign(kDataCentre, *catalogue, engines);
+    CHECK(idsOf(assignments) == Ids{"e2"});
+    CHECK(assignments.missing.at("d") == 8);
+    CHECK(assignments.heldByRoutes.empty());
+}
--- /dev/null
+++ b/libs/orders/tests/OrderLeaseTest.cpp
@@ -0,0 +1,79 @@
+#include "orders/Orders.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssop;
+using namespace hyssop::orders;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::TimePoint kStart{1h};
+
+OrderLease askedAt(base::TimePoint at)
+{
+    OrderLease lease(1, at - 10s);
+    REQUIRE(lease.isDue(true, at));
+    lease.asked(at);
+    return lease;
+}
+
+} // namespace
+
+TEST_CASE("a lease counts from the question, however late its answer comes")
+{
+    OrderLease lease = askedAt(kStart);
+    lease.granted(7, kStart + 2s);
+    REQUIRE(lease.held(kStart + 2s));
+    CHECK(lease.held(kStart + 2s)->until == kStart + kLeaseDuration - kLeaseMargin);
+    CHECK_FALSE(lease.held(kStart + kLeaseDuration - kLeaseMargin));
+}
+
+TEST_CASE("a holder that gets no answer stops in time and goes on asking")
+{
+    OrderLease lease = askedAt(kStart);
+    lease.granted(7, kStart);
+    const base::TimePoint renewal = kStart + 4s;
+    REQUIRE(lease.isDue(false, renewal));
+    lease.asked(renewal);
+    CHECK_FALSE(lease.isDue(false, renewal + 10s));
+    lease.failed();
+    CHECK(lease.held(kStart + 7s));
+    CHECK_FALSE(lease.held(kStart + 8s));
+    CHECK(lease.isDue(true, kStart + 9s));
+}
+
+TEST_CASE("a renewal keeps the moment of the grant, another number begins anew")
+{
+    OrderLease lease = askedAt(kStart);
+    lease.granted(7, kStart);
+    lease.asked(kStart + 3s);
+    lease.granted(7, kStart + 3s);
+    CHECK(lease.held(kStart + 10s)->since == kStart);
+    lease.asked(kStart + 20s);
+    lease.granted(8, kStart + 20s);
+    CHECK(lease.held(kStart + 20s)->since == kStart + 20s);
+}
+
+TEST_CASE("a holder whose number was refused gives no order until the log has answered again")
+{
+    OrderLease lease = askedAt(kStart);
+    lease.granted(7, kStart);
+    lease.asked(kStart + 3s);
+    lease.stepBack();
+    // This question went out before the refusal, so its answer says nothing about it.
+    lease.granted(7, kStart + 3s);
+    CHECK_FALSE(lease.held(kStart + 3s));
+    REQUIRE(lease.isDue(false, kStart + 3s));
+    lease.asked(kStart + 3s);
+    lease.granted(7, kStart + 3s);
+    CHECK(lease.held(kStart + 3s));
+}
+
+TEST_CASE("a host that is not first in line asks seldom, so that the log is not flooded")
+{
+    OrderLease lease(1, kStart);
+    CHECK_FALSE(lease.isDue(false, kStart + 30s));
+    CHECK(lease.isDue(true, kStart + 4s));
+    CHECK(lease.isDue(false, kStart + 61s));
+}
--- /dev/null
+++ b/libs/orders/tests/OrderPropertyTest.cpp
@@ -0,0 +1,209 @@
+// Whatever happens to leases and orders, no engine ends in the state of an older holder.
+
+#include "Rig.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace hyssop;
+using namespace hyssop::orders;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Leases as the log grants them.
+struct LogLease
+{
+    int owner = -1;
+    base::TimePoint until;
+    std::int64_t fencing = 0;
+
+    std::optional<std::int64_t> take(int host, base::TimePoint now)
+    {
+        if (now < until && owner != host)
+            return std::nullopt;
+        if (now >= until || owner != host)
+            ++fencing;
+        owner = host;
+        until = now + kLeaseDuration;
+        return fencing;
+    }
+};
+
+/// One host that may give orders. It may stand still at any moment, also between its decision and
+/// the moment that its order leaves.
+struct OrderHost
+{
+    OrderHost(int n, base::TimePoint now, std::shared_ptr<const records::Catalogue> catalogue)
+        : number(n)
+        , lease(static_cast<std::uint64_t>(n), now)
+        , planner(kDataCentre, {8, 6'000}, static_cast<std::uint64_t>(n))
+    {
+        planner.setCatalogue(std::move(catalogue));
+    }
+
+    int number;
+    OrderLease lease;
+    OrderPlanner planner;
+    base::TimePoint frozenUntil;
+};
+
+struct InFlight
+{
+    OrderHost *from;
+    GiveOrder order;
+    base::TimePoint leaves; ///< Written to the connection; not before that moment's check.
+    base::TimePoint arrives;
+};
+
+class Fleet
+{
+public:
+    explicit Fleet(bool checksFencing)
+    {
+        // Every host has another opinion, so that whose order stands can be seen.
+        for (int n = 0; n < 3; ++n)
+            hosts.emplace_back(std::make_unique<OrderHost>(
+                    n, m_now,
+                    catalogueOf({deploymentRecord(
+                            "d", {{"model", "m" + std::to_string(n)}, {"replicas", 2}})})));
+        engines = {modelEngine("e1", "x", checksFencing), modelEngine("e2", "x", checksFencing)};
+    }
+
+    void step(std::uint32_t draw)
+    {
+        m_now += base::Millis(50 + draw % 400);
+        deliver();
+        OrderHost &host = *hosts[draw / 400 % hosts.size()];
+        // Every so often a host stands still for up to 24 s.
+        if (draw / 1'200 % 12 == 0)
+            host.frozenUntil = m_now + base::Millis(draw / 14'400 % 24'000);
+        if (host.frozenUntil <= m_now)
+            act(host, draw);
+        for (ModelEngine &engine : engines) {
+            if (draw / 7 % 3 == 0)
+                engine.finishLoad();
+        }
+    }
+    /// Lets one host alone go on for long enough, with no more disturbance.
+    void settle(OrderHost &last)
+    {
+        last.frozenUntil = {};
+        for (int i = 0; i < 600; ++i) {
+            m_now += 100ms;
+            deliver();
+            act(last, 0);
+            for (ModelEngine &engine : engines)
+                engine.finishLoad();
+        }
+    }
+
+    std::vector<std::unique_ptr<OrderHost>> hosts;
+    std::vector<ModelEngine> engines;
+    /// Orders taken from a holder older than the newest that had ordered there.
+    int overridden = 0;
+    int orders = 0;
+
+private:
+    void act(OrderHost &host, std::uint32_t draw)
+    {
+        if (host.lease.isDue(true, m_now)) {
+            host.lease.asked(m_now);
+            const auto fencing = m_log.take(host.number, m_now);
+            const bool isAnswerLost = draw / 3 % 5 == 1;
+            if (isAnswerLost)
+                host.lease.failed();
+            else if (fencing)
+                host.lease.granted(*fencing, m_now);
+            else
+                host.lease.refused();
+        }
+        std::vector<Engine> announced;
+        for (const ModelEngine &it : engines)
+            announced.push_back(it.engine);
+        host.planner.setEngines(announced, m_now);
+        for (const Action &action : host.planner.next(host.lease.held(m_now), m_now))
+            take(host, action, draw);
+    }
+    void take(OrderHost &host, const Action &action, std::uint32_t draw)
+    {
+        if (const auto *read = std::get_if<ReadState>(&action)) {
+            host.planner.readDone(read->engine, engine(read->engine).state(), m_now);
+        } else if (const auto *order = std::get_if<GiveOrder>(&action)) {
+            // The host may stand still before it writes, and the network may take the whole limit.
+            const base::TimePoint leaves = m_now + base::Millis(draw / 11 % 15'000);
+            const base::TimePoint arrives =
+                    leaves + base::Millis(draw / 13 % (kOrderLimit.count() - 50));
+            m_inFlight.push_back({&host, *order, leaves, arrives});
+        }
+    }
+    void deliver()
+    {
+        std::vector<InFlight> waiting;
+        std::swap(waiting, m_inFlight);
+        for (const InFlight &it : waiting) {
+            if (it.leaves >= it.order.before)
+                it.from->planner.orderDone(it.order.engine, OrderResult::Failed, m_now);
+            else if (it.arrives > m_now)
+                m_inFlight.push_back(it);
+            else
+                arrive(it);
+        }
+    }
+    void arrive(const InFlight &it)
+    {
+        ModelEngine &target = engine(it.order.engine);
+        const std::int64_t newest = m_newest[it.order.engine];
+        const OrderResult result = target.take(it.order);
+        ++orders;
+        if (result == OrderResult::Accepted && it.order.fencing < newest)
+            ++overridden;
+        m_newest[it.order.engine] = std::max(newest, it.order.fencing);
+        if (result == OrderResult::OldFencing)
+            it.from->lease.stepBack();
+        it.from->planner.orderDone(it.order.engine, result, m_now);
+    }
+    ModelEngine &engine(const base::UpstreamId &id)
+    {
+        return engines[0].engine.id == id ? engines[0] : engines[1];
+    }
+
+    base::TimePoint m_now{1h};
+    LogLease m_log;
+    std::vector<InFlight> m_inFlight;
+    std::map<base::UpstreamId, std::int64_t> m_newest;
+};
+
+void checkFleet(bool checksFencing, const std::vector<std::uint32_t> &draws)
+{
+    Fleet fleet(checksFencing);
+    for (const std::uint32_t draw : draws)
+        fleet.step(draw);
+    RC_ASSERT(fleet.overridden == 0);
+    RC_TAG(fleet.orders > 0 ? "with orders" : "without orders");
+    OrderHost &last = *fleet.hosts[draws.empty() ? 0 : draws.back() % 3];
+    fleet.settle(last);
+    RC_ASSERT(fleet.overridden == 0);
+    for (const ModelEngine &engine : fleet.engines) {
+        RC_ASSERT(engine.desired.model == "m" + std::to_string(last.number));
+        RC_ASSERT(engine.loaded == engine.desired);
+    }
+}
+
+/// Long enough for several changes of the lease.
+rc::Gen<std::vector<std::uint32_t>> drawLists()
+{
+    return rc::gen::container<std::vector<std::uint32_t>>(400, rc::gen::arbitrary<std::uint32_t>());
+}
+
+} // namespace
+
+TEST_CASE("engines that check numbers never go back to an older holder's order")
+{
+    rc::prop("under any interleaving", [] { checkFleet(true, *drawLists()); });
+}
+
+TEST_CASE("engines that ignore numbers never go back to an older holder's order")
+{
+    rc::prop("under any interleaving", [] { checkFleet(false, *drawLists()); });
+}
--- /dev/null
+++ b/libs/orders/tests/Rig.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "orders/Orders.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hyssop::orders {
+
+inline const base::DataCentreId kDataCentre{"floro-sal"};
+
+inline records::Record deploymentRecord(const std::string &name, nlohmann::json spec)
+{
+    spec.emplace("dataCentre", kDataCentre.text());
+    spec.emplace("loadsPerMinute", 600);
+    return {records::Kind::Deployment, name, 1, records::Version(1), spec.dump()};
+}
+
+inline records::Record routeRecord(const std::string &name, const nlohmann::json &spec)
+{
+    return {records::Kind::Route, name, 1, records::Version(1), spec.dump()};
+}
+
+inline std::shared_ptr<const records::Catalogue> catalogueOf(
+        const std::vector<records::Record> &records)
+{
+    return records::Catalogue::build(records, nullptr);
+}
+
+/// An engine that serves a model, as announced and as read back.
+inline EngineView steady(const std::string &id, const std::string &model)
+{
+    const EngineTarget target{model, "", "", ""};
+    return {{base::UpstreamId(id), base::Incarnation(1), "", {model}, true, false}, target, target};
+}
+
+/// A model of an engine: takes orders as a real one does, and loads when told to finish.
+struct ModelEngine
+{
+    Engine engine;
+    EngineTarget desired;
+    EngineTarget loaded;
+    std::int64_t fencing = 0;
+
+    OrderResult take(const GiveOrder &order)
+    {
+        if (engine.checksFencing && order.fencing < fencing)
+            return OrderResult::OldFencing;
+        fencing = order.fencing;
+        desired = order.assignment.target;
+        loaded.role = engine.role = desired.role;
+        return OrderResult::Accepted;
+    }
+    void finishLoad()
+    {
+        loaded = desired;
+        engine.models = {loaded.model};
+    }
+    ReadBack state() const { return {desired, loaded}; }
+};
+
+inline ModelEngine modelEngine(const std::string &id, const std::string &model, bool checks = true)
+{
+    const EngineTarget target{model, "", "", ""};
+    return {{base::UpstreamId(id), base::Incarnation(1), "", {model}, checks, false},
+            target,
+            target,
+            0};
+}
+
+} // namespace hyssop::orders
--- a/libs/platform/include/platform/Platform.h
+++ b/libs/platform/include/platform/Platform.h
@@ -34,7 +34,7 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-/// Serves /ready, /live and /metrics.
+/// Serves /ready, /live, /metrics and pages of JSON.
 class Server final : public http::ServerHandler
 {
 public:
@@ -42,6 +42,8 @@
     Server(http::Loop *loop, Metrics *metrics, std::function<void()> refresh = {});
 
     tl::expected<base::Endpoint, http::LoopError> listen(const base::Endpoint &address);
+    /// Serves the JSON that \a render makes at each reading.
+    void addPage(const std::string &path, std::function<std::string()> render);
     /// Not ready: the balancer is to send no new work.
     void setReady(bool isReady) { m_isReady = isReady; }
     bool isReady() const { return m_isReady; }
@@ -54,6 +56,7 @@
     http::Loop *m_loop;
     Metrics *m_metrics;
     std::function<void()> m_refresh;
+    std::map<std::string, std::function<std::string()>> m_pages;
     bool m_isReady = false;
 };
 
--- a/libs/platform/src/Server.cpp
+++ b/libs/platform/src/Server.cpp
@@ -16,6 +16,11 @@
     return m_loop->listen(std::move(options), this);
 }
 
+void Server::addPage(const std::string &path, std::function<std::string()> render)
+{
+    m_pages[path] = std::move(render);
+}
+
 void Server::onRequest(http::ExchangeId id, http::Request request)
 {
     http::Response response;
@@ -29,6 +34,9 @@
         if (m_refresh)
             m_refresh();
         response.body = m_metrics->text();
+    } else if (const auto page = m_pages.find(request.path); page != m_pages.end()) {
+        response.contentType = "application/json";
+        response.body = page->second();
     } else {
         response.status = 404;
         response.body = "not found\n";
--- a/libs/records/include/records/Records.h
+++ b/libs/records/include/records/Records.h
@@ -126,6 +126,8 @@
     int replicas = 1; ///< Engines that should hold the model, 0..1000.
     Fencing fencing = Fencing::Checked;
     int loadsPerMinute = 6; ///< Bound on loads from the weight store, 1..600.
+    std::vector<base::UpstreamId> upstreams; ///< Engines that may be used; empty: any.
+    bool mayUnloadLast = false; ///< Whether a route in force may lose its last engine to it.
 };
 
 tl::expected<TeamSpec, RecordError> readTeam(const Record &record);
--- a/libs/records/src/Specs.cpp
+++ b/libs/records/src/Specs.cpp
@@ -153,6 +153,7 @@
     std::string fencing = "checked";
     std::int64_t replicas = deployment.replicas;
     std::int64_t loads = deployment.loadsPerMinute;
+    std::vector<std::string> upstreams;
     reader.text("model", model);
     reader.text("adapter", deployment.adapter);
     reader.text("modelVersion", deployment.modelVersion);
@@ -161,6 +162,8 @@
     reader.text("fencing", fencing);
     reader.number("replicas", 0, kMaxReplicas, replicas);
     reader.number("loadsPerMinute", 1, kMaxLoadsPerMinute, loads);
+    reader.texts("upstreams", upstreams);
+    reader.truth("mayUnloadLast", deployment.mayUnloadLast);
     if (model.empty())
         reader.fail("model", "missing");
     if (dataCentre.empty())
@@ -174,6 +177,8 @@
     deployment.fencing = fencing == "checked" ? Fencing::Checked : Fencing::Ignored;
     deployment.replicas = static_cast<int>(replicas);
     deployment.loadsPerMinute = static_cast<int>(loads);
+    for (const std::string &upstream : upstreams)
+        deployment.upstreams.emplace_back(upstream);
     return deployment;
 }
 
--- a/libs/records/src/Validate.cpp
+++ b/libs/records/src/Validate.cpp
@@ -18,9 +18,9 @@
             "model",   "service",    "adapter",     "modelVersion", "role",
             "urgency", "deadlineMs", "deadlinesMs", "mayRepeat",    "teams"};
     static const std::vector<std::string> kControlGroup{"voters"};
-    static const std::vector<std::string> kDeployment{"model",   "adapter",       "modelVersion",
-                                                      "role",    "dataCentre",    "replicas",
-                                                      "fencing", "loadsPerMinute"};
+    static const std::vector<std::string> kDeployment{
+            "model",    "adapter", "modelVersion",   "role",      "dataCentre",
+            "replicas", "fencing", "loadsPerMinute", "upstreams", "mayUnloadLast"};
     switch (kind) {
     case Kind::Team:
         return kTeam;
--- a/libs/records/tests/RecordsTest.cpp
+++ b/libs/records/tests/RecordsTest.cpp
@@ -113,8 +113,15 @@
     REQUIRE(deployment);
     CHECK(deployment->replicas == 3);
     CHECK(deployment->fencing == Fencing::Ignored);
+    CHECK(deployment->upstreams.empty());
+    CHECK_FALSE(deployment->mayUnloadLast);
     record.spec = R"({"model":"saga","dataCentre":"x","fencing":"maybe"})";
     CHECK(validate(record)->field == "spec.fencing");
+    record.spec = R"({"model":"saga","dataCentre":"x","upstreams":["e1"],"mayUnloadLast":true})";
+    CHECK(readDeployment(record)->upstreams == std::vector{base::UpstreamId("e1")});
+    CHECK(readDeployment(record)->mayUnloadLast);
+    record.spec = R"({"model":"saga","dataCentre":"x","upstreams":"e1"})";
+    CHECK(validate(record)->field == "spec.upstreams");
 }
 
 TEST_CASE("what is too large, too deep or oddly named is not accepted")
--- a/libs/upstream/include/upstream/Upstream.h
+++ b/libs/upstream/include/upstream/Upstream.h
@@ -7,6 +7,7 @@
 #include "base/Base.h"
 #include "http/Http.h"
 #include "membership/Membership.h"
+#include "orders/Orders.h"
 #include "routing/Routing.h"
 
 #include <deque>
@@ -370,6 +371,49 @@
     std::map<base::AttemptId, http::CallId> m_ids;
 };
 
+/// Why the desired state of an engine could not be read.
+enum class ReadFault {
+    NoAnswer,
+    Refused, ///< The engine answered with an error.
+    Malformed,
+};
+
+std::string_view readFaultName(ReadFault fault);
+
+/// Gives orders to engines and reads their desired state back. Each call is answered once, later,
+/// within orders::kOrderLimit.
+class OrderCalls final : private http::CallHandler
+{
+public:
+    using OnRead = std::function<void(const tl::expected<orders::ReadBack, ReadFault> &state)>;
+    using OnOrdered = std::function<void(orders::OrderResult result)>;
+
+    explicit OrderCalls(http::Loop *loop);
+    ~OrderCalls() override;
+
+    void read(const base::Endpoint &engine, OnRead onRead);
+    /// No byte of the order leaves at \c order.before or later.
+    void give(const base::Endpoint &engine, const orders::GiveOrder &order, OnOrdered onOrdered);
+
+private:
+    struct Open
+    {
+        OnRead onRead; ///< Set for a reading.
+        OnOrdered onOrdered; ///< Set for an order.
+        int status = 0;
+        std::string body;
+    };
+
+    Open take(http::CallId id);
+    void onHead(http::CallId id, int status, const http::Headers &headers) override;
+    void onData(http::CallId id, std::string_view data) override;
+    void onDone(http::CallId id) override;
+    void onFailed(http::CallId id, const http::CallError &error) override;
+
+    http::Loop *m_loop;
+    std::map<http::CallId, Open> m_calls;
+};
+
 /// Takes announcements of upstreams over HTTP.
 class AnnouncementServer final : public http::ServerHandler
 {
--- a/programs/hyssop-entry/EntryOptions.h
+++ b/programs/hyssop-entry/EntryOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Base.h"
+#include "orders/Orders.h"
 
 #include <string>
 #include <vector>
@@ -31,6 +32,7 @@
     std::string policy;
     std::size_t maxQueued = 0;
     std::int64_t maxOutstandingTokens = 0;
+    orders::LoadLimits loadLimits;
 };
 
 } // namespace hyssop::entry
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -92,6 +92,7 @@
 void EntryTask::takeCatalogue(std::shared_ptr<const records::Catalogue> catalogue)
 {
     m_calls.setCatalogue(catalogue);
+    m_orders->setCatalogue(catalogue);
     m_runner->feed(routing::CatalogueChanged{std::move(catalogue)});
     m_platform->setReady(!m_isStopping);
 }
@@ -116,6 +117,7 @@
     m_gossiper = makeGossiper();
     m_reclaimer = std::make_unique<Reclaimer>(m_loop.get(), &m_metrics, m_gossiper.get(),
                                               m_control.get(), m_options.dataCentre);
+    m_orders = makeOrderRunner();
     m_control->setNode(m_peers.get());
     base::logEvent("listening", {{"callers", callers->text()},
                                  {"upstreams", upstreams->text()},
@@ -133,6 +135,7 @@
     m_gossiper->start(m_peers.get());
     m_jobs->start();
     m_reclaimer->start();
+    m_orders->start();
     m_loop->run();
     base::logEvent("stopped", {{"host", m_options.host}});
 }
@@ -275,12 +278,25 @@
                                       m_options.usesPeersOfSettingsOnly, std::move(hooks));
 }
 
+std::unique_ptr<OrderRunner> EntryTask::makeOrderRunner()
+{
+    const ledger::Owner self{m_options.host, m_options.incarnation};
+    const std::uint64_t seed = std::hash<base::HostId>()(self.host)
+                               ^ static_cast<std::uint64_t>(self.incarnation.count());
+    auto orders = std::make_unique<OrderRunner>(
+            m_loop.get(), &m_metrics, m_gossiper.get(), m_control.get(),
+            OrderRunner::Options{self, m_options.dataCentre, m_options.loadLimits, seed});
+    m_platform->addPage("/deployments", [runner = orders.get()] { return runner->statusJson(); });
+    return orders;
+}
+
 // Life of the host.
 
 void EntryTask::refreshGauges()
 {
     m_runner->refreshGauges();
     m_jobs->refreshGauges();
+    m_orders->refreshGauges();
     m_metrics.set("hyssop_records_index", static_cast<double>(m_watcher->position().index));
     m_metrics.set("hyssop_records_confirmed", m_watcher->isConfirmed() ? 1 : 0);
 }
@@ -297,6 +313,7 @@
     m_isStopping = true;
     m_platform->setReady(false);
     m_jobs->stop();
+    m_orders->stop();
     base::logEvent("stopping", {{"open_requests", m_runner->openRequests()}});
     // Requests are still taken until the balancer has noticed.
     m_loop->after(m_options.stopNotice, [this] { refuseNewWork(); });
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -9,6 +9,7 @@
 #include "http/Http.h"
 #include "JobRunner.h"
 #include "membership/Membership.h"
+#include "OrderRunner.h"
 #include "peers/Peers.h"
 #include "platform/Platform.h"
 #include "Reclaimer.h"
@@ -59,6 +60,7 @@
     void onGossip(peers::GossipMessage message) override;
     void onQuery(peers::QueryRequest request, peers::Answer<std::string> answer) override;
     std::unique_ptr<Gossiper> makeGossiper();
+    std::unique_ptr<OrderRunner> makeOrderRunner();
 
     // Life of the host.
     void refreshGauges();
@@ -82,6 +84,7 @@
     std::unique_ptr<peers::Node> m_peers;
     std::unique_ptr<Gossiper> m_gossiper;
     std::unique_ptr<Reclaimer> m_reclaimer;
+    std::unique_ptr<OrderRunner> m_orders;
     bool m_isStopping = false;
 };
 
--- /dev/null
+++ b/programs/hyssop-entry/OrderRunner.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "ControlClient.h"
+#include "Gossiper.h"
+#include "orders/Orders.h"
+#include "upstream/Upstream.h"
+
+#include <set>
+
+namespace hyssop::entry {
+
+/// Brings the engines of the data centre to what deployments ask for, while this host holds the
+/// lease for it.
+///
+/// Carries out what orders::OrderLease and orders::OrderPlanner decide. Belongs to the entry task's
+/// loop.
+class OrderRunner
+{
+public:
+    static constexpr base::Millis kTick{250};
+
+    struct Options
+    {
+        ledger::Owner self;
+        base::DataCentreId dataCentre;
+        orders::LoadLimits limits;
+        std::uint64_t seed = 1;
+    };
+
+    /// \a gossiper, \a control and \a metrics must outlive this object.
+    OrderRunner(http::Loop *loop, platform::Metrics *metrics, const Gossiper *gossiper,
+                ControlClient *control, Options options);
+
+    void start();
+    /// Gives no more orders, and the lease back.
+    void stop();
+    void setCatalogue(std::shared_ptr<const records::Catalogue> catalogue);
+    void refreshGauges();
+    /// What is wanted and what is there, as JSON; without detail where another host gives orders.
+    std::string statusJson() const;
+
+private:
+    void tick();
+    void askForLease(base::Millis duration);
+    void takeLeaseReply(const tl::expected<ledger::Reply, ExecuteFailure> &reply);
+    void noteLease();
+    void perform(const orders::Action &action);
+    void perform(const orders::ReadState &action);
+    void perform(const orders::GiveOrder &action);
+    void perform(const orders::OrderHeld &action);
+    void perform(const orders::OrderOverridden &action);
+    void onOrdered(const orders::GiveOrder &order, orders::OrderResult result);
+    std::vector<orders::Engine> engines() const;
+    bool isFirstInLine() const;
+
+    http::Loop *m_loop;
+    platform::Metrics *m_metrics;
+    const Gossiper *m_gossiper;
+    ControlClient *m_control;
+    Options m_options;
+    orders::OrderLease m_lease;
+    orders::OrderPlanner m_planner;
+    upstream::OrderCalls m_calls;
+    std::int64_t m_fencing = 0; ///< Of the lease held; 0: none.
+    std::set<std::string> m_shown; ///< Deployments that have gauges.
+    bool m_isStopping = false;
+};
+
+} // namespace hyssop::entry
--- a/programs/hyssop-entry/main.cpp
+++ b/programs/hyssop-entry/main.cpp
@@ -37,6 +37,12 @@
             .number("max-queued", "Requests that may wait for an upstream", 10'000, 1, 1'000'000)
             .number("max-outstanding-tokens", "Uncached prompt tokens kept at one engine", 32'768,
                     1, 100'000'000)
+            .number("weight-loads-at-once",
+                    "Engines of the data centre that may load from the weight store at once", 2, 1,
+                    1'000)
+            .number("weight-loads-per-minute",
+                    "Loads from the weight store that may begin in a minute, in the data centre",
+                    30, 1, 10'000)
             .millis("stop-notice-ms", "How long new requests are still taken once a stop was asked",
                     base::Millis(2'000), base::Millis(0), base::Millis(600'000))
             .millis("stop-limit-ms", "Bound on finishing requests in flight at a stop",
@@ -75,6 +81,8 @@
     options.policy = settings.text("policy");
     options.maxQueued = static_cast<std::size_t>(settings.number("max-queued"));
     options.maxOutstandingTokens = settings.number("max-outstanding-tokens");
+    options.loadLimits.atOnce = static_cast<int>(settings.number("weight-loads-at-once"));
+    options.loadLimits.perMinute = static_cast<int>(settings.number("weight-loads-per-minute"));
     return options;
 }
 
