--- a/libs/orders/tests/OrderPropertyTest.cpp
+++ b/libs/orders/tests/OrderPropertyTest.cpp
@@ -46,6 +46,9 @@
     OrderLease lease;
     OrderPlanner planner;
     base::TimePoint frozenUntil;
+    /// Answer of the log that is under way, and when it comes.
+    std::optional<std::int64_t> answer;
+    base::TimePoint answered;
 };
 
 struct InFlight
@@ -61,38 +64,37 @@
 public:
     explicit Fleet(bool checksFencing)
     {
-        // Every host has another opinion, so that whose order stands can be seen.
         for (int n = 0; n < 3; ++n)
-            hosts.emplace_back(std::make_unique<OrderHost>(
-                    n, m_now,
-                    catalogueOf({deploymentRecord(
-                            "d", {{"model", "m" + std::to_string(n)}, {"replicas", 2}})})));
+            hosts.emplace_back(std::make_unique<OrderHost>(n, m_now, opinion(n, 0)));
         engines = {modelEngine("e1", "x", checksFencing), modelEngine("e2", "x", checksFencing)};
     }
 
     void step(std::uint32_t draw)
     {
-        m_now += base::Millis(50 + draw % 400);
+        m_rng.seed(draw);
+        m_now += base::Millis(upTo(200));
         deliver();
-        OrderHost &host = *hosts[draw / 400 % hosts.size()];
-        // Every so often a host stands still for up to 24 s.
-        if (draw / 1'200 % 12 == 0)
-            host.frozenUntil = m_now + base::Millis(draw / 14'400 % 24'000);
+        OrderHost &host = *hosts[static_cast<std::size_t>(upTo(2))];
+        if (isOneIn(10))
+            host.frozenUntil = m_now + base::Millis(upTo(24'000));
+        if (isOneIn(4))
+            host.planner.setCatalogue(opinion(host.number, ++m_version));
         if (host.frozenUntil <= m_now)
-            act(host, draw);
+            act(host);
         for (ModelEngine &engine : engines) {
-            if (draw / 7 % 3 == 0)
+            if (isOneIn(3))
                 engine.finishLoad();
         }
     }
     /// Lets one host alone go on for long enough, with no more disturbance.
     void settle(OrderHost &last)
     {
+        m_isQuiet = true;
         last.frozenUntil = {};
         for (int i = 0; i < 600; ++i) {
             m_now += 100ms;
             deliver();
-            act(last, 0);
+            act(last);
             for (ModelEngine &engine : engines)
                 engine.finishLoad();
         }
@@ -102,40 +104,66 @@
     std::vector<ModelEngine> engines;
     /// Orders taken from a holder older than the newest that had ordered there.
     int overridden = 0;
-    int orders = 0;
+    int holders = 0; ///< Whose orders came, counted once for each grant.
 
 private:
-    void act(OrderHost &host, std::uint32_t draw)
+    std::int64_t upTo(std::int64_t most)
     {
-        if (host.lease.isDue(true, m_now)) {
-            host.lease.asked(m_now);
-            const auto fencing = m_log.take(host.number, m_now);
-            const bool isAnswerLost = draw / 3 % 5 == 1;
-            if (isAnswerLost)
-                host.lease.failed();
-            else if (fencing)
-                host.lease.granted(*fencing, m_now);
-            else
-                host.lease.refused();
-        }
+        return std::uniform_int_distribution<std::int64_t>(0, most)(m_rng);
+    }
+    bool isOneIn(std::int64_t n) { return !m_isQuiet && upTo(n - 1) == 0; }
+    /// Every host has another opinion, so that whose order stands can be seen.
+    static std::shared_ptr<const records::Catalogue> opinion(int host, int version)
+    {
+        return catalogueOf({deploymentRecord("d", {{"model", "m" + std::to_string(host)},
+                                                   {"modelVersion", std::to_string(version)},
+                                                   {"replicas", 2}})});
+    }
+    void act(OrderHost &host)
+    {
+        askLog(host);
         std::vector<Engine> announced;
         for (const ModelEngine &it : engines)
             announced.push_back(it.engine);
         host.planner.setEngines(announced, m_now);
         for (const Action &action : host.planner.next(host.lease.held(m_now), m_now))
-            take(host, action, draw);
+            take(host, action);
     }
-    void take(OrderHost &host, const Action &action, std::uint32_t draw)
+    void askLog(OrderHost &host)
     {
-        if (const auto *read = std::get_if<ReadState>(&action)) {
-            host.planner.readDone(read->engine, engine(read->engine).state(), m_now);
-        } else if (const auto *order = std::get_if<GiveOrder>(&action)) {
-            // The host may stand still before it writes, and the network may take the whole limit.
-            const base::TimePoint leaves = m_now + base::Millis(draw / 11 % 15'000);
-            const base::TimePoint arrives =
-                    leaves + base::Millis(draw / 13 % (kOrderLimit.count() - 50));
-            m_inFlight.push_back({&host, *order, leaves, arrives});
+        if (host.lease.isDue(true, m_now)) {
+            host.lease.asked(m_now);
+            host.answer = m_log.take(host.number, m_now);
+            host.answered = m_now + base::Millis(isOneIn(2) ? upTo(2'500) : 0);
         }
+        if (!host.lease.isAsking() || host.answered > m_now)
+            return;
+        if (isOneIn(10))
+            host.lease.failed();
+        else if (host.answer)
+            host.lease.granted(*host.answer, m_now);
+        else
+            host.lease.refused();
+    }
+    void take(OrderHost &host, const Action &action)
+    {
+        if (const auto *read = std::get_if<ReadState>(&action))
+            host.planner.readDone(read->engine, engine(read->engine).state(), m_now);
+        else if (const auto *order = std::get_if<GiveOrder>(&action))
+            send(host, *order);
+    }
+    /// The host may stand still before it writes, and the network may take the whole limit.
+    void send(OrderHost &host, const GiveOrder &order)
+    {
+        base::TimePoint leaves = m_now;
+        if (isOneIn(2))
+            leaves = order.before - 1ms;
+        else if (isOneIn(4))
+            leaves += base::Millis(upTo(20'000));
+        base::Millis way{0};
+        if (isOneIn(2))
+            way = kOrderLimit - 1ms;
+        m_inFlight.push_back({&host, order, leaves, leaves + way});
     }
     void deliver()
     {
@@ -155,7 +183,8 @@
         ModelEngine &target = engine(it.order.engine);
         const std::int64_t newest = m_newest[it.order.engine];
         const OrderResult result = target.take(it.order);
-        ++orders;
+        if (result == OrderResult::Accepted && it.order.fencing > newest)
+            ++holders;
         if (result == OrderResult::Accepted && it.order.fencing < newest)
             ++overridden;
         m_newest[it.order.engine] = std::max(newest, it.order.fencing);
@@ -169,6 +198,9 @@
     }
 
     base::TimePoint m_now{1h};
+    base::Rng m_rng;
+    bool m_isQuiet = false;
+    int m_version = 0;
     LogLease m_log;
     std::vector<InFlight> m_inFlight;
     std::map<base::UpstreamId, std::int64_t> m_newest;
@@ -180,8 +212,8 @@
     for (const std::uint32_t draw : draws)
         fleet.step(draw);
     RC_ASSERT(fleet.overridden == 0);
-    RC_TAG(fleet.orders > 0 ? "with orders" : "without orders");
-    OrderHost &last = *fleet.hosts[draws.empty() ? 0 : draws.back() % 3];
+    RC_CLASSIFY(fleet.holders > 2, "the lease changed hands");
+    OrderHost &last = *fleet.hosts[draws.back() % 3];
     fleet.settle(last);
     RC_ASSERT(fleet.overridden == 0);
     for (const ModelEngine &engine : fleet.engines) {
@@ -190,10 +222,11 @@
     }
 }
 
-/// Long enough for several changes of the lease.
+/// Long enough for several changes of the lease; the draws use their whole range.
 rc::Gen<std::vector<std::uint32_t>> drawLists()
 {
-    return rc::gen::container<std::vector<std::uint32_t>>(400, rc::gen::arbitrary<std::uint32_t>());
+    const auto draw = rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint32_t>());
+    return rc::gen::container<std::vector<std::uint32_t>>(800, draw);
 }
 
 } // namespace
--- a/libs/platform/include/platform/Platform.h
+++ b/libs/platform/include/platform/Platform.h
@@ -34,6 +34,12 @@
     std::unique_ptr<Impl> m_impl;
 };
 
+/// Why the address for the platform could not be served.
+struct ListenError
+{
+    std::string message;
+};
+
 /// Serves /ready, /live, /metrics and pages of JSON.
 class Server final : public http::ServerHandler
 {
@@ -41,7 +47,7 @@
     /// \a refresh brings gauges up to date before each reading of the metrics.
     Server(http::Loop *loop, Metrics *metrics, std::function<void()> refresh = {});
 
-    tl::expected<base::Endpoint, http::LoopError> listen(const base::Endpoint &address);
+    tl::expected<base::Endpoint, ListenError> listen(const base::Endpoint &address);
     /// Serves the JSON that \a render makes at each reading.
     void addPage(const std::string &path, std::function<std::string()> render);
     /// Not ready: the balancer is to send no new work.
--- a/libs/upstream/include/upstream/Upstream.h
+++ b/libs/upstream/include/upstream/Upstream.h
@@ -414,6 +414,12 @@
     std::map<http::CallId, Open> m_calls;
 };
 
+/// Why the address for announcements could not be served.
+struct ListenError
+{
+    std::string message;
+};
+
 /// Takes announcements of upstreams over HTTP.
 class AnnouncementServer final : public http::ServerHandler
 {
@@ -421,7 +427,7 @@
     using Receiver = std::function<void(const membership::Announcement &)>;
     AnnouncementServer(http::Loop *loop, Receiver receiver);
 
-    tl::expected<base::Endpoint, http::LoopError> listen(const base::Endpoint &address);
+    tl::expected<base::Endpoint, ListenError> listen(const base::Endpoint &address);
     std::int64_t malformed() const { return m_malformed; }
 
 private:
--- a/programs/hyssop-control/ControlTask.cpp
+++ b/programs/hyssop-control/ControlTask.cpp
@@ -30,12 +30,12 @@
     m_peers.reset();
 }
 
-tl::expected<std::unique_ptr<ControlTask>, std::string> ControlTask::start(ControlOptions options)
+tl::expected<std::unique_ptr<ControlTask>, StartError> ControlTask::start(ControlOptions options)
 {
     std::unique_ptr<ControlTask> task(new ControlTask(std::move(options)));
     auto loop = http::Loop::create();
     if (!loop)
-        return tl::unexpected(loop.error().message);
+        return tl::unexpected(StartError{loop.error().message});
     task->m_loop = *std::move(loop);
     if (const auto opened = task->open(); !opened)
         return tl::unexpected(opened.error());
@@ -49,8 +49,8 @@
     return m_groups.contains(kGlobal);
 }
 
-tl::expected<void, std::string> ControlTask::openGroup(const std::string &name,
-                                                       std::vector<HostAddress> hosts)
+tl::expected<void, StartError> ControlTask::openGroup(const std::string &name,
+                                                      std::vector<HostAddress> hosts)
 {
     GroupOptions options;
     options.group = replog::GroupId(name);
@@ -65,12 +65,12 @@
     };
     auto group = GroupHost::open(std::move(options), send, base::monotonicNow());
     if (!group)
-        return tl::unexpected(name + ": " + group.error().message);
+        return tl::unexpected(StartError{name + ": " + group.error().message});
     m_groups.emplace(name, *std::move(group));
     return {};
 }
 
-tl::expected<void, std::string> ControlTask::open()
+tl::expected<void, StartError> ControlTask::open()
 {
     const auto isSelf = [this](const HostAddress &it) { return it.host == m_options.host; };
     const auto &voters = m_options.globalVoters;
@@ -85,20 +85,20 @@
     return openGroup(homeGroup(m_options.dataCentre), home);
 }
 
-tl::expected<void, std::string> ControlTask::listen()
+tl::expected<void, StartError> ControlTask::listen()
 {
     m_operators = std::make_unique<operators::Server>(m_loop.get(), this, m_options.operatorToken);
     const auto operatorsAt = m_operators->listen(m_options.listenOperators);
     if (!operatorsAt)
-        return tl::unexpected(operatorsAt.error().message);
+        return tl::unexpected(StartError{operatorsAt.error().message});
     m_platform = std::make_unique<platform::Server>(m_loop.get(), &m_metrics);
     const auto platformAt = m_platform->listen(m_options.listenPlatform);
     if (!platformAt)
-        return tl::unexpected(platformAt.error().message);
+        return tl::unexpected(StartError{platformAt.error().message});
     auto peers = peers::Node::start(m_options.listenPeers, this);
     if (!peers)
-        return tl::unexpected("cannot listen on " + m_options.listenPeers.text() + ": "
-                              + peers.error().message);
+        return tl::unexpected(StartError{"cannot listen on " + m_options.listenPeers.text() + ": "
+                                         + peers.error().message});
     m_peers = *std::move(peers);
     m_router->start(m_peers.get());
     base::logEvent("listening", {{"operators", operatorsAt->text()},
@@ -166,6 +166,7 @@
         return;
     }
     answerWatches(now);
+    answerJobWatches(now);
     stopWhenHandedOver(now);
 }
 
@@ -308,15 +309,45 @@
 void ControlTask::onQuery(peers::QueryRequest request, peers::Answer<std::string> answer)
 {
     m_loop->post([this, request = std::move(request), answer = std::move(answer)] {
-        answer(answerQuery(request, queryView(base::monotonicNow())));
+        const base::TimePoint now = base::monotonicNow();
+        if (auto watch = jobWatchFrom(request, now))
+            watchJobs(*std::move(watch), answer);
+        else
+            answer(answerQuery(request, queryView(now)));
     });
 }
 
+void ControlTask::watchJobs(JobWatch watch, peers::Answer<std::string> answer)
+{
+    m_jobAnswers.emplace(m_jobWatches.add(std::move(watch)), std::move(answer));
+    schedulePump();
+}
+
+void ControlTask::answerJobWatches(base::TimePoint now)
+{
+    const GroupView home = viewOf(homeGroup(m_options.dataCentre), now);
+    const replog::Position position = home.ledger->position();
+    if (!m_jobWatches.isDue(position, now))
+        return;
+    const auto running = home.ledger->jobsIn(ledger::JobState::Running);
+    for (const auto &told : m_jobWatches.pump(waitingJobs(*home.ledger), running, position, now)) {
+        const auto it = m_jobAnswers.find(told.watch);
+        it->second(answerJobWatch(told.jobs, home));
+        m_jobAnswers.erase(it);
+    }
+}
+
+GroupView ControlTask::viewOf(const std::string &name, base::TimePoint now) const
+{
+    const GroupHost &group = *m_groups.at(name);
+    return {name, &group.ledger(), group.replica().hasLease(now)};
+}
+
 QueryView ControlTask::queryView(base::TimePoint now) const
 {
     QueryView view{m_options.host, m_options.dataCentre, {}, {}};
     for (const auto &[name, group] : m_groups)
-        view.groups.push_back({name, &group->ledger(), group->replica().hasLease(now)});
+        view.groups.push_back(viewOf(name, now));
     for (const auto &[host, reporter] : m_reporters) {
         const auto age = std::chrono::duration_cast<base::Millis>(now - reporter.seen);
         view.reporters.push_back({host, reporter.dataCentre, reporter.applied.index, age.count()});
--- a/programs/hyssop-control/ControlTask.h
+++ b/programs/hyssop-control/ControlTask.h
@@ -28,11 +28,17 @@
     std::string operatorToken;
 };
 
+/// Why the process cannot start.
+struct StartError
+{
+    std::string message;
+};
+
 /// Owns the groups of a control host, the operators' interface and the watches of entry hosts.
 class ControlTask final : public operators::Listener, public peers::Service
 {
 public:
-    static tl::expected<std::unique_ptr<ControlTask>, std::string> start(ControlOptions options);
+    static tl::expected<std::unique_ptr<ControlTask>, StartError> start(ControlOptions options);
     ~ControlTask() override;
 
     /// Serves until stop().
@@ -57,15 +63,18 @@
     };
 
     explicit ControlTask(ControlOptions options);
-    tl::expected<void, std::string> open();
-    tl::expected<void, std::string> openGroup(const std::string &name,
-                                              std::vector<HostAddress> hosts);
-    tl::expected<void, std::string> listen();
+    tl::expected<void, StartError> open();
+    tl::expected<void, StartError> openGroup(const std::string &name,
+                                             std::vector<HostAddress> hosts);
+    tl::expected<void, StartError> listen();
     void pump();
     void pumpGroups(base::TimePoint now);
     void schedulePump();
     void stopWhenHandedOver(base::TimePoint now);
     void answerWatches(base::TimePoint now);
+    void answerJobWatches(base::TimePoint now);
+    void watchJobs(JobWatch watch, peers::Answer<std::string> answer);
+    GroupView viewOf(const std::string &name, base::TimePoint now) const;
     peers::WatchReply watchReply(const peers::WatchRequest &request) const;
     peers::WirePosition recordsPosition() const;
     bool isVoter() const;
@@ -92,6 +101,8 @@
     std::unique_ptr<platform::Server> m_platform;
     std::unique_ptr<peers::Node> m_peers;
     std::list<Watch> m_watches;
+    JobWatches m_jobWatches;
+    std::map<JobWatches::WatchId, peers::Answer<std::string>> m_jobAnswers;
     std::map<base::HostId, Reporter> m_reporters;
     bool m_isPumpScheduled = false;
     std::optional<base::TimePoint> m_stopUntil; ///< Set while stopping.
--- a/programs/hyssop-entry/EntryTask.cpp
+++ b/programs/hyssop-entry/EntryTask.cpp
@@ -1,10 +1,13 @@
 #include "EntryTask.h"
 
+#include "Scope.h"
+
 namespace hyssop::entry {
 
 namespace {
 
 constexpr base::Millis kStopPoll{20};
+constexpr base::Millis kScopeRetryAfter{1'000};
 
 routing::RouterOptions routerOptions(const EntryOptions &options)
 {
@@ -40,12 +43,12 @@
     m_peers.reset();
 }
 
-tl::expected<std::unique_ptr<EntryTask>, std::string> EntryTask::start(EntryOptions options)
+tl::expected<std::unique_ptr<EntryTask>, StartError> EntryTask::start(EntryOptions options)
 {
     std::unique_ptr<EntryTask> task(new EntryTask(std::move(options)));
     auto loop = http::Loop::create();
     if (!loop)
-        return tl::unexpected(loop.error().message);
+        return tl::unexpected(StartError{loop.error().message});
     task->m_loop = *std::move(loop);
     task->setUp();
     if (const auto listening = task->listen(); !listening)
@@ -97,22 +100,22 @@
     m_platform->setReady(!m_isStopping);
 }
 
-tl::expected<void, std::string> EntryTask::listen()
+tl::expected<void, StartError> EntryTask::listen()
 {
     const auto callers = m_callers->listen(m_options.listenCallers, m_options.maxBodyBytes,
                                            m_options.bodyTimeout);
     if (!callers)
-        return tl::unexpected(callers.error().message);
+        return tl::unexpected(StartError{callers.error().message});
     const auto upstreams = m_announcements->listen(m_options.listenUpstreams);
     if (!upstreams)
-        return tl::unexpected(upstreams.error().message);
+        return tl::unexpected(StartError{upstreams.error().message});
     const auto platform = m_platform->listen(m_options.listenPlatform);
     if (!platform)
-        return tl::unexpected(platform.error().message);
+        return tl::unexpected(StartError{platform.error().message});
     auto node = peers::Node::start(m_options.listenPeers, this);
     if (!node)
-        return tl::unexpected("cannot listen on " + m_options.listenPeers.text() + ": "
-                              + node.error().message);
+        return tl::unexpected(StartError{"cannot listen on " + m_options.listenPeers.text() + ": "
+                                         + node.error().message});
     m_peers = *std::move(node);
     m_gossiper = makeGossiper();
     m_reclaimer = std::make_unique<Reclaimer>(m_loop.get(), &m_metrics, m_gossiper.get(),
@@ -148,6 +151,8 @@
         onCompletion(id, *completion);
     } else if (auto *service = std::get_if<caller::ServiceCall>(&call)) {
         onService(id, std::move(*service));
+    } else if (const auto *scope = std::get_if<caller::ScopeCall>(&call)) {
+        onScope(id, *scope);
     } else {
         onJobs(id, call);
     }
@@ -170,6 +175,23 @@
         m_jobs->list(answer, *team);
 }
 
+void EntryTask::onScope(http::ExchangeId id, const caller::ScopeCall &call)
+{
+    if (const auto team = m_calls.teamOf(call.head); !team) {
+        refuse(id, team.error());
+        return;
+    }
+    const auto answered = [this, id](const std::optional<std::string> &answer) {
+        const auto view = answer ? scopeView(m_options.dataCentre, *answer) : std::nullopt;
+        if (view)
+            m_callers->answer(id, 200, "application/json", *view);
+        else
+            refuse(id, {503, "scope_unreachable", "no control host in reach keeps the home group",
+                        caller::Outcome::NotRun, kScopeRetryAfter});
+    };
+    m_control->query("scope", scopeQuery(m_options.dataCentre), answered);
+}
+
 void EntryTask::refuse(http::ExchangeId id, const caller::ErrorBody &error)
 {
     m_metrics.count("hyssop_refusals_total", {{"reason", error.code}});
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -19,12 +19,18 @@
 
 namespace hyssop::entry {
 
+/// Why the process cannot start.
+struct StartError
+{
+    std::string message;
+};
+
 /// Joins the peers of an entry host with the router: what comes in becomes requests and events.
 /// Everything runs on its loop.
 class EntryTask final : public caller::Listener, public peers::Service
 {
 public:
-    static tl::expected<std::unique_ptr<EntryTask>, std::string> start(EntryOptions options);
+    static tl::expected<std::unique_ptr<EntryTask>, StartError> start(EntryOptions options);
     ~EntryTask() override;
 
     /// Serves until a stop has let the requests in flight end.
@@ -35,7 +41,7 @@
 private:
     explicit EntryTask(EntryOptions options);
     void setUp();
-    tl::expected<void, std::string> listen();
+    tl::expected<void, StartError> listen();
     void takeCatalogue(std::shared_ptr<const records::Catalogue> catalogue);
 
     // Calls.
@@ -45,6 +51,7 @@
     void onCompletion(http::ExchangeId id, const caller::CompletionCall &call);
     void onService(http::ExchangeId id, caller::ServiceCall call);
     void onJobs(http::ExchangeId id, const caller::Call &call);
+    void onScope(http::ExchangeId id, const caller::ScopeCall &call);
     void refuse(http::ExchangeId id, const caller::ErrorBody &error);
     void submit(http::ExchangeId id, OpenRequest request);
 
