--- a/libs/platform/include/platform/Platform.h
+++ b/libs/platform/include/platform/Platform.h
@@ -53,6 +53,8 @@
     /// Not ready: the balancer is to send no new work.
     void setReady(bool isReady) { m_isReady = isReady; }
     bool isReady() const { return m_isReady; }
+    /// Gives a note for the body of /ready, of lines of text; the status does not follow it.
+    void setNote(std::function<std::string()> note) { m_note = std::move(note); }
 
 private:
     void onRequest(http::ExchangeId id, http::Request request) override;
@@ -63,6 +65,7 @@
     Metrics *m_metrics;
     std::function<void()> m_refresh;
     std::map<std::string, std::function<std::string()>> m_pages;
+    std::function<std::string()> m_note;
     bool m_isReady = false;
 };
 
