--- a/libs/orders/tests/OrderPropertyTest.cpp
+++ b/libs/orders/tests/OrderPropertyTest.cpp
@@ -46,9 +46,11 @@
     OrderLease lease;
     OrderPlanner planner;
     base::TimePoint frozenUntil;
+    base::TimePoint cutOffUntil; ///< From the log.
     /// Answer of the log that is under way, and when it comes.
     std::optional<std::int64_t> answer;
     base::TimePoint answered;
+    bool isAnswerLost = false;
 };
 
 struct InFlight
@@ -75,8 +77,10 @@
         m_now += base::Millis(upTo(200));
         deliver();
         OrderHost &host = *hosts[static_cast<std::size_t>(upTo(2))];
-        if (isOneIn(10))
+        if (isOneIn(60))
             host.frozenUntil = m_now + base::Millis(upTo(24'000));
+        if (isOneIn(60))
+            host.cutOffUntil = m_now + base::Millis(upTo(24'000));
         if (isOneIn(4))
             host.planner.setCatalogue(opinion(host.number, ++m_version));
         if (host.frozenUntil <= m_now)
@@ -91,6 +95,7 @@
     {
         m_isQuiet = true;
         last.frozenUntil = {};
+        last.cutOffUntil = {};
         for (int i = 0; i < 600; ++i) {
             m_now += 100ms;
             deliver();
@@ -133,12 +138,14 @@
     {
         if (host.lease.isDue(true, m_now)) {
             host.lease.asked(m_now);
-            host.answer = m_log.take(host.number, m_now);
+            const bool isCutOff = host.cutOffUntil > m_now;
+            host.answer = isCutOff ? std::nullopt : m_log.take(host.number, m_now);
+            host.isAnswerLost = isCutOff || isOneIn(10);
             host.answered = m_now + base::Millis(isOneIn(2) ? upTo(2'500) : 0);
         }
         if (!host.lease.isAsking() || host.answered > m_now)
             return;
-        if (isOneIn(10))
+        if (host.isAnswerLost)
             host.lease.failed();
         else if (host.answer)
             host.lease.granted(*host.answer, m_now);
@@ -155,14 +162,13 @@
     /// The host may stand still before it writes, and the network may take the whole limit.
     void send(OrderHost &host, const GiveOrder &order)
     {
+        const bool isInTrouble = host.cutOffUntil > m_now || isOneIn(4);
         base::TimePoint leaves = m_now;
-        if (isOneIn(2))
-            leaves = order.before - 1ms;
-        else if (isOneIn(4))
+        if (isOneIn(10))
             leaves += base::Millis(upTo(20'000));
-        base::Millis way{0};
-        if (isOneIn(2))
-            way = kOrderLimit - 1ms;
+        else if (isInTrouble)
+            leaves = order.before - 1ms;
+        const base::Millis way = isInTrouble ? kOrderLimit - 1ms : base::Millis(0);
         m_inFlight.push_back({&host, order, leaves, leaves + way});
     }
     void deliver()
@@ -226,7 +232,7 @@
 rc::Gen<std::vector<std::uint32_t>> drawLists()
 {
     const auto draw = rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint32_t>());
-    return rc::gen::container<std::vector<std::uint32_t>>(800, draw);
+    return rc::gen::container<std::vector<std::uint32_t>>(2'000, draw);
 }
 
 } // namespace
