--- a/libs/http/src/ClientSide.cpp
+++ b/libs/http/src/ClientSide.cpp
@@ -13,6 +13,11 @@
     return call;
 }
 
+bool mayStillSend(const PendingCall &pending)
+{
+    return !pending.call.sendBefore || base::monotonicNow() < *pending.call.sendBefore;
+}
+
 /// The call's own timers bound it; the library's would cut an answer off that comes late.
 void liftLibraryTimeout(Loop::Context &context, CallId id)
 {
@@ -168,12 +173,14 @@
 {
     switch (reason) {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
+        if (!mayStillSend(pending))
+            return -1;
         pending.hasSent = true;
         auto **p = static_cast<unsigned char **>(in);
         return appendHeaders(wsi, pending, p, *p + len) ? 0 : -1;
     }
     case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        return writeBody(wsi, pending);
+        return mayStillSend(pending) ? writeBody(wsi, pending) : -1;
     case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
         readHead(wsi, pending);
         return 0;
--- a/libs/platform/include/platform/Platform.h
+++ b/libs/platform/include/platform/Platform.h
@@ -40,7 +40,7 @@
     std::string message;
 };
 
-/// Serves /ready, /live and /metrics.
+/// Serves /ready, /live, /metrics and pages of JSON.
 class Server final : public http::ServerHandler
 {
 public:
@@ -48,6 +48,8 @@
     Server(http::Loop *loop, Metrics *metrics, std::function<void()> refresh = {});
 
     tl::expected<base::Endpoint, ListenError> listen(const base::Endpoint &address);
+    /// Serves the JSON that \a render makes at each reading.
+    void addPage(const std::string &path, std::function<std::string()> render);
     /// Not ready: the balancer is to send no new work.
     void setReady(bool isReady) { m_isReady = isReady; }
     bool isReady() const { return m_isReady; }
@@ -62,6 +64,7 @@
     http::Loop *m_loop;
     Metrics *m_metrics;
     std::function<void()> m_refresh;
+    std::map<std::string, std::function<std::string()>> m_pages;
     std::function<std::string()> m_note;
     bool m_isReady = false;
 };
