Soak: upstreams that misbehave, scopes of home keys, and a follower's time to hear of a change

Three faults of the soak itself. Home-scoped keys were made without asking for the data centre's scope and would all be refused. The length counted load only, not the pauses between rounds.

Engines now also cross, double, refuse, stall and break off answers and report late and with gaps; services refuse and lose some calls.

--- a/integration/soak/ConfigurationWatch.cpp
+++ b/integration/soak/ConfigurationWatch.cpp
@@ -163,20 +163,33 @@
 
 void ConfigurationWatch::checkContents()
 {
+    // A control host that follows may hear of the last change later than the entry hosts.
+    std::string difference;
     for (const Host *control : m_system->hosts(Role::Control)) {
-        const json body = m_system->client().get(control->operators, "/v1/records").json();
-        std::map<std::string, json> found;
-        for (const json &record : body.value("records", json::array()))
-            found[record.value("name", "")] = record;
-        for (const auto &[name, record] : m_records) {
-            const json &held = found[name];
-            const bool isSame = held.is_object() && held.value("version", 0) == record["version"]
-                                && held["spec"].value("weight", 0) == record["spec"]["weight"];
-            m_scorecard->check(Promise::ConfigurationHolds, isSame,
-                               fmt::format("{} at {} is {}, accepted was {}", name, control->name,
-                                           held.dump(), record.dump()));
-        }
+        const bool isSame = harness::eventually(kInForceLimit, [&] {
+            difference = differenceAt(*control);
+            return difference.empty();
+        });
+        m_scorecard->check(Promise::ConfigurationHolds, isSame, difference);
+    }
+}
+
+std::string ConfigurationWatch::differenceAt(const Host &control)
+{
+    const json body = m_system->client().get(control.operators, "/v1/records").json();
+    if (!body.is_object())
+        return control.name + " gave no records";
+    std::map<std::string, json> found;
+    for (const json &record : body.value("records", json::array()))
+        found[record.value("name", "")] = record;
+    for (const auto &[name, record] : m_records) {
+        const json &held = found[name];
+        if (!held.is_object() || held.value("version", 0) != record["version"]
+            || held["spec"].value("weight", 0) != record["spec"]["weight"])
+            return fmt::format("{} at {} is {}, accepted was {}", name, control.name, held.dump(),
+                               record.dump());
     }
+    return "";
 }
 
 std::string ConfigurationWatch::text() const
--- a/integration/soak/ConfigurationWatch.h
+++ b/integration/soak/ConfigurationWatch.h
@@ -53,6 +53,8 @@
         base::TimePoint started{};
     };
 
+    /// What a control host holds otherwise than accepted; empty when nothing.
+    std::string differenceAt(const harness::Host &control);
     void startChange();
     void send();
     void readVerdict(base::TimePoint now);
--- a/integration/soak/SoakLoad.cpp
+++ b/integration/soak/SoakLoad.cpp
@@ -42,7 +42,13 @@
     , m_rng(options.seed)
     , m_jobs(system, scorecard)
     , m_log(system->folder() / "calls.log")
-{ }
+{
+    for (const Host *entry : system->hosts(Role::Entry)) {
+        std::string &prefix = m_homePrefixes[entry->dataCentre];
+        if (prefix.empty())
+            prefix = harness::askScope(*system, *entry).json().value("key_prefix", "");
+    }
+}
 
 std::int64_t SoakLoad::draw(std::int64_t below)
 {
@@ -195,7 +201,7 @@
         if (!entry)
             return;
         once.dataCentre = entry->dataCentre;
-        once.key = "home." + once.dataCentre + ".soak." + name;
+        once.key = m_homePrefixes[once.dataCentre] + name;
     } else if (kind == Kind::KeyedCall) {
         once.key = name;
     }
--- a/integration/soak/SoakLoad.h
+++ b/integration/soak/SoakLoad.h
@@ -113,6 +113,7 @@
     std::list<Resend> m_resends;
     std::map<std::string, Once> m_once; ///< By name.
     std::set<std::string> m_notRun; ///< Digests of prompts whose callers were told "not run".
+    std::map<std::string, std::string> m_homePrefixes; ///< Of home-scoped keys, by data centre.
     std::set<std::string> m_out;
     std::set<std::string> m_breaking;
     std::set<std::string> m_stopping;
--- a/integration/soak/SoakTest.cpp
+++ b/integration/soak/SoakTest.cpp
@@ -15,6 +15,7 @@
 constexpr std::int64_t kDefaultSeed = 20261203;
 /// After each round the load pauses, everything is healed and engines' memory is read.
 constexpr base::Millis kRound{45'000};
+constexpr base::Millis kShortestRound{10'000};
 constexpr base::Millis kSettleLimit{90'000};
 constexpr base::Millis kFloorLimit{60'000};
 
@@ -35,7 +36,21 @@
     plan.hasFaultLinks = true;
     plan.entryFlags = {};
     plan.engineFlags = {"--speed", "4", "--kv-tokens", "60000", "--log-work"};
-    plan.serviceFlags = {"--log-work"};
+    // Answers come crossed, twice and broken off; loads and cache events late and with gaps.
+    for (const auto &[flag, value] : {std::pair("--fail-cross-percent", "3"),
+                                      {"--fail-duplicate-percent", "3"},
+                                      {"--fail-refuse-percent", "2"},
+                                      {"--fail-stall-percent", "1"},
+                                      {"--fail-stall-after", "10"},
+                                      {"--fail-close-percent", "2"},
+                                      {"--fail-close-after", "20"},
+                                      {"--load-lag-ms", "500"},
+                                      {"--event-lag-ms", "500"},
+                                      {"--event-loss-percent", "5"}}) {
+        plan.engineFlags.emplace_back(flag);
+        plan.engineFlags.emplace_back(value);
+    }
+    plan.serviceFlags = {"--log-work", "--refuse-percent", "3", "--lose-percent", "2"};
     return plan;
 }
 
@@ -72,8 +87,11 @@
 
     void run(base::Millis length)
     {
-        for (base::Millis left = length; left.count() > 0; left -= kRound)
-            round(std::min(left, kRound));
+        const base::TimePoint until = base::monotonicNow() + length;
+        for (base::TimePoint now = until - length; now < until; now = base::monotonicNow()) {
+            const auto left = std::chrono::duration_cast<base::Millis>(until - now);
+            round(std::clamp(left, kShortestRound, kRound));
+        }
         m_load.checkAgainst(Witness(*m_system));
     }
     const Scorecard &scorecard() const { return m_scorecard; }
