Soak: checks that bite, shown by trials with faults put in on purpose

A leaving stand-in ended within 20 ms of the 3 s when idle, so late work was not seen: it now takes work for 6 s. Few calls were in flight at a stop: a fifth of the answers now lasts seconds and services take 200 ms.

--- a/integration/soak/FaultDriver.cpp
+++ b/integration/soak/FaultDriver.cpp
@@ -50,8 +50,8 @@
 
 bool FaultDriver::begin(const FaultStep &step, base::TimePoint now)
 {
-    const bool isOnLinks = isOfNetwork(step.fault) || step.fault == Fault::CutEngine
-                           || step.fault == Fault::ResetEngine;
+    const bool isOnLinks = isOfNetwork(step.fault) || step.fault == Fault::CutUpstream
+                           || step.fault == Fault::ResetUpstream;
     bool hasBegun = false;
     if (isOnLinks) {
         hasBegun = beginOnLinks(step, now);
@@ -67,14 +67,14 @@
 
 bool FaultDriver::beginOnLinks(const FaultStep &step, base::TimePoint now)
 {
-    if (step.fault == Fault::ResetEngine) {
+    if (step.fault == Fault::ResetUpstream) {
         m_system->faults().order("entries", step.target, {{"action", "reset"}});
         return true;
     }
     const std::string name = isOfNetwork(step.fault) ? kNetwork : step.target;
     if (m_links.contains(name))
         return false;
-    if (step.fault == Fault::CutEngine)
+    if (step.fault == Fault::CutUpstream)
         m_system->faults().cut("entries", step.target);
     else if (step.fault == Fault::CutOff)
         m_system->cutOff(step.target);
--- a/integration/soak/SoakLoad.cpp
+++ b/integration/soak/SoakLoad.cpp
@@ -18,6 +18,9 @@
 constexpr std::int64_t kShortTokens = 1'000;
 constexpr std::int64_t kLongTokens = 20'000;
 constexpr std::int64_t kMaxOutput = 200;
+/// Answers of some seconds, so that stops and kills meet calls in flight.
+constexpr std::int64_t kMaxLongOutput = 2'000;
+constexpr int kLongOutputPercent = 20;
 constexpr std::int64_t kMaxVanishMs = 400;
 constexpr std::int64_t kMaxResendMs = 3'000;
 constexpr int kVanishPercent = 8;
@@ -181,7 +184,7 @@
     call.kind = kind;
     call.name = name;
     call.completion.prompt = harness::longPrompt(name, tokens);
-    call.completion.maxTokens = 1 + draw(kMaxOutput);
+    call.completion.maxTokens = 1 + draw(happens(kLongOutputPercent) ? kMaxLongOutput : kMaxOutput);
     call.completion.wantsStream = kind != Kind::Job && happens(50);
     call.completion.urgency = kind == Kind::Short ? "urgent" : "batch";
     const bool isJob = kind == Kind::Job;
--- a/integration/soak/SoakPlan.cpp
+++ b/integration/soak/SoakPlan.cpp
@@ -9,11 +9,12 @@
 
 namespace {
 
-constexpr int kFaults = static_cast<int>(Fault::ResetEngine) + 1;
+constexpr int kFaults = static_cast<int>(Fault::ResetUpstream) + 1;
 constexpr std::array<const char *, kFaults> kNames{
-        "kill-entry",  "kill-control", "kill-engine",  "stop-entry",     "stop-control",
-        "stop-engine", "stop-service", "freeze-entry", "freeze-control", "freeze-engine",
-        "cut-off",     "silence",      "slow-links",   "cut-engine",     "reset-engine"};
+        "kill-entry",   "kill-control",   "kill-engine",   "kill-service",
+        "stop-entry",   "stop-control",   "stop-engine",   "stop-service",
+        "freeze-entry", "freeze-control", "freeze-engine", "cut-off",
+        "silence",      "slow-links",     "cut-upstream",  "reset-upstream"};
 
 constexpr std::int64_t kFirstAtMs = 1'000;
 constexpr std::int64_t kMinGapMs = 500;
@@ -44,9 +45,11 @@
     case Fault::KillEngine:
     case Fault::StopEngine:
     case Fault::FreezeEngine:
-    case Fault::CutEngine:
-    case Fault::ResetEngine:
         return targets.engines;
+    case Fault::CutUpstream:
+    case Fault::ResetUpstream:
+        return targets.upstreams;
+    case Fault::KillService:
     case Fault::StopService:
         return targets.services;
     case Fault::CutOff:
@@ -68,9 +71,9 @@
     case Fault::CutOff:
     case Fault::Silence:
     case Fault::SlowLinks:
-    case Fault::CutEngine:
+    case Fault::CutUpstream:
         return base::Millis(drawBetween(rng, kMinCutMs, kMaxCutMs));
-    case Fault::ResetEngine:
+    case Fault::ResetUpstream:
         return base::Millis(0);
     default:
         break;
@@ -104,7 +107,7 @@
 
 std::string FaultStep::text() const
 {
-    return fmt::format("{:>6} ms  {:<14} {:<12} {:>5} ms", at.count(), faultName(fault), target,
+    return fmt::format("{:>6} ms  {:<15} {:<12} {:>5} ms", at.count(), faultName(fault), target,
                        duration.count());
 }
 
--- a/integration/soak/SoakPlan.h
+++ b/integration/soak/SoakPlan.h
@@ -11,6 +11,7 @@
     KillEntry,
     KillControl,
     KillEngine,
+    KillService,
     StopEntry,
     StopControl,
     StopEngine,
@@ -21,8 +22,8 @@
     CutOff, ///< Of a data centre, in both directions.
     Silence, ///< Of a data centre: what it sends is lost, what it is sent arrives.
     SlowLinks, ///< Round a data centre.
-    CutEngine, ///< Between an engine and the entry hosts.
-    ResetEngine, ///< Every connection to an engine.
+    CutUpstream, ///< Between an upstream and the entry hosts.
+    ResetUpstream, ///< Every connection to an upstream.
 };
 
 std::string_view faultName(Fault fault);
@@ -44,6 +45,7 @@
     std::vector<std::string> controls;
     std::vector<std::string> engines;
     std::vector<std::string> services;
+    std::vector<std::string> upstreams; ///< Both.
     std::vector<std::string> dataCentres;
 };
 
--- a/integration/soak/SoakTest.cpp
+++ b/integration/soak/SoakTest.cpp
@@ -19,6 +19,9 @@
 constexpr base::Millis kSettleLimit{90'000};
 constexpr base::Millis kFloorLimit{60'000};
 
+/// Leaving upstreams go on taking work for longer than any may come, so that what does is seen.
+constexpr const char *kUpstreamNotice = "6000"; // ms
+
 std::int64_t numberFrom(const char *variable, std::int64_t fallback)
 {
     const char *text = std::getenv(variable);
@@ -46,11 +49,14 @@
                                       {"--fail-close-after", "20"},
                                       {"--load-lag-ms", "500"},
                                       {"--event-lag-ms", "500"},
-                                      {"--event-loss-percent", "5"}}) {
+                                      {"--event-loss-percent", "5"},
+                                      {"--stop-notice-ms", kUpstreamNotice}}) {
         plan.engineFlags.emplace_back(flag);
         plan.engineFlags.emplace_back(value);
     }
-    plan.serviceFlags = {"--log-work", "--refuse-percent", "3", "--lose-percent", "2"};
+    plan.serviceFlags = {
+            "--log-work",       "--refuse-percent", "3", "--lose-percent", "2", "--delay-ms", "200",
+            "--stop-notice-ms", kUpstreamNotice};
     return plan;
 }
 
@@ -78,7 +84,10 @@
                      namesOf(system->hosts(Role::Control)),
                      namesOf(system->hosts(Role::Engine)),
                      namesOf(system->hosts(Role::Service)),
+                     {},
                      {"floro-sal", "forde-sal", "sogndal-sal"}};
+        for (const auto *names : {&m_targets.engines, &m_targets.services})
+            m_targets.upstreams.insert(m_targets.upstreams.end(), names->begin(), names->end());
     }
     /// Prints the verdict also of a run that was broken off.
     ~Soak() { std::cout << m_load.text() << m_scorecard.text() << std::flush; }
@@ -145,9 +154,11 @@
         REQUIRE(m_faults.isWhole());
         CHECK(isSettled);
         m_configuration.checkContents();
+        const base::TimePoint until = base::monotonicNow() + kFloorLimit;
         for (const Host *engine : m_system->hosts(Role::Engine)) {
-            m_scorecard.check(Promise::MemoryReturns,
-                              returnsToFloor(*m_system, *engine, kFloorLimit),
+            const auto left = std::chrono::duration_cast<base::Millis>(
+                    std::max(until - base::monotonicNow(), base::TimePoint::duration::zero()));
+            m_scorecard.check(Promise::MemoryReturns, returnsToFloor(*m_system, *engine, left),
                               engine->name + " " + engineStats(*m_system, *engine).dump());
         }
         m_load.pause(false);
@@ -165,7 +176,7 @@
 
 } // namespace
 
-TEST_CASE("under a mixed load with faults drawn from a seed the eight promises hold")
+TEST_CASE("under a mixed load with faults drawn from a seed the eight promises hold", "[soak]")
 {
     const std::int64_t seconds = numberFrom("HYSSOP_SOAK_SECONDS", kDefaultSeconds);
     const std::int64_t seed = numberFrom("HYSSOP_SOAK_SEED", kDefaultSeed);
--- a/integration/soak/Witness.cpp
+++ b/integration/soak/Witness.cpp
@@ -31,14 +31,26 @@
            + std::atoi(stamp.substr(kSecondsLength + 1).c_str());
 }
 
-} // namespace
-
-Witness::Witness(harness::System &system)
+std::map<std::string, std::filesystem::path> logsOf(harness::System &system)
 {
+    std::map<std::string, std::filesystem::path> logs;
     for (const harness::Role role : {harness::Role::Engine, harness::Role::Service}) {
         for (const harness::Host *host : system.hosts(role))
-            read(system.folder() / (host->name + ".log"), host->name);
+            logs[host->name] = system.folder() / (host->name + ".log");
     }
+    return logs;
+}
+
+} // namespace
+
+Witness::Witness(harness::System &system)
+    : Witness(logsOf(system))
+{ }
+
+Witness::Witness(const std::map<std::string, std::filesystem::path> &logs)
+{
+    for (const auto &[upstream, log] : logs)
+        read(log, upstream);
 }
 
 std::int64_t Witness::startsOf(const std::string &work) const
--- a/integration/soak/Witness.h
+++ b/integration/soak/Witness.h
@@ -12,6 +12,8 @@
 public:
     /// Reads the logs of every engine and service; they run with --log-work.
     explicit Witness(harness::System &system);
+    /// Reads the logs of these upstreams, by name.
+    explicit Witness(const std::map<std::string, std::filesystem::path> &logs);
 
     /// How often an upstream started that work: a prompt's digest or a service's path.
     std::int64_t startsOf(const std::string &work) const;
