--- a/libs/upstream/include/upstream/Upstream.h
+++ b/libs/upstream/include/upstream/Upstream.h
@@ -150,6 +150,9 @@
 class Engines final : private http::CallHandler
 {
 public:
+    /// Bound on the body of an error; a longer one ends the attempt as an upstream error.
+    static constexpr std::size_t kMaxErrorBytes = std::size_t(64) << 10;
+
     Engines(http::Loop *loop, OwnerName owner, AttemptListener *listener);
     ~Engines() override;
 
@@ -206,16 +209,20 @@
 ///
 /// Members are asked one after the other; an engine may keep the question waiting for memory
 /// within the limit. Reservations end by their ttl at the engine and are renewed while held, so a
-/// host that dies holds nothing for long.
+/// host that dies holds nothing for long. A gang of which one engine refuses to renew is given back
+/// whole.
 class Gangs final : private http::CallHandler
 {
 public:
     using OnReserved = std::function<void(bool isHeld)>;
+    /// A gang that was held is given back, for one of its engines holds nothing any more.
+    using OnLost = std::function<void(const base::AttemptId &id)>;
 
     /// Life of a reservation that is not renewed.
     static constexpr base::Millis kReservationTtl{15'000};
 
-    Gangs(http::Loop *loop, OwnerName owner);
+    Gangs(http::Loop *loop, OwnerName owner, OnLost onLost,
+          base::Millis renewInterval = kReservationTtl / 3);
     ~Gangs() override;
 
     /// Answers once, later; on false whatever had been reserved is being given back.
@@ -225,6 +232,8 @@
     /// Gangs that hold memory, or may.
     std::size_t held() const { return m_gangs.size(); }
     std::size_t unconfirmedReleases() const { return m_deletions.unconfirmed(); }
+    /// Those releases, so that another host can go on with them.
+    std::vector<Deletions::Order> pendingReleases() const { return m_deletions.pending(); }
 
 private:
     struct Gang
@@ -249,6 +258,8 @@
     void renew(const base::AttemptId &id);
     void giveBack(const Gang &gang);
     void answer(const base::AttemptId &id, bool isHeld);
+    void renewLater(Gang &gang);
+    void onRenewed(const base::AttemptId &id, bool isReserved);
     void onHead(http::CallId id, int status, const http::Headers &headers) override;
     void onData(http::CallId, std::string_view) override { }
     void onDone(http::CallId id) override;
@@ -256,6 +267,8 @@
 
     http::Loop *m_loop;
     OwnerName m_owner;
+    OnLost m_onLost;
+    base::Millis m_renewInterval;
     std::map<base::AttemptId, Gang> m_gangs;
     std::map<http::CallId, Question> m_questions;
     Deletions m_deletions;
@@ -264,23 +277,30 @@
 /// Follows the events of engines: load reports and changes of prefix caches.
 ///
 /// A feed that breaks off or falls silent is opened again with backoff. Nothing is made up for
-/// what was missed: the sequence numbers of cache events show it.
+/// what was missed: the sequence numbers of cache events show it. An engine that has spoken and
+/// then says nothing for kQuietLimit is told as quiet, and once more when it speaks again.
 class EngineFeeds final : private http::CallHandler
 {
 public:
     using OnLoad = std::function<void(routing::LoadReported)>;
     using OnCache = std::function<void(routing::CacheChanged)>;
+    using OnQuiet = std::function<void(const base::UpstreamId &id, bool isQuiet)>;
 
     /// A feed that says nothing for so long is opened again.
     static constexpr base::Millis kSilenceLimit{10'000};
 
-    EngineFeeds(http::Loop *loop, OnLoad onLoad, OnCache onCache);
+    /// Longest time between reports of an engine that can be given work.
+    static constexpr base::Millis kQuietLimit{3'000};
+
+    EngineFeeds(http::Loop *loop, OnLoad onLoad, OnCache onCache, OnQuiet onQuiet = nullptr,
+                base::Millis quietLimit = kQuietLimit);
     ~EngineFeeds() override;
 
     /// Follows an engine; again with the same address changes nothing.
     void follow(const base::UpstreamId &id, const base::Endpoint &to);
     void forget(const base::UpstreamId &id);
     std::int64_t malformed() const { return m_malformed; }
+    bool isQuiet(const base::UpstreamId &id) const;
 
 private:
     struct Feed
@@ -290,12 +310,16 @@
         std::optional<http::TimerId> timer;
         base::Millis delay{0};
         bool isOpen = false; ///< The engine has accepted the call.
+        std::optional<http::TimerId> quietTimer; ///< Runs from the first report on.
+        bool isQuiet = false;
         SseParser parser;
     };
 
     void open(const base::UpstreamId &id);
     void openLater(const base::UpstreamId &id);
     void watchSilence(const base::UpstreamId &id);
+    void watchQuiet(const base::UpstreamId &id);
+    void noteQuiet(const base::UpstreamId &id);
     void close(Feed &feed);
     void onEvent(const base::UpstreamId &id, std::string_view text);
     void onHead(http::CallId id, int status, const http::Headers &headers) override;
@@ -306,12 +330,19 @@
     http::Loop *m_loop;
     OnLoad m_onLoad;
     OnCache m_onCache;
+    OnQuiet m_onQuiet;
+    base::Millis m_quietLimit;
     std::map<base::UpstreamId, Feed> m_feeds;
     std::map<http::CallId, base::UpstreamId> m_calls;
     std::int64_t m_malformed = 0;
 };
 
-/// Reads one event of an engine's feed; empty when it is malformed.
+/// The oldest load report that is read, and the most tokens.
+inline constexpr base::Millis kMaxLoadAge{86'400'000};
+inline constexpr base::Tokens kMaxTokens{1'000'000'000'000};
+
+/// Reads one event of an engine's feed; empty when it is malformed or a figure of it is beyond the
+/// bounds above.
 std::optional<std::variant<routing::LoadReported, routing::CacheChanged>> parseEngineEvent(
         const base::UpstreamId &id, std::string_view text);
 
--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -58,6 +58,7 @@
     // Upstreams.
     void onAnnouncement(const membership::Announcement &announcement);
     void onUpstream(const membership::DirectoryChange &change);
+    void onQuiet(const base::UpstreamId &id, bool isQuiet);
 
     // Other hosts.
     void onWatch(peers::WatchRequest request, peers::Answer<peers::WatchReply> answer) override;
@@ -93,6 +94,7 @@
     std::unique_ptr<Reclaimer> m_reclaimer;
     std::unique_ptr<OrderRunner> m_orders;
     bool m_isStopping = false;
+    std::optional<base::TimePoint> m_workDone; ///< Since when only orders to upstreams are left.
 };
 
 } // namespace hyssop::entry
--- a/programs/hyssop-entry/Gossip.cpp
+++ b/programs/hyssop-entry/Gossip.cpp
@@ -47,6 +47,25 @@
     return writer.take();
 }
 
+json toJson(const std::vector<upstream::Deletions::Order> &orders)
+{
+    json j = json::array();
+    for (const upstream::Deletions::Order &order : orders)
+        j.push_back({order.to.text(), order.path});
+    return j;
+}
+
+std::vector<upstream::Deletions::Order> ordersFrom(const json &j)
+{
+    std::vector<upstream::Deletions::Order> orders;
+    for (const json &one : j) {
+        const auto to = base::parseEndpoint(one.at(0).get<std::string>());
+        if (to && orders.size() < kMaxHandedOn)
+            orders.push_back({*to, one.at(1).get<std::string>()});
+    }
+    return orders;
+}
+
 bool unpackHosts(PackReader reader, membership::SpreadMessage &spread)
 {
     HostRow last;
@@ -130,8 +149,11 @@
     json wanted = json::array();
     for (const base::UpstreamId &id : body.spread.wanted)
         wanted.push_back(id.text());
-    return base::toCbor({binary(packHosts(body.spread)), news, binary(packSeen(body.spread.seen)),
-                         wanted, binary(packOutstanding(body.outstanding))});
+    json j{binary(packHosts(body.spread)), news, binary(packSeen(body.spread.seen)), wanted,
+           binary(packOutstanding(body.outstanding))};
+    if (!body.handedOn.empty())
+        j.push_back(toJson(body.handedOn));
+    return base::toCbor(j);
 }
 
 std::optional<GossipBody> decodeGossip(std::string_view bytes)
@@ -155,6 +177,8 @@
         }
         for (const json &id : j.at(3))
             body.spread.wanted.emplace_back(id.get<std::string>());
+        if (j.size() > 5)
+            body.handedOn = ordersFrom(j.at(5));
     } catch (const json::exception &) {
         return std::nullopt;
     }
