--- a/programs/hyssop-entry/EntryTask.h
+++ b/programs/hyssop-entry/EntryTask.h
@@ -57,6 +57,7 @@
     // Upstreams.
     void onAnnouncement(const membership::Announcement &announcement);
     void onUpstream(const membership::DirectoryChange &change);
+    void onQuiet(const base::UpstreamId &id, bool isQuiet);
 
     // Other hosts.
     void onWatch(peers::WatchRequest request, peers::Answer<peers::WatchReply> answer) override;
@@ -90,6 +91,7 @@
     std::unique_ptr<Gossiper> m_gossiper;
     std::unique_ptr<Reclaimer> m_reclaimer;
     bool m_isStopping = false;
+    std::optional<base::TimePoint> m_workDone; ///< Since when only orders to upstreams are left.
 };
 
 } // namespace hyssop::entry
