--- a/integration/harness/System.cpp
+++ b/integration/harness/System.cpp
@@ -15,6 +15,8 @@
 
 constexpr base::Millis kReadyLimit{30'000};
 constexpr std::size_t kShownLines = 15;
+/// Bound on the lines shown of a sanitizer's report.
+constexpr std::size_t kShownReportLines = 150;
 
 std::filesystem::path makeFolder()
 {
@@ -24,6 +26,13 @@
     return path;
 }
 
+/// What control and entry hosts are both told.
+std::vector<std::string> hostArguments(const Host &host)
+{
+    return {"--host",         host.name,         "--data-centre",     host.dataCentre,
+            "--listen-peers", host.peers.text(), "--listen-platform", host.platform.text()};
+}
+
 void append(std::vector<std::string> &to, const std::vector<std::string> &more)
 {
     to.insert(to.end(), more.begin(), more.end());
@@ -52,6 +61,13 @@
     return text;
 }
 
+/// Whether a sanitizer's report begins here.
+bool beginsReport(const std::string &line)
+{
+    return line.find("Sanitizer: ") != std::string::npos
+           || line.find("runtime error: ") != std::string::npos;
+}
+
 void showEnd(const std::filesystem::path &log)
 {
     std::ifstream file(log);
@@ -59,11 +75,25 @@
     for (std::string line; std::getline(file, line);)
         lines.push_back(line);
     std::cerr << "--- " << log.filename().string() << '\n';
-    const std::size_t from = lines.size() > kShownLines ? lines.size() - kShownLines : 0;
-    for (std::size_t i = from; i < lines.size(); ++i)
+    const auto report = std::find_if(lines.begin(), lines.end(), beginsReport);
+    const bool hasReport = report != lines.end();
+    const std::size_t end = lines.size() > kShownLines ? lines.size() - kShownLines : 0;
+    const std::size_t from = hasReport ? static_cast<std::size_t>(report - lines.begin()) : end;
+    const std::size_t to =
+            hasReport ? std::min(lines.size(), from + kShownReportLines) : lines.size();
+    for (std::size_t i = from; i < to; ++i)
         std::cerr << lines[i] << '\n';
 }
 
+void checkRuns(const std::string &name, Process *process)
+{
+    const std::optional<Exit> exit = process ? process->unexpectedExit() : std::nullopt;
+    if (!exit)
+        return;
+    INFO(name << " ended by itself, exit code " << exit->code << " signal " << exit->signal);
+    CHECK_FALSE(exit);
+}
+
 } // namespace
 
 double metricSum(std::string_view text, std::string_view name, std::string_view label)
@@ -96,6 +126,7 @@
 
 System::~System()
 {
+    checkProcesses();
     if (hasFailures()) {
         showLogs();
         std::cerr << "logs are kept in " << m_folder.string() << '\n';
@@ -106,8 +137,17 @@
     std::filesystem::remove_all(m_folder, ec);
 }
 
+void System::checkProcesses()
+{
+    for (const auto &host : m_hosts)
+        checkRuns(host->name, host->process.get());
+    checkRuns("fault-proxy", m_faults.process());
+}
+
 void System::showLogs() const
 {
+    if (m_faults.process())
+        showEnd(m_folder / "fault-proxy.log");
     for (const auto &host : m_hosts)
         showEnd(m_folder / (host->name + ".log"));
 }
@@ -197,6 +237,8 @@
 
 void System::writeControl(Host &host)
 {
+    if (m_plan.hasFaultLinks)
+        host.operatorsThrough = m_faults.link("operators", host.name, host.operators, m_addresses);
     std::vector<std::string> voters;
     for (Host *control : hosts(Role::Control)) {
         if (static_cast<int>(voters.size()) == m_plan.voters)
@@ -205,20 +247,9 @@
         voters.push_back(control->name + "="
                          + (isSelf ? host.peers.text() : reach(host, *control)));
     }
-    host.arguments = {"--host",
-                      host.name,
-                      "--data-centre",
-                      host.dataCentre,
-                      "--data",
-                      (m_folder / host.name).string(),
-                      "--listen-peers",
-                      host.peers.text(),
-                      "--listen-operators",
-                      host.operators.text(),
-                      "--listen-platform",
-                      host.platform.text(),
-                      "--global-voters",
-                      commaSeparated(voters)};
+    host.arguments = hostArguments(host);
+    append(host.arguments, {"--data", (m_folder / host.name).string(), "--listen-operators",
+                            host.operators.text(), "--global-voters", commaSeparated(voters)});
     append(host.arguments, m_plan.controlFlags);
 }
 
@@ -232,22 +263,10 @@
         if (entry != &host)
             peers.push_back(reach(host, *entry));
     }
-    host.arguments = {"--host",
-                      host.name,
-                      "--data-centre",
-                      host.dataCentre,
-                      "--listen-callers",
-                      host.callers.text(),
-                      "--listen-upstreams",
-                      host.upstreams.text(),
-                      "--listen-platform",
-                      host.platform.text(),
-                      "--listen-peers",
-                      host.peers.text(),
-                      "--controls",
-                      commaSeparated(controls),
-                      "--peers",
-                      commaSeparated(peers)};
+    host.arguments = hostArguments(host);
+    append(host.arguments,
+           {"--listen-callers", host.callers.text(), "--listen-upstreams", host.upstreams.text(),
+            "--controls", commaSeparated(controls), "--peers", commaSeparated(peers)});
     // Addresses that entries tell each other lead past the fault proxy.
     if (m_plan.hasFaultLinks)
         append(host.arguments, {"--peer-discovery", "settings"});
--- a/integration/harness/System.h
+++ b/integration/harness/System.h
@@ -40,13 +40,15 @@
     base::Endpoint callers; ///< Of entries.
     base::Endpoint upstreams; ///< Of entries.
     base::Endpoint operators; ///< Of controls.
+    base::Endpoint operatorsThrough; ///< The same through the fault proxy, from "operators".
     base::Endpoint serves; ///< Of engines and services.
     std::vector<std::string> arguments;
     std::unique_ptr<Process> process;
 };
 
-/// A running system of real processes, ended with this object. On a failed test the ends of all
-/// logs are printed and the folder is kept.
+/// A running system of real processes, ended with this object. A process that has ended without
+/// being asked to makes the test fail. On a failed test the ends of all logs are printed, a
+/// sanitizer's report whole, and the folder is kept.
 class System
 {
 public:
@@ -95,6 +97,7 @@
     /// Address at which \a from reaches the peers port of \a to.
     std::string reach(const Host &from, const Host &to);
     std::vector<Host *> controlsNearestFirst(const Host &from);
+    void checkProcesses();
     /// Sends an order to each link between the data centre and hosts elsewhere: one to those that
     /// start there, one to those that end there.
     void orderAround(const std::string &dataCentre, const nlohmann::json &fromHere,
--- a/programs/hyssop-control/ControlTask.cpp
+++ b/programs/hyssop-control/ControlTask.cpp
@@ -10,6 +10,8 @@
 /// How often timers of groups and watches are looked at.
 constexpr base::Millis kPumpInterval{20};
 constexpr base::Millis kReplicateTimeout{1'000};
+/// How long a status waits for what other control hosts know.
+constexpr base::Millis kGatherTimeout{1'000};
 /// How long a stop waits for another host to take over.
 constexpr base::Millis kStopTimeout{3'000};
 
@@ -30,12 +32,12 @@
     m_peers.reset();
 }
 
-tl::expected<std::unique_ptr<ControlTask>, std::string> ControlTask::start(ControlOptions options)
+tl::expected<std::unique_ptr<ControlTask>, StartError> ControlTask::start(ControlOptions options)
 {
     std::unique_ptr<ControlTask> task(new ControlTask(std::move(options)));
     auto loop = http::Loop::create();
     if (!loop)
-        return tl::unexpected(loop.error().message);
+        return tl::unexpected(StartError{loop.error().message});
     task->m_loop = *std::move(loop);
     if (const auto opened = task->open(); !opened)
         return tl::unexpected(opened.error());
@@ -49,8 +51,8 @@
     return m_groups.contains(kGlobal);
 }
 
-tl::expected<void, std::string> ControlTask::openGroup(const std::string &name,
-                                                       std::vector<HostAddress> hosts)
+tl::expected<void, StartError> ControlTask::openGroup(const std::string &name,
+                                                      std::vector<HostAddress> hosts)
 {
     GroupOptions options;
     options.group = replog::GroupId(name);
@@ -65,12 +67,12 @@
     };
     auto group = GroupHost::open(std::move(options), send, base::monotonicNow());
     if (!group)
-        return tl::unexpected(name + ": " + group.error().message);
+        return tl::unexpected(StartError{name + ": " + group.error().message});
     m_groups.emplace(name, *std::move(group));
     return {};
 }
 
-tl::expected<void, std::string> ControlTask::open()
+tl::expected<void, StartError> ControlTask::open()
 {
     const auto isSelf = [this](const HostAddress &it) { return it.host == m_options.host; };
     const auto &voters = m_options.globalVoters;
@@ -85,20 +87,20 @@
     return openGroup(homeGroup(m_options.dataCentre), home);
 }
 
-tl::expected<void, std::string> ControlTask::listen()
+tl::expected<void, StartError> ControlTask::listen()
 {
     m_operators = std::make_unique<operators::Server>(m_loop.get(), this, m_options.operatorToken);
     const auto operatorsAt = m_operators->listen(m_options.listenOperators);
     if (!operatorsAt)
-        return tl::unexpected(operatorsAt.error().message);
+        return tl::unexpected(StartError{operatorsAt.error().message});
     m_platform = std::make_unique<platform::Server>(m_loop.get(), &m_metrics);
     const auto platformAt = m_platform->listen(m_options.listenPlatform);
     if (!platformAt)
-        return tl::unexpected(platformAt.error().message);
+        return tl::unexpected(StartError{platformAt.error().message});
     auto peers = peers::Node::start(m_options.listenPeers, this);
     if (!peers)
-        return tl::unexpected("cannot listen on " + m_options.listenPeers.text() + ": "
-                              + peers.error().message);
+        return tl::unexpected(StartError{"cannot listen on " + m_options.listenPeers.text() + ": "
+                                         + peers.error().message});
     m_peers = *std::move(peers);
     m_router->start(m_peers.get());
     base::logEvent("listening", {{"operators", operatorsAt->text()},
@@ -246,7 +248,8 @@
                                          {"status", operators::putStatusName(put.status)}});
         answer(put);
     };
-    m_router->execute({kGlobal, ledger::encode(command, 0)}, done, base::monotonicNow());
+    m_router->execute({kGlobal, ledger::encode(command, 0)}, done, base::monotonicNow(),
+                      CommandRouter::kOperatorLimit);
     schedulePump();
 }
 
@@ -255,7 +258,7 @@
     return isVoter() ? m_groups.at(kGlobal)->ledger().records() : std::vector<records::Record>();
 }
 
-void ControlTask::onStatus(operators::Answer<operators::StatusReply> answer)
+operators::StatusReply ControlTask::ownStatus(base::TimePoint now) const
 {
     operators::StatusReply reply;
     reply.host = m_options.host;
@@ -263,15 +266,58 @@
         const replog::Replica &replica = m_groups.at(kGlobal)->replica();
         reply.leader = replica.leader().text();
         reply.term = replica.term().count();
-        reply.isConfirmed = replica.hasHeardLeader(base::monotonicNow());
+        reply.isConfirmed = replica.hasHeardLeader(now);
     }
     reply.position = recordsPosition().index;
-    const base::TimePoint now = base::monotonicNow();
-    for (const auto &[host, reporter] : m_reporters) {
-        const auto age = std::chrono::duration_cast<base::Millis>(now - reporter.seen);
-        reply.hosts.push_back({host, reporter.dataCentre, reporter.applied.index, age.count()});
+    reply.hosts = queryView(now).reporters;
+    return reply;
+}
+
+/// A status for which other control hosts are asked what was reported to them.
+struct ControlTask::Gathering
+{
+    std::vector<operators::StatusReply> replies; ///< The first is this host's own.
+    std::size_t pending = 0;
+    operators::Answer<operators::StatusReply> answer;
+
+    void finishOne()
+    {
+        if (--pending > 0)
+            return;
+        operators::StatusReply whole = replies.front();
+        whole.hosts = operators::newestReports(replies);
+        answer(std::move(whole));
     }
-    answer(std::move(reply));
+};
+
+void ControlTask::onStatus(operators::Answer<operators::StatusReply> answer)
+{
+    const auto gathering = std::make_shared<Gathering>();
+    gathering->answer = std::move(answer);
+    gathering->replies.push_back(ownStatus(base::monotonicNow()));
+    // This host's own part counts as one, so that nothing ends before all were asked.
+    gathering->pending = 1;
+    for (const HostAddress &voter : m_options.globalVoters) {
+        if (voter.host == m_options.host)
+            continue;
+        ++gathering->pending;
+        gather(gathering, voter.address);
+    }
+    gathering->finishOne();
+}
+
+void ControlTask::gather(const std::shared_ptr<Gathering> &gathering, const base::Endpoint &from)
+{
+    m_peers->query(from, {"reporters", "{}"}, kGatherTimeout, [this, gathering](auto reply) {
+        m_loop->post([gathering, reply = std::move(reply)] {
+            if (reply) {
+                operators::StatusReply told;
+                told.hosts = reportersFrom(*reply);
+                gathering->replies.push_back(std::move(told));
+            }
+            gathering->finishOne();
+        });
+    });
 }
 
 void ControlTask::onWatch(peers::WatchRequest request, peers::Answer<peers::WatchReply> answer)
--- a/programs/hyssop-control/main.cpp
+++ b/programs/hyssop-control/main.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <fstream>
-#include <thread>
 
 using namespace hyssop;
 
@@ -105,12 +104,9 @@
     }
     auto task = control::ControlTask::start(std::move(options));
     if (!task) {
-        base::logEvent("start_failed", {{"message", task.error()}});
+        base::logEvent("start_failed", {{"message", task.error().message}});
         return 1;
     }
-    std::thread thread([&task] { (*task)->run(); });
-    platform::waitForStopSignal();
-    (*task)->stop();
-    thread.join();
+    platform::runUntilStopped([&task] { (*task)->run(); }, [&task] { (*task)->stop(); });
     return (*task)->hasFailed() ? 1 : 0;
 }
--- a/programs/hyssop-entry/ClaimRunner.cpp
+++ b/programs/hyssop-entry/ClaimRunner.cpp
@@ -8,8 +8,8 @@
 
 /// Wait before a release or an outcome that was not recorded is sent again.
 constexpr base::Millis kSettleDelay{1'000};
-/// With the limit of one command, outcomes are kept for recording for over ten minutes.
-constexpr int kMaxSettleTries = 120;
+/// A group out of reach refuses at once, so outcomes are kept for recording for ten minutes.
+constexpr int kMaxSettleTries = 600;
 
 } // namespace
 
@@ -66,6 +66,7 @@
     ClaimFlow flow({std::move(claim), request.info.deadline});
     Open open{std::nullopt, std::move(request.answer), std::move(flow), std::nullopt, 0};
     request.answer = std::make_unique<ClaimedAnswer>(this, id);
+    request.info.hasClaim = true;
     open.request = std::move(request);
     const auto [it, isNew] = m_open.emplace(id, std::move(open));
     assert(isNew && "a request is claimed once");
