Tests of own answers share one check

Cause: the test of crossed answers repeated the body of the test of many callers. Change: checkOwnAnswers() in the harness; answers are up to 22 tokens in both.

--- a/integration/AnswerTest.cpp
+++ b/integration/AnswerTest.cpp
@@ -63,22 +63,6 @@
                         "7"};
     System system(plan);
     bringUp(system);
-    std::vector<std::pair<Completion, Pending>> calls;
-    for (int i = 0; i < kCallers; ++i) {
-        Completion completion;
-        completion.wantsStream = i % 2 == 0;
-        completion.prompt = "Planner " + std::to_string(i);
-        completion.maxTokens = 5 + i % 20;
-        const Host &entry = *system.hosts(Role::Entry)[static_cast<std::size_t>(i % 2)];
-        calls.emplace_back(completion, startCompletion(system, entry, completion));
-    }
-    for (const auto &[completion, pending] : calls) {
-        const Completed completed = readCompletion(pending.wait(), completion);
-        INFO(completion.prompt << ": " << completed.code());
-        CHECK(completed.isWhole);
-        CHECK(completed.text == expectedText(completion.prompt, completion.maxTokens));
-    }
+    checkOwnAnswers(system, kCallers);
     CHECK(strayEvents(system) > 0);
-    for (const Host *engine : system.hosts(Role::Engine))
-        CHECK(returnsToFloor(system, *engine, base::Millis(20'000)));
 }
--- a/integration/RequestTest.cpp
+++ b/integration/RequestTest.cpp
@@ -34,21 +34,5 @@
     plan.enginesEach = 2;
     System system(plan);
     bringUp(system);
-    std::vector<std::pair<Completion, Pending>> calls;
-    for (int i = 0; i < 200; ++i) {
-        Completion completion;
-        completion.wantsStream = i % 2 == 0;
-        completion.prompt = "Guest " + std::to_string(i);
-        completion.maxTokens = 3 + i % 9;
-        const Host &entry = *system.hosts(Role::Entry)[static_cast<std::size_t>(i % 2)];
-        calls.emplace_back(completion, startCompletion(system, entry, completion));
-    }
-    for (const auto &[completion, pending] : calls) {
-        const Completed completed = readCompletion(pending.wait(), completion);
-        INFO(completion.prompt << ": " << completed.code());
-        CHECK(completed.isWhole);
-        CHECK(completed.text == expectedText(completion.prompt, completion.maxTokens));
-    }
-    for (Host *engine : system.hosts(Role::Engine))
-        CHECK(returnsToFloor(system, *engine, base::Millis(20'000)));
+    checkOwnAnswers(system, 200);
 }
--- a/integration/harness/Calls.cpp
+++ b/integration/harness/Calls.cpp
@@ -107,6 +107,28 @@
     return readCompletion(startCompletion(system, entry, completion).wait(), completion);
 }
 
+void checkOwnAnswers(System &system, int callers)
+{
+    const std::vector<Host *> entries = system.hosts(Role::Entry);
+    std::vector<std::pair<Completion, Pending>> calls;
+    for (int i = 0; i < callers; ++i) {
+        Completion completion;
+        completion.wantsStream = i % 2 == 0;
+        completion.prompt = "Guest " + std::to_string(i);
+        completion.maxTokens = 3 + i % 20;
+        const Host &entry = *entries[static_cast<std::size_t>(i) % entries.size()];
+        calls.emplace_back(completion, startCompletion(system, entry, completion));
+    }
+    for (const auto &[completion, pending] : calls) {
+        const Completed completed = readCompletion(pending.wait(), completion);
+        INFO(completion.prompt << ": " << completed.code());
+        CHECK(completed.isWhole);
+        CHECK(completed.text == expectedText(completion.prompt, completion.maxTokens));
+    }
+    for (const Host *engine : system.hosts(Role::Engine))
+        CHECK(returnsToFloor(system, *engine, kSettleLimit));
+}
+
 std::string expectedText(const std::string &prompt, std::int64_t tokens)
 {
     const std::string seed = base::sha256Hex(prompt).substr(0, 8);
--- a/integration/harness/Calls.h
+++ b/integration/harness/Calls.h
@@ -34,6 +34,9 @@
 Pending startCompletion(System &system, const Host &entry, const Completion &completion);
 Completed readCompletion(const Answer &answer, const Completion &completion);
 Completed complete(System &system, const Host &entry, const Completion &completion);
+/// Starts that many completions at once through all entry hosts, every second one streamed, and
+/// checks that each gets its own whole answer and that no engine keeps memory.
+void checkOwnAnswers(System &system, int callers);
 /// Text that a stand-in engine makes for a prompt.
 std::string expectedText(const std::string &prompt, std::int64_t tokens);
 /// A prompt of that many tokens that begins with \a name.
