Tests restart a host under load through one function of the workload

Cause: the two tests of rolling restarts had a copy each, which waited for different numbers of upstreams. Change: Workload::restart() waits for all upstreams of the host's data centre and checks exit code and signal.

--- a/integration/ControlFaultTest.cpp
+++ b/integration/ControlFaultTest.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr base::Millis kRepairLimit{30'000};
-constexpr base::Millis kRestartLimit{40'000};
 constexpr std::uint64_t kSeed = 20261203;
 
 Plan centres(int count)
@@ -97,26 +96,6 @@
     return *fallback;
 }
 
-void restartUnderLoad(System &system, Workload &workload, Host &host)
-{
-    INFO(host.name);
-    workload.takeOut(host);
-    host.process->signal(SIGTERM);
-    REQUIRE(workload.runUntil(kRestartLimit, [&] { return !host.process->isRunning(); }));
-    const std::optional<Exit> exit = host.process->wait(base::Millis(0));
-    REQUIRE(exit);
-    CHECK(exit->code == 0);
-    system.start(host);
-    REQUIRE(workload.runUntil(kRestartLimit, [&] {
-        return system.client().get(host.platform, "/ready").status == 200;
-    }));
-    if (host.role == Role::Entry) {
-        REQUIRE(workload.runUntil(kRestartLimit,
-                                  [&] { return metric(system, host, "hyssop_upstreams") >= 2; }));
-    }
-    workload.putBack(host);
-}
-
 } // namespace
 
 TEST_CASE("a second control host lost right after the repair of a first costs no change")
@@ -160,7 +139,7 @@
     workload.runFor(base::Millis(500));
     for (const Role role : {Role::Control, Role::Entry}) {
         for (Host *host : system.hosts(role)) {
-            restartUnderLoad(system, workload, *host);
+            workload.restart(*host);
             changes.add(1);
         }
     }
--- a/integration/HostFaultTest.cpp
+++ b/integration/HostFaultTest.cpp
@@ -51,27 +51,6 @@
     }
 }
 
-/// Stops a host as its platform would, under load, and starts it again.
-void restartUnderLoad(System &system, Workload &workload, Host &host)
-{
-    INFO(host.name);
-    workload.takeOut(host);
-    host.process->signal(SIGTERM);
-    REQUIRE(workload.runUntil(base::Millis(40'000), [&] { return !host.process->isRunning(); }));
-    const std::optional<Exit> exit = host.process->wait(base::Millis(0));
-    CHECK(exit->signal == 0);
-    CHECK(exit->code == 0);
-    system.start(host);
-    REQUIRE(workload.runUntil(base::Millis(40'000), [&] {
-        return system.client().get(host.platform, "/ready").status == 200;
-    }));
-    if (host.role == Role::Entry) {
-        REQUIRE(workload.runUntil(base::Millis(40'000),
-                                  [&] { return metric(system, host, "hyssop_upstreams") >= 3; }));
-    }
-    workload.putBack(host);
-}
-
 } // namespace
 
 TEST_CASE("after an entry is killed under load all engines' memory is back at its floor")
@@ -136,7 +115,7 @@
     workload.runFor(base::Millis(500));
     for (const Role role : {Role::Entry, Role::Control}) {
         for (Host *host : system.hosts(role))
-            restartUnderLoad(system, workload, *host);
+            workload.restart(*host);
     }
     workload.drain();
     workload.checkBookings();
--- a/integration/harness/Workload.cpp
+++ b/integration/harness/Workload.cpp
@@ -1,14 +1,29 @@
 #include "Workload.h"
 
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
 namespace hyssop::harness {
 
 namespace {
 
+constexpr base::Millis kRestartLimit{40'000};
 /// Beyond its deadline a request may take this long to be seen as ended on a busy machine.
 constexpr base::Millis kGrace{5'000};
 /// Calls that are due at once when the driver was held up.
 constexpr int kMaxBurst = 50;
 
+double upstreamsOf(System &system, const std::string &dataCentre)
+{
+    double n = 0;
+    for (const Role role : {Role::Engine, Role::Service}) {
+        for (const Host *host : system.hosts(role))
+            n += host->dataCentre == dataCentre ? 1 : 0;
+    }
+    return n;
+}
+
 } // namespace
 
 Workload::Workload(System *system, Scorecard *scorecard, WorkloadOptions options)
@@ -58,6 +73,28 @@
     m_isPaused = false;
 }
 
+void Workload::restart(Host &host)
+{
+    INFO(host.name);
+    takeOut(host);
+    host.process->signal(SIGTERM);
+    REQUIRE(runUntil(kRestartLimit, [&] { return !host.process->isRunning(); }));
+    const std::optional<Exit> exit = host.process->wait(base::Millis(0));
+    REQUIRE(exit);
+    CHECK(exit->signal == 0);
+    CHECK(exit->code == 0);
+    m_system->start(host);
+    REQUIRE(runUntil(kRestartLimit, [&] {
+        return m_system->client().get(host.platform, "/ready").status == 200;
+    }));
+    if (host.role == Role::Entry) {
+        const double upstreams = upstreamsOf(*m_system, host.dataCentre);
+        REQUIRE(runUntil(kRestartLimit,
+                         [&] { return metric(*m_system, host, "hyssop_upstreams") >= upstreams; }));
+    }
+    putBack(host);
+}
+
 void Workload::excuse(const Host &entry)
 {
     for (OpenCall &call : m_open)
--- a/integration/harness/Workload.h
+++ b/integration/harness/Workload.h
@@ -42,6 +42,9 @@
     /// The balancer sends no new calls to a host.
     void takeOut(const Host &entry) { m_out.insert(entry.name); }
     void putBack(const Host &entry) { m_out.erase(entry.name); }
+    /// Stops a host with SIGTERM as its platform would, checks that it exits with 0, starts it
+    /// again and waits until it is ready and knows its data centre's upstreams.
+    void restart(Host &host);
     /// Open calls at the host may be cut off: it was killed.
     void excuse(const Host &entry);
 
