A feed that breaks off no longer reads the id it has just freed

Cause: found by the address sanitizer in test-upstream, a heap use after free: onDone() and onFailed() handed openLater() a reference into m_calls, and close() erased that entry before the id was copied into the timer. An entry host does this each time an engine's feed ends. Ruled out: the timers' captures, which are copies. Change: openLater() takes the id by value.

--- a/libs/upstream/include/upstream/Upstream.h
+++ b/libs/upstream/include/upstream/Upstream.h
@@ -316,7 +316,7 @@
     };
 
     void open(const base::UpstreamId &id);
-    void openLater(const base::UpstreamId &id);
+    void openLater(base::UpstreamId id);
     void watchSilence(const base::UpstreamId &id);
     void watchQuiet(const base::UpstreamId &id);
     void noteQuiet(const base::UpstreamId &id);
--- a/libs/upstream/src/EngineFeeds.cpp
+++ b/libs/upstream/src/EngineFeeds.cpp
@@ -199,7 +199,8 @@
     m_onQuiet(id, true);
 }
 
-void EngineFeeds::openLater(const base::UpstreamId &id)
+// A copy of the id: close() erases the entry of m_calls that callers have it from.
+void EngineFeeds::openLater(base::UpstreamId id)
 {
     Feed &feed = m_feeds.at(id);
     close(feed);
