An answer held past the end of its RPC node no longer touches what is gone

Cause: found by the address sanitizer in test-host-faults: a control host that stops destroys its RPC node and then the questions it still holds; their answers' fulfillers were handed to the node's wakeup, which was freed. Ruled out: an order of members alone, since groups and messages of the loop hold answers too. Change: the wakeup is shared and lives as long as an answer that may use it; after the node's end nothing reads it.

--- a/libs/peers/src/Node.cpp
+++ b/libs/peers/src/Node.cpp
@@ -66,7 +66,7 @@
 
     base::Endpoint m_listen;
     Service *m_service;
-    Wakeup m_wakeup;
+    std::shared_ptr<Wakeup> m_wakeup = std::make_shared<Wakeup>();
     std::thread m_thread;
     kj::Own<kj::PromiseFulfiller<void>> m_stopper;
     kj::AsyncIoContext *m_io = nullptr;
@@ -92,7 +92,7 @@
 {
     if (!m_thread.joinable())
         return;
-    m_wakeup.post([this] { m_stopper->fulfill(); });
+    m_wakeup->post([this] { m_stopper->fulfill(); });
     m_thread.join();
 }
 
@@ -114,16 +114,16 @@
     }
     auto tasks = kj::heap<kj::TaskSet>(*this);
     m_tasks = tasks.get();
-    capnp::TwoPartyServer server(kj::heap<Server>(m_service, &m_wakeup));
+    capnp::TwoPartyServer server(kj::heap<Server>(m_service, m_wakeup));
     tasks->add(server.listen(*receiver));
-    tasks->add(m_wakeup.serve(*io.lowLevelProvider));
+    tasks->add(m_wakeup->serve(*io.lowLevelProvider));
     base::Endpoint bound = m_listen;
     bound.port = static_cast<std::uint16_t>(receiver->getPort());
     started.set_value(bound);
     stop.promise.wait(io.waitScope);
     tasks = nullptr;
     m_connections.clear();
-    m_wakeup.close();
+    m_wakeup->close();
     m_stopper = nullptr;
     m_tasks = nullptr;
 }
@@ -162,7 +162,7 @@
 void Node::Impl::call(const base::Endpoint &to, base::Millis timeout, Callback<Reply> callback,
                       std::function<kj::Promise<Reply>(wire::Peer::Client)> send)
 {
-    m_wakeup.post([this, to, timeout, callback = std::move(callback), send = std::move(send)] {
+    m_wakeup->post([this, to, timeout, callback = std::move(callback), send = std::move(send)] {
         const std::shared_ptr<Connection> used = connection(to);
         const auto wasSent = std::make_shared<bool>(false);
         kj::Promise<Reply> answer = used->ready.addBranch().then([used, send, wasSent] {
--- a/libs/peers/src/Server.cpp
+++ b/libs/peers/src/Server.cpp
@@ -2,9 +2,9 @@
 
 namespace hyssop::peers {
 
-Server::Server(Service *service, Wakeup *wakeup)
+Server::Server(Service *service, std::shared_ptr<Wakeup> wakeup)
     : m_service(service)
-    , m_wakeup(wakeup)
+    , m_wakeup(std::move(wakeup))
 { }
 
 template <typename Reply>
--- a/libs/peers/src/Server.h
+++ b/libs/peers/src/Server.h
@@ -11,7 +11,7 @@
 class Server final : public wire::Peer::Server
 {
 public:
-    Server(Service *service, Wakeup *wakeup);
+    Server(Service *service, std::shared_ptr<Wakeup> wakeup);
 
     kj::Promise<void> watch(WatchContext context) override;
     kj::Promise<void> execute(ExecuteContext context) override;
@@ -24,7 +24,7 @@
     kj::Promise<Reply> ask(const std::function<void(Answer<Reply>)> &call);
 
     Service *m_service;
-    Wakeup *m_wakeup;
+    std::shared_ptr<Wakeup> m_wakeup; ///< Outlives the node with answers that are still held.
 };
 
 inline std::string toString(capnp::Text::Reader text)
--- a/libs/peers/tests/NodeTest.cpp
+++ b/libs/peers/tests/NodeTest.cpp
@@ -107,3 +107,15 @@
     server = std::move(*Node::start(address, &service));
     CHECK(execute(*client, address, "g", kTimeout));
 }
+
+TEST_CASE("an answer that is held for longer than its node lives goes nowhere and does no harm")
+{
+    Recorder service;
+    auto server = std::move(*Node::start(kAny, &service));
+    const auto client = std::move(*Node::start(kAny, &service));
+    CHECK_FALSE(execute(*client, server->address(), "hang", base::Millis(200)));
+    REQUIRE(service.held);
+    server.reset();
+    service.held({ExecuteStatus::Done, "late", "leader"});
+    service.held = nullptr;
+}
