Permits to read end with their host's start, and with the reading that they stand for

Ruled out: too few engines (12 of 14 had no request); the permit's order. Change: a permit whose end is never told lasts for placing and a third of the reading on one engine; a question of a host's new start ends what its former start held or asked. Short prompts fill an engine up to 12 instead of 8: a pass with 12 writers takes 56 ms.

--- a/libs/dispatch/src/Placement.cpp
+++ b/libs/dispatch/src/Placement.cpp
@@ -23,7 +23,7 @@
 constexpr double kSpreadGaps = 1;
 /// Requests of short prompts that an engine is filled with before another one is used; passes stay
 /// below a third of the pause that chat allows.
-constexpr double kShortPerEngine = 8;
+constexpr double kShortPerEngine = 12;
 /// Short prompts that may come while long ones are read; engines for them are left free.
 constexpr double kShortSlack = 6;
 /// Entry hosts that tell each other their load at once. Where there are more, those of a data
--- a/libs/registry/src/ReadPermits.cpp
+++ b/libs/registry/src/ReadPermits.cpp
@@ -10,16 +10,33 @@
 constexpr std::size_t kMostHeld = 2;
 /// Between two grants; hosts have then told each other what the first one chose.
 constexpr base::Millis kGrantInterval{30};
-/// A host that never tells the end, as one that was killed, holds no more than this; reading takes
-/// a second or two.
+/// A host that never tells the end, as one that was killed, holds this time for placing the prompt
+/// and its share of the reading on one engine: three engines are free for it at the least.
+constexpr base::Millis kPlacingHold{700};
+constexpr std::int64_t kLeastReaders = 3;
 constexpr base::Millis kLongestHold{4'000};
 /// One that has waited this long goes before shorter ones.
 constexpr base::Millis kPatience{1'500};
 
 } // namespace
 
+base::Millis ReadPermits::holdLimit(const fleet::PermitRequest &request)
+{
+    return std::min(kLongestHold, kPlacingHold + base::Millis(request.readMs / kLeastReaders));
+}
+
+void ReadPermits::forgetEarlierStarts(const fleet::PermitKey &key)
+{
+    const auto isEarlier = [&key](const fleet::PermitKey &other) {
+        return other.host == key.host && other.start != key.start;
+    };
+    std::erase_if(m_held, [&](const auto &it) { return isEarlier(it.first); });
+    std::erase_if(m_waiting, [&](const Waiting &it) { return isEarlier(it.request.key); });
+}
+
 void ReadPermits::ask(const fleet::PermitRequest &request, Answer answer, base::TimePoint now)
 {
+    forgetEarlierStarts(request.key);
     m_waiting.push_back({request, std::move(answer), now});
     tick(now);
 }
@@ -75,7 +92,7 @@
     if (it == m_waiting.end())
         return;
     m_grantedAt = now;
-    m_held[it->request.key] = {it->request.service, now + kLongestHold};
+    m_held[it->request.key] = {it->request.service, now + holdLimit(it->request)};
     const Answer answer = std::move(it->answer);
     m_waiting.erase(it);
     answer(true);
--- a/libs/registry/src/ReadPermits.h
+++ b/libs/registry/src/ReadPermits.h
@@ -39,6 +39,10 @@
         base::ServiceId service;
         base::TimePoint until;
     };
+    /// How long a permit lasts whose end is never told.
+    static base::Millis holdLimit(const fleet::PermitRequest &request);
+    /// A host that started anew has none of its former calls.
+    void forgetEarlierStarts(const fleet::PermitKey &key);
     std::size_t heldOf(const base::ServiceId &service) const;
     std::vector<Waiting>::iterator next(base::TimePoint now);
 
--- a/libs/registry/tests/ReadPermitsTest.cpp
+++ b/libs/registry/tests/ReadPermitsTest.cpp
@@ -114,3 +114,29 @@
     CHECK(granted == 3);
     CHECK(permits.held() == 1);
 }
+
+TEST_CASE("a host that died keeps others from reading no longer than its own prompt takes")
+{
+    ReadPermits permits;
+    int granted = 0;
+    const auto count = [&](bool isGranted) { granted += isGranted ? 1 : 0; };
+    permits.ask(asking(1, 900), count, kStart);
+    permits.ask(asking(2, 900), count, kStart + Millis(50));
+    permits.ask(asking(3, 900), count, kStart + Millis(100));
+    permits.tick(kStart + Millis(1'100));
+    CHECK(granted == 3);
+}
+
+TEST_CASE("a host that started anew holds no permit from before")
+{
+    ReadPermits permits;
+    int granted = 0;
+    const auto count = [&](bool isGranted) { granted += isGranted ? 1 : 0; };
+    permits.ask(asking(1, 9'000), count, kStart);
+    permits.ask(asking(2, 9'000), count, kStart + Millis(50));
+    fleet::PermitRequest anew = asking(1, 9'000);
+    anew.key.start = 2;
+    permits.ask(anew, count, kStart + Millis(100));
+    CHECK(granted == 3);
+    CHECK(permits.held() == 1);
+}
