--- a/integration/harness/Process.cpp
+++ b/integration/harness/Process.cpp
@@ -38,6 +38,8 @@
     ::sigprocmask(SIG_SETMASK, &none, nullptr);
     ::dup2(image.log, STDOUT_FILENO);
     ::dup2(image.log, STDERR_FILENO);
+    // Sockets of the test would live on in the program, and keep their ports.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     if (image.maxFileBytes > 0) {
         const rlimit limit{image.maxFileBytes, image.maxFileBytes};
         ::setrlimit(RLIMIT_FSIZE, &limit);
--- /dev/null
+++ b/integration/platform-soak/Checks.cpp
@@ -0,0 +1,162 @@
+#include "Checks.h"
+
+#include <fmt/format.h>
+
+namespace hyssop::platformsoak {
+
+using harness::Promise;
+
+namespace {
+
+/// Bounds of the settings that the programs run with.
+constexpr base::Millis kRevokeBound{5'000};
+constexpr base::Millis kConfigurationBound{2'000};
+constexpr base::Millis kDrainBound{2'000};
+constexpr base::Millis kStopBound{8'000};
+/// After a fault a host is in touch again this much later.
+constexpr base::Millis kContact{3'000};
+/// An answer may be that late; the machine is shared.
+constexpr base::Millis kLateness{500};
+/// Requests that come later than this into a stop may be refused or cut.
+constexpr base::Millis kStopNotice{1'000};
+
+/// Statuses that promise that the request has not run.
+bool promisesNotRun(int status)
+{
+    return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+std::string text(const CallRecord &it)
+{
+    return fmt::format("{} at {}: status {}, whole {}, after {} ms of {} ms", it.id, it.entry,
+                       it.status, it.isWhole,
+                       std::chrono::floor<base::Millis>(it.endedAt - it.sentAt).count(),
+                       it.deadline.count());
+}
+
+} // namespace
+
+Checks::Checks(const History *history, std::vector<harness::Run> runs,
+               harness::Scorecard *scorecard)
+    : m_history(history)
+    , m_runs(std::move(runs))
+    , m_scorecard(scorecard)
+{
+    for (const harness::Run &it : m_runs)
+        m_byRequest.emplace(it.request, &it);
+    for (const CallRecord &it : m_history->calls())
+        m_calls[it.id] = &it;
+}
+
+bool Checks::isDisturbed(const std::string &target, base::TimePoint from, base::TimePoint to) const
+{
+    return std::any_of(
+            m_history->faults().begin(), m_history->faults().end(), [&](const FaultRecord &it) {
+                const bool isMet = target.empty() || it.target == target;
+                return isMet && !it.isPlanned && it.from <= to && it.to + kContact >= from;
+            });
+}
+
+bool Checks::isDisturbedReplica(base::TimePoint from, base::TimePoint to) const
+{
+    return std::any_of(m_history->faults().begin(), m_history->faults().end(),
+                       [&](const FaultRecord &it) {
+                           return it.target.starts_with("replica") && it.from <= to
+                                  && it.to + kContact >= from;
+                       });
+}
+
+bool Checks::isAtPlannedWork(const CallRecord &call) const
+{
+    return std::any_of(
+            m_history->faults().begin(), m_history->faults().end(), [&](const FaultRecord &it) {
+                return it.target == call.entry && it.isPlanned
+                       && call.sentAt <= it.from + kStopNotice && call.endedAt >= it.from;
+            });
+}
+
+std::vector<const harness::Run *> Checks::runsOf(const std::string &request) const
+{
+    std::vector<const harness::Run *> runs;
+    const auto [from, to] = m_byRequest.equal_range(request);
+    for (auto it = from; it != to; ++it)
+        runs.push_back(it->second);
+    return runs;
+}
+
+void Checks::checkCalls()
+{
+    for (const CallRecord &it : m_history->calls()) {
+        const auto runs = runsOf(it.id);
+        if (it.status == 200)
+            m_scorecard->check(Promise::OwnWholeAnswer, it.isOwn, text(it));
+        if (promisesNotRun(it.status))
+            m_scorecard->check(Promise::NotRunIsTrue, runs.empty(), text(it));
+        if (it.kind == Kind::Booking)
+            m_scorecard->check(Promise::AtMostOnce, runs.size() <= 1, text(it));
+        if (!it.isConnected || isDisturbed(it.entry, it.sentAt, it.endedAt))
+            continue;
+        // The connection closes too, when a stream that began cannot go on.
+        m_scorecard->check(Promise::EndsInTime, it.endedAt <= it.sentAt + it.deadline + kLateness,
+                           text(it));
+        if (!isAtPlannedWork(it) || isDisturbedReplica(it.sentAt, it.endedAt))
+            continue;
+        // A replica that broke off or lost its answer is no work of the stop.
+        const bool isAnswered = it.status == 502 || it.status == 504 || it.isWhole || !runs.empty();
+        m_scorecard->check(Promise::GracefulStop, isAnswered, text(it));
+    }
+}
+
+void Checks::checkLeaving()
+{
+    for (const LeaveRecord &left : m_history->leaves()) {
+        for (const harness::Run &run : m_runs) {
+            if (run.replica != left.replica || run.at <= left.at + kDrainBound + kLateness)
+                continue;
+            const auto call = m_calls.find(run.request);
+            // A host that stood still or was cut off may not have heard of it.
+            const bool isExcused = call == m_calls.end()
+                                   || isDisturbed(call->second->entry, left.at - kContact, run.at)
+                                   || isDisturbed("", left.at - kContact, run.at);
+            if (!isExcused)
+                m_scorecard->check(Promise::LeavingGetsNothing, false,
+                                   run.request + " at " + run.replica);
+        }
+        m_scorecard->check(Promise::LeavingGetsNothing, true, "");
+    }
+}
+
+void Checks::checkReads()
+{
+    for (const ReadRecord &read : m_history->reads()) {
+        if (read.version == 0)
+            continue;
+        std::int64_t least = 0;
+        for (const AckRecord &ack : m_history->acks()) {
+            if (ack.at + kConfigurationBound <= read.askedAt)
+                least = std::max(least, ack.version);
+        }
+        m_scorecard->check(Promise::ConfigurationHolds, read.version >= least,
+                           fmt::format("read version {}, acknowledged {}", read.version, least));
+    }
+}
+
+void Checks::checkKeys()
+{
+    // A team lives until the next version was acknowledged.
+    std::map<std::string, base::TimePoint> takenAway;
+    const auto &acks = m_history->acks();
+    for (std::size_t n = 1; n < acks.size(); ++n)
+        takenAway.emplace("team-" + std::to_string(acks[n - 1].version), acks[n].at);
+    for (const harness::Run &run : m_runs) {
+        const auto it = takenAway.find(run.team);
+        if (it == takenAway.end())
+            continue;
+        const auto call = m_calls.find(run.request);
+        const base::TimePoint sentAt = call == m_calls.end() ? run.at : call->second->sentAt;
+        m_scorecard->check(Promise::ConfigurationHolds, sentAt <= it->second + kRevokeBound,
+                           run.request + " of " + run.team + " ran after its key was taken away");
+    }
+}
+
+} // namespace hyssop::platformsoak
--- /dev/null
+++ b/integration/platform-soak/Checks.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "History.h"
+#include "Replica.h"
+#include "Scorecard.h"
+
+namespace hyssop::platformsoak {
+
+/// Holds what callers, replicas and the operator saw against the promises.
+class Checks
+{
+public:
+    Checks(const History *history, std::vector<harness::Run> runs, harness::Scorecard *scorecard);
+
+    void checkCalls();
+    void checkLeaving();
+    void checkReads();
+    void checkKeys();
+
+private:
+    /// Whether an unplanned fault met \a target, or anyone for an empty one, from \a from to \a to.
+    bool isDisturbed(const std::string &target, base::TimePoint from, base::TimePoint to) const;
+    bool isDisturbedReplica(base::TimePoint from, base::TimePoint to) const;
+    /// Whether \a entry was asked to stop or reload shortly before or during a call.
+    bool isAtPlannedWork(const CallRecord &call) const;
+    std::vector<const harness::Run *> runsOf(const std::string &request) const;
+
+    const History *m_history;
+    std::vector<harness::Run> m_runs;
+    std::multimap<std::string, const harness::Run *> m_byRequest;
+    std::map<std::string, const CallRecord *> m_calls;
+    harness::Scorecard *m_scorecard;
+};
+
+} // namespace hyssop::platformsoak
--- /dev/null
+++ b/integration/platform-soak/Load.cpp
@@ -0,0 +1,128 @@
+#include "Load.h"
+
+#include <fmt/format.h>
+
+namespace hyssop::platformsoak {
+
+namespace {
+
+/// Callers give up a little after the time that they grant.
+constexpr base::Millis kPatience{3'000};
+constexpr base::Millis kPauseAfterFailure{50};
+/// Part of the requests that come with a key which a version took away; in percent.
+constexpr int kFormerKeys = 20;
+constexpr int kEvents = 12;
+
+/// Events 1 to n, the last of them maybe cut short unless \a isWhole.
+bool isStreamOf(const std::string &body, int last, bool isWhole)
+{
+    std::string expected;
+    for (int n = 1; n <= last; ++n)
+        expected += fmt::format("id: {0}\ndata: {0}\n\n", n);
+    return isWhole ? body == expected : expected.starts_with(body);
+}
+
+struct Request
+{
+    Kind kind;
+    std::string method;
+    std::string target;
+    base::Millis deadline{0};
+    std::string tokens; ///< Empty for a plain service.
+};
+
+Request drawRequest(base::Rng &rng)
+{
+    std::uniform_int_distribution<int> percent(0, 99);
+    std::uniform_int_distribution<int> chatTokens(500, 20'000);
+    std::uniform_int_distribution<int> digestTokens(90'000, 450'000);
+    const int drawn = percent(rng);
+    if (drawn < 30)
+        return {Kind::Booking, "POST", "/book/1", base::Millis(1'500), ""};
+    if (drawn < 50)
+        return {Kind::Lookup, "GET", "/look/1", base::Millis(1'500), ""};
+    const bool isLong = drawn >= 92;
+    return {isLong ? Kind::Digest : Kind::Chat, "POST", isLong ? "/digest/1" : "/chat/1",
+            base::Millis(5'000),
+            fmt::format("{},{}", isLong ? digestTokens(rng) : chatTokens(rng), kEvents)};
+}
+
+bool isOwnAnswer(const CallRecord &record, const harness::Reply &reply, const std::string &sent)
+{
+    if (reply.status != 200)
+        return true;
+    if (record.kind == Kind::Chat || record.kind == Kind::Digest)
+        return isStreamOf(reply.body, kEvents, reply.isWhole);
+    const std::string expected = record.id + " " + sent;
+    return reply.isWhole ? reply.body == expected : expected.starts_with(reply.body);
+}
+
+} // namespace
+
+Load::Load(const harness::PlatformBed *bed, const Operator *manifests, History *history,
+           std::uint64_t seed, std::size_t callers)
+    : m_bed(bed)
+    , m_manifests(manifests)
+    , m_history(history)
+{
+    for (std::size_t n = 0; n < callers; ++n)
+        m_threads.emplace_back([this, n, seed] { work(n, seed + n); });
+}
+
+Load::~Load()
+{
+    stop();
+}
+
+void Load::stop()
+{
+    m_isStopping = true;
+    for (std::thread &it : m_threads) {
+        if (it.joinable())
+            it.join();
+    }
+}
+
+void Load::work(std::size_t number, std::uint64_t seed)
+{
+    base::Rng rng(seed);
+    std::unique_ptr<harness::Caller> caller;
+    std::size_t entry = 0;
+    for (std::int64_t count = 0; !m_isStopping; ++count) {
+        if (!caller || !caller->isOpen()) {
+            entry = std::uniform_int_distribution<std::size_t>(0, m_bed->entries.size() - 1)(rng);
+            caller = std::make_unique<harness::Caller>(m_bed->entries[entry].outside);
+        }
+        const Request request = drawRequest(rng);
+        // Team 0 is in every version; the others come and go.
+        const bool isOwnTeam = std::uniform_int_distribution<int>(0, 99)(rng) >= kFormerKeys;
+        const std::int64_t version = isOwnTeam ? 0 : m_manifests->acknowledged();
+        CallRecord record;
+        record.id = fmt::format("c{}-{}", number, count);
+        record.kind = request.kind;
+        record.entry = m_bed->entries[entry].name;
+        record.team = teamOf(version);
+        record.deadline = request.deadline;
+        record.isConnected = caller->isOpen();
+        harness::CallOptions options;
+        options.body = request.method == "POST" ? "for " + record.id : "";
+        options.closes = false;
+        options.limit = request.deadline + kPatience;
+        options.fields = fmt::format("Request-Id: {}\r\nApi-Key: {}\r\nDeadline-Ms: {}\r\n",
+                                     record.id, keyOf(version), request.deadline.count());
+        if (!request.tokens.empty())
+            options.fields += "Token-Counts: " + request.tokens + "\r\n";
+        record.sentAt = base::monotonicNow();
+        const harness::Reply reply = caller->call(request.method, request.target, options);
+        record.endedAt = base::monotonicNow();
+        record.status = reply.status;
+        record.isWhole = reply.isWhole;
+        record.isOwn = isOwnAnswer(record, reply, options.body);
+        const bool isFailure = record.status != 200;
+        m_history->add(std::move(record));
+        if (isFailure)
+            std::this_thread::sleep_for(kPauseAfterFailure);
+    }
+}
+
+} // namespace hyssop::platformsoak
--- /dev/null
+++ b/integration/platform-soak/Load.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Manifests.h"
+
+namespace hyssop::platformsoak {
+
+/// Callers of all four kinds, each a thread with a connection that it keeps while it can.
+class Load
+{
+public:
+    Load(const harness::PlatformBed *bed, const Operator *manifests, History *history,
+         std::uint64_t seed, std::size_t callers);
+    ~Load();
+    Load(const Load &) = delete;
+    Load &operator=(const Load &) = delete;
+
+    void stop();
+
+private:
+    void work(std::size_t number, std::uint64_t seed);
+
+    const harness::PlatformBed *m_bed;
+    const Operator *m_manifests;
+    History *m_history;
+    std::atomic<bool> m_isStopping{false};
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace hyssop::platformsoak
--- /dev/null
+++ b/integration/platform-soak/PlatformSoakTest.cpp
@@ -0,0 +1,118 @@
+// The programs of the users' platform under faults drawn from a seed.
+
+#include "Checks.h"
+#include "Faults.h"
+#include "Load.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace hyssop;
+using namespace hyssop::harness;
+using namespace hyssop::platformsoak;
+
+namespace {
+
+constexpr std::int64_t kDefaultSeconds = 12;
+constexpr base::Millis kStartLimit{20'000};
+constexpr base::Millis kHealLimit{20'000};
+/// All must serve again this long after the last fault.
+constexpr base::Millis kRecoverLimit{15'000};
+/// Memory that no call uses is given back within this.
+constexpr base::Millis kFreeLimit{4'000};
+constexpr base::Millis kTick{20};
+
+std::int64_t numberFrom(const char *variable, std::int64_t fallback)
+{
+    const char *text = std::getenv(variable);
+    return text ? std::atoll(text) : fallback;
+}
+
+/// How large a run is; some go up to the limits of the machine.
+PlatformPlan planFromEnvironment()
+{
+    PlatformPlan plan;
+    plan.controls = static_cast<std::size_t>(numberFrom("HYSSOP_SOAK_CONTROLS", 3));
+    plan.entries = static_cast<std::size_t>(numberFrom("HYSSOP_SOAK_ENTRIES", 3));
+    plan.replicas = static_cast<std::size_t>(numberFrom("HYSSOP_SOAK_REPLICAS", 6));
+    plan.hasFaultLinks = true;
+    return plan;
+}
+
+bool isAnyServed(PlatformBed &bed)
+{
+    CallOptions options;
+    options.limit = base::Millis(1'500);
+    options.fields = "Request-Id: probe\r\nApi-Key: " + keyOf(0) + "\r\nDeadline-Ms: 1000\r\n";
+    return callOnce(bed.entries.front().listen, "GET", "/look/1", options).status == 200;
+}
+
+void soak(std::uint64_t seed, base::Millis length)
+{
+    std::cout << "seed " << seed << ", " << length.count() << " ms" << std::endl;
+    PlatformBed bed(planFromEnvironment());
+    History history;
+    ReplicaPool replicas(&bed, &history, seed + 1);
+    Operator manifests(&bed, &history, seed + 2);
+    REQUIRE(eventually(kStartLimit, [&] {
+        return std::all_of(bed.entries.begin(), bed.entries.end(),
+                           [&](const PlatformHost &it) { return bed.isReady(it); });
+    }));
+    REQUIRE(eventually(kStartLimit, [&] { return isAnyServed(bed); }));
+    const auto callers = static_cast<std::size_t>(numberFrom("HYSSOP_SOAK_CALLERS", 12));
+    Load load(&bed, &manifests, &history, seed + 3, callers);
+    FaultDriver faults(&bed, &replicas, &history, seed);
+    const base::TimePoint end = base::monotonicNow() + length;
+    while (base::monotonicNow() < end) {
+        faults.tick(base::monotonicNow());
+        std::this_thread::sleep_for(kTick);
+    }
+    faults.stop();
+    REQUIRE(eventually(kHealLimit, [&] {
+        faults.tick(base::monotonicNow());
+        return faults.isWhole();
+    }));
+    bed.faults().healAll();
+    CHECK(eventually(kRecoverLimit, [&] { return isAnyServed(bed); }));
+    load.stop();
+    manifests.stop();
+    Scorecard scorecard;
+    const bool isFree = eventually(kFreeLimit, [&] { return replicas.reservations() == 0; });
+    scorecard.check(Promise::MemoryReturns, isFree, "reservations are left");
+    const std::string last = Operator::textOf(manifests.acknowledged());
+    std::int64_t read = 0;
+    CHECK(eventually(kRecoverLimit, [&] {
+        read = versionIn(callOnce(bed.controls[0].listen, "GET", "/api/config/get").body);
+        return read > 0;
+    }));
+    scorecard.check(Promise::ConfigurationHolds, read >= manifests.acknowledged(),
+                    "the last acknowledged manifest is gone");
+    replicas.stop();
+    Checks checks(&history, replicas.runs(), &scorecard);
+    checks.checkCalls();
+    checks.checkLeaving();
+    checks.checkReads();
+    checks.checkKeys();
+    for (const std::string &it : faults.badStops())
+        scorecard.check(Promise::GracefulStop, false, it);
+    const auto served = std::count_if(history.calls().begin(), history.calls().end(),
+                                      [](const auto &it) { return it.status == 200; });
+    std::cout << history.calls().size() << " calls, " << served << " served, "
+              << history.acks().size() << " manifests, " << faults.stops() << " stops\n"
+              << scorecard.text() << std::flush;
+    for (const std::string &it : faults.unexpectedEnds())
+        FAIL_CHECK(it);
+    CHECK(scorecard.brokenInAll() == 0);
+    CHECK(served * 4 > static_cast<std::int64_t>(history.calls().size()));
+}
+
+} // namespace
+
+TEST_CASE("under faults drawn from a seed the platform's programs keep the promises", "[soak]")
+{
+    const std::int64_t seconds = numberFrom("HYSSOP_SOAK_SECONDS", kDefaultSeconds);
+    const std::int64_t seed = numberFrom("HYSSOP_SOAK_SEED", 20261204);
+    soak(static_cast<std::uint64_t>(seed), base::Millis(seconds * 1'000));
+}
--- /dev/null
+++ b/integration/platform-soak/ReplicaPool.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "History.h"
+#include "PlatformBed.h"
+#include "Replica.h"
+
+#include <atomic>
+
+namespace hyssop::platformsoak {
+
+/// Replicas of both services at fixed addresses, which announce themselves, crash, come back as
+/// others and leave.
+class ReplicaPool
+{
+public:
+    ReplicaPool(const harness::PlatformBed *bed, History *history, std::uint64_t seed);
+    ~ReplicaPool();
+    ReplicaPool(const ReplicaPool &) = delete;
+    ReplicaPool &operator=(const ReplicaPool &) = delete;
+
+    std::size_t size() const { return m_places.size(); }
+    /// Ends a replica without a word; another one starts at its address after \a down.
+    void crash(std::size_t place, base::Millis down);
+    /// Lets a replica say that it leaves; it serves on for a while, then another one starts there.
+    void leave(std::size_t place);
+    void stop();
+
+    /// Runs of all replicas that ever were. To be called after stop().
+    std::vector<harness::Run> runs() const;
+    /// Reservations held at replicas that never crashed. To be called after stop().
+    std::size_t reservations() const;
+
+private:
+    enum class State { Serving, Leaving, Down };
+    struct Place
+    {
+        std::unique_ptr<harness::Replica> replica;
+        std::int64_t sequence = 0;
+        State state = State::Serving;
+        bool isHeard = false; ///< That it leaves.
+        base::TimePoint until; ///< End of leaving or of being down.
+    };
+
+    void work();
+    void tick(std::size_t n, base::TimePoint now);
+    void startAt(std::size_t n);
+    void retire(Place &place);
+    std::string serviceOf(std::size_t n) const { return n % 2 == 0 ? "booking" : "model"; }
+
+    const harness::PlatformBed *m_bed;
+    History *m_history;
+    base::Rng m_rng;
+    mutable std::mutex m_mutex;
+    std::vector<Place> m_places;
+    std::vector<harness::Run> m_formerRuns;
+    int m_lastId = 0;
+    std::atomic<bool> m_isStopping{false};
+    std::thread m_thread;
+};
+
+} // namespace hyssop::platformsoak
--- /dev/null
+++ b/integration/platform/PlatformBed.cpp
@@ -0,0 +1,150 @@
+#include "PlatformBed.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+
+namespace hyssop::harness {
+
+namespace {
+
+/// Slots that replicas announce.
+constexpr int kSlots = 16;
+/// A retry of the operator.
+constexpr base::Millis kPutPause{100};
+
+std::string dataCentreOf(std::size_t n)
+{
+    return n % 2 == 0 ? "floro-sal" : "forde-sal";
+}
+
+} // namespace
+
+PlatformBed::PlatformBed(const PlatformPlan &plan)
+    : m_hasFaultLinks(plan.hasFaultLinks)
+{
+    std::string folder =
+            (std::filesystem::temp_directory_path() / "hyssop-platform-XXXXXX").string();
+    REQUIRE(::mkdtemp(folder.data()));
+    m_folder = folder;
+    const auto add = [this](std::vector<PlatformHost> &to, const std::string &program,
+                            const std::string &name) {
+        PlatformHost host;
+        host.name = name;
+        host.program = program;
+        host.settings = m_folder / (name + ".yaml");
+        host.log = m_folder / (name + ".log");
+        host.ip = m_addresses.nextHost();
+        host.listen = m_addresses.nextEndpoint(host.ip);
+        host.outside = linked("outside", name, host.listen);
+        to.push_back(std::move(host));
+    };
+    for (std::size_t n = 0; n < plan.controls; ++n) {
+        add(controls, "hyssop-platform-control", "control-" + std::to_string(n));
+        controls.back().data = m_folder / ("data-" + std::to_string(n));
+    }
+    for (std::size_t n = 0; n < plan.entries; ++n) {
+        add(entries, "hyssop-platform-entry", "entry-" + std::to_string(n));
+        entries.back().ready = m_addresses.nextEndpoint(entries.back().ip);
+    }
+    m_peerPort = m_addresses.nextEndpoint(controls.front().ip).port;
+    for (std::size_t n = 0; n < plan.replicas; ++n) {
+        replicaListen.push_back(m_addresses.nextEndpoint(m_addresses.nextHost()));
+        replicaOutside.push_back(
+                linked("entries", "replica-" + std::to_string(n), replicaListen.back()));
+    }
+    if (m_hasFaultLinks)
+        m_faults.start(&m_client, m_folder / "fault-proxy.log", m_addresses);
+    for (PlatformHost &host : controls)
+        start(host);
+    for (PlatformHost &host : entries)
+        start(host);
+    m_isFirstStart = false;
+}
+
+PlatformBed::~PlatformBed()
+{
+    entries.clear();
+    controls.clear();
+    if (std::getenv("HYSSOP_KEEP_LOGS") == nullptr)
+        std::filesystem::remove_all(m_folder);
+}
+
+base::Endpoint PlatformBed::linked(const std::string &from, const std::string &to,
+                                   const base::Endpoint &target)
+{
+    return m_hasFaultLinks ? m_faults.link(from, to, target, m_addresses) : target;
+}
+
+std::string PlatformBed::settingsOf(const PlatformHost &host, const std::string &mark) const
+{
+    std::string seeds;
+    for (const PlatformHost &it : controls)
+        seeds += "  - \"" + it.listen.text() + "\"\n";
+    const std::string listen = host.data.empty()
+                                       ? fmt::format("  Front: \"{}\"\n  Ready: \"{}\"\n",
+                                                     host.listen.text(), host.ready.text())
+                                       : fmt::format("  Control: \"{}\"\n", host.listen.text());
+    const std::string data = host.data.empty() ? "null" : '"' + host.data.string() + '"';
+    const auto number = static_cast<std::size_t>(host.name.back() - '0');
+    return fmt::format("Node: \"{}\"\nIp: \"{}\"\nZone: \"{}\"\nListen:\n{}InternalPorts:\n  - {}\n"
+                       "Seeds:\n{}Bootstrap: {}\nDataDir: {}\nHeartbeatMs: 1200\nTolerate:\n"
+                       "  Machines: 1\nBounds:\n  RevokeMs: 5000\n  ConfigDeadlineMs: 2000\n"
+                       "  GraceS: 8\nMark: \"{}\"\n",
+                       host.name, host.ip, dataCentreOf(number), listen, m_peerPort, seeds,
+                       m_isFirstStart, data, mark);
+}
+
+void PlatformBed::rewriteSettings(const PlatformHost &host, const std::string &mark)
+{
+    std::ofstream(host.settings) << settingsOf(host, mark);
+}
+
+void PlatformBed::start(PlatformHost &host, std::int64_t maxFileBytes)
+{
+    rewriteSettings(host, "");
+    ::setenv("HYSSOPSPAN_SETTINGS", host.settings.c_str(), 1);
+    host.process =
+            std::make_unique<Process>(ProcessOptions{host.program, {}, host.log, maxFileBytes});
+}
+
+void PlatformBed::wipe(PlatformHost &host)
+{
+    host.process.reset();
+    std::filesystem::remove_all(host.data);
+}
+
+bool PlatformBed::isReady(const PlatformHost &entry) const
+{
+    return callOnce(entry.ready, "GET", "/api/ready").status == 200;
+}
+
+bool PlatformBed::put(std::size_t control, const std::string &manifest, base::Millis limit) const
+{
+    return eventually(limit, [&] {
+        CallOptions options;
+        options.body = manifest;
+        options.limit = base::Millis(1'000);
+        if (callOnce(controls[control].outside, "POST", "/api/config/put", options).status == 200)
+            return true;
+        std::this_thread::sleep_for(kPutPause);
+        return false;
+    });
+}
+
+int announce(const base::Endpoint &control, const std::string &id, const std::string &service,
+             const base::Endpoint &address, std::int64_t sequence, bool isLeaving)
+{
+    CallOptions options;
+    options.limit = base::Millis(1'000);
+    options.body = fmt::format(
+            R"({{"Service":"{}","Address":"{}","Zone":"floro-sal","Version":"v1","Slots":{},)"
+            R"("State":"{}","Seq":{}}})",
+            service, address.text(), kSlots, isLeaving ? "draining" : "ready", sequence);
+    return callOnce(control, "POST", "/api/instances/" + id + "/heartbeat", options).status;
+}
+
+} // namespace hyssop::harness
--- /dev/null
+++ b/integration/platform/Replica.cpp
@@ -0,0 +1,168 @@
+#include "Replica.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace hyssop::harness {
+
+namespace {
+
+/// Between two events of a stream.
+constexpr base::Millis kStep{20};
+
+std::string fieldOf(const gateway::Exchange &exchange, std::string_view name)
+{
+    return std::string(gateway::fieldValue(exchange.head().fields, name).value_or(""));
+}
+
+} // namespace
+
+/// An answer in events, as far as it was written.
+struct Replica::Stream
+{
+    explicit Stream(boost::asio::io_context *io)
+        : timer(*io)
+    { }
+
+    std::shared_ptr<gateway::Exchange> exchange;
+    boost::asio::steady_timer timer;
+    std::string request;
+    std::int64_t next = 1;
+    std::int64_t last = 1;
+    std::int64_t breaksAt = 0; ///< Event that is cut in the middle; 0 for none.
+};
+
+Replica::Replica(std::string id, const base::Endpoint &listen, ReplicaFaults faults,
+                 std::uint64_t seed)
+    : m_id(std::move(id))
+    , m_faults(faults)
+    , m_rng(seed)
+    , m_work(boost::asio::make_work_guard(m_io))
+    , m_server(&m_io, this)
+{
+    const auto listening = m_server.listen(listen);
+    INFO((listening ? "" : listening.error().message));
+    REQUIRE(listening);
+    m_thread = std::thread([this] { m_io.run(); });
+}
+
+Replica::~Replica()
+{
+    m_io.stop();
+    m_thread.join();
+}
+
+std::vector<gateway::RequestHead> Replica::seen() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_seen;
+}
+
+std::vector<Run> Replica::runs() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_runs;
+}
+
+std::size_t Replica::reservations(base::TimePoint now) const
+{
+    const std::lock_guard guard(m_mutex);
+    return static_cast<std::size_t>(
+            std::count_if(m_reservations.begin(), m_reservations.end(),
+                          [now](const auto &it) { return it.second > now; }));
+}
+
+bool Replica::draws(int percent)
+{
+    return std::uniform_int_distribution<int>(0, 99)(m_rng) < percent;
+}
+
+void Replica::onRequest(const std::shared_ptr<gateway::Exchange> &exchange)
+{
+    if (exchange->head().target == "/api/order")
+        return order(*exchange);
+    const std::string id = fieldOf(*exchange, "Request-Id");
+    const gateway::Fields echo{{"Request-Id", id}};
+    const std::string expected = fieldOf(*exchange, "Expect-Instance");
+    if (!expected.empty() && expected != m_id)
+        return exchange->respond(421, {{"Request-Id", id}, {"Not-Executed", "1"}}, "");
+    if (draws(m_faults.refuse))
+        return exchange->respond(503, {{"Request-Id", id}, {"Not-Executed", "1"}}, "");
+    {
+        const std::lock_guard guard(m_mutex);
+        m_seen.push_back(exchange->head());
+        m_runs.push_back({id, m_id, fieldOf(*exchange, "Tenant"), base::monotonicNow()});
+    }
+    if (draws(m_faults.lose))
+        return exchange->abort();
+    if (!fieldOf(*exchange, "Token-Counts").empty())
+        return startStream(exchange);
+    exchange->respond(200, {{"Request-Id", id}, {"Response-Seal", m_id}},
+                      id + " " + exchange->body());
+}
+
+void Replica::order(gateway::Exchange &exchange)
+{
+    const auto body = nlohmann::json::parse(exchange.body(), nullptr, false);
+    if (!body.is_object())
+        return exchange.respond(400, {}, "");
+    const std::lock_guard guard(m_mutex);
+    const std::string id = body.value("Id", "");
+    if (body.value("Operation", "") == "reserve")
+        m_reservations[id] = base::monotonicNow() + base::Millis(body.value("HoldMs", 0));
+    else
+        m_reservations.erase(id);
+    exchange.respond(200, {{"Content-Type", "application/json"}}, R"({"FreeSlots":1})");
+}
+
+void Replica::startStream(const std::shared_ptr<gateway::Exchange> &exchange)
+{
+    const std::string counts = fieldOf(*exchange, "Token-Counts");
+    auto stream = std::make_shared<Stream>(&m_io);
+    stream->exchange = exchange;
+    stream->request = fieldOf(*exchange, "Request-Id");
+    stream->last = std::atoll(counts.c_str() + counts.find(',') + 1);
+    stream->next = std::atoll(fieldOf(*exchange, "Last-Event-Id").c_str()) + 1;
+    if (draws(m_faults.breakOff))
+        stream->breaksAt = std::min(stream->next + 2, stream->last);
+    m_streams[exchange.get()] = stream;
+    exchange->start(200, {{"Request-Id", stream->request},
+                          {"Response-Seal", m_id},
+                          {"Content-Type", "text/event-stream"}});
+    writeEvent(stream);
+}
+
+void Replica::writeEvent(const std::shared_ptr<Stream> &stream)
+{
+    gateway::Exchange *exchange = stream->exchange.get();
+    if (!m_streams.contains(exchange))
+        return;
+    if (stream->next > stream->last) {
+        exchange->finish();
+        m_streams.erase(exchange);
+        return;
+    }
+    const std::string event = fmt::format("id: {}\ndata: {}\n\n", stream->next, stream->next);
+    if (stream->next == stream->breaksAt) {
+        exchange->send(event.substr(0, event.size() / 2));
+        exchange->abort();
+        m_streams.erase(exchange);
+        return;
+    }
+    exchange->send(event);
+    ++stream->next;
+    stream->timer.expires_after(kStep);
+    stream->timer.async_wait([this, stream](boost::system::error_code ec) {
+        if (!ec)
+            writeEvent(stream);
+    });
+}
+
+void Replica::onCallerGone(gateway::Exchange &exchange)
+{
+    m_streams.erase(&exchange);
+}
+
+} // namespace hyssop::harness
--- /dev/null
+++ b/integration/platform/Replica.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "gateway/Gateway.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace hyssop::harness {
+
+/// A request that a replica began to work on.
+struct Run
+{
+    std::string request;
+    std::string replica;
+    std::string team;
+    base::TimePoint at;
+};
+
+/// How a replica misbehaves, in percent of the requests.
+struct ReplicaFaults
+{
+    int refuse = 0; ///< Says that it did not run them.
+    int lose = 0; ///< Runs them and closes the connection without an answer.
+    int breakOff = 0; ///< Closes the connection in the middle of a stream.
+};
+
+/// A stand-in for a replica of the users' platform, on a thread of its own.
+///
+/// A request with token counts is answered by a stream of as many events as it asks for output
+/// tokens, others by "ID BODY". Memory is reserved as asked, for the time asked.
+class Replica final : public gateway::CallerHandler
+{
+public:
+    Replica(std::string id, const base::Endpoint &listen, ReplicaFaults faults = {},
+            std::uint64_t seed = 1);
+    ~Replica() override;
+
+    const std::string &id() const { return m_id; }
+    std::vector<gateway::RequestHead> seen() const;
+    std::vector<Run> runs() const;
+    /// Reservations that were neither released nor have ended.
+    std::size_t reservations(base::TimePoint now) const;
+
+private:
+    struct Stream;
+
+    void onRequest(const std::shared_ptr<gateway::Exchange> &exchange) override;
+    void onCallerGone(gateway::Exchange &exchange) override;
+    void onDrained(gateway::Exchange &) override { }
+    void onRejected(int, std::string_view) override { }
+    void order(gateway::Exchange &exchange);
+    void startStream(const std::shared_ptr<gateway::Exchange> &exchange);
+    void writeEvent(const std::shared_ptr<Stream> &stream);
+    bool draws(int percent);
+
+    const std::string m_id;
+    const ReplicaFaults m_faults;
+    base::Rng m_rng;
+    boost::asio::io_context m_io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    gateway::Server m_server;
+    mutable std::mutex m_mutex;
+    std::vector<gateway::RequestHead> m_seen;
+    std::vector<Run> m_runs;
+    std::map<std::string, base::TimePoint> m_reservations; ///< End of each.
+    std::map<gateway::Exchange *, std::shared_ptr<Stream>> m_streams;
+    std::thread m_thread;
+};
+
+} // namespace hyssop::harness
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -96,6 +96,7 @@
     base::ServiceId service;
     std::optional<fleet::EngineSpec> engine;
     base::Millis shortestGap{0}; ///< Of all its routes.
+    base::Millis longestGap{0}; ///< Likewise.
 };
 
 struct ServicesChanged
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -71,15 +71,20 @@
     double firstEventMs = 0; ///< Expected time to the first event.
 };
 
-/// Engines that may read a long prompt now.
+/// Engines that read a long prompt with the most gain, if they do so now.
 struct LongReaders
 {
-    std::vector<UpstreamState *> engines; ///< Those that together are done first.
-    std::size_t wanted = 0; ///< Engines that short prompts do not need.
-    std::size_t free = 0; ///< Those of them where no short prompt writes any more.
+    std::vector<UpstreamState *> engines;
+    double value = 0; ///< Of the answer in time; 1 is that to the shortest prompt.
+    double gain = 0; ///< What of it is expected, less what others lose by the reading.
+    double idleGain = 0; ///< What it would be if all engines were idle now.
     double firstEventMs = 0; ///< Expected time to the first event.
+    bool isInTime = false; ///< That is within the objective.
 };
 
+/// Helpers that one request may name, as engines accept them.
+constexpr std::size_t kMostHelpers = 16;
+
 inline bool contains(const std::vector<base::UpstreamId> &ids, const base::UpstreamId &id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -130,11 +135,15 @@
                                         base::TimePoint now);
     /// Engines in groups, within each of which short prompts are kept together.
     std::vector<std::vector<UpstreamState *>> sides(const std::vector<UpstreamState *> &all) const;
-    /// Engines that are not kept for short prompts.
-    std::vector<UpstreamState *> leftByShort(const std::vector<UpstreamState *> &all) const;
+    /// Engines that short prompts keep to, with room for some more of them.
+    std::vector<UpstreamState *> keptForShort(const std::vector<UpstreamState *> &all) const;
     /// How many of \a all, from the last one back, short prompts keep to when \a more come.
     static std::size_t enginesForShort(const std::vector<UpstreamState *> &all, double more,
                                        bool isLongAbout);
+    /// How many of \a all, from the last one back, read another \a readMs in time; \a least or
+    /// more.
+    static std::size_t enginesToRead(const std::vector<UpstreamState *> &all, std::size_t least,
+                                     double readMs, base::TimePoint now);
     UpstreamState *leastLoaded(const std::vector<UpstreamState *> &from, const ActiveCall &call,
                                int slots, base::TimePoint now);
     static bool isUnservable(const ActiveCall &call, const ServiceState &service);
@@ -147,9 +156,9 @@
     /// All engines that are not busy for longer than the others.
     void addSpreadHelpers(const ActiveCall &call, const std::vector<UpstreamState *> &all,
                           Choice &choice, base::TimePoint now);
-    LongReaders readersForLong(const ActiveCall &call, const std::vector<UpstreamState *> &all,
-                               base::TimePoint now) const;
-    /// Whether more engines are expected to be free soon enough.
+    LongReaders readersForLong(const ActiveCall &call, const ServiceFacts &facts,
+                               const std::vector<UpstreamState *> &all, base::TimePoint now) const;
+    /// Whether engines that promise more are expected soon enough.
     static bool isBetterToWait(const ActiveCall &call, const LongReaders &readers,
                                base::TimePoint now);
     /// Chooses the engine that holds a prompt; false without room.
--- a/libs/dispatch/src/EngineModel.cpp
+++ b/libs/dispatch/src/EngineModel.cpp
@@ -33,6 +33,11 @@
     return prompt + maxOutput;
 }
 
+std::int64_t EngineModel::usableMemory(const fleet::EngineSpec &spec, double share)
+{
+    return static_cast<std::int64_t>(static_cast<double>(spec.kvTokens.count()) * share);
+}
+
 int partsFor(double readMs, double partMs, int most)
 {
     return std::clamp(static_cast<int>(std::ceil(readMs / partMs)), 1, std::max(1, most));
--- a/libs/dispatch/src/EngineModel.h
+++ b/libs/dispatch/src/EngineModel.h
@@ -20,8 +20,13 @@
     double usualWriteMs(int writers, base::Tokens context) const;
     /// Memory that a request may come to hold.
     base::Tokens memoryFor(base::Tokens prompt, base::Tokens maxOutput) const;
+    /// \a share of an engine's memory.
+    static std::int64_t usableMemory(const fleet::EngineSpec &spec, double share = kUsableMemory);
 
 private:
+    /// Room is left for answers longer than announced.
+    static constexpr double kUsableMemory = 0.97;
+
     const fleet::EngineSpec *m_spec;
 };
 
--- a/libs/dispatch/src/Placement.cpp
+++ b/libs/dispatch/src/Placement.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Helpers that one request may name, as engines accept them.
-constexpr std::size_t kMostHelpers = 16;
 /// Part of the shortest pause between tokens that a prompt's part may take at one engine: a pass of
 /// the writers and a few other parts share it.
 constexpr double kPartOfGap = 0.25;
@@ -24,8 +22,9 @@
 /// Requests of short prompts that an engine is filled with before another one is used; passes stay
 /// below a third of the pause that chat allows.
 constexpr double kShortPerEngine = 12;
-/// Short prompts that may come while long ones are read; engines for them are left free.
-constexpr double kShortSlack = 6;
+/// Reading that may wait at an engine for short prompts, on the mean: with more of it a prompt that
+/// comes now misses an objective of a few hundred milliseconds after the pass that is under way.
+constexpr double kShortReadingMs = 60;
 /// Entry hosts that tell each other their load at once. Where there are more, those of a data
 /// centre do, and keep to its engines for short prompts.
 constexpr int kMostTelling = 31;
@@ -33,27 +32,10 @@
 constexpr std::size_t kLeastForLong = 2;
 /// Long prompts are about for this long after one was seen.
 constexpr base::Millis kLongMemory{8'000};
-/// A long prompt that expects its first event later than this part of its objective waits for more
-/// engines, those that short ones are leaving...
-constexpr double kReadyShare = 0.4;
-/// ...for this part of its objective; longer when it would be late all the same.
-constexpr double kWaitShare = 0.35;
-constexpr double kLatePatience = 0.9;
-/// Engines that a long prompt is given at the least, whoever writes there.
-constexpr std::size_t kLeastReaders = 2;
 /// Reading at an engine that weighs as much as one request there, in milliseconds.
 constexpr double kReadingPerRequestMs = 25;
 /// Cost of an engine in another data centre, in requests: bytes between them are paid for.
 constexpr double kRemoteCost = 0.4;
-/// Part of an engine's memory that a prompt held by several may take there; others write beside it.
-constexpr double kDividedMemory = 0.85;
-/// Room left in an engine's memory for answers longer than announced.
-constexpr double kUsableMemory = 0.97;
-
-std::int64_t usableMemory(const fleet::EngineSpec &spec, double share)
-{
-    return static_cast<std::int64_t>(static_cast<double>(spec.kvTokens.count()) * share);
-}
 
 void sortByReading(std::vector<UpstreamState *> &engines, base::TimePoint now)
 {
@@ -75,7 +57,7 @@
     const auto gap = static_cast<double>(service.facts.shortestGap.count());
     const std::size_t most =
             std::min(kMostHelpers + 1, std::max<std::size_t>(1, service.upstreams.size()));
-    call.isHeavy = call.kv.count() > usableMemory(*spec, kUsableMemory);
+    call.isHeavy = call.kv.count() > EngineModel::usableMemory(*spec);
     if (call.isHeavy
         || (gap > 0 && call.readMs / static_cast<double>(most) > gap * kLongPartOfGap)) {
         call.size = SizeClass::Long;
@@ -93,36 +75,6 @@
     return call.kv.count() > spec->kvTokens.count() * static_cast<std::int64_t>(engines);
 }
 
-bool Dispatcher::Impl::divideMemory(const ActiveCall &call, const fleet::EngineSpec &spec,
-                                    const std::vector<UpstreamState *> &readers, Choice &choice)
-{
-    // Its parts are seconds long, which would be a pause to everyone who writes there.
-    const auto writes = [](const UpstreamState *it) { return it->requests() > 0; };
-    if (std::any_of(readers.begin(), readers.end(), writes))
-        return false;
-    const std::int64_t most = usableMemory(spec, kDividedMemory);
-    const auto room = [most](const UpstreamState *it) {
-        return std::max<std::int64_t>(0, most - it->kv().count());
-    };
-    std::vector<UpstreamState *> byRoom = readers;
-    std::stable_sort(byRoom.begin(), byRoom.end(),
-                     [&](const auto *a, const auto *b) { return room(a) > room(b); });
-    std::int64_t left = call.kv.count();
-    for (UpstreamState *it : byRoom) {
-        const std::int64_t share = std::min(left, room(it));
-        if (left <= 0 || share <= 0)
-            break;
-        if (!choice.first) {
-            choice.first = it;
-            choice.firstMemory = base::Tokens(share);
-        } else {
-            choice.reserves[it] = base::Tokens(share);
-        }
-        left -= share;
-    }
-    return left <= 0;
-}
-
 std::vector<UpstreamState *> Dispatcher::Impl::usable(const ServiceState &service,
                                                       base::TimePoint now) const
 {
@@ -192,6 +144,27 @@
     return std::clamp<std::size_t>(wanted, 1, all.size() - kept);
 }
 
+std::size_t Dispatcher::Impl::enginesToRead(const std::vector<UpstreamState *> &all,
+                                            std::size_t least, double readMs, base::TimePoint now)
+{
+    double reading = readMs;
+    std::size_t best = least;
+    double bestMean = 0;
+    for (std::size_t n = 1; n <= all.size(); ++n) {
+        reading += all[all.size() - n]->readingMs(now);
+        if (n < least)
+            continue;
+        const double mean = reading / static_cast<double>(n);
+        if (n == least || mean < bestMean) {
+            best = n;
+            bestMean = mean;
+        }
+        if (mean <= kShortReadingMs)
+            return n;
+    }
+    return best;
+}
+
 std::vector<std::vector<UpstreamState *>> Dispatcher::Impl::sides(
         const std::vector<UpstreamState *> &all) const
 {
@@ -207,17 +180,6 @@
     return sides;
 }
 
-std::vector<UpstreamState *> Dispatcher::Impl::leftByShort(
-        const std::vector<UpstreamState *> &all) const
-{
-    std::vector<UpstreamState *> left;
-    for (const auto &side : sides(all)) {
-        const auto forShort = static_cast<std::ptrdiff_t>(enginesForShort(side, kShortSlack, true));
-        left.insert(left.end(), side.begin(), side.end() - forShort);
-    }
-    return left;
-}
-
 std::optional<Choice> Dispatcher::Impl::chooseEngines(ActiveCall &call, ServiceState &service,
                                                       base::TimePoint now)
 {
@@ -250,7 +212,8 @@
         if (side.front()->info().dataCentre == m_options.dataCentre)
             from = std::move(side);
     }
-    const auto own = static_cast<std::ptrdiff_t>(enginesForShort(from, 1, now < service.longUntil));
+    const std::size_t held = enginesForShort(from, 1, now < service.longUntil);
+    const auto own = static_cast<std::ptrdiff_t>(enginesToRead(from, held, call.readMs, now));
     const std::vector<UpstreamState *> pool(from.end() - own, from.end());
     Choice choice;
     choice.first = leastLoaded(pool, call, slots, now);
@@ -312,85 +275,4 @@
     choice.firstEventMs = behind + call.readMs / static_cast<double>(choice.helpers.size() + 1);
 }
 
-LongReaders Dispatcher::Impl::readersForLong(const ActiveCall &call,
-                                             const std::vector<UpstreamState *> &all,
-                                             base::TimePoint now) const
-{
-    LongReaders found;
-    std::vector<UpstreamState *> &engines = found.engines;
-    engines = leftByShort(all);
-    std::erase_if(engines, [&call](const auto *it) { return contains(call.tried, it->info().id); });
-    found.wanted = engines.size();
-    std::stable_sort(engines.begin(), engines.end(), [now](const auto *a, const auto *b) {
-        return std::pair(a->shorts(), a->readingMs(now))
-               < std::pair(b->shorts(), b->readingMs(now));
-    });
-    const auto isFree = [](const UpstreamState *it) { return it->shorts() == 0; };
-    found.free = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), isFree));
-    engines.resize(std::min(
-            {engines.size(), found.free > 0 ? found.free : kLeastReaders, kMostHelpers + 1}));
-    // One that is busy for longer than the others would hold up all.
-    sortByReading(engines, now);
-    std::size_t best = 0;
-    for (std::size_t n = 1; n <= engines.size(); ++n) {
-        const double ms = engines[n - 1]->readingMs(now) + call.readMs / static_cast<double>(n);
-        if (best == 0 || ms <= found.firstEventMs) {
-            best = n;
-            found.firstEventMs = ms;
-        }
-    }
-    engines.resize(best);
-    return found;
-}
-
-bool Dispatcher::Impl::isBetterToWait(const ActiveCall &call, const LongReaders &readers,
-                                      base::TimePoint now)
-{
-    if (readers.free >= readers.wanted)
-        return false;
-    const auto objective = static_cast<double>(call.info.objective.count());
-    const double waited = std::chrono::duration<double, std::milli>(now - call.queuedAt).count();
-    if (readers.free == 0)
-        return waited < objective * kLatePatience;
-    const bool isLate = waited + readers.firstEventMs > objective;
-    return readers.firstEventMs > objective * kReadyShare
-           && waited < objective * (isLate ? kLatePatience : kWaitShare);
-}
-
-std::optional<Choice> Dispatcher::Impl::chooseForLong(const ActiveCall &call, ServiceState &service,
-                                                      const std::vector<UpstreamState *> &all,
-                                                      base::TimePoint now)
-{
-    if (call.permit != Permit::Held)
-        return std::nullopt;
-    const LongReaders readers = readersForLong(call, all, now);
-    if (readers.engines.empty() || isBetterToWait(call, readers, now))
-        return std::nullopt;
-    const fleet::EngineSpec &spec = *service.facts.engine;
-    Choice choice;
-    choice.firstEventMs = readers.firstEventMs;
-    const bool isPlaced = call.isHeavy ? divideMemory(call, spec, readers.engines, choice)
-                                       : placeMemory(call, spec, readers.engines, choice, now);
-    if (!isPlaced)
-        return std::nullopt;
-    for (UpstreamState *it : readers.engines) {
-        if (it != choice.first && choice.helpers.size() < kMostHelpers)
-            choice.helpers.push_back(it);
-    }
-    return choice;
-}
-
-bool Dispatcher::Impl::placeMemory(const ActiveCall &call, const fleet::EngineSpec &spec,
-                                   const std::vector<UpstreamState *> &readers, Choice &choice,
-                                   base::TimePoint now)
-{
-    const std::int64_t limit = usableMemory(spec, kUsableMemory);
-    std::vector<UpstreamState *> roomy;
-    std::copy_if(readers.begin(), readers.end(), std::back_inserter(roomy), [&](const auto *it) {
-        return it->requests() == 0 || (it->kv() + call.kv).count() <= limit;
-    });
-    choice.first = leastLoaded(roomy, call, spec.slots, now);
-    return choice.first != nullptr;
-}
-
 } // namespace hyssop::dispatch
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -263,10 +263,16 @@
     armTimer(now);
 }
 
-void Edge::Impl::applyConfiguration(const std::string &text, fleet::Version version,
+void Edge::Impl::applyConfiguration(const std::string &packed, fleet::Version version,
                                     base::TimePoint now)
 {
-    auto configuration = m_reader->read(text);
+    const auto text = fleet::unpackText(packed);
+    if (!text) {
+        base::logEvent("configuration_unreadable",
+                       {{"version", version.count()}, {"reason", "damaged on the way"}});
+        return;
+    }
+    auto configuration = m_reader->read(*text);
     if (!configuration) {
         // Control hosts check what they accept; a newer form needs a newer program.
         base::logEvent("configuration_unreadable", {{"version", version.count()},
@@ -277,7 +283,8 @@
     m_routes = std::make_shared<const fleet::RouteTable>(*std::move(configuration));
     dispatch::ServicesChanged changed;
     for (const fleet::Service &service : m_routes->configuration().services)
-        changed.services.push_back({service.id, service.engine, m_routes->shortestGap(service.id)});
+        changed.services.push_back({service.id, service.engine, m_routes->shortestGap(service.id),
+                                    m_routes->longestGap(service.id)});
     m_server.setLimits(limitsFrom(m_routes->configuration().limits));
     base::logEvent("configuration_applied", {{"version", version.count()},
                                              {"routes", m_routes->configuration().routes.size()},
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -124,7 +124,7 @@
 
     // Fleet.
     void onNews(const FleetWatcher::News &news);
-    void applyConfiguration(const std::string &text, fleet::Version version, base::TimePoint now);
+    void applyConfiguration(const std::string &packed, fleet::Version version, base::TimePoint now);
     void applyFleet(const fleet::FleetView::Changes &changes, base::TimePoint now);
     void tickFleet();
     /// Tells neighbours of this host's load soon, together with what changes until then.
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -115,6 +115,13 @@
     virtual tl::expected<Configuration, ConfigurationError> read(std::string_view text) const = 0;
 };
 
+/// A source text as it is stored and as it travels: every entry host gets each one, and control hosts
+/// hand them all out within the bound for changes.
+std::string packText(std::string_view text);
+/// The source text, also of one that was stored as it is; nothing when \a packed is damaged or the
+/// text is longer than any that is accepted.
+std::optional<std::string> unpackText(std::string_view packed);
+
 /// Finds what a configuration says of a request.
 class RouteTable
 {
@@ -134,8 +141,13 @@
     static const base::ServiceId &pick(const Route &route, double draw);
     /// Shortest pause between events that a route to \a service asks for; 0 when none does.
     base::Millis shortestGap(const base::ServiceId &service) const;
+    /// Likewise the longest.
+    base::Millis longestGap(const base::ServiceId &service) const;
 
 private:
+    /// Those that routes to \a service ask for, in no order.
+    std::vector<base::Millis> gaps(const base::ServiceId &service) const;
+
     Configuration m_configuration;
     std::map<std::string, std::vector<const Route *>, std::less<>> m_byHost; ///< Longest first.
     std::map<base::ServiceId, const Service *> m_services;
@@ -332,7 +344,7 @@
 struct WatchReply
 {
     Version configuration; ///< Highest that this control host has applied.
-    std::optional<std::string> text; ///< Its source, when the asking host holds an older one.
+    std::optional<std::string> text; ///< Its packed source, when the asking host holds an older one.
     /// The control host leads and holds its lease: no higher version was accepted when it answered.
     bool isConfirmed = false;
     DirectoryChanges directory;
--- /dev/null
+++ b/libs/fleet/src/PackedText.cpp
@@ -0,0 +1,58 @@
+#include "fleet/Fleet.h"
+
+#include <zlib.h>
+
+namespace hyssop::fleet {
+
+namespace {
+
+/// First byte of every zlib stream with the usual window; no source text begins with it.
+constexpr char kMark = '\x78';
+/// Of a text; several times what operators may send.
+constexpr std::size_t kMostBytes = std::size_t(64) << 20;
+constexpr std::size_t kChunk = std::size_t(64) << 10;
+
+} // namespace
+
+std::string packText(std::string_view text)
+{
+    uLongf length = compressBound(static_cast<uLong>(text.size()));
+    std::string packed(length, '\0');
+    const int result = compress2(reinterpret_cast<Bytef *>(packed.data()), &length,
+                                 reinterpret_cast<const Bytef *>(text.data()),
+                                 static_cast<uLong>(text.size()), Z_DEFAULT_COMPRESSION);
+    // Only memory can be wanting; a text is as good unpacked.
+    if (result != Z_OK) {
+        base::logEvent("configuration_not_packed", {{"bytes", text.size()}, {"code", result}});
+        return std::string(text);
+    }
+    packed.resize(length);
+    return packed;
+}
+
+std::optional<std::string> unpackText(std::string_view packed)
+{
+    if (packed.empty() || packed.front() != kMark)
+        return std::string(packed);
+    z_stream stream{};
+    if (inflateInit(&stream) != Z_OK)
+        return std::nullopt;
+    stream.next_in = reinterpret_cast<Bytef *>(const_cast<char *>(packed.data()));
+    stream.avail_in = static_cast<uInt>(packed.size());
+    std::string text;
+    int result = Z_OK;
+    while (result == Z_OK && text.size() < kMostBytes) {
+        const std::size_t had = text.size();
+        text.resize(had + kChunk);
+        stream.next_out = reinterpret_cast<Bytef *>(text.data() + had);
+        stream.avail_out = kChunk;
+        result = inflate(&stream, Z_NO_FLUSH);
+        text.resize(had + kChunk - stream.avail_out);
+    }
+    inflateEnd(&stream);
+    if (result != Z_STREAM_END)
+        return std::nullopt;
+    return text;
+}
+
+} // namespace hyssop::fleet
--- a/libs/fleet/src/RouteTable.cpp
+++ b/libs/fleet/src/RouteTable.cpp
@@ -73,19 +73,29 @@
     return last->service;
 }
 
-base::Millis RouteTable::shortestGap(const base::ServiceId &service) const
+std::vector<base::Millis> RouteTable::gaps(const base::ServiceId &service) const
 {
-    base::Millis shortest{0};
+    std::vector<base::Millis> gaps;
     for (const Route &route : m_configuration.routes) {
         const bool leads =
                 std::any_of(route.split.begin(), route.split.end(),
                             [&service](const auto &it) { return it.service == service; });
-        if (!leads || route.gapObjective <= base::Millis(0))
-            continue;
-        if (shortest == base::Millis(0) || route.gapObjective < shortest)
-            shortest = route.gapObjective;
+        if (leads && route.gapObjective > base::Millis(0))
+            gaps.push_back(route.gapObjective);
     }
-    return shortest;
+    return gaps;
+}
+
+base::Millis RouteTable::shortestGap(const base::ServiceId &service) const
+{
+    const std::vector<base::Millis> all = gaps(service);
+    return all.empty() ? base::Millis(0) : *std::min_element(all.begin(), all.end());
+}
+
+base::Millis RouteTable::longestGap(const base::ServiceId &service) const
+{
+    const std::vector<base::Millis> all = gaps(service);
+    return all.empty() ? base::Millis(0) : *std::max_element(all.begin(), all.end());
 }
 
 } // namespace hyssop::fleet
--- /dev/null
+++ b/libs/fleet/tests/PackedTextTest.cpp
@@ -0,0 +1,57 @@
+#include "fleet/Fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssop;
+using namespace hyssop::fleet;
+
+namespace {
+
+/// A source text with \a routes routes, as operators send them.
+std::string sourceText(int routes)
+{
+    std::string text = R"({"Version":7,"Routes":[)";
+    for (int n = 0; n < routes; ++n)
+        text += R"({"Name":"r-)" + std::to_string(n * 7'919)
+                + R"(","Host":"site.example","PathPrefix":"/p)" + std::to_string(n * 104'729)
+                + R"(/","Kind":"idempotent","TimeoutMs":2000,"TargetLatencyMs":100},)";
+    return text + "]}";
+}
+
+} // namespace
+
+TEST_CASE("a packed source text comes back as it was")
+{
+    for (const int routes : {0, 1, 2'000}) {
+        const std::string text = sourceText(routes);
+        const std::string packed = packText(text);
+        const auto back = unpackText(packed);
+        REQUIRE(back);
+        CHECK(*back == text);
+    }
+    CHECK(unpackText(packText("")) == "");
+}
+
+TEST_CASE("a large configuration reaches a hundred hosts within the bound for changes")
+{
+    // 170 Mbit/s of one control host, 2 s: heartbeats and answers have to pass beside it.
+    constexpr std::size_t kBytesInBound = std::size_t(170) * 1'000'000 / 8 * 2;
+    CHECK(packText(sourceText(2'000)).size() * 100 < kBytesInBound / 4);
+}
+
+TEST_CASE("a source text that was stored unpacked is taken as it is")
+{
+    CHECK(unpackText(R"({"Version":1})") == R"({"Version":1})");
+    CHECK(unpackText("") == "");
+}
+
+TEST_CASE("damaged bytes are no source text")
+{
+    const std::string packed = packText(sourceText(50));
+    CHECK_FALSE(unpackText(packed.substr(0, packed.size() / 2)));
+    std::string changed = packed;
+    changed[packed.size() / 2] = static_cast<char>(changed[packed.size() / 2] ^ 0x55);
+    const auto back = unpackText(changed);
+    CHECK((!back || *back != sourceText(50)));
+    CHECK_FALSE(unpackText("\x78"));
+}
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -51,6 +51,22 @@
     }
 }
 
+/// As the operator sent it.
+std::optional<ledger::StoredConfiguration> unpacked(
+        std::optional<ledger::StoredConfiguration> configuration)
+{
+    if (!configuration)
+        return std::nullopt;
+    auto text = fleet::unpackText(configuration->text);
+    if (!text) {
+        base::logEvent("configuration_unreadable",
+                       {{"version", configuration->version}, {"reason", "damaged"}});
+        return std::nullopt;
+    }
+    configuration->text = *std::move(text);
+    return configuration;
+}
+
 } // namespace
 
 std::string_view putOutcomeName(PutOutcome outcome)
@@ -329,7 +345,7 @@
 void Registry::putConfiguration(fleet::Version version, std::string text,
                                 std::function<void(PutOutcome)> done, base::TimePoint now)
 {
-    const ledger::PutConfiguration command{version.count(), std::move(text)};
+    const ledger::PutConfiguration command{version.count(), fleet::packText(text)};
     const auto answered = [done](const peers::ExecuteReply &reply) {
         if (reply.status == peers::ExecuteStatus::Done)
             return done(PutOutcome::Accepted);
@@ -344,7 +360,7 @@
         std::function<void(std::optional<ledger::StoredConfiguration>)> done, base::TimePoint now)
 {
     if (m_impl->isConfirmed(now))
-        return done(m_impl->host().ledger().configuration());
+        return done(unpacked(m_impl->host().ledger().configuration()));
     const auto leader = m_impl->host().leaderAddress();
     if (!leader)
         return done(std::nullopt);
@@ -354,7 +370,7 @@
                 loop->post([done, read = std::move(read)] {
                     if (!read || read->empty())
                         return done(std::nullopt);
-                    done(decodeConfiguration(*read));
+                    done(unpacked(decodeConfiguration(*read)));
                 });
             });
 }
