--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -115,8 +115,8 @@
     virtual tl::expected<Configuration, ConfigurationError> read(std::string_view text) const = 0;
 };
 
-/// A source text as it is stored and as it travels: every entry host gets each one, and control hosts
-/// hand them all out within the bound for changes.
+/// A source text as it is stored and as it travels: every entry host gets each one, and control
+/// hosts hand them all out within the bound for changes.
 std::string packText(std::string_view text);
 /// The source text, also of one that was stored as it is; nothing when \a packed is damaged or the
 /// text is longer than any that is accepted.
@@ -344,7 +344,8 @@
 struct WatchReply
 {
     Version configuration; ///< Highest that this control host has applied.
-    std::optional<std::string> text; ///< Its packed source, when the asking host holds an older one.
+    std::optional<std::string>
+            text; ///< Its packed source, when the asking host holds an older one.
     /// The control host leads and holds its lease: no higher version was accepted when it answered.
     bool isConfirmed = false;
     DirectoryChanges directory;
