--- a/integration/platform-soak/Checks.cpp
+++ b/integration/platform-soak/Checks.cpp
@@ -12,7 +12,6 @@
 constexpr base::Millis kRevokeBound{5'000};
 constexpr base::Millis kConfigurationBound{2'000};
 constexpr base::Millis kDrainBound{2'000};
-constexpr base::Millis kStopBound{8'000};
 /// After a fault a host is in touch again this much later.
 constexpr base::Millis kContact{3'000};
 /// An answer may be that late; the machine is shared.
--- a/integration/platform/Caller.cpp
+++ b/integration/platform/Caller.cpp
@@ -53,7 +53,7 @@
         reply.isWhole = parser.is_done();
         m_isOpen = reply.isWhole && parser.get().keep_alive() && !options.closes;
         if (parser.is_header_done()) {
-            reply.status = parser.get().result_int();
+            reply.status = static_cast<int>(parser.get().result_int());
             std::ostringstream head;
             head << parser.get().base();
             reply.head = head.str();
