entry, control: Log what a rejected prompt lacked and each decision on a permit

Callers saw 503 overloaded for most prompts larger than an engine. The logs had the size of the prompt, but four explanations look the same in them: no prefill permit in time, no engines free enough, too little memory at the chosen engines, a refused reservation.

A rejected call carries its last blocker out of the dispatcher ("a rejected call names what it lacked while it was queued").

--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -56,6 +56,19 @@
 /// Name in metrics and logs.
 std::string_view failureReasonName(FailureReason reason);
 
+/// What a queued call lacked when it was last considered.
+enum class QueueBlocker {
+    None,
+    Capacity, ///< No upstream had a free place.
+    Permit, ///< It had no prefill permit.
+    Engines, ///< No engines were free enough for its prefill.
+    Memory, ///< The engines chosen for its prefill had too little free memory.
+    Reservation, ///< An engine did not reserve memory for it in time.
+};
+
+/// Name in logs.
+std::string_view queueBlockerName(QueueBlocker blocker);
+
 /// How an attempt failed.
 enum class AttemptFault {
     NotSent, ///< No byte reached the upstream.
@@ -218,6 +231,7 @@
     CallId call;
     FailureReason reason = FailureReason::Overloaded;
     base::Millis retryAfter{0};
+    QueueBlocker blocker = QueueBlocker::None;
 };
 
 /// Ends a call that may have run and has no answer.
--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -140,6 +140,7 @@
         // The call itself was not sent.
         releaseAttempt(*call, now);
         --call->attempts;
+        call->blocker = QueueBlocker::Reservation;
         return rejectOrFail(*call, FailureReason::Overloaded, now);
     }
     SendAttempt action = *std::exchange(call->pendingAttempt, std::nullopt);
@@ -362,7 +363,7 @@
     if (call.mayHaveRun || call.hasForwardedEvents)
         m_actions.emplace_back(FailCall{id, reason});
     else
-        m_actions.emplace_back(RejectCall{id, reason, drawRetryAfter(call, now)});
+        m_actions.emplace_back(RejectCall{id, reason, drawRetryAfter(call, now), call.blocker});
     removeCall(id);
 }
 
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -33,6 +33,25 @@
     return "unknown";
 }
 
+std::string_view queueBlockerName(QueueBlocker blocker)
+{
+    switch (blocker) {
+    case QueueBlocker::None:
+        return "";
+    case QueueBlocker::Capacity:
+        return "capacity";
+    case QueueBlocker::Permit:
+        return "permit";
+    case QueueBlocker::Engines:
+        return "engines";
+    case QueueBlocker::Memory:
+        return "memory";
+    case QueueBlocker::Reservation:
+        return "reservation";
+    }
+    return "unknown";
+}
+
 std::string_view attemptFaultName(AttemptFault fault)
 {
     switch (fault) {
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -35,6 +35,7 @@
     CallStage stage = CallStage::Queued;
     PromptClass promptClass = PromptClass::Short;
     PermitState permit = PermitState::None;
+    QueueBlocker blocker = QueueBlocker::None;
     bool isOversized = false; ///< Exceeds the memory of one engine.
     double prefillMs = 0;
     base::Tokens kvTokens;
@@ -132,7 +133,7 @@
     std::optional<Placement> placeShortPrompt(const ActiveCall &call, ServiceState &service,
                                               const std::vector<UpstreamState *> &engines,
                                               base::TimePoint now);
-    std::optional<Placement> placeLongPrompt(const ActiveCall &call, ServiceState &service,
+    std::optional<Placement> placeLongPrompt(ActiveCall &call, ServiceState &service,
                                              const std::vector<UpstreamState *> &engines,
                                              base::TimePoint now);
     /// Groups of engines within each of which short prompts are packed.
--- a/libs/dispatch/src/LongPlacement.cpp
+++ b/libs/dispatch/src/LongPlacement.cpp
@@ -178,14 +178,17 @@
 }
 
 std::optional<Placement> Dispatcher::Impl::placeLongPrompt(
-        const ActiveCall &call, ServiceState &service, const std::vector<UpstreamState *> &engines,
+        ActiveCall &call, ServiceState &service, const std::vector<UpstreamState *> &engines,
         base::TimePoint now)
 {
+    call.blocker = QueueBlocker::Permit;
     if (call.permit != PermitState::Held)
         return std::nullopt;
+    call.blocker = QueueBlocker::Engines;
     const LongPrefillPlan plan = planLongPrefill(call, service.parameters, engines, now);
     if (plan.engines.empty() || isBetterToWait(call, plan, now))
         return std::nullopt;
+    call.blocker = QueueBlocker::Memory;
     const fleet::EngineSpec &spec = *service.parameters.engine;
     Placement placement;
     placement.expectedFirstEventMs = plan.expectedFirstEventMs;
--- a/libs/dispatch/src/Placement.cpp
+++ b/libs/dispatch/src/Placement.cpp
@@ -121,6 +121,7 @@
 std::optional<Placement> Dispatcher::Impl::place(ActiveCall &call, ServiceState &service,
                                                  base::TimePoint now)
 {
+    call.blocker = QueueBlocker::Capacity;
     return service.parameters.engine && call.info.promptTokens.count() > 0
                    ? placePrompt(call, service, now)
                    : placePlain(call, service, now);
@@ -204,6 +205,7 @@
         return placement;
     // Too few engines are free for small parts, so the prompt is queued as a long one.
     call.promptClass = PromptClass::Long;
+    call.blocker = QueueBlocker::Permit;
     requestPermit(call, now);
     return std::nullopt;
 }
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -210,6 +210,27 @@
     CHECK(first<RejectCall>(due));
 }
 
+TEST_CASE("a rejected call names what it lacked while it was queued")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 8);
+    fixture.addUpstreams(fixture.kPlain, 1);
+    const auto blockerOf = [](const Actions &actions) {
+        REQUIRE(first<RejectCall>(actions));
+        return first<RejectCall>(actions)->blocker;
+    };
+    const CallInfo unreserved = fixture.promptCall(400'000);
+    fixture.dispatcher.handle(CallArrived{unreserved}, kStart);
+    fixture.dispatcher.handle(PermitGranted{unreserved.id}, kStart);
+    CHECK(blockerOf(fixture.dispatcher.handle(ReservationDone{unreserved.id, false}, kStart))
+          == QueueBlocker::Reservation);
+    fixture.dispatcher.handle(CallArrived{fixture.promptCall(200'000)}, kStart);
+    CHECK(blockerOf(fixture.dispatcher.tick(kStart + Millis(4'000))) == QueueBlocker::Permit);
+    for (int n = 0; n < 7; ++n)
+        fixture.dispatcher.handle(CallArrived{fixture.plainCall()}, kStart);
+    CHECK(blockerOf(fixture.dispatcher.tick(kStart + Millis(50))) == QueueBlocker::Capacity);
+}
+
 TEST_CASE("short prompts are packed onto few engines and long prompts use the others")
 {
     Fixture fixture;
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -119,6 +119,7 @@
     m_metrics->count("hyssop_refusals_total", {{"reason", std::string(reason)}});
     call.exchange->respond(
             503, m_protocol->localResponseFields(call.exchange->head(), action.retryAfter), "");
+    call.blocker = action.blocker;
     endCall(call, "not_run", reason, 503, now);
 }
 
@@ -149,8 +150,15 @@
 {
     const dispatch::CallId call = action.call;
     // Without a control host to order the prompts, each host proceeds on its own.
-    const auto onGranted = [this, call] {
+    const auto onGranted = [this, call, isOversized = action.isOversized, requestedAt = now] {
         const base::TimePoint at = base::monotonicNow();
+        if (const EdgeCall *it = findCall(call)) {
+            const auto wait = std::chrono::floor<base::Millis>(at - requestedAt);
+            base::logEvent("permit_granted", {{"request", it->requestMetadata.id},
+                                              {"prompt", it->requestMetadata.promptTokens.count()},
+                                              {"oversized", isOversized},
+                                              {"waited_ms", wait.count()}});
+        }
         execute(m_dispatcher.handle(dispatch::PermitGranted{call}, at), at);
         scheduleTick(at);
     };
@@ -231,6 +239,7 @@
                    {{"request", call.requestMetadata.id},
                     {"outcome", outcome},
                     {"reason", reason},
+                    {"blocked_by", dispatch::queueBlockerName(call.blocker)},
                     {"status", status},
                     {"route", call.route},
                     {"service", call.service},
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -40,6 +40,7 @@
     fleet::ConfigurationVersion configurationVersion; ///< Configuration that it was admitted under.
     base::Millis confirmationAge{0}; ///< Of that configuration, when the call was admitted.
     int attemptCount = 0;
+    dispatch::QueueBlocker blocker = dispatch::QueueBlocker::None; ///< When it was rejected.
     base::TimePoint firstEventAt{};
     base::TimePoint lastEventAt{};
     base::TimePoint::duration longestGap{}; ///< Longest time between two events.
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -326,8 +326,19 @@
         m_prefillPermits.release(request->key, now);
         return answer("");
     }
-    m_prefillPermits.acquire(
-            *request, [answer](bool isGranted) { answer(isGranted ? kGranted : ""); }, now);
+    const auto onDecided = [this, answer, request = *request, now](bool isGranted) {
+        const auto wait = std::chrono::floor<base::Millis>(base::monotonicNow() - now);
+        base::logEvent("prefill_permit", {{"host", request.key.host},
+                                          {"call", request.key.call},
+                                          {"outcome", isGranted ? "granted" : "expired"},
+                                          {"prefill_ms", request.prefillMs},
+                                          {"oversized", request.isOversized},
+                                          {"waited_ms", wait.count()},
+                                          {"held", m_prefillPermits.heldCount()},
+                                          {"waiting", m_prefillPermits.waitingCount()}});
+        answer(isGranted ? kGranted : "");
+    };
+    m_prefillPermits.acquire(*request, onDecided, now);
 }
 
 void Registry::Impl::answerConfigurationRead(const peers::Answer<std::string> &answer,
