--- /dev/null
+++ b/libs/registry/tests/PromptLoadPlayer.cpp
@@ -0,0 +1,334 @@
+#include "PromptLoadPlayer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hyssop::registry {
+
+namespace {
+
+constexpr base::TimePoint kStart{std::chrono::hours(1)};
+const base::ServiceId kService{"model"};
+const base::DataCentreId kDataCentre{"a"};
+
+constexpr base::Millis kNetworkDelay{1};
+constexpr base::Millis kLoadInterval{12};
+constexpr base::Millis kSnapshotInterval{500};
+constexpr base::Millis kMinTickInterval{10};
+constexpr base::Millis kPermitTickInterval{20};
+/// Longer than any deadline, so that all prompts have ended.
+constexpr base::Millis kTrailingTime{20'000};
+/// Duration of prefill beside decode steps relative to prefill alone.
+constexpr double kPrefillOverhead = 1.15;
+
+base::TimePoint::duration toDuration(double ms)
+{
+    return std::chrono::duration_cast<base::TimePoint::duration>(
+            std::chrono::duration<double, std::milli>(ms));
+}
+
+double prefillMs(const fleet::EngineSpec &spec, std::int64_t tokens)
+{
+    const auto count = static_cast<double>(tokens);
+    return count / spec.prefillTokensPerMs + count * count / 2e6 * spec.msPerMillionPairs;
+}
+
+} // namespace
+
+PromptLoadPlayer::PromptLoadPlayer(PromptScenario scenario)
+    : m_scenario(std::move(scenario))
+    , m_rng(m_scenario.seed)
+{
+    dispatch::ServiceParameters parameters;
+    parameters.service = kService;
+    parameters.engine = m_scenario.engine;
+    for (const PromptLoad &load : m_scenario.loads) {
+        m_loads[load.route] = load;
+        parameters.longestGap = std::max(parameters.longestGap, load.gapObjective);
+        if (parameters.shortestGap == base::Millis(0))
+            parameters.shortestGap = load.gapObjective;
+        parameters.shortestGap = std::min(parameters.shortestGap, load.gapObjective);
+    }
+    for (int n = 0; n < m_scenario.engineCount; ++n) {
+        Engine &engine = m_engines.emplace_back();
+        engine.upstream.id = base::UpstreamId("engine" + std::to_string(n));
+        engine.upstream.service = kService;
+        engine.upstream.dataCentre = kDataCentre;
+        engine.upstream.address = {"127.0.0.1", static_cast<std::uint16_t>(8'000 + n)};
+        engine.upstream.slots = m_scenario.engine.slots;
+    }
+    for (int n = 0; n < m_scenario.entryHostCount; ++n) {
+        dispatch::DispatcherOptions options;
+        options.host = base::HostId("entry" + std::to_string(n));
+        options.dataCentre = kDataCentre;
+        options.seed = m_scenario.seed + static_cast<std::uint64_t>(n);
+        auto dispatcher = std::make_unique<dispatch::Dispatcher>(options);
+        dispatcher->handle(dispatch::ServicesChanged{{parameters}}, kStart);
+        for (const Engine &engine : m_engines)
+            dispatcher->handle(dispatch::UpstreamUpdated{engine.upstream}, kStart);
+        dispatcher->handle(dispatch::PeerLoadSumReceived{{}, m_scenario.entryHostCount}, kStart);
+        m_hosts.push_back({std::move(dispatcher)});
+    }
+}
+
+std::vector<PromptOutcome> PromptLoadPlayer::play()
+{
+    m_now = kStart;
+    for (const PromptLoad &load : m_scenario.loads)
+        scheduleArrivals(load);
+    shareLoads();
+    tickPermits();
+    while (!m_steps.empty()) {
+        const ScheduledStep next = m_steps.top();
+        m_steps.pop();
+        m_now = next.at;
+        next.step();
+    }
+    return m_outcomes;
+}
+
+bool PromptLoadPlayer::isOver() const
+{
+    return m_now >= kStart + m_scenario.duration + kTrailingTime;
+}
+
+void PromptLoadPlayer::scheduleAt(base::TimePoint at, Step step)
+{
+    m_steps.push({at, ++m_lastStep, std::move(step)});
+}
+
+void PromptLoadPlayer::scheduleAfter(base::TimePoint::duration delay, Step step)
+{
+    scheduleAt(m_now + delay, std::move(step));
+}
+
+void PromptLoadPlayer::scheduleArrivals(const PromptLoad &load)
+{
+    const double mu = std::log(load.meanTokens) - load.sigma * load.sigma / 2;
+    std::lognormal_distribution<double> size(mu, load.sigma);
+    std::exponential_distribution<double> gapSeconds(load.perSecond);
+    for (base::TimePoint at = kStart;;) {
+        at += toDuration(gapSeconds(m_rng) * 1'000);
+        if (at >= kStart + m_scenario.duration)
+            return;
+        const std::size_t outcome = m_outcomes.size();
+        m_outcomes.push_back(
+                {load.route, static_cast<std::int64_t>(std::min(load.maxTokens, size(m_rng)))});
+        scheduleAt(at, [this, outcome] { send(outcome, m_now, false); });
+    }
+}
+
+void PromptLoadPlayer::send(std::size_t outcome, base::TimePoint firstSentAt, bool isRetry)
+{
+    const PromptLoad &load = m_loads.at(m_outcomes[outcome].route);
+    Call call;
+    call.host = m_rng() % m_hosts.size();
+    call.outcome = outcome;
+    call.firstSentAt = firstSentAt;
+    call.isRetry = isRetry;
+    call.info.id = dispatch::CallId(++m_lastCall);
+    call.info.service = kService;
+    call.info.isStream = true;
+    call.info.isRetrySafe = true;
+    call.info.maxAttempts = 2;
+    call.info.promptTokens = base::Tokens(m_outcomes[outcome].tokens);
+    call.info.maxOutputTokens = base::Tokens(load.answerEvents * m_scenario.engine.stepsPerPass);
+    call.info.arrivedAt = m_now;
+    call.info.deadline = firstSentAt + load.deadline;
+    call.info.latencyObjective = load.latencyObjective;
+    call.info.gapObjective = load.gapObjective;
+    m_calls[call.info.id] = call;
+    handle(call.host, dispatch::CallArrived{call.info});
+}
+
+void PromptLoadPlayer::handle(std::size_t host, const dispatch::Event &event)
+{
+    execute(host, m_hosts[host].dispatcher->handle(event, m_now));
+}
+
+void PromptLoadPlayer::execute(std::size_t host, const dispatch::Actions &actions)
+{
+    for (const dispatch::Action &action : actions)
+        std::visit([this](const auto &it) { executeAction(it); }, action);
+    Host &state = m_hosts[host];
+    const base::TimePoint nextTick = state.dispatcher->nextTick();
+    if (nextTick == base::TimePoint::max())
+        return;
+    const base::TimePoint tickAt = std::max(nextTick, m_now + kMinTickInterval);
+    if (tickAt >= state.tickAt)
+        return;
+    state.tickAt = tickAt;
+    scheduleAt(tickAt, [this, host, tickAt] {
+        if (m_hosts[host].tickAt != tickAt)
+            return;
+        m_hosts[host].tickAt = base::TimePoint::max();
+        execute(host, m_hosts[host].dispatcher->tick(m_now));
+    });
+}
+
+fleet::PermitKey PromptLoadPlayer::permitKey(dispatch::CallId id) const
+{
+    return {base::HostId("entry" + std::to_string(m_calls.at(id).host)), 1, id.count()};
+}
+
+void PromptLoadPlayer::executeAction(const dispatch::RequestPermit &action)
+{
+    fleet::PermitRequest request;
+    request.key = permitKey(action.call);
+    request.service = action.service;
+    request.prefillMs = action.prefillMs;
+    request.maxWait = action.maxWait;
+    request.lateAfter = action.lateAfter;
+    request.isOversized = action.isOversized;
+    const auto onDecided = [this, id = action.call](bool isGranted) {
+        if (!isGranted)
+            return;
+        scheduleAfter(kNetworkDelay,
+                      [this, id] { handle(m_calls.at(id).host, dispatch::PermitGranted{id}); });
+    };
+    scheduleAfter(kNetworkDelay, [=, this] { m_permits.acquire(request, onDecided, m_now); });
+}
+
+void PromptLoadPlayer::executeAction(const dispatch::ReleasePermit &action)
+{
+    scheduleAfter(kNetworkDelay,
+                  [this, key = permitKey(action.call), action] { m_permits.release(key, m_now); });
+}
+
+void PromptLoadPlayer::executeAction(const dispatch::ReserveMemory &action)
+{
+    scheduleAfter(2 * kNetworkDelay, [this, action] {
+        Call &call = m_calls.at(action.call);
+        bool isReserved = true;
+        for (const dispatch::Helper &it : action.helpers) {
+            Engine &engine = engineOf(it.upstream.id);
+            if (engine.usedTokens + it.kvTokens.count() > m_scenario.engine.kvTokens.count()) {
+                isReserved = false;
+                break;
+            }
+            engine.usedTokens += it.kvTokens.count();
+            call.reservations.emplace_back(it.upstream.id, it.kvTokens.count());
+        }
+        handle(call.host, dispatch::ReservationDone{action.call, isReserved});
+    });
+}
+
+void PromptLoadPlayer::executeAction(const dispatch::ReleaseMemory &action)
+{
+    for (const auto &[id, tokens] : std::exchange(m_calls.at(action.call).reservations, {}))
+        engineOf(id).usedTokens -= tokens;
+}
+
+void PromptLoadPlayer::executeAction(const dispatch::SendAttempt &action)
+{
+    Call &call = m_calls.at(action.call);
+    std::vector<Engine *> engines{&engineOf(action.upstream.id)};
+    for (const dispatch::Helper &it : action.helpers)
+        engines.push_back(&engineOf(it.upstream.id));
+    const double partMs = prefillMs(m_scenario.engine, call.info.promptTokens.count())
+                          * kPrefillOverhead / static_cast<double>(engines.size());
+    base::TimePoint prefilledAt = m_now;
+    for (Engine *engine : engines) {
+        engine->prefillEndsAt = std::max(engine->prefillEndsAt, m_now) + toDuration(partMs);
+        prefilledAt = std::max(prefilledAt, engine->prefillEndsAt);
+        interruptDecoding(*engine);
+    }
+    const base::TimePoint firstEventAt = prefilledAt + passTime();
+    const auto &load = m_loads.at(m_outcomes[call.outcome].route);
+    call.isInTime = firstEventAt - call.firstSentAt <= load.latencyObjective;
+    ++call.attempt;
+    scheduleForAttempt(firstEventAt, action.call,
+                       [this, id = action.call, engine = action.upstream.id] {
+                           handle(m_calls.at(id).host, dispatch::AnswerProgressed{id});
+                           decode(id, engine);
+                       });
+}
+
+void PromptLoadPlayer::interruptDecoding(const Engine &engine)
+{
+    const auto pause = engine.prefillEndsAt - m_now + passTime();
+    for (const dispatch::CallId id : engine.decoding) {
+        Call &call = m_calls.at(id);
+        call.isInTime = call.isInTime && pause <= call.info.gapObjective;
+    }
+}
+
+base::TimePoint::duration PromptLoadPlayer::passTime() const
+{
+    return toDuration(m_scenario.engine.stepMs * m_scenario.engine.stepsPerPass);
+}
+
+void PromptLoadPlayer::executeAction(const dispatch::CancelAttempt &action)
+{
+    ++m_calls.at(action.call).attempt;
+}
+
+void PromptLoadPlayer::scheduleForAttempt(base::TimePoint at, dispatch::CallId id, Step step)
+{
+    const int attempt = m_calls.at(id).attempt;
+    scheduleAt(at, [this, id, attempt, step = std::move(step)] {
+        if (m_calls.at(id).attempt == attempt)
+            step();
+    });
+}
+
+void PromptLoadPlayer::decode(dispatch::CallId id, const base::UpstreamId &engine)
+{
+    const Call &call = m_calls.at(id);
+    engineOf(engine).decoding.insert(id);
+    const auto duration = passTime() * m_loads.at(m_outcomes[call.outcome].route).answerEvents;
+    const int attempt = call.attempt;
+    scheduleAfter(duration, [this, id, engine, attempt] {
+        engineOf(engine).decoding.erase(id);
+        const Call &it = m_calls.at(id);
+        if (it.attempt != attempt)
+            return;
+        m_outcomes[it.outcome].isServed = true;
+        m_outcomes[it.outcome].isInTime = it.isInTime;
+        handle(it.host, dispatch::AttemptSucceeded{id});
+    });
+}
+
+void PromptLoadPlayer::executeAction(const dispatch::RejectCall &action)
+{
+    const Call &call = m_calls.at(action.call);
+    m_outcomes[call.outcome].lastBlocker = action.blocker;
+    if (call.isRetry || m_now + action.retryAfter >= call.info.deadline)
+        return;
+    scheduleAfter(action.retryAfter, [this, outcome = call.outcome, at = call.firstSentAt] {
+        send(outcome, at, true);
+    });
+}
+
+void PromptLoadPlayer::shareLoads()
+{
+    const bool isSnapshot = m_now >= m_nextSnapshotAt;
+    if (isSnapshot)
+        m_nextSnapshotAt = m_now + kSnapshotInterval;
+    for (std::size_t from = 0; from < m_hosts.size(); ++from) {
+        const fleet::LoadUpdate update = m_hosts[from].dispatcher->takeLoadUpdate(isSnapshot);
+        if (!isSnapshot && update.upstreams.empty())
+            continue;
+        for (std::size_t to = 0; to < m_hosts.size(); ++to) {
+            if (to != from)
+                handle(to, dispatch::PeerLoadReceived{update});
+        }
+    }
+    if (!isOver())
+        scheduleAfter(kLoadInterval, [this] { shareLoads(); });
+}
+
+void PromptLoadPlayer::tickPermits()
+{
+    m_permits.tick(m_now);
+    if (!isOver())
+        scheduleAfter(kPermitTickInterval, [this] { tickPermits(); });
+}
+
+PromptLoadPlayer::Engine &PromptLoadPlayer::engineOf(const base::UpstreamId &id)
+{
+    return *std::find_if(m_engines.begin(), m_engines.end(),
+                         [&id](const Engine &it) { return it.upstream.id == id; });
+}
+
+} // namespace hyssop::registry
