--- a/libs/registry/tests/PromptSizesTest.cpp
+++ b/libs/registry/tests/PromptSizesTest.cpp
@@ -98,8 +98,7 @@
 
 } // namespace
 
-TEST_CASE("prompts larger than an engine are served beside a steady load of long prompts",
-          "[.known-red]")
+TEST_CASE("prompts larger than an engine are served beside a steady load of long prompts")
 {
     PromptScenario scenario;
     scenario.engineCount = 50;
@@ -111,7 +110,7 @@
         checkAllSizesServed(scenario);
 }
 
-TEST_CASE("an overload of long prompts does not shut out the largest ones", "[.known-red]")
+TEST_CASE("an overload of long prompts does not shut out the largest ones")
 {
     PromptScenario scenario;
     scenario.engineCount = 50;
@@ -123,7 +122,7 @@
         checkAllSizesServed(scenario);
 }
 
-TEST_CASE("the largest prompts are served on few engines", "[.known-red]")
+TEST_CASE("the largest prompts are served on few engines")
 {
     PromptScenario scenario;
     scenario.engineCount = 14;
@@ -135,8 +134,7 @@
         checkAllSizesServed(scenario);
 }
 
-TEST_CASE("an overload of prompts that fit on an engine does not shut out the largest ones",
-          "[.known-red]")
+TEST_CASE("an overload of prompts that fit on an engine does not shut out the largest ones")
 {
     PromptScenario scenario;
     scenario.engineCount = 14;
