--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -29,7 +29,6 @@
 {
     CallId id;
     base::ServiceId service;
-    std::string route; ///< Prompts of one route compete for permits by their sizes.
     base::TeamId team;
     int priority = 0; ///< 0 is served first.
     bool isStream = false;
@@ -253,21 +252,16 @@
 {
     CallId call;
     base::ServiceId service;
-    std::string route;
     std::int64_t prefillMs = 0; ///< Prefill time of the whole prompt on one engine.
     base::Millis maxWait{0}; ///< A later grant is of no use.
     base::Millis lateAfter{0}; ///< A grant after this makes the answer miss its objective.
     bool isOversized = false; ///< The prompt exceeds the memory of one engine.
-    int engineCount = 0; ///< Engines of the service.
-    /// Prompts of the route that ended without needing a permit, since the last request.
-    fleet::ServedShare withoutPermit;
 };
 
 /// Returns a permit after the prefill, or when the prompt will not be prefilled.
 struct ReleasePermit
 {
     CallId call;
-    bool isPrefilled = false; ///< The prompt was prefilled and its answer has begun.
 };
 
 /// Reports a retry, for metrics and logs.
--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -31,9 +31,9 @@
 /// Tenths of the time until its deadline for which a long prompt is queued. A late answer is worth
 /// more than a refusal, and the queued prompt delays no other call.
 constexpr int kLongQueueTenths = 4;
-/// An oversized prompt is queued for this fraction of its objective. Its prefill takes much of the
-/// rest.
-constexpr int kOversizedQueueDivisor = 2;
+/// An oversized prompt is served only while engines are idle, and is queued for this fraction of
+/// its objective.
+constexpr int kOversizedQueueDivisor = 8;
 /// Retry-After of a rejected call is drawn between this and twice as much.
 constexpr base::Millis kMinRetryAfter{400};
 
@@ -93,18 +93,14 @@
     if (call.promptClass != PromptClass::Long || call.permit != PermitState::None)
         return;
     call.permit = PermitState::Requested;
-    call.hasRequestedPermit = true;
     const auto millisUntil = [now](base::TimePoint at) {
         return std::max(base::Millis(0), std::chrono::floor<base::Millis>(at - now));
     };
     // Prefill takes a few tenths of the objective once it begins.
     const base::TimePoint lateAt = call.info.arrivedAt + call.info.latencyObjective * 4 / 5;
-    m_actions.emplace_back(
-            RequestPermit{call.info.id, call.info.service, call.info.route,
-                          static_cast<std::int64_t>(call.prefillMs),
-                          millisUntil(queueDeadline(call)), millisUntil(lateAt), call.isOversized,
-                          static_cast<int>(serviceOf(call.info.service).upstreams.size()),
-                          std::exchange(m_withoutPermit[call.info.route], {})});
+    m_actions.emplace_back(RequestPermit{
+            call.info.id, call.info.service, static_cast<std::int64_t>(call.prefillMs),
+            millisUntil(queueDeadline(call)), millisUntil(lateAt), call.isOversized});
 }
 
 void Dispatcher::Impl::releasePermit(ActiveCall &call)
@@ -112,7 +108,7 @@
     if (call.permit == PermitState::None)
         return;
     call.permit = PermitState::None;
-    m_actions.emplace_back(ReleasePermit{call.info.id, call.hasForwardedEvents});
+    m_actions.emplace_back(ReleasePermit{call.info.id});
 }
 
 void Dispatcher::Impl::handle(const PermitGranted &event, base::TimePoint)
@@ -217,7 +213,7 @@
         m_reachability.recordSuccess(state->info().dataCentre);
     }
     releaseAttempt(*call, now);
-    removeCall(event.call, true);
+    removeCall(event.call);
 }
 
 void Dispatcher::Impl::handle(const AttemptFailed &event, base::TimePoint now)
@@ -239,7 +235,7 @@
     }
     if (event.fault == AttemptFault::UpstreamError) {
         m_actions.emplace_back(ForwardUpstreamError{event.call});
-        return removeCall(event.call, false);
+        return removeCall(event.call);
     }
     rejectOrFail(*call,
                  provesNotRun(event.fault) ? FailureReason::UpstreamRefused
@@ -368,7 +364,7 @@
         m_actions.emplace_back(FailCall{id, reason});
     else
         m_actions.emplace_back(RejectCall{id, reason, drawRetryAfter(call, now), call.blocker});
-    removeCall(id, false);
+    removeCall(id);
 }
 
 } // namespace hyssop::dispatch
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -9,8 +9,6 @@
 
 /// Capacity can become free without an event, as when an ejection or a call of another host ends.
 constexpr base::Millis kQueueRecheckInterval{40};
-/// Routes whose ended prompts are counted. Routes that a configuration drops stay among them.
-constexpr std::size_t kMaxCountedRoutes = 1'024;
 
 } // namespace
 
@@ -133,7 +131,7 @@
         m_actions.emplace_back(CancelAttempt{event.call});
     if (call->stage != CallStage::Queued)
         releaseAttempt(*call, now);
-    removeCall(event.call, false);
+    removeCall(event.call);
 }
 
 void Dispatcher::Impl::handle(const UpstreamUpdated &event, base::TimePoint now)
@@ -283,17 +281,11 @@
     return report;
 }
 
-void Dispatcher::Impl::removeCall(CallId id, bool isServed)
+void Dispatcher::Impl::removeCall(CallId id)
 {
     const auto it = m_calls.find(id);
-    ActiveCall &call = it->second;
-    releasePermit(call);
-    if (call.info.promptTokens.count() > 0 && !call.hasRequestedPermit) {
-        if (m_withoutPermit.size() >= kMaxCountedRoutes)
-            m_withoutPermit.clear();
-        m_withoutPermit[call.info.route] += {isServed ? 1 : 0, 1};
-    }
-    m_queue.erase({call.info.priority, id});
+    releasePermit(it->second);
+    m_queue.erase({it->second.info.priority, id});
     m_calls.erase(it);
 }
 
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -36,7 +36,6 @@
     PromptClass promptClass = PromptClass::Short;
     PermitState permit = PermitState::None;
     QueueBlocker blocker = QueueBlocker::None;
-    bool hasRequestedPermit = false;
     bool isOversized = false; ///< Exceeds the memory of one engine.
     double prefillMs = 0;
     base::Tokens kvTokens;
@@ -218,7 +217,7 @@
     /// Random time after which the caller may try again.
     base::Millis drawRetryAfter(const ActiveCall &call, base::TimePoint now);
     base::TimePoint queueDeadline(const ActiveCall &call) const;
-    void removeCall(CallId id, bool isServed);
+    void removeCall(CallId id);
     ActiveCall *findCall(CallId id);
     UpstreamState *findUpstream(const base::UpstreamId &id);
 
@@ -228,7 +227,6 @@
     std::map<base::ServiceId, ServiceState> m_services;
     std::map<CallId, ActiveCall> m_calls;
     std::map<std::pair<int, CallId>, CallId> m_queue; ///< Ordered by priority, then by arrival.
-    std::map<std::string, fleet::ServedShare> m_withoutPermit; ///< By route.
     Reachability m_reachability;
     PeerLoads m_peerLoads;
     std::set<base::UpstreamId> m_changedUpstreams; ///< Since the last takeLoadUpdate().
--- a/libs/dispatch/src/LongPlacement.cpp
+++ b/libs/dispatch/src/LongPlacement.cpp
@@ -86,13 +86,6 @@
            - fullValue * kMaxLatencyLoss * std::min(1.0, firstEventMs / objectiveMs);
 }
 
-/// Memory of an engine that a split prompt may occupy.
-std::int64_t freeSplitTokens(const UpstreamState &engine, const fleet::EngineSpec &spec)
-{
-    return std::max<std::int64_t>(0, EngineModel::usableKvTokens(spec, kMaxSplitKvShare)
-                                             - engine.kvTokens().count());
-}
-
 double elapsedMs(base::TimePoint start, base::TimePoint now)
 {
     return std::chrono::duration<double, std::milli>(now - start).count();
@@ -145,24 +138,15 @@
     const auto isInTime = [&](double firstEventMs) {
         return waitedMs + firstEventMs * kFirstEventErrorFactor + kFirstEventErrorMs <= objectiveMs;
     };
-    const double timeLeftMs = elapsedMs(now, call.info.deadline);
-    const auto isBeforeDeadline = [&](double firstEventMs) {
-        return firstEventMs * kFirstEventErrorFactor + kFirstEventErrorMs < timeLeftMs;
-    };
     const auto valueAt = [&](double firstEventMs) {
         return expectedValue(plan.answerValue, firstEventMs, isInTime(firstEventMs), objectiveMs);
     };
     std::size_t bestCount = 0;
     double backlogMs = 0;
-    std::int64_t freeTokens = 0;
     for (std::size_t n = 1; n <= candidates.size(); ++n) {
         backlogMs = std::max(backlogMs, candidates[n - 1].backlogMs);
         const double partPrefillMs = call.prefillMs / static_cast<double>(n);
         const double firstEventMs = backlogMs + partPrefillMs;
-        freeTokens += freeSplitTokens(*candidates[n - 1].engine, *parameters.engine);
-        const bool hasMemory = !call.isOversized || freeTokens >= call.kvTokens.count();
-        if (!hasMemory || !isBeforeDeadline(firstEventMs))
-            continue;
         double netValue = valueAt(firstEventMs);
         for (std::size_t i = 0; i < n; ++i)
             netValue -= pauseLoss(candidates[i], parameters, partPrefillMs);
@@ -224,7 +208,10 @@
                                    const std::vector<UpstreamState *> &prefillEngines,
                                    Placement &placement)
 {
-    const auto freeTokens = [&spec](const UpstreamState *it) { return freeSplitTokens(*it, spec); };
+    const std::int64_t limit = EngineModel::usableKvTokens(spec, kMaxSplitKvShare);
+    const auto freeTokens = [limit](const UpstreamState *it) {
+        return std::max<std::int64_t>(0, limit - it->kvTokens().count());
+    };
     std::vector<UpstreamState *> byFreeTokens = prefillEngines;
     std::stable_sort(byFreeTokens.begin(), byFreeTokens.end(),
                      [&](const auto *a, const auto *b) { return freeTokens(a) > freeTokens(b); });
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -169,13 +169,10 @@
     fleet::PermitRequest request;
     request.key = {m_options.host, m_startId, call.count()};
     request.service = action.service;
-    request.route = action.route;
     request.prefillMs = action.prefillMs;
     request.maxWait = action.maxWait;
     request.lateAfter = action.lateAfter;
     request.isOversized = action.isOversized;
-    request.engineCount = action.engineCount;
-    request.withoutPermit = action.withoutPermit;
     m_node->query(*m_leader, {fleet::kPermitTopic, fleet::encode(request)},
                   action.maxWait + kPermitTimeout,
                   [this, onGranted](const tl::expected<std::string, peers::PeerError> &answer) {
@@ -193,7 +190,6 @@
     fleet::PermitRequest request;
     request.key = {m_options.host, m_startId, action.call.count()};
     request.isRelease = true;
-    request.isPrefilled = action.isPrefilled;
     m_node->query(*m_leader, {fleet::kPermitTopic, fleet::encode(request)}, kPermitTimeout,
                   [](const auto &) {});
 }
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -170,7 +170,6 @@
     dispatch::CallInfo info;
     info.id = dispatch::CallId(++m_lastCallId);
     info.service = fleet::RouteTable::pickService(*route, draw(m_rng));
-    info.route = route->name;
     info.team = team ? team->id : base::TeamId();
     info.priority = team && team->priority ? *team->priority : route->priority;
     info.isStream = route->isStream;
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -397,35 +397,16 @@
     auto operator<=>(const PermitKey &other) const = default;
 };
 
-/// Counts of prompts that were served and that ended.
-struct ServedShare
-{
-    std::int64_t served = 0;
-    std::int64_t ended = 0;
-
-    ServedShare &operator+=(const ServedShare &other)
-    {
-        served += other.served;
-        ended += other.ended;
-        return *this;
-    }
-};
-
 /// Request of an entry host for the permit to prefill a long prompt, or its release.
 struct PermitRequest
 {
     PermitKey key;
     base::ServiceId service;
-    std::string route; ///< Empty from a host of an older version.
     std::int64_t prefillMs = 0; ///< Prefill time of the whole prompt on one engine.
     base::Millis maxWait{0}; ///< How long the reply may be delayed.
     base::Millis lateAfter{0}; ///< A grant after this makes the answer miss its objective.
-    bool isOversized = false; ///< The prompt exceeds the memory of one engine.
+    bool isOversized = false; ///< Granted only while no other prompt is prefilled or waits.
     bool isRelease = false;
-    bool isPrefilled = false; ///< Of a release: the prompt was prefilled.
-    int engineCount = 0; ///< Engines of the service; 0 if not known.
-    /// Smaller prompts of the route that needed no permit, since the host's last request.
-    ServedShare withoutPermit;
 };
 std::string encode(const PermitRequest &request);
 std::optional<PermitRequest> decodePermitRequest(std::string_view bytes);
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -193,9 +193,7 @@
 {
     return base::toCbor({request.key.host.text(), request.key.startId, request.key.call,
                          request.service.text(), request.prefillMs, request.maxWait.count(),
-                         request.lateAfter.count(), request.isRelease, request.isOversized,
-                         request.route, request.isPrefilled, request.withoutPermit.served,
-                         request.withoutPermit.ended, request.engineCount});
+                         request.lateAfter.count(), request.isRelease, request.isOversized});
 }
 
 std::optional<PermitRequest> decodePermitRequest(std::string_view bytes)
@@ -209,13 +207,6 @@
         request.lateAfter = base::Millis(j.at(6));
         request.isRelease = j.at(7);
         request.isOversized = j.at(8);
-        // Hosts of an older version do not send the rest.
-        if (j.size() > 13) {
-            request.route = j.at(9);
-            request.isPrefilled = j.at(10);
-            request.withoutPermit = {j.at(11), j.at(12)};
-            request.engineCount = j.at(13);
-        }
         return request;
     });
 }
--- a/libs/registry/src/PrefillPermits.cpp
+++ b/libs/registry/src/PrefillPermits.cpp
@@ -6,11 +6,8 @@
 
 namespace {
 
-/// Engines that prefill one prompt together.
-constexpr int kEnginesPerPrompt = 17;
-/// Concurrent prefills of a service with few engines. The second one uses engines that the first no
-/// longer needs.
-constexpr int kMinPermits = 2;
+/// Concurrent prefills per service. The second one uses engines that the first no longer needs.
+constexpr std::size_t kMaxPermitsPerService = 2;
 /// Minimum time between grants, so that hosts learn which engine the previous one was placed on.
 constexpr base::Millis kGrantInterval{30};
 /// A permit that is never released, for example because its host was killed, expires after this
@@ -43,60 +40,39 @@
 {
     dropEarlierIncarnations(request.key);
     m_waiting.push_back({request, std::move(answer), now});
-    m_sizeFairness.add(request, now);
     tick(now);
 }
 
-void PrefillPermits::release(const fleet::PermitKey &key, bool isPrefilled, base::TimePoint now)
+void PrefillPermits::release(const fleet::PermitKey &key, base::TimePoint now)
 {
-    m_sizeFairness.setOutcome(key, isPrefilled);
     m_held.erase(key);
     std::erase_if(m_waiting, [&key](const WaitingRequest &it) { return it.request.key == key; });
     tick(now);
 }
 
-bool PrefillPermits::canGrant(const fleet::PermitRequest &request, bool isUnderserved) const
+std::size_t PrefillPermits::heldCountOf(const base::ServiceId &service) const
 {
-    int heldCount = 0;
-    int oversizedCount = 0;
-    for (const auto &[key, permit] : m_held) {
-        if (permit.service != request.service)
-            continue;
-        ++heldCount;
-        oversizedCount += permit.isOversized ? 1 : 0;
-    }
-    if (request.isOversized && !isUnderserved)
-        return heldCount == 0;
-    const int limit = std::max(kMinPermits,
-                               (request.engineCount + kEnginesPerPrompt - 1) / kEnginesPerPrompt);
-    // Each occupies many engines for long.
-    const int oversizedLimit = std::max(1, request.engineCount / kEnginesPerPrompt);
-    return heldCount < limit && (!request.isOversized || oversizedCount < oversizedLimit);
+    return static_cast<std::size_t>(
+            std::count_if(m_held.begin(), m_held.end(),
+                          [&service](const auto &it) { return it.second.service == service; }));
 }
 
 std::vector<PrefillPermits::WaitingRequest>::iterator PrefillPermits::nextToGrant(
         base::TimePoint now)
 {
-    enum Priority { Underserved, Aged, OnTime, Late, Oversized };
     auto candidate = m_waiting.end();
-    std::pair<Priority, std::int64_t> candidateKey;
+    const auto sortKey = [now](const WaitingRequest &it) {
+        const bool isLate = now >= it.waitingSince + it.request.lateAfter;
+        const bool hasWaitedLong = !isLate && now >= it.waitingSince + kPriorityAfter;
+        const int priority = it.request.isOversized ? 3 : isLate ? 2 : hasWaitedLong ? 0 : 1;
+        return std::pair(priority, hasWaitedLong ? std::int64_t(0) : it.request.prefillMs);
+    };
     for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
-        const fleet::PermitRequest &request = it->request;
-        const bool isUnderserved = m_sizeFairness.isUnderserved(request);
-        if (!canGrant(request, isUnderserved))
+        const std::size_t limit = it->request.isOversized ? 1 : kMaxPermitsPerService;
+        if (heldCountOf(it->request.service) >= limit)
             continue;
-        const bool isLate = now >= it->waitingSince + request.lateAfter;
-        const Priority priority = isUnderserved                              ? Underserved
-                                  : request.isOversized                      ? Oversized
-                                  : isLate                                   ? Late
-                                  : now >= it->waitingSince + kPriorityAfter ? Aged
-                                                                             : OnTime;
-        const bool isFirstComeFirstServed = priority == Aged;
-        const std::pair key(priority, isFirstComeFirstServed ? 0 : request.prefillMs);
-        if (candidate == m_waiting.end() || key < candidateKey) {
+        if (candidate == m_waiting.end() || sortKey(*it) < sortKey(*candidate))
             candidate = it;
-            candidateKey = key;
-        }
     }
     return candidate;
 }
@@ -109,7 +85,6 @@
             ++it;
             continue;
         }
-        m_sizeFairness.setOutcome(it->request.key, false);
         const Answer answer = std::move(it->answer);
         it = m_waiting.erase(it);
         answer(false);
@@ -120,13 +95,10 @@
     if (it == m_waiting.end())
         return;
     m_lastGrantAt = now;
-    m_held[it->request.key] = {it->request.service, it->request.isOversized,
-                               now + permitLifetime(it->request)};
-    const fleet::PermitKey key = it->request.key;
+    m_held[it->request.key] = {it->request.service, now + permitLifetime(it->request)};
     const Answer answer = std::move(it->answer);
     m_waiting.erase(it);
     answer(true);
-    m_sizeFairness.setOutcome(key, true);
 }
 
 } // namespace hyssop::registry
--- a/libs/registry/src/PrefillPermits.h
+++ b/libs/registry/src/PrefillPermits.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "SizeFairness.h"
+#include "fleet/Fleet.h"
 
 #include <functional>
 
@@ -12,8 +12,7 @@
 /// prompts, so concurrent prefills all finish late, while sequential ones finish early one by one.
 /// Entry hosts that started prefills independently would also place several prompts on the same
 /// engine, because they learn of each other's placements with a delay. Requests are granted
-/// shortest prefill first, except that one which has waited long is granted before shorter ones,
-/// and one whose size is underserved on its route before all others.
+/// shortest prefill first, except that one which has waited long is granted before shorter ones.
 class PrefillPermits
 {
 public:
@@ -23,14 +22,9 @@
     /// Queues a request. \a answer is called once, unless the request is released first.
     void acquire(const fleet::PermitRequest &request, Answer answer, base::TimePoint now);
     /// Returns a permit or withdraws a waiting request.
-    void release(const fleet::PermitKey &key, bool isPrefilled, base::TimePoint now);
+    void release(const fleet::PermitKey &key, base::TimePoint now);
     /// Expires permits and waiting requests, then grants at most one request.
     void tick(base::TimePoint now);
-    /// Whether prompts of this size are served too seldom on their route.
-    bool isUnderserved(const fleet::PermitRequest &request) const
-    {
-        return m_sizeFairness.isUnderserved(request);
-    }
     std::size_t heldCount() const { return m_held.size(); }
     std::size_t waitingCount() const { return m_waiting.size(); }
 
@@ -44,21 +38,18 @@
     struct HeldPermit
     {
         base::ServiceId service;
-        bool isOversized = false;
         base::TimePoint expiresAt;
     };
     /// Lifetime of a permit that is never released.
     static base::Millis permitLifetime(const fleet::PermitRequest &request);
     /// A restarted host has lost its earlier calls, so their permits and requests are dropped.
     void dropEarlierIncarnations(const fleet::PermitKey &key);
-    /// Whether the permits that are held leave room for this one.
-    bool canGrant(const fleet::PermitRequest &request, bool isUnderserved) const;
+    std::size_t heldCountOf(const base::ServiceId &service) const;
     /// Waiting request to grant next; end() when none may be granted.
     std::vector<WaitingRequest>::iterator nextToGrant(base::TimePoint now);
 
     std::vector<WaitingRequest> m_waiting;
     std::map<fleet::PermitKey, HeldPermit> m_held;
-    SizeFairness m_sizeFairness;
     base::TimePoint m_lastGrantAt{};
 };
 
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -323,7 +323,7 @@
         return answer("");
     }
     if (request->isRelease) {
-        m_prefillPermits.release(request->key, request->isPrefilled, now);
+        m_prefillPermits.release(request->key, now);
         return answer("");
     }
     const auto onDecided = [this, answer, request = *request, now](bool isGranted) {
@@ -333,7 +333,6 @@
                                           {"outcome", isGranted ? "granted" : "expired"},
                                           {"prefill_ms", request.prefillMs},
                                           {"oversized", request.isOversized},
-                                          {"underserved", m_prefillPermits.isUnderserved(request)},
                                           {"waited_ms", wait.count()},
                                           {"held", m_prefillPermits.heldCount()},
                                           {"waiting", m_prefillPermits.waitingCount()}});
