--- a/libs/registry/tests/PromptLoadPlayer.cpp
+++ b/libs/registry/tests/PromptLoadPlayer.cpp
@@ -192,7 +192,7 @@
 void PromptLoadPlayer::executeAction(const dispatch::ReleasePermit &action)
 {
     scheduleAfter(kNetworkDelay,
-                  [this, key = permitKey(action.call), action] { m_permits.release(key, m_now); });
+                  [this, key = permitKey(action.call)] { m_permits.release(key, m_now); });
 }
 
 void PromptLoadPlayer::executeAction(const dispatch::ReserveMemory &action)
