--- a/libs/registry/tests/PromptSizesTest.cpp
+++ b/libs/registry/tests/PromptSizesTest.cpp
@@ -96,54 +96,40 @@
     }
 }
 
-} // namespace
-
-TEST_CASE("prompts larger than an engine are served beside a steady load of long prompts",
-          "[.known-red]")
+/// Plays the loads on engines of that memory at three seeds.
+void checkAllSizesServed(int engineCount, std::int64_t kvTokens, Millis duration,
+                         std::vector<PromptLoad> loads)
 {
     PromptScenario scenario;
-    scenario.engineCount = 50;
-    scenario.engine = engineSpec(260'000);
+    scenario.engineCount = engineCount;
+    scenario.engine = engineSpec(kvTokens);
     scenario.entryHostCount = 3;
-    scenario.duration = Millis(40'000);
-    scenario.loads = {chat(80), summary(5), review(3, 220'000)};
+    scenario.duration = duration;
+    scenario.loads = std::move(loads);
     for (scenario.seed = 1; scenario.seed <= 3; ++scenario.seed)
         checkAllSizesServed(scenario);
 }
 
+} // namespace
+
+TEST_CASE("prompts larger than an engine are served beside a steady load of long prompts",
+          "[.known-red]")
+{
+    checkAllSizesServed(50, 260'000, Millis(40'000), {chat(80), summary(5), review(3, 220'000)});
+}
+
 TEST_CASE("an overload of long prompts does not shut out the largest ones", "[.known-red]")
 {
-    PromptScenario scenario;
-    scenario.engineCount = 50;
-    scenario.engine = engineSpec(260'000);
-    scenario.entryHostCount = 3;
-    scenario.duration = Millis(40'000);
-    scenario.loads = {chat(30), summary(7), review(7, 220'000)};
-    for (scenario.seed = 1; scenario.seed <= 3; ++scenario.seed)
-        checkAllSizesServed(scenario);
+    checkAllSizesServed(50, 260'000, Millis(40'000), {chat(30), summary(7), review(7, 220'000)});
 }
 
 TEST_CASE("the largest prompts are served on few engines", "[.known-red]")
 {
-    PromptScenario scenario;
-    scenario.engineCount = 14;
-    scenario.engine = engineSpec(300'000);
-    scenario.entryHostCount = 3;
-    scenario.duration = Millis(60'000);
-    scenario.loads = {chat(15), summary(1.5), review(2, 160'000)};
-    for (scenario.seed = 1; scenario.seed <= 3; ++scenario.seed)
-        checkAllSizesServed(scenario);
+    checkAllSizesServed(14, 300'000, Millis(60'000), {chat(15), summary(1.5), review(2, 160'000)});
 }
 
 TEST_CASE("an overload of prompts that fit on an engine does not shut out the largest ones",
           "[.known-red]")
 {
-    PromptScenario scenario;
-    scenario.engineCount = 14;
-    scenario.engine = engineSpec(1'000'000);
-    scenario.entryHostCount = 3;
-    scenario.duration = Millis(60'000);
-    scenario.loads = {chat(15), summary(8), review(3, 160'000)};
-    for (scenario.seed = 1; scenario.seed <= 3; ++scenario.seed)
-        checkAllSizesServed(scenario);
+    checkAllSizesServed(14, 1'000'000, Millis(60'000), {chat(15), summary(8), review(3, 160'000)});
 }
