dispatch, edge: Log the request rate limits that upstreams state

What callers saw: nothing yet.

The platform's field is read in platform/ only, as a request rate. The dispatcher keeps the newest statement of each upstream's present start; where two answers overlap the lower rate holds, so an answer that was overtaken cannot raise or end a limit. Each change is one log line with its source and age, a counter and a gauge. No decision uses it. Before: no such field was read.

--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -133,6 +133,13 @@
     int waiting = 0;
 };
 
+/// Request rate that the upstream of a call stated in its answer.
+struct RateLimitStated
+{
+    CallId call;
+    fleet::RequestRate rate = fleet::kUnlimitedRate;
+};
+
 /// Outstanding load of all other entry hosts together, added up by a control host.
 struct PeerLoadSumReceived
 {
@@ -180,8 +187,8 @@
 };
 
 using Event = std::variant<CallArrived, CallerDisconnected, UpstreamUpdated, UpstreamRemoved,
-                           ServicesChanged, UpstreamLoadReported, PeerLoadSumReceived,
-                           PeerLoadReceived, PermitGranted, ReservationDone, AnswerProgressed,
+                           ServicesChanged, UpstreamLoadReported, RateLimitStated,
+                           PeerLoadSumReceived, PeerLoadReceived, PermitGranted, ReservationDone, AnswerProgressed,
                            AttemptSucceeded, AttemptFailed>;
 
 // Actions.
@@ -285,9 +292,28 @@
     base::DataCentreId dataCentre;
 };
 
+/// Where a belief about a rate limit comes from.
+enum class RateLimitSource {
+    Answer, ///< An answer of the upstream to this host.
+    Restart, ///< The upstream started again, so its limit ended.
+};
+
+/// Name in logs.
+std::string_view rateLimitSourceName(RateLimitSource source);
+
+/// Reports a rate limit that was stated, changed or ended, for metrics and logs.
+struct RateLimitChanged
+{
+    base::UpstreamId upstream;
+    fleet::RequestRate rate = fleet::kUnlimitedRate;
+    fleet::RequestRate previousRate = fleet::kUnlimitedRate;
+    RateLimitSource source = RateLimitSource::Answer;
+    base::Millis age{0}; ///< Longest time since the upstream stated it.
+};
+
 using Action = std::variant<ReserveMemory, ReleaseMemory, SendAttempt, CancelAttempt, RejectCall,
                             FailCall, ForwardUpstreamError, RequestPermit, ReleasePermit,
-                            RetryScheduled, UpstreamEjected, DataCentreUnreachable>;
+                            RetryScheduled, UpstreamEjected, DataCentreUnreachable, RateLimitChanged>;
 using Actions = std::vector<Action>;
 
 /// Settings of a Dispatcher.
@@ -308,6 +334,7 @@
     std::size_t active = 0;
     std::size_t upstreams = 0;
     std::size_t ejected = 0;
+    std::size_t rateLimited = 0; ///< Upstreams with a limit on their requests.
 };
 
 class Dispatcher
--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -45,6 +45,8 @@
     call.stage = CallStage::Sent;
     ++call.attempts;
     call.upstream = placement.primary->info().id;
+    call.upstreamIncarnation = placement.primary->info().incarnation;
+    call.attemptSentAt = now;
     call.triedUpstreams.push_back(call.upstream);
     SendAttempt action;
     action.requestsAtUpstream = placement.primary->requests();
@@ -146,6 +148,7 @@
     SendAttempt action = *std::exchange(call->pendingAttempt, std::nullopt);
     action.timeLeft = std::chrono::floor<base::Millis>(call->info.deadline - now);
     call->stage = CallStage::Sent;
+    call->attemptSentAt = now;
     call->progressDeadline = now + firstEventTimeout(*call);
     m_actions.emplace_back(std::move(action));
 }
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -77,6 +77,17 @@
            || fault == AttemptFault::Misdirected;
 }
 
+std::string_view rateLimitSourceName(RateLimitSource source)
+{
+    switch (source) {
+    case RateLimitSource::Answer:
+        return "answer";
+    case RateLimitSource::Restart:
+        return "restart";
+    }
+    return "unknown";
+}
+
 Dispatcher::Impl::Impl(DispatcherOptions options)
     : m_options(std::move(options))
     , m_rng(m_options.seed)
@@ -140,6 +151,10 @@
     if (it != m_upstreams.end()) {
         const bool isSameService = it->second->info().service == event.upstream.service;
         it->second->setInfo(event.upstream);
+        const base::Incarnation incarnation = event.upstream.incarnation;
+        if (incarnation > it->second->rateLimit().incarnation)
+            updateRateLimit(*it->second, {incarnation, fleet::kUnlimitedRate, now, now},
+                            RateLimitSource::Restart, now);
         if (isSameService)
             return;
     } else {
@@ -242,6 +257,29 @@
         state->setReportedLoad(event.running, event.waiting);
 }
 
+void Dispatcher::Impl::handle(const RateLimitStated &event, base::TimePoint now)
+{
+    const ActiveCall *call = findCall(event.call);
+    if (!call || call->stage != CallStage::Sent)
+        return;
+    if (UpstreamState *state = findUpstream(call->upstream))
+        updateRateLimit(*state,
+                        {call->upstreamIncarnation, event.rate, call->attemptSentAt, now},
+                        RateLimitSource::Answer, now);
+}
+
+void Dispatcher::Impl::updateRateLimit(UpstreamState &state,
+                                       const fleet::RateLimitStatement &statement,
+                                       RateLimitSource source, base::TimePoint now)
+{
+    const fleet::RequestRate previousRate = state.rateLimit().rate;
+    if (!state.updateRateLimit(statement))
+        return;
+    const auto age = std::chrono::floor<base::Millis>(now - statement.requestSentAt);
+    m_actions.emplace_back(RateLimitChanged{state.info().id, state.rateLimit().rate, previousRate,
+                                            source, age});
+}
+
 bool Dispatcher::Impl::arePeersMissing() const
 {
     return m_peerLoads.hostCount() + 1 < static_cast<std::size_t>(m_entryHostCount);
@@ -358,6 +396,10 @@
     stats.ejected = static_cast<std::size_t>(
             std::count_if(m_upstreams.begin(), m_upstreams.end(),
                           [now](const auto &it) { return it.second->isEjected(now); }));
+    stats.rateLimited = static_cast<std::size_t>(
+            std::count_if(m_upstreams.begin(), m_upstreams.end(), [](const auto &it) {
+                return it.second->rateLimit().rate != fleet::kUnlimitedRate;
+            }));
     return stats;
 }
 
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -46,6 +46,8 @@
     std::optional<SendAttempt> pendingAttempt; ///< Sent once the memory is reserved.
     std::int64_t partPrefillMs = 0; ///< Prefill time of one part; 0 once the prefill ended.
     base::Millis expectedFirstEvent{0}; ///< Expected time to the first event when it was sent.
+    base::TimePoint attemptSentAt; ///< Of the current attempt.
+    base::Incarnation upstreamIncarnation; ///< Start of the upstream that the attempt was sent to.
     std::vector<base::UpstreamId> triedUpstreams;
     int attempts = 0;
     int unsentAttempts = 0; ///< Attempts that reached no upstream.
@@ -104,6 +106,7 @@
     void handle(const UpstreamRemoved &event, base::TimePoint now);
     void handle(const ServicesChanged &event, base::TimePoint now);
     void handle(const UpstreamLoadReported &event, base::TimePoint now);
+    void handle(const RateLimitStated &event, base::TimePoint now);
     void handle(const PeerLoadReceived &event, base::TimePoint now);
     fleet::LoadUpdate takeLoadUpdate(bool isSnapshot);
     void handle(const PeerLoadSumReceived &event, base::TimePoint now);
@@ -184,6 +187,8 @@
     std::vector<UpstreamState *> usableUpstreams(const ServiceState &service,
                                                  base::TimePoint now) const;
     void rebuildServiceUpstreams();
+    void updateRateLimit(UpstreamState &state, const fleet::RateLimitStatement &statement,
+                         RateLimitSource source, base::TimePoint now);
     /// Adds the calls that are still outstanding at an upstream that was removed and is back.
     void restoreLoad(UpstreamState &state, base::TimePoint now);
     void applyPeerLoads(base::TimePoint now);
--- a/libs/dispatch/src/UpstreamState.cpp
+++ b/libs/dispatch/src/UpstreamState.cpp
@@ -31,6 +31,7 @@
     : m_info(std::move(upstream))
 {
     m_ownLoad.upstream = m_info.id;
+    m_rateLimit.incarnation = m_info.incarnation;
 }
 
 void UpstreamState::setInfo(const fleet::Upstream &upstream)
--- a/libs/dispatch/src/UpstreamState.h
+++ b/libs/dispatch/src/UpstreamState.h
@@ -30,6 +30,13 @@
     const fleet::UpstreamLoad &ownLoad() const { return m_ownLoad; }
     base::Tokens kvTokens() const { return m_ownLoad.kvTokens + m_peerLoad.kvTokens; }
 
+    const fleet::RateLimitStatement &rateLimit() const { return m_rateLimit; }
+    /// Returns whether the accepted request rate changed.
+    bool updateRateLimit(const fleet::RateLimitStatement &statement)
+    {
+        return m_rateLimit.update(statement);
+    }
+
     void recordSuccess();
     /// \a meanRate is the mean failure rate of the other upstreams of its service. Returns whether
     /// the upstream is to be ejected for a while.
@@ -48,6 +55,7 @@
     fleet::Upstream m_info;
     fleet::UpstreamLoad m_ownLoad;
     fleet::UpstreamLoad m_peerLoad;
+    fleet::RateLimitStatement m_rateLimit;
     base::TimePoint m_prefillEndsAt{}; ///< Estimated end of its pending prefill.
     double m_failureRate = 0; ///< Moving average over answers.
     int m_answerCount = 0;
--- a/libs/edge/include/edge/Edge.h
+++ b/libs/edge/include/edge/Edge.h
@@ -61,6 +61,9 @@
     int waitingRequests = 0;
     std::optional<base::Endpoint>
             faultyUpstream; ///< Upstream that failed the request, if reported.
+    /// Requests that the upstream accepts from all hosts together; kUnlimitedRate when it states no
+    /// limit, empty when its statement is unreadable.
+    std::optional<fleet::RequestRate> acceptedRate;
 };
 
 /// A request of this host itself to an upstream. Status 200 means success.
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -428,6 +428,7 @@
     m_metrics->set("hyssop_active_requests", static_cast<double>(stats.active));
     m_metrics->set("hyssop_upstreams", static_cast<double>(stats.upstreams));
     m_metrics->set("hyssop_ejected_upstreams", static_cast<double>(stats.ejected));
+    m_metrics->set("hyssop_rate_limited_upstreams", static_cast<double>(stats.rateLimited));
     m_metrics->set("hyssop_caller_connections", static_cast<double>(m_server.connectionCount()));
     m_metrics->set("hyssop_configuration_version",
                    m_routeTable ? static_cast<double>(m_routeTable->version().count()) : 0);
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -112,6 +112,7 @@
     void executeAction(const dispatch::RetryScheduled &action, base::TimePoint now);
     void executeAction(const dispatch::UpstreamEjected &action, base::TimePoint now);
     void executeAction(const dispatch::DataCentreUnreachable &action, base::TimePoint now);
+    void executeAction(const dispatch::RateLimitChanged &action, base::TimePoint now);
     void endCall(EdgeCall &call, std::string_view outcome, std::string_view reason, int status,
                  base::TimePoint now);
     void scheduleTick(base::TimePoint now);
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -7,6 +7,7 @@
 
 #include "base/Base.h"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -203,6 +204,26 @@
     bool operator==(const DepartedUpstream &other) const = default;
 };
 
+/// Rate of requests, in thousandths of a request per second.
+using RequestRate = base::Quantity<struct RequestRateTag>;
+/// Rate of an upstream that states no limit.
+inline constexpr RequestRate kUnlimitedRate{std::numeric_limits<std::int64_t>::max()};
+
+/// Rate of requests that an upstream accepts from all entry hosts together, as it stated in an
+/// answer.
+struct RateLimitStatement
+{
+    base::Incarnation incarnation; ///< Start of the upstream that made the statement.
+    RequestRate rate = kUnlimitedRate;
+    base::TimePoint requestSentAt{}; ///< When the request was sent that the answer belongs to.
+    base::TimePoint receivedAt{}; ///< When the answer arrived.
+
+    /// Takes over \a other unless it is older. The upstream made a statement at some time between
+    /// \c requestSentAt and \c receivedAt, so two of them may overlap; the lower rate then holds.
+    /// Returns whether the rate changed.
+    bool update(const RateLimitStatement &other);
+};
+
 /// Changes of a directory since a revision, or its whole content.
 struct DirectoryChanges
 {
