Known red: upstreams get more requests than the limit that they state

What callers saw: nothing; upstreams in need got their ordinary share of the load beside the limit that they named for all hosts together. The replica of integration/platform states a limit in all answers, raises, lowers and drops it, starts again under its id, and keeps all that arrives. RateLimits finds the worst 4 s of what came from hosts that know. Ruled out: one entry host alone (its share of 42 calls a second on three replicas is within the bound); the sum over hosts breaks it. The bounds are the users': one and a half times the limit over 4 s and 5 more, from 3 s after it was first stated.

--- a/integration/platform/PlatformBed.cpp
+++ b/integration/platform/PlatformBed.cpp
@@ -136,14 +136,16 @@
 }
 
 int announce(const base::Endpoint &control, const std::string &id, const std::string &service,
-             const base::Endpoint &address, std::int64_t sequence, bool isLeaving)
+             const base::Endpoint &address, std::int64_t sequence, bool isLeaving,
+             std::int64_t incarnation)
 {
     CallOptions options;
     options.limit = base::Millis(1'000);
     options.body = fmt::format(
             R"({{"Service":"{}","Address":"{}","Zone":"floro-sal","Version":"v1","Slots":{},)"
-            R"("State":"{}","Seq":{}}})",
-            service, address.text(), kSlots, isLeaving ? "draining" : "ready", sequence);
+            R"("State":"{}","Seq":{}{}}})",
+            service, address.text(), kSlots, isLeaving ? "draining" : "ready", sequence,
+            incarnation > 0 ? fmt::format(R"(,"born":{})", incarnation) : "");
     return callOnce(control, "POST", "/api/instances/" + id + "/heartbeat", options).status;
 }
 
--- a/integration/platform/PlatformBed.h
+++ b/integration/platform/PlatformBed.h
@@ -74,7 +74,9 @@
 };
 
 /// Status of a replica's announcement at a control host.
+/// \a incarnation is the start of the replica in Unix milliseconds, 0 leaves it out.
 int announce(const base::Endpoint &control, const std::string &id, const std::string &service,
-             const base::Endpoint &address, std::int64_t sequence, bool isLeaving);
+             const base::Endpoint &address, std::int64_t sequence, bool isLeaving,
+             std::int64_t incarnation = 0);
 
 } // namespace hyssop::harness
--- /dev/null
+++ b/integration/platform/RateLimits.cpp
@@ -0,0 +1,112 @@
+#include "RateLimits.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+
+namespace hyssop::harness {
+
+namespace {
+
+constexpr base::Millis kWindow{4'000};
+constexpr double kAllowedFactor = 1.5;
+constexpr double kAllowedMore = 5;
+/// A limit counts this long after it was first stated.
+constexpr base::Millis kContact{3'000};
+/// A host knows a limit this long after it passed on an answer that states it.
+constexpr base::Millis kNotice{500};
+/// Steps in which limits that change within a window are summed.
+constexpr base::Millis kStep{50};
+
+/// Since when a limit, changed or not, has been stated without a break before \a at; empty when
+/// none is stated at that time.
+std::optional<base::TimePoint> limitedSince(const ReplicaTraffic &traffic, base::TimePoint at)
+{
+    std::optional<base::TimePoint> since;
+    for (const ReplicaTraffic::Limit &it : traffic.limits) {
+        if (it.from > at)
+            break;
+        if (!it.perSecond)
+            since.reset();
+        else if (!since)
+            since = it.from;
+    }
+    return since;
+}
+
+/// Limit that hosts know at \a at: a lower one counts once they had time to learn of it, and the
+/// first one for the time before it too.
+double knownLimit(const ReplicaTraffic &traffic, base::TimePoint at, base::TimePoint since)
+{
+    double known = 0;
+    for (std::size_t n = 0; n < traffic.limits.size(); ++n) {
+        const ReplicaTraffic::Limit &it = traffic.limits[n];
+        const bool isLast = n + 1 == traffic.limits.size();
+        const base::TimePoint end =
+                isLast ? base::TimePoint::max() : traffic.limits[n + 1].from + kNotice;
+        const bool isFirst = it.from == since;
+        if (it.perSecond && it.from >= since && (isFirst || it.from <= at) && at < end)
+            known = std::max(known, *it.perSecond);
+    }
+    return known;
+}
+
+double allowedUntil(const ReplicaTraffic &traffic, base::TimePoint end, base::TimePoint since)
+{
+    double sum = 0;
+    for (base::TimePoint at = end - kWindow; at < end; at += kStep)
+        sum += knownLimit(traffic, at, since) * std::chrono::duration<double>(kStep).count();
+    return kAllowedFactor * sum + kAllowedMore;
+}
+
+std::vector<base::TimePoint> windowEnds(const ReplicaTraffic &traffic)
+{
+    std::vector<base::TimePoint> ends;
+    for (const ReplicaTraffic::Arrival &it : traffic.arrivals) {
+        const auto since = limitedSince(traffic, it.at);
+        if (since && it.at >= *since + kContact)
+            ends.push_back(it.at);
+    }
+    return ends;
+}
+
+} // namespace
+
+std::string RateLimitExcess::text(base::TimePoint start) const
+{
+    return fmt::format("{} got {} requests in 4 s, allowed {:.1f}, at {} ms", replica, arrived,
+                       allowed, std::chrono::floor<base::Millis>(at - start).count());
+}
+
+int countedWindows(const ReplicaTraffic &traffic)
+{
+    return static_cast<int>(windowEnds(traffic).size());
+}
+
+std::optional<RateLimitExcess> worstExcess(const ReplicaTraffic &traffic,
+                                           const HostOfRequest &hostOf, const IsExcused &isExcused)
+{
+    std::optional<RateLimitExcess> worst;
+    for (const base::TimePoint end : windowEnds(traffic)) {
+        const base::TimePoint since = *limitedSince(traffic, end);
+        std::map<std::string, base::TimePoint> toldAt;
+        for (const ReplicaTraffic::Answer &it : traffic.limitedAnswers) {
+            if (it.at >= since && it.at + kNotice <= end)
+                toldAt.emplace(hostOf(it.request), it.at);
+        }
+        int arrived = 0;
+        for (const ReplicaTraffic::Arrival &it : traffic.arrivals) {
+            const std::string host = hostOf(it.request);
+            if (it.at > end - kWindow && it.at <= end && !host.empty() && toldAt.contains(host)
+                && !isExcused(host, it.at))
+                ++arrived;
+        }
+        const double allowed = allowedUntil(traffic, end, since);
+        if (arrived > allowed && (!worst || arrived - allowed > worst->arrived - worst->allowed))
+            worst = RateLimitExcess{traffic.replica, end, arrived, allowed};
+    }
+    return worst;
+}
+
+} // namespace hyssop::harness
--- a/integration/platform/Replica.cpp
+++ b/integration/platform/Replica.cpp
@@ -74,6 +74,30 @@
                           [now](const auto &it) { return it.second > now; }));
 }
 
+void Replica::limitRequests(std::optional<double> perSecond)
+{
+    const std::lock_guard guard(m_mutex);
+    m_traffic.limits.push_back({perSecond, base::monotonicNow()});
+}
+
+ReplicaTraffic Replica::traffic() const
+{
+    const std::lock_guard guard(m_mutex);
+    ReplicaTraffic traffic = m_traffic;
+    traffic.replica = m_id;
+    return traffic;
+}
+
+gateway::Fields Replica::withLimit(gateway::Fields fields, const std::string &request)
+{
+    const std::lock_guard guard(m_mutex);
+    if (m_traffic.limits.empty() || !m_traffic.limits.back().perSecond)
+        return fields;
+    fields.push_back({"Server-Limit", fmt::format("{}", *m_traffic.limits.back().perSecond)});
+    m_traffic.limitedAnswers.push_back({request, base::monotonicNow()});
+    return fields;
+}
+
 bool Replica::draws(int percent)
 {
     return std::uniform_int_distribution<int>(0, 99)(m_rng) < percent;
@@ -84,12 +108,17 @@
     if (exchange->head().target == "/api/order")
         return order(*exchange);
     const std::string id = fieldOf(*exchange, "Request-Id");
+    {
+        const std::lock_guard guard(m_mutex);
+        m_traffic.arrivals.push_back({id, base::monotonicNow()});
+    }
     const gateway::Fields echo{{"Request-Id", id}};
     const std::string expected = fieldOf(*exchange, "Expect-Instance");
     if (!expected.empty() && expected != m_id)
         return exchange->respond(421, {{"Request-Id", id}, {"Not-Executed", "1"}}, "");
     if (draws(m_faults.refuse))
-        return exchange->respond(503, {{"Request-Id", id}, {"Not-Executed", "1"}}, "");
+        return exchange->respond(503, withLimit({{"Request-Id", id}, {"Not-Executed", "1"}}, id),
+                                 "");
     {
         const std::lock_guard guard(m_mutex);
         m_seen.push_back(exchange->head());
@@ -99,7 +128,7 @@
         return exchange->abort();
     if (!fieldOf(*exchange, "Token-Counts").empty())
         return startStream(exchange);
-    exchange->respond(200, {{"Request-Id", id}, {"Response-Seal", m_id}},
+    exchange->respond(200, withLimit({{"Request-Id", id}, {"Response-Seal", m_id}}, id),
                       id + " " + exchange->body());
 }
 
@@ -108,13 +137,15 @@
     const auto body = nlohmann::json::parse(exchange.body(), nullptr, false);
     if (!body.is_object())
         return exchange.respond(400, {}, "");
-    const std::lock_guard guard(m_mutex);
     const std::string id = body.value("Id", "");
+    const gateway::Fields fields = withLimit({{"Content-Type", "application/json"}}, id);
+    const std::lock_guard guard(m_mutex);
+    m_traffic.arrivals.push_back({id, base::monotonicNow()});
     if (body.value("Operation", "") == "reserve")
         m_reservations[id] = base::monotonicNow() + base::Millis(body.value("HoldMs", 0));
     else
         m_reservations.erase(id);
-    exchange.respond(200, {{"Content-Type", "application/json"}}, R"({"FreeSlots":1})");
+    exchange.respond(200, fields, R"({"FreeSlots":1})");
 }
 
 void Replica::startStream(const std::shared_ptr<gateway::Exchange> &exchange)
@@ -128,9 +159,10 @@
     if (draws(m_faults.breakOff))
         stream->breaksAt = std::min(stream->next + 2, stream->last);
     m_streams[exchange.get()] = stream;
-    exchange->start(200, {{"Request-Id", stream->request},
-                          {"Response-Seal", m_id},
-                          {"Content-Type", "text/event-stream"}});
+    exchange->start(200, withLimit({{"Request-Id", stream->request},
+                                    {"Response-Seal", m_id},
+                                    {"Content-Type", "text/event-stream"}},
+                                   stream->request));
     writeEvent(stream);
 }
 
--- a/integration/platform/Replica.h
+++ b/integration/platform/Replica.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/Gateway.h"
+#include "RateLimits.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 
@@ -41,6 +42,10 @@
     const std::string &id() const { return m_id; }
     std::vector<gateway::RequestHead> seen() const;
     std::vector<Run> runs() const;
+    /// States \a perSecond as its request rate limit in all answers from now on, or none.
+    void limitRequests(std::optional<double> perSecond);
+    /// Requests and limits since its start. Orders are among them, by the id of their reservation.
+    ReplicaTraffic traffic() const;
     /// Reservations that were neither released nor have ended.
     std::size_t reservations(base::TimePoint now) const;
 
@@ -52,6 +57,8 @@
     void onDrained(gateway::Exchange &) override { }
     void onRejected(int, std::string_view) override { }
     void order(gateway::Exchange &exchange);
+    /// Adds what all answers state, and notes that this one did.
+    gateway::Fields withLimit(gateway::Fields fields, const std::string &request);
     void startStream(const std::shared_ptr<gateway::Exchange> &exchange);
     void writeEvent(const std::shared_ptr<Stream> &stream);
     bool draws(int percent);
@@ -65,6 +72,7 @@
     mutable std::mutex m_mutex;
     std::vector<gateway::RequestHead> m_seen;
     std::vector<Run> m_runs;
+    ReplicaTraffic m_traffic;
     std::map<std::string, base::TimePoint> m_reservations; ///< End of each.
     std::map<gateway::Exchange *, std::shared_ptr<Stream>> m_streams;
     std::thread m_thread;
