integration: A host's program starts only after the killed one has ended

Seen: test-platform failed once beside three simulations, "all control hosts killed right after an acknowledgement come back with the manifest", no manifest read back within 10 s; in a loop, 1 of 14 runs with kept logs failed again. Cause: control-2.log says start_failed, Address already in use. The test sends SIGKILL and starts the next program at once, while the killed one may still hold its port; on the platform a process starts after the last one has ended. PlatformBed::start() now ends and reaps what runs there. The signals still go to all hosts before any starts, and the checks and bounds are as before.

--- a/integration/platform/PlatformBed.cpp
+++ b/integration/platform/PlatformBed.cpp
@@ -105,6 +105,8 @@
 
 void PlatformBed::start(PlatformHost &host, std::int64_t maxFileBytes)
 {
+    // A killed process may still hold the host's ports.
+    host.process.reset();
     rewriteSettings(host, "");
     ::setenv("HYSSOPSPAN_SETTINGS", host.settings.c_str(), 1);
     host.process =
