gateway, edge, dispatch: Bytes without end are bounded and count as a fault

What callers would see: an upstream that sends interim responses, answers to other requests, chunk extensions or trailer fields without end held a call and an entry host's processor until the call's deadline, and trailer fields and an event without end filled the host's memory. None of it counted against the upstream when the call could not be repeated, so the next call went there too. Ruled out: buffering for a slow caller, where reading pauses at 256 KiB. Now a connection is closed after 1 MiB in succession that adds nothing to the response, an event may have 1 MiB and a streamed answer 128 MiB. An attempt without progress for its stall timeout counts as a fault also when the call ends by its deadline or by its caller.

--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -203,6 +203,7 @@
     if (const UpstreamState *state = findUpstream(call->upstream))
         m_reachability.recordSuccess(state->info().dataCentre);
     call->hasForwardedEvents = true;
+    call->lastProgressAt = now;
     endPrefill(*call, now);
     call->progressDeadline = now + gapTimeout(*call);
 }
@@ -247,6 +248,16 @@
                  now);
 }
 
+bool Dispatcher::Impl::isStalled(const ActiveCall &call, base::TimePoint now) const
+{
+    if (call.lastProgressAt > call.attemptSentAt)
+        return now >= call.lastProgressAt + gapTimeout(call);
+    const base::Millis timeout = call.info.isStream
+                                         ? firstEventTimeout(call)
+                                         : call.info.latencyObjective * kPlainStallFactor;
+    return now >= call.attemptSentAt + timeout;
+}
+
 void Dispatcher::Impl::handleStall(ActiveCall &call, base::TimePoint now)
 {
     // The upstream may still continue. If the call cannot be retried elsewhere, it waits until its
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -143,8 +143,11 @@
     ActiveCall *call = findCall(event.call);
     if (!call)
         return;
-    if (call->stage == CallStage::Sent)
+    if (call->stage == CallStage::Sent) {
         m_actions.emplace_back(CancelAttempt{event.call});
+        if (isStalled(*call, now))
+            recordFault(*call, AttemptFault::Stalled, {}, now);
+    }
     if (call->stage != CallStage::Queued)
         releaseAttempt(*call, now);
     removeCall(event.call);
@@ -349,6 +352,8 @@
             handle(ReservationDone{id, false}, now);
         } else if (now >= call.info.deadline) {
             m_actions.emplace_back(CancelAttempt{id});
+            if (isStalled(call, now))
+                recordFault(call, AttemptFault::Stalled, {}, now);
             releaseAttempt(call, now);
             call.mayHaveRun = true;
             rejectOrFail(call, FailureReason::DeadlineExceeded, now);
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -47,6 +47,7 @@
     std::int64_t partPrefillMs = 0; ///< Prefill time of one part; 0 once the prefill ended.
     base::Millis expectedFirstEvent{0}; ///< Expected time to the first event when it was sent.
     base::TimePoint attemptSentAt; ///< Of the current attempt.
+    base::TimePoint lastProgressAt{}; ///< Last event of any attempt.
     base::Incarnation upstreamIncarnation; ///< Start of the upstream that the attempt was sent to.
     std::vector<base::UpstreamId> triedUpstreams;
     int attempts = 0;
@@ -235,6 +236,8 @@
     /// Updates the load after the prefill has ended or was given up, and returns the permit.
     void endPrefill(ActiveCall &call, base::TimePoint now);
     void handleStall(ActiveCall &call, base::TimePoint now);
+    /// Whether the current attempt has made no progress for too long.
+    bool isStalled(const ActiveCall &call, base::TimePoint now) const;
     void recordFault(const ActiveCall &call, AttemptFault fault,
                      const std::optional<base::Endpoint> &faultyUpstream, base::TimePoint now);
     /// Whether the call may be retried. Takes the retry from the budget of its service.
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -534,3 +534,34 @@
     CHECK_FALSE(first<SendAttempt>(
             fixture.dispatcher.handle(CallArrived{fixture.plainCall()}, kStart)));
 }
+
+TEST_CASE(
+        "an upstream that holds calls until their deadline is ejected even if none may be repeated")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kPlain, 1);
+    const base::TimePoint deadline = kStart + Millis(600);
+    Actions actions;
+    for (int n = 0; n < 2; ++n) {
+        fixture.sendShort(fixture.plainCall());
+        actions = fixture.dispatcher.tick(deadline);
+        CHECK(first<FailCall>(actions));
+    }
+    CHECK(first<UpstreamEjected>(actions));
+}
+
+TEST_CASE("an upstream is not blamed for a call that was sent to it shortly before its deadline")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kPlain, 1);
+    const base::TimePoint deadline = kStart + Millis(600);
+    Actions actions;
+    for (int n = 0; n < 3; ++n) {
+        const CallInfo call = fixture.plainCall();
+        REQUIRE(first<SendAttempt>(
+                fixture.dispatcher.handle(CallArrived{call}, deadline - call.latencyObjective)));
+        actions = fixture.dispatcher.tick(deadline);
+        CHECK(first<FailCall>(actions));
+    }
+    CHECK_FALSE(first<UpstreamEjected>(actions));
+}
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t kMaxUnsentBytes = std::size_t(256) << 10;
 /// Limit on answers that are buffered whole. A longer one counts as broken.
 constexpr std::size_t kMaxBufferedBytes = std::size_t(8) << 20;
+/// Limit on streamed answers. One of a million tokens in events of one token each stays below.
+constexpr std::size_t kMaxStreamedBytes = std::size_t(128) << 20;
 /// Connecting takes one round trip. A host that is down never answers.
 constexpr base::Millis kConnectTimeout{400};
 /// Limit on draining an answer that is no longer needed, which keeps the connection reusable.
@@ -78,6 +80,7 @@
     call.answerMetadata = {};
     call.answerBody.clear();
     call.eventSplitter.dropPartialEvent();
+    call.streamedBytes = 0;
     call.isPaused = false;
     call.attemptId = m_client.start(std::move(request));
     m_attempts[call.attemptId] = action.call;
@@ -338,6 +341,11 @@
 void Edge::Impl::forwardEvents(EdgeCall &call, std::string_view data, base::TimePoint now)
 {
     const std::string events = call.eventSplitter.append(data);
+    call.streamedBytes += data.size();
+    if (call.eventSplitter.isEventTooLong() || call.streamedBytes > kMaxStreamedBytes) {
+        dropAttempt(call, false);
+        return failAttempt(call, dispatch::AttemptFault::AnswerLost, "too_long", now);
+    }
     if (events.empty())
         return;
     if (call.firstEventAt == base::TimePoint())
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -51,6 +51,7 @@
     ResponseMetadata answerMetadata;
     std::string answerBody; ///< Answer that is buffered whole.
     EventSplitter eventSplitter;
+    std::size_t streamedBytes = 0; ///< Received of a streamed answer.
     bool isPaused = false;
     std::vector<Reservation> reservations;
 };
--- a/libs/edge/tests/EventSplitterTest.cpp
+++ b/libs/edge/tests/EventSplitterTest.cpp
@@ -26,3 +26,18 @@
     CHECK(splitter.lastEventId() == "2");
     CHECK_FALSE(splitter.hasPartialEvent());
 }
+
+TEST_CASE("an event without end is reported before it fills the memory")
+{
+    EventSplitter splitter;
+    const std::string data = "data: " + std::string(8'000, 'x');
+    std::size_t buffered = 0;
+    while (!splitter.isEventTooLong() && buffered < std::size_t(16) << 20) {
+        CHECK(splitter.append(data).empty());
+        buffered += data.size();
+    }
+    CHECK(splitter.isEventTooLong());
+    CHECK(buffered <= std::size_t(2) << 20);
+    splitter.dropPartialEvent();
+    CHECK_FALSE(splitter.isEventTooLong());
+}
--- a/libs/gateway/src/Client.cpp
+++ b/libs/gateway/src/Client.cpp
@@ -14,6 +14,9 @@
 /// Time after which a connection with unacknowledged data fails. Without it a peer that no longer
 /// responds would keep the connection open.
 constexpr int kTcpUserTimeoutMs = 5'000;
+/// Limit on bytes in succession that add nothing to the response: interim responses, those to other
+/// requests, chunk extensions and trailer fields.
+constexpr std::size_t kMaxUndeliveredBytes = std::size_t(1) << 20;
 
 /// Returns the timeout in a field "Keep-Alive: timeout=N", with N in seconds, or nothing.
 std::optional<base::Millis> announcedKeepAlive(const Fields &fields)
@@ -91,6 +94,7 @@
     m_parser->skip(m_call.head.method == "HEAD");
     m_isHeadDelivered = false;
     m_isStrayResponse = false;
+    m_undeliveredBytes = 0;
     m_requestHead = m_call.head.method + " " + m_call.head.target + " HTTP/1.1\r\n";
     appendFields(m_requestHead, m_call.head.fields);
     const std::size_t size = m_call.body ? m_call.body->size() : 0;
@@ -143,7 +147,10 @@
                             : CallFailure::ConnectionClosed,
                     ec.message());
     m_input.append(m_readBuffer.data(), n);
+    m_undeliveredBytes += n;
     process();
+    if (m_callId != CallId() && m_undeliveredBytes > kMaxUndeliveredBytes)
+        fail(CallFailure::InvalidResponse, "too many bytes that are no part of the response");
     read();
 }
 
@@ -169,6 +176,7 @@
             m_isStrayResponse = !isExpectedResponse();
             if (!m_isStrayResponse) {
                 m_isHeadDelivered = true;
+                m_undeliveredBytes = 0;
                 m_client->handler->onHead(m_callId,
                                           {m_parser->status, m_parser->fields, m_parser->length});
             }
@@ -176,8 +184,10 @@
         if (m_isClosed)
             return;
         const std::string body = std::exchange(m_parser->body, {});
-        if (m_isHeadDelivered && !body.empty())
+        if (m_isHeadDelivered && !body.empty()) {
+            m_undeliveredBytes = 0;
             m_client->handler->onBody(m_callId, body);
+        }
         if (m_isClosed || !m_parser->is_done())
             return;
         if (m_isStrayResponse || isInterim) {
--- a/libs/gateway/src/UpstreamConnection.h
+++ b/libs/gateway/src/UpstreamConnection.h
@@ -72,6 +72,7 @@
     bool m_isReused = false;
     bool m_isHeadDelivered = false;
     bool m_isStrayResponse = false; ///< The current response is dropped.
+    std::size_t m_undeliveredBytes = 0; ///< Received since the last part of the response.
     base::TimePoint m_usableUntil;
 };
 
