dispatch: Retry budgets follow the highest number of hosts reported lately

What upstreams would see: after a restart of the control hosts up to N times the common allowance of retries. Each host divides the allowance by the number of entry hosts that the leader counts, and a control host that has just started counts only those that have reached it; one that is told "1" takes the whole allowance. Evidence: the test failed before with 60 retries of 60 calls, where a fifth of the calls and a fiftieth of the allowance make 14. The number in use is now the highest of the last 10 s (HostCount), for the retry budget and for the share of rate limits without a leader. More hosts than are there cost some retries, fewer break the bound. After: the test passes, with all others of dispatch and registry.

--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -266,7 +266,7 @@
     if (call.attempts >= call.info.maxAttempts || !call.info.isRetrySafe
         || call.info.deadline - now < kMinAttemptTime)
         return;
-    if (!serviceOf(call.info.service).retryBudget->tryAcquire(now))
+    if (!serviceOf(call.info.service).retryBudget->tryAcquire(m_sharingHosts.current(now), now))
         return;
     m_actions.emplace_back(CancelAttempt{call.info.id});
     m_actions.emplace_back(RetryScheduled{call.info.id, AttemptFault::Stalled});
@@ -346,7 +346,7 @@
         return false;
     if (!provesNotRun(fault) && !call.info.isRetrySafe)
         return false;
-    return serviceOf(call.info.service).retryBudget->tryAcquire(now);
+    return serviceOf(call.info.service).retryBudget->tryAcquire(m_sharingHosts.current(now), now);
 }
 
 base::TimePoint Dispatcher::Impl::queueDeadline(const ActiveCall &call) const
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -104,7 +104,6 @@
         service.parameters.service = id;
         service.retryBudget = std::make_unique<RetryBudget>(
                 m_options.retryRatio, m_options.retryAllowance, m_options.retryWindow);
-        service.retryBudget->setHostCount(m_entryHostCount);
     }
     return service;
 }
@@ -273,6 +272,7 @@
 void Dispatcher::Impl::handle(const PeerLoadSumReceived &event, base::TimePoint now)
 {
     m_entryHostCount = event.entryHostCount;
+    m_sharingHosts.record(std::max(1, event.entryHostCount), now);
     std::map<base::UpstreamId, const fleet::UpstreamLoad *> loads;
     for (const fleet::UpstreamLoad &load : event.load.upstreams)
         loads[load.upstream] = &load;
@@ -290,8 +290,6 @@
         load.prefillMs = std::max(load.prefillMs, peerLoad.prefillMs);
         state->setPeerLoad(load, now);
     }
-    for (auto &[id, service] : m_services)
-        service.retryBudget->setHostCount(m_entryHostCount);
 }
 
 fleet::LoadReport Dispatcher::Impl::ownLoad() const
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EngineModel.h"
+#include "HostCount.h"
 #include "PeerLoads.h"
 #include "Reachability.h"
 #include "RetryBudget.h"
@@ -272,7 +273,8 @@
     Reachability m_reachability;
     PeerLoads m_peerLoads;
     std::set<base::UpstreamId> m_changedUpstreams; ///< Since the last takeLoadUpdate().
-    int m_entryHostCount = 0;
+    int m_entryHostCount = 0; ///< As reported last; 0 when unknown.
+    HostCount m_sharingHosts;
     std::vector<UpstreamState *> m_rateLimitedCandidates; ///< Of the call that is being placed.
     Actions m_actions;
 };
--- a/libs/dispatch/src/RateLimits.cpp
+++ b/libs/dispatch/src/RateLimits.cpp
@@ -144,7 +144,7 @@
 
 bool Dispatcher::Impl::takeLocalShare(const ServiceState &service, base::TimePoint now)
 {
-    const int hostCount = m_entryHostCount > 0 ? m_entryHostCount : kAssumedHostCount;
+    const int hostCount = m_sharingHosts.current(now);
     for (UpstreamState *it : service.upstreams) {
         if (it->isRateLimited() && it->isUsable(now) && it->takeLocalShare(hostCount, m_rng, now)) {
             it->addSendGrant(1, now + kSendGrantLifetime);
--- a/libs/dispatch/src/RetryBudget.cpp
+++ b/libs/dispatch/src/RetryBudget.cpp
@@ -29,11 +29,10 @@
     m_callTimes.push_back(now);
 }
 
-bool RetryBudget::tryAcquire(base::TimePoint now)
+bool RetryBudget::tryAcquire(int hostCount, base::TimePoint now)
 {
     removeExpired(now);
-    const double hostAllowance =
-            kUsedAllowanceShare * m_allowance / (m_hostCount > 0 ? m_hostCount : kAssumedHostCount);
+    const double hostAllowance = kUsedAllowanceShare * m_allowance / hostCount;
     const double limit = m_ratio * static_cast<double>(m_callTimes.size()) + hostAllowance;
     if (static_cast<double>(m_retryTimes.size()) + 1 > limit)
         return false;
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -565,3 +565,27 @@
     }
     CHECK_FALSE(first<UpstreamEjected>(actions));
 }
+
+TEST_CASE("a control host that counts few entry hosts after its start does not widen retry budgets")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kPlain, 3);
+    fixture.dispatcher.handle(PeerLoadSumReceived{{}, 50}, kStart);
+    const base::TimePoint later = kStart + Millis(2'000);
+    fixture.dispatcher.handle(PeerLoadSumReceived{{}, 1}, later);
+    int retries = 0;
+    for (int n = 0; n < 60; ++n) {
+        CallInfo call = fixture.plainCall();
+        call.isRetrySafe = true;
+        call.maxAttempts = 2;
+        call.arrivedAt = later;
+        call.deadline = later + Millis(600);
+        REQUIRE(first<SendAttempt>(fixture.dispatcher.handle(CallArrived{call}, later)));
+        const Actions failed = fixture.dispatcher.handle(
+                AttemptFailed{call.id, AttemptFault::UpstreamError, {}}, later);
+        retries += first<RetryScheduled>(failed) ? 1 : 0;
+        fixture.dispatcher.handle(CallerDisconnected{call.id}, later);
+    }
+    // A fifth of the calls and this host's share, a fiftieth, of the allowance of 100.
+    CHECK(retries <= 60 / 5 + 2);
+}
--- a/libs/dispatch/tests/PartsTest.cpp
+++ b/libs/dispatch/tests/PartsTest.cpp
@@ -1,4 +1,5 @@
 #include "EngineModel.h"
+#include "HostCount.h"
 #include "RetryBudget.h"
 
 #include <catch2/catch.hpp>
@@ -41,16 +42,31 @@
 
 TEST_CASE("the retry budget of one host is its share of the allowance plus a ratio of its calls")
 {
+    constexpr int kHosts = 10;
     RetryBudget budget(0.2, 100, Millis(10'000));
-    budget.setHostCount(10);
     int spent = 0;
-    while (budget.tryAcquire(kStart))
+    while (budget.tryAcquire(kHosts, kStart))
         ++spent;
     CHECK(spent == 8);
     for (int n = 0; n < 50; ++n)
         budget.recordCall(kStart);
-    while (budget.tryAcquire(kStart))
+    while (budget.tryAcquire(kHosts, kStart))
         ++spent;
     CHECK(spent == 18);
-    CHECK(budget.tryAcquire(kStart + Millis(10'000)));
+    CHECK(budget.tryAcquire(kHosts, kStart + Millis(10'000)));
+}
+
+TEST_CASE("common limits are divided among the highest number of hosts that was reported lately")
+{
+    HostCount count;
+    CHECK(count.current(kStart) >= 50);
+    count.record(90, kStart);
+    count.record(3, kStart + Millis(1'000));
+    count.record(40, kStart + Millis(2'000));
+    CHECK(count.current(kStart + Millis(2'000)) == 90);
+    CHECK(count.current(kStart + Millis(10'500)) == 40);
+    // Without a control host the last number holds.
+    CHECK(count.current(kStart + Millis(60'000)) == 40);
+    count.record(3, kStart + Millis(61'000));
+    CHECK(count.current(kStart + Millis(61'000)) == 3);
 }
