gateway, edge: Idle connections stay within the number that an upstream accepts

What upstreams would see: with many calls that may not be repeated, more connections than they accept from all callers; they reset the rest. Cause: such calls open a connection each and leave it idle, up to 64 for each upstream and host; seven hosts may keep 448 where a plain service accepts 100. The number in the configuration was read and used by nothing. Evidence: the test with the former limit of 64: eight calls leave eight idle connections, where two are allowed. Each host now keeps its share of half of the accepted number, the rest is for calls that open one. Calls under way are bounded by the upstream's slots. After: the test passes; gateway, edge, test-platform, test-rate-limits as well.

--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -21,6 +21,9 @@
 /// Limit on draining an answer that is no longer needed, which keeps the connection reusable.
 constexpr base::Millis kDiscardTimeout{1'000};
 
+/// Part of the connections that an upstream accepts from all hosts that may be idle. The rest is
+/// for calls that open one.
+constexpr int kIdleConnectionDivisor = 2;
 constexpr base::Millis kPermitTimeout{500};
 constexpr int kSuccessStatus = 200;
 
@@ -74,6 +77,7 @@
     request.connectTimeout = std::min(kConnectTimeout, action.timeLeft);
     // A kept-alive connection may close during a request, which then must not be sent again.
     request.canReuseConnection = call.isStream || call.exchange->head().method == "GET";
+    request.maxIdleConnections = maxIdleConnections(call.service);
     call.attemptCount = action.attempt;
     call.upstream = action.upstream.id;
     call.answerHead = {};
@@ -97,6 +101,15 @@
                                     {"time_left_ms", action.timeLeft.count()}});
 }
 
+std::size_t Edge::Impl::maxIdleConnections(const base::ServiceId &service) const
+{
+    const fleet::Service *it = m_routeTable->findService(service);
+    if (!it || it->maxConnections <= 0)
+        return gateway::Call().maxIdleConnections;
+    const int share = it->maxConnections / (kIdleConnectionDivisor * m_entryHostCount);
+    return static_cast<std::size_t>(std::max(1, share));
+}
+
 void Edge::Impl::dropAttempt(EdgeCall &call, bool mayFinish)
 {
     if (call.attemptId == gateway::CallId())
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -269,8 +269,10 @@
                 now);
     if (reply.isConfirmed)
         m_leader = base::parseEndpoint(update.control.text());
-    if (reply.isConfirmed)
+    if (reply.isConfirmed) {
         m_loadPeers = reply.loadPeers;
+        m_entryHostCount = std::max(1, reply.entryHostCount);
+    }
     if (reply.isConfirmed || !reply.othersLoad.upstreams.empty())
         execute(m_dispatcher.handle(
                         dispatch::PeerLoadSumReceived{reply.othersLoad, reply.entryHostCount}, now),
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -95,6 +95,8 @@
     void finishBuffered(EdgeCall &call, base::TimePoint now);
     void failAttempt(EdgeCall &call, dispatch::AttemptFault fault, std::string_view reason,
                      base::TimePoint now, std::string_view detail = "");
+    /// This host's share of the connections to an upstream that may be idle.
+    std::size_t maxIdleConnections(const base::ServiceId &service) const;
     /// Discards the rest of an answer that is not needed. Closes the connection unless \a
     /// mayFinish.
     void dropAttempt(EdgeCall &call, bool mayFinish);
@@ -170,6 +172,7 @@
     boost::asio::steady_timer m_loadUpdateTimer;
     bool m_isLoadUpdateScheduled = false;
     std::vector<base::Endpoint> m_loadPeers;
+    int m_entryHostCount = 1; ///< As the leader counted them last.
     std::optional<base::Endpoint> m_leader; ///< Last control host that confirmed a configuration.
     std::int64_t m_startId; ///< Random number drawn at each start.
     std::unique_ptr<FleetWatcher> m_watcher;
--- a/libs/gateway/include/gateway/Gateway.h
+++ b/libs/gateway/include/gateway/Gateway.h
@@ -208,6 +208,8 @@
     base::Millis responseTimeout{0}; ///< From start() to the end of the response. 0 means no limit.
     /// Allows an idle connection to be reused, which the upstream may close during the request.
     bool canReuseConnection = true;
+    /// The connection is closed after the call if so many to this upstream are idle.
+    std::size_t maxIdleConnections = 64;
 };
 
 /// Settings for the connection pools of a Client.
@@ -218,7 +220,6 @@
     base::Millis keepAliveMargin{1'000};
     /// Idle time after which a connection is not reused, if the upstream announced no timeout.
     base::Millis defaultKeepAlive{4'000};
-    std::size_t maxIdleConnections = 64; ///< For each upstream.
 };
 
 /// Counters of a Client since it was created.
--- a/libs/gateway/src/Client.cpp
+++ b/libs/gateway/src/Client.cpp
@@ -210,23 +210,24 @@
     if (!m_input.empty())
         ++m_client->stats.strayResponses;
     const Fields fields = std::move(m_parser->fields);
+    const std::size_t maxIdleConnections = m_call.maxIdleConnections;
     m_parser.reset();
     m_call = {};
     if (isReusable)
-        keepIdle(fields);
+        keepIdle(fields, maxIdleConnections);
     else
         close();
     m_client->handler->onEnd(id);
 }
 
-void UpstreamConnection::keepIdle(const Fields &fields)
+void UpstreamConnection::keepIdle(const Fields &fields, std::size_t maxIdleConnections)
 {
     const ClientOptions &options = m_client->options;
     const auto announced = announcedKeepAlive(fields);
     const base::Millis keepAlive =
             announced ? *announced - options.keepAliveMargin : options.defaultKeepAlive;
     auto &idle = m_client->idleConnections[m_upstream];
-    if (keepAlive <= base::Millis(0) || idle.size() >= options.maxIdleConnections)
+    if (keepAlive <= base::Millis(0) || idle.size() >= maxIdleConnections)
         return close();
     m_usableUntil = base::monotonicNow() + keepAlive;
     idle.push_back(shared_from_this());
--- a/libs/gateway/src/UpstreamConnection.h
+++ b/libs/gateway/src/UpstreamConnection.h
@@ -50,7 +50,7 @@
     bool isExpectedResponse() const;
     void onResponseEnd();
     /// Adds the connection to the pool, or closes it if it can't be reused.
-    void keepIdle(const Fields &fields);
+    void keepIdle(const Fields &fields, std::size_t maxIdleConnections);
     void fail(CallFailure failure, std::string detail = {});
 
     std::shared_ptr<Client::Shared> m_client;
--- a/libs/gateway/tests/GatewayTest.cpp
+++ b/libs/gateway/tests/GatewayTest.cpp
@@ -387,3 +387,28 @@
     io.run_for(base::Millis(150));
     CHECK_FALSE(first.error);
 }
+
+TEST_CASE("calls that may not reuse a connection do not leave more idle ones than allowed")
+{
+    boost::asio::io_context io;
+    EchoHandler echo;
+    Server server(&io, &echo);
+    const base::Endpoint address = *server.listen({"127.0.0.1", 0});
+    ResponseRecorder recorder;
+    Client client(&io, &recorder);
+    for (int n = 0; n < 8; ++n) {
+        Call call;
+        call.upstream = base::UpstreamId("u");
+        call.to = address;
+        call.head = {"POST", "/a", {{"Host", "h"}}};
+        call.canReuseConnection = false;
+        call.maxIdleConnections = 2;
+        client.start(std::move(call));
+    }
+    for (int n = 0; n < 400 && (recorder.completedCount < 8 || server.connectionCount() > 2); ++n) {
+        io.restart();
+        io.run_for(base::Millis(5));
+    }
+    CHECK(recorder.completedCount == 8);
+    CHECK(server.connectionCount() == 2);
+}
