dispatch: A caller that leaves says nothing about the upstream

What callers would see: engines ejected in an overload because impatient callers left streams that had paused; counted those as stalls, like calls held to their deadline. Faults at the deadline still count; their tests pass.

--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -142,11 +142,8 @@
     ActiveCall *call = findCall(event.call);
     if (!call)
         return;
-    if (call->stage == CallStage::Sent) {
+    if (call->stage == CallStage::Sent)
         m_actions.emplace_back(CancelAttempt{event.call});
-        if (isStalled(*call, now))
-            recordFault(*call, AttemptFault::Stalled, {}, now);
-    }
     if (call->stage != CallStage::Queued)
         releaseAttempt(*call, now);
     removeCall(event.call);
