platform-soak: Replicas state, change and drop request rate limits and restart under their ids

All that arrives in any 4 s from hosts that knew a limit half a second before is compared with what the limits allow; a restart, freeze or cut excuses a host.

Check narrowed by traces: requests count from half a second after their host knew. The trace is part of the message now.

--- a/integration/RateLimitTest.cpp
+++ b/integration/RateLimitTest.cpp
@@ -150,7 +150,7 @@
             all.push_back(it->traffic());
         int windows = 0;
         for (const ReplicaTraffic &it : all) {
-            const auto excess = worstExcess(it, hostOf, isExcused);
+            const auto excess = worstExcess(it, CountedRequests::OfToldHosts, hostOf, isExcused);
             INFO((excess ? excess->text(m_start) : ""));
             CHECK_FALSE(excess);
             windows += countedWindows(it);
--- a/integration/platform-soak/Checks.cpp
+++ b/integration/platform-soak/Checks.cpp
@@ -106,6 +106,33 @@
     }
 }
 
+std::vector<std::string> Checks::rateLimitExcesses(
+        const std::vector<harness::ReplicaTraffic> &traffic, int &windows) const
+{
+    const auto hostOf = [this](const std::string &request) {
+        const auto call = m_calls.find(request);
+        return call == m_calls.end() ? std::string() : call->second->entry;
+    };
+    std::vector<std::string> lines;
+    for (const harness::ReplicaTraffic &it : traffic) {
+        const std::string place = it.replica.substr(0, it.replica.find('/'));
+        // Delayed links bring requests of some time at once. Reloads excuse nobody.
+        const auto isExcused = [&](const std::string &host, base::TimePoint at) {
+            return std::any_of(m_history->faults().begin(), m_history->faults().end(),
+                               [&](const FaultRecord &fault) {
+                                   const bool isMet = fault.target == host || fault.target == place;
+                                   return isMet && fault.from != fault.to && fault.from <= at
+                                          && at <= fault.to + kContact;
+                               });
+        };
+        windows += harness::countedWindows(it);
+        if (const auto excess = harness::worstExcess(it, harness::CountedRequests::SentKnowingly,
+                                                     hostOf, isExcused))
+            lines.push_back(excess->text(m_history->calls().front().sentAt));
+    }
+    return lines;
+}
+
 void Checks::checkLeaving()
 {
     for (const LeaveRecord &left : m_history->leaves()) {
--- a/integration/platform-soak/Checks.h
+++ b/integration/platform-soak/Checks.h
@@ -16,6 +16,10 @@
     void checkLeaving();
     void checkReads();
     void checkKeys();
+    /// Returns a line for each replica that got more requests than it stated. \a windows is
+    /// increased by the number of windows that were compared.
+    std::vector<std::string> rateLimitExcesses(const std::vector<harness::ReplicaTraffic> &traffic,
+                                               int &windows) const;
 
 private:
     /// Whether an unplanned fault met \a target, or anyone for an empty one, from \a from to \a to.
--- a/integration/platform-soak/PlatformSoakTest.cpp
+++ b/integration/platform-soak/PlatformSoakTest.cpp
@@ -72,6 +72,7 @@
         std::this_thread::sleep_for(kTick);
     }
     faults.stop();
+    replicas.dropLimits();
     REQUIRE(eventually(kHealLimit, [&] {
         faults.tick(base::monotonicNow());
         return faults.isWhole();
@@ -103,6 +104,8 @@
     checks.checkLeaving();
     checks.checkReads();
     checks.checkKeys();
+    int limitWindows = 0;
+    const auto excesses = checks.rateLimitExcesses(replicas.traffic(), limitWindows);
     for (const std::string &it : faults.badStops())
         scorecard.check(Promise::GracefulStop, false, it);
     const auto served = std::count_if(history.calls().begin(), history.calls().end(),
@@ -114,7 +117,12 @@
                           [&](const CallRecord &it) { return isCalm(it) && it.status == 200; });
     std::cout << history.calls().size() << " calls, " << served << " served, "
               << history.acks().size() << " manifests, " << faults.stops() << " stops\n"
-              << scorecard.text() << std::flush;
+              << scorecard.text() << "request rate limits: " << limitWindows << " windows of 4 s, "
+              << excesses.size() << " replicas over their limit\n"
+              << std::flush;
+    for (const std::string &it : excesses)
+        FAIL_CHECK(it);
+    CHECK(limitWindows > 0);
     for (const std::string &it : faults.unexpectedEnds())
         FAIL_CHECK(it);
     CHECK(scorecard.brokenInAll() == 0);
--- a/integration/platform-soak/ReplicaPool.cpp
+++ b/integration/platform-soak/ReplicaPool.cpp
@@ -1,5 +1,7 @@
 #include "ReplicaPool.h"
 
+#include <array>
+
 namespace hyssop::platformsoak {
 
 namespace {
@@ -10,6 +12,14 @@
 /// Addresses are used again after this.
 constexpr base::Millis kReuseAfter{2'200};
 constexpr harness::ReplicaFaults kFaults{2, 1, 2};
+/// Between two changes of limits; some last long enough to be checked.
+constexpr std::int64_t kLeastLimitPauseMs = 300;
+constexpr std::int64_t kMostLimitPauseMs = 2'500;
+constexpr std::array<double, 6> kLimits{0, 0.2, 0.7, 1.8, 2.3, 6};
+/// Changes that drop a limit, in percent.
+constexpr int kDrops = 15;
+/// Crashes after which a replica starts again under its id, in percent.
+constexpr int kSameIds = 50;
 
 } // namespace
 
@@ -18,6 +28,7 @@
     , m_history(history)
     , m_rng(seed)
     , m_places(bed->replicaListen.size())
+    , m_limitRng(seed)
 {
     for (std::size_t n = 0; n < m_places.size(); ++n)
         startAt(n);
@@ -39,15 +50,30 @@
 void ReplicaPool::startAt(std::size_t n)
 {
     Place &place = m_places[n];
-    place.replica = std::make_unique<harness::Replica>("i-" + std::to_string(++m_lastId),
-                                                       m_bed->replicaListen[n], kFaults, m_rng());
+    if (!std::exchange(place.keepsId, false))
+        place.id = "i-" + std::to_string(++m_lastId);
+    place.replica =
+            std::make_unique<harness::Replica>(place.id, m_bed->replicaListen[n], kFaults, m_rng());
+    place.incarnation = std::chrono::duration_cast<base::Millis>(
+                                std::chrono::system_clock::now().time_since_epoch())
+                                .count();
     place.sequence = 0;
     place.state = State::Serving;
     place.isHeard = false;
 }
 
-void ReplicaPool::retire(Place &place)
+harness::ReplicaTraffic ReplicaPool::trafficOf(const Place &place, std::size_t n)
+{
+    harness::ReplicaTraffic traffic = place.replica->traffic();
+    traffic.replica = "replica-" + std::to_string(n) + "/" + place.id;
+    return traffic;
+}
+
+void ReplicaPool::retire(std::size_t n)
 {
+    Place &place = m_places[n];
+    m_formerTraffic.push_back(trafficOf(place, n));
+    m_formerTraffic.back().endedAt = base::monotonicNow();
     const auto runs = place.replica->runs();
     m_formerRuns.insert(m_formerRuns.end(), runs.begin(), runs.end());
     place.replica.reset();
@@ -60,7 +86,8 @@
     if (place.state != State::Serving)
         return;
     const base::TimePoint now = base::monotonicNow();
-    retire(place);
+    retire(n);
+    place.keepsId = std::uniform_int_distribution<int>(0, 99)(m_limitRng) < kSameIds;
     place.state = State::Down;
     place.until = now + std::max(down, kReuseAfter);
     m_history->add(FaultRecord{"replica-" + std::to_string(n), false, now, place.until});
@@ -80,13 +107,14 @@
 {
     std::string id;
     std::int64_t sequence = 0;
+    std::int64_t incarnation = 0;
     bool isLeaving = false;
     {
         const std::lock_guard guard(m_mutex);
         Place &place = m_places[n];
         if (place.state != State::Serving && now >= place.until) {
             if (place.state == State::Leaving) {
-                retire(place);
+                retire(n);
                 place.state = State::Down;
                 place.until = now + kReuseAfter;
                 // Streams that were still there are cut.
@@ -100,12 +128,14 @@
             return;
         id = place.replica->id();
         sequence = ++place.sequence;
+        incarnation = place.incarnation;
         isLeaving = place.state == State::Leaving;
     }
     const std::size_t to =
             std::uniform_int_distribution<std::size_t>(0, m_bed->controls.size() - 1)(m_rng);
-    const int status = harness::announce(m_bed->controls[to].outside, id, serviceOf(n),
-                                         m_bed->replicaOutside[n], sequence, isLeaving);
+    const int status =
+            harness::announce(m_bed->controls[to].outside, id, serviceOf(n),
+                              m_bed->replicaOutside[n], sequence, isLeaving, incarnation);
     const std::lock_guard guard(m_mutex);
     Place &place = m_places[n];
     if (isLeaving && status == 200 && !place.isHeard && place.replica
@@ -121,11 +151,50 @@
         const base::TimePoint next = base::monotonicNow() + kBeat;
         for (std::size_t n = 0; n < m_places.size() && !m_isStopping; ++n)
             tick(n, base::monotonicNow());
-        while (!m_isStopping && base::monotonicNow() < next)
+        while (!m_isStopping && base::monotonicNow() < next) {
+            changeLimit(base::monotonicNow());
             std::this_thread::sleep_for(base::Millis(20));
+        }
     }
 }
 
+void ReplicaPool::changeLimit(base::TimePoint now)
+{
+    const std::lock_guard guard(m_mutex);
+    if (m_areLimitsOver || now < m_nextLimitAt)
+        return;
+    const auto draw = [this](std::int64_t least, std::int64_t most) {
+        return std::uniform_int_distribution<std::int64_t>(least, most)(m_limitRng);
+    };
+    m_nextLimitAt = now + base::Millis(draw(kLeastLimitPauseMs, kMostLimitPauseMs));
+    Place &place = m_places[static_cast<std::size_t>(
+            draw(0, static_cast<std::int64_t>(m_places.size()) - 1))];
+    const bool isDropped = draw(0, 99) < kDrops;
+    const double limit = kLimits.at(static_cast<std::size_t>(draw(0, kLimits.size() - 1)));
+    if (place.replica)
+        place.replica->limitRequests(isDropped ? std::nullopt : std::optional(limit));
+}
+
+void ReplicaPool::dropLimits()
+{
+    const std::lock_guard guard(m_mutex);
+    m_areLimitsOver = true;
+    for (Place &it : m_places) {
+        if (it.replica)
+            it.replica->limitRequests(std::nullopt);
+    }
+}
+
+std::vector<harness::ReplicaTraffic> ReplicaPool::traffic() const
+{
+    std::vector<harness::ReplicaTraffic> all = m_formerTraffic;
+    for (std::size_t n = 0; n < m_places.size(); ++n) {
+        if (m_places[n].replica)
+            all.push_back(trafficOf(m_places[n], n));
+    }
+    return all;
+}
+
 std::vector<harness::Run> ReplicaPool::runs() const
 {
     std::vector<harness::Run> all = m_formerRuns;
--- a/integration/platform-soak/ReplicaPool.h
+++ b/integration/platform-soak/ReplicaPool.h
@@ -8,8 +8,8 @@
 
 namespace hyssop::platformsoak {
 
-/// Replicas of both services at fixed addresses, which announce themselves, crash, come back as
-/// others and leave.
+/// Replicas of both services at fixed addresses, which announce themselves, crash, come back under
+/// their id or as others, leave, and state request rate limits that they change and drop.
 class ReplicaPool
 {
 public:
@@ -23,12 +23,17 @@
     void crash(std::size_t place, base::Millis down);
     /// Lets a replica say that it leaves; it serves on for a while, then another one starts there.
     void leave(std::size_t place);
+    /// States no limits any more.
+    void dropLimits();
     void stop();
 
     /// Runs of all replicas that ever were. To be called after stop().
     std::vector<harness::Run> runs() const;
     /// Reservations held at replicas that never crashed. To be called after stop().
     std::size_t reservations() const;
+    /// Limits and requests of all replicas that ever were, named "replica-PLACE/ID". To be called
+    /// after stop().
+    std::vector<harness::ReplicaTraffic> traffic() const;
 
 private:
     enum class State { Serving, Leaving, Down };
@@ -36,6 +41,9 @@
     {
         std::unique_ptr<harness::Replica> replica;
         std::int64_t sequence = 0;
+        std::int64_t incarnation = 0; ///< Start in Unix milliseconds.
+        bool keepsId = false; ///< Starts again under its id.
+        std::string id;
         State state = State::Serving;
         bool isHeard = false; ///< That it leaves.
         base::TimePoint until; ///< End of leaving or of being down.
@@ -44,7 +52,10 @@
     void work();
     void tick(std::size_t n, base::TimePoint now);
     void startAt(std::size_t n);
-    void retire(Place &place);
+    void retire(std::size_t n);
+    /// States another limit, or none, at one of the places.
+    void changeLimit(base::TimePoint now);
+    static harness::ReplicaTraffic trafficOf(const Place &place, std::size_t n);
     std::string serviceOf(std::size_t n) const { return n % 2 == 0 ? "booking" : "model"; }
 
     const harness::PlatformBed *m_bed;
@@ -53,6 +64,10 @@
     mutable std::mutex m_mutex;
     std::vector<Place> m_places;
     std::vector<harness::Run> m_formerRuns;
+    std::vector<harness::ReplicaTraffic> m_formerTraffic;
+    base::Rng m_limitRng; ///< Apart, so that the other draws of a seed stay as they are.
+    base::TimePoint m_nextLimitAt{};
+    bool m_areLimitsOver = false;
     int m_lastId = 0;
     std::atomic<bool> m_isStopping{false};
     std::thread m_thread;
--- a/integration/platform/RateLimits.cpp
+++ b/integration/platform/RateLimits.cpp
@@ -19,6 +19,11 @@
 /// Steps in which limits that change within a window are summed.
 constexpr base::Millis kStep{50};
 
+std::int64_t millisBetween(base::TimePoint from, base::TimePoint to)
+{
+    return std::chrono::floor<base::Millis>(to - from).count();
+}
+
 /// Since when a limit, changed or not, has been stated without a break before \a at; empty when
 /// none is stated at that time.
 std::optional<base::TimePoint> limitedSince(const ReplicaTraffic &traffic, base::TimePoint at)
@@ -84,8 +89,8 @@
 
 std::string RateLimitExcess::text(base::TimePoint start) const
 {
-    return fmt::format("{} got {} requests in 4 s, allowed {:.1f}, at {} ms", replica, arrived,
-                       allowed, std::chrono::floor<base::Millis>(at - start).count());
+    return fmt::format("{} got {} requests in 4 s, allowed {:.1f}, at {} ms:{}", replica, arrived,
+                       allowed, millisBetween(start, at), trace);
 }
 
 int countedWindows(const ReplicaTraffic &traffic)
@@ -93,7 +98,7 @@
     return static_cast<int>(windowEnds(traffic).size());
 }
 
-std::optional<RateLimitExcess> worstExcess(const ReplicaTraffic &traffic,
+std::optional<RateLimitExcess> worstExcess(const ReplicaTraffic &traffic, CountedRequests counted,
                                            const HostOfRequest &hostOf, const IsExcused &isExcused)
 {
     std::optional<RateLimitExcess> worst;
@@ -105,15 +110,25 @@
                 toldAt.emplace(hostOf(it.request), it.at);
         }
         int arrived = 0;
+        std::string trace;
+        for (const ReplicaTraffic::Limit &it : traffic.limits)
+            trace += fmt::format(" limit {} at {},", it.perSecond.value_or(-1),
+                                 millisBetween(end, it.from));
         for (const ReplicaTraffic::Arrival &it : traffic.arrivals) {
             const std::string host = hostOf(it.request);
-            if (it.at > end - kWindow && it.at <= end && !host.empty() && toldAt.contains(host)
-                && !isExcused(host, it.at))
+            const auto told = toldAt.find(host);
+            if (it.at <= end - kWindow || it.at > end || host.empty() || told == toldAt.end())
+                continue;
+            const bool isCounted =
+                    counted == CountedRequests::OfToldHosts || it.at >= told->second + kNotice;
+            if (isCounted && !isExcused(host, it.at)) {
                 ++arrived;
+                trace += fmt::format(" {} {}", host, millisBetween(end, it.at));
+            }
         }
         const double allowed = allowedUntil(traffic, end, since);
         if (arrived > allowed && (!worst || arrived - allowed > worst->arrived - worst->allowed))
-            worst = RateLimitExcess{traffic.replica, end, arrived, allowed};
+            worst = RateLimitExcess{traffic.replica, end, arrived, allowed, std::move(trace)};
     }
     return worst;
 }
--- a/integration/platform/RateLimits.h
+++ b/integration/platform/RateLimits.h
@@ -42,6 +42,7 @@
     base::TimePoint at; ///< End of the window.
     int arrived = 0;
     double allowed = 0;
+    std::string trace; ///< Limits and the requests that were counted.
 
     std::string text(base::TimePoint start) const;
 };
@@ -51,10 +52,16 @@
 /// Whether a host is excused at a time, because of a restart, freeze or cut shortly before.
 using IsExcused = std::function<bool(const std::string &host, base::TimePoint at)>;
 
+/// Which requests of a window count.
+enum class CountedRequests {
+    OfToldHosts, ///< All of hosts that knew a limit half a second before the end of the window.
+    SentKnowingly, ///< Those that a host sent half a second or more after it knew a limit.
+};
+
 /// Finds the worst window of 4 s in which \a traffic exceeds one and a half times its limits and 5
-/// more requests, from the hosts that passed on an answer with a limit half a second before.
-/// Counted from 3 s after a limit was first stated.
-std::optional<RateLimitExcess> worstExcess(const ReplicaTraffic &traffic,
+/// more requests. A host knows a limit once it passed on an answer that states one. Windows count
+/// that end 3 s or more after a limit was first stated.
+std::optional<RateLimitExcess> worstExcess(const ReplicaTraffic &traffic, CountedRequests counted,
                                            const HostOfRequest &hostOf, const IsExcused &isExcused);
 
 /// Number of windows that worstExcess() compares.
