registry: Pending watches are answered when a rate limit changes

Cause: entry hosts learn limits from watches, and a watch was answered only for a new configuration or directory, or when its half second was over. So a host without an answer of its own from that upstream learned a limit up to 500 ms late; at 14 requests a second these are up to 7 requests.

Now limits have a revision, which hosts send back with the next watch, as for the directory. Changes within 50 ms are sent together, so that many upstreams that state limits at once cost few replies. A host of an earlier version sends no revision and is answered as before.

Evidence: new test "a limit that one entry host learns is kept by all others before they get it in an answer" (seven processes).

Ruled out: a wrong count in the test; its trace agrees with the hosts' logs.

--- a/integration/RateLimitTest.cpp
+++ b/integration/RateLimitTest.cpp
@@ -22,6 +22,8 @@
 constexpr Millis kContact{3'000};
 /// A rejected call must be told so within this; it would have been in time for its objective.
 constexpr Millis kLatencyObjective{300};
+/// All hosts know a limit this long after one of them; what they send until then is not granted.
+constexpr Millis kSpread{200};
 constexpr std::size_t kEntryHosts = 7;
 constexpr std::size_t kReplicas = 3;
 
@@ -90,6 +92,17 @@
         sendHeartbeats();
     }
 
+    /// Sends one call to an entry host and returns the status of its answer.
+    int call(std::size_t entry)
+    {
+        CallOptions options;
+        options.body = "ferry";
+        options.limit = Millis(3'000);
+        options.fields =
+                fmt::format("Request-Id: e{}-{}\r\nDeadline-Ms: 1500\r\n", entry, ++m_lastCall);
+        return callOnce(entries[entry].listen, "POST", "/book/1", options).status;
+    }
+
     /// Callers send \a perSecond calls at each entry host, one after the other.
     void startLoad(int perSecond)
     {
@@ -243,6 +256,24 @@
     CHECK(bed.arrivedAt(0, limitedAt + Millis(1'000)) >= 8);
 }
 
+TEST_CASE(
+        "a limit that one entry host learns is kept by all others before they get it in an answer")
+{
+    LimitBed bed;
+    for (std::size_t n = 0; n < kReplicas; ++n)
+        bed.replica(n).limitRequests(0.2);
+    // Sent by one host, until it has learned all limits and has no replica left.
+    REQUIRE(eventually(kSoon, [&bed] { return bed.call(0) == 503; }));
+    const base::TimePoint learnedAt = base::monotonicNow();
+    std::this_thread::sleep_for(kSpread);
+    for (std::size_t n = 1; n < kEntryHosts; ++n) {
+        INFO("entry-" << n);
+        CHECK(bed.call(n) == 503);
+    }
+    for (std::size_t n = 0; n < kReplicas; ++n)
+        CHECK(bed.arrivedAt(n, learnedAt) == 0);
+}
+
 TEST_CASE("calls beyond the limits of all upstreams are rejected at once with a time to come back")
 {
     LimitBed bed;
--- a/libs/edge/src/FleetWatcher.cpp
+++ b/libs/edge/src/FleetWatcher.cpp
@@ -76,6 +76,7 @@
     request.configurationVersion = local.configurationVersion;
     request.directoryIncarnation = it->second.directoryIncarnation;
     request.directoryRevision = it->second.directoryRevision;
+    request.rateLimitRevision = it->second.rateLimitRevision;
     request.maxWait = kLongPollWait;
     request.load = std::move(local.load);
     const base::TimePoint requestedAt = base::monotonicNow();
@@ -114,6 +115,7 @@
     control.consecutiveFailures = 0;
     control.directoryIncarnation = reply->directory.incarnation;
     control.directoryRevision = reply->directory.revision;
+    control.rateLimitRevision = reply->rateLimitRevision;
     for (const base::Endpoint &other : reply->controlHosts)
         addControlHost(other, now);
     m_onUpdate({base::HostId(from.text()), requestedAt, *std::move(reply)});
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -390,6 +390,8 @@
     std::int64_t directoryRevision = 0;
     base::Millis maxWait{0}; ///< How long the reply may be delayed while nothing is newer.
     LoadReport load;
+    /// Of the last reply of the same control host.
+    std::int64_t rateLimitRevision = 0;
 };
 
 /// Reply to a WatchRequest.
@@ -408,6 +410,7 @@
     std::vector<base::Endpoint> loadPeers; ///< Some other entry hosts to send loads to.
     LoadReport othersLoad; ///< Load of all other entry hosts.
     std::vector<RateLimitReport> rateLimits; ///< Limits that are in force or ended lately.
+    std::int64_t rateLimitRevision = 0; ///< Of \c rateLimits; it grows with each change.
 };
 
 /// CBOR encoding and decoding. Decoding returns nothing for bytes that are not a valid message.
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -126,7 +126,8 @@
     return base::toCbor({request.host.text(), request.dataCentre.text(),
                          request.configurationVersion.count(), request.directoryIncarnation,
                          request.directoryRevision, request.maxWait.count(),
-                         listToJson(request.load.upstreams), request.address.text()});
+                         listToJson(request.load.upstreams), request.address.text(),
+                         request.rateLimitRevision});
 }
 
 std::optional<WatchRequest> decodeWatchRequest(std::string_view bytes)
@@ -142,6 +143,9 @@
         request.load = loadFrom(j.at(6));
         request.address =
                 base::parseEndpoint(j.at(7).get<std::string>()).value_or(base::Endpoint());
+        // Entry hosts of earlier versions do not wait for rate limits.
+        request.rateLimitRevision = j.size() > 8 ? j.at(8).get<std::int64_t>()
+                                                 : std::numeric_limits<std::int64_t>::max();
         return request;
     });
 }
@@ -160,7 +164,8 @@
                          reply.directory.isSnapshot, listToJson(reply.directory.upstreams),
                          listToJson(reply.directory.departed), std::move(controlHosts),
                          reply.entryHostCount, listToJson(reply.othersLoad.upstreams),
-                         std::move(loadPeers), listToJson(reply.rateLimits)});
+                         std::move(loadPeers), listToJson(reply.rateLimits),
+                         reply.rateLimitRevision});
 }
 
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes)
@@ -191,6 +196,8 @@
         // Control hosts of earlier versions send no limits.
         if (j.size() > 12)
             reply.rateLimits = rateLimitsFrom(j.at(12));
+        if (j.size() > 13)
+            reply.rateLimitRevision = j.at(13);
         return reply;
     });
 }
--- a/libs/fleet/tests/FleetViewTest.cpp
+++ b/libs/fleet/tests/FleetViewTest.cpp
@@ -1,6 +1,7 @@
 #include "fleet/Fleet.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace hyssop;
 using namespace hyssop::fleet;
@@ -107,4 +108,17 @@
     WatchRequest request;
     request.load = reply.othersLoad;
     CHECK(decodeWatchRequest(encode(request))->load == request.load);
+    request.rateLimitRevision = 4;
+    reply.rateLimitRevision = 5;
+    CHECK(decodeWatchRequest(encode(request))->rateLimitRevision == 4);
+    CHECK(decodeWatchReply(encode(reply))->rateLimitRevision == 5);
+}
+
+TEST_CASE("a watch of a host that knows no revisions of rate limits is not answered for them")
+{
+    const std::string bytes = base::toCbor(
+            nlohmann::json::array({"e", "d", 3, 1, 5, 500, nlohmann::json::array(), ""}));
+    const auto request = decodeWatchRequest(bytes);
+    REQUIRE(request);
+    CHECK(request->rateLimitRevision == std::numeric_limits<std::int64_t>::max());
 }
--- a/libs/registry/src/PendingWatches.cpp
+++ b/libs/registry/src/PendingWatches.cpp
@@ -11,7 +11,8 @@
 {
     return request.configurationVersion < state.configuration
            || request.directoryIncarnation != state.directoryIncarnation
-           || request.directoryRevision < state.directoryRevision;
+           || request.directoryRevision < state.directoryRevision
+           || request.rateLimitRevision < state.rateLimitRevision;
 }
 
 } // namespace
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -25,6 +25,8 @@
 constexpr base::Millis kReplicateTimeout{1'000};
 /// Announcements that only refresh an upstream are relayed to other control hosts in batches.
 constexpr base::Millis kRelayInterval{400};
+/// Rate limits that change within this time after others are sent to entry hosts together.
+constexpr base::Millis kRateLimitsInterval{50};
 /// Limits how long the answer to an announcement waits for other control hosts. The sender times
 /// out after 1 s.
 constexpr base::Millis kRelayTimeout{250};
@@ -132,6 +134,8 @@
     SendGrants m_sendGrants;
     std::vector<base::UpstreamId> m_refreshedUpstreams; ///< Refreshed since the last relay.
     base::TimePoint m_nextRelayAt{};
+    std::int64_t m_publishedRateLimits = 0; ///< Revision for which watches were answered.
+    base::TimePoint m_nextRateLimitsAt{};
     bool m_isPumpScheduled = false;
     bool m_hasFailed = false;
     bool m_hadLease = false;
@@ -240,6 +244,13 @@
         state.configuration = fleet::ConfigurationVersion(m_appliedVersion);
     state.directoryIncarnation = m_directory.incarnation();
     state.directoryRevision = m_directory.revision();
+    if (hasLease(now)) {
+        if (m_sendGrants.revision() != m_publishedRateLimits && now >= m_nextRateLimitsAt) {
+            m_publishedRateLimits = m_sendGrants.revision();
+            m_nextRateLimitsAt = now + kRateLimitsInterval;
+        }
+        state.rateLimitRevision = m_publishedRateLimits;
+    }
     m_watches.answerReady(state, now);
 }
 
@@ -262,6 +273,7 @@
     if (reply.isConfirmed) {
         reply.loadPeers = m_entryLoads.neighbours(request.host, kMaxNeighbours);
         reply.rateLimits = m_sendGrants.limits(now);
+        reply.rateLimitRevision = m_sendGrants.revision();
     }
     // The sum of one control host is enough; without a leader, that of any host serves.
     if (servesConfiguration(now))
@@ -365,6 +377,9 @@
         answer(fleet::encode(reply));
     };
     m_sendGrants.request(*request, onDecided, now);
+    // Until they know a new limit, the others send without grants.
+    if (m_sendGrants.revision() != m_publishedRateLimits)
+        answerWatches(now);
 }
 
 void Registry::Impl::answerConfigurationRead(const peers::Answer<std::string> &answer,
--- a/libs/registry/src/SendGrants.cpp
+++ b/libs/registry/src/SendGrants.cpp
@@ -48,11 +48,11 @@
         const fleet::RateLimitStatement statement = fleet::toStatement(it, now);
         const auto [position, isNew] = m_buckets.try_emplace(it.upstream);
         Bucket &bucket = position->second;
-        const bool wasLimited = !isNew && isLimited(bucket.limit);
+        const bool wasLimited = isLimited(bucket.limit);
         if (isNew)
-            bucket.limit = statement;
-        else
-            bucket.limit.update(statement);
+            bucket.limit.incarnation = statement.incarnation;
+        if (bucket.limit.update(statement))
+            ++m_revision;
         bucket.lastReportAt = now;
         bucket.refilledAt = now;
         if (!isLimited(bucket.limit))
--- a/libs/registry/src/SendGrants.h
+++ b/libs/registry/src/SendGrants.h
@@ -26,6 +26,8 @@
     void tick(base::TimePoint now);
     /// Limits that are in force or ended lately.
     std::vector<fleet::RateLimitReport> limits(base::TimePoint now) const;
+    /// Grows with each change of limits().
+    std::int64_t revision() const { return m_revision; }
     std::size_t waitingCount() const { return m_waiting.size(); }
 
 private:
@@ -57,6 +59,7 @@
     base::Millis expectedWait(std::size_t position) const;
 
     std::map<base::UpstreamId, Bucket> m_buckets;
+    std::int64_t m_revision = 0;
     std::vector<WaitingRequest> m_waiting; ///< In the order in which they are granted.
 };
 
--- a/libs/registry/tests/PendingWatchesTest.cpp
+++ b/libs/registry/tests/PendingWatchesTest.cpp
@@ -52,3 +52,19 @@
     watches.answerReady({fleet::ConfigurationVersion(3), 2, 1}, kStart);
     CHECK(answered == 1);
 }
+
+TEST_CASE("a watch is answered when rate limits change, unless its host knows the change")
+{
+    PendingWatches watches;
+    int answered = 0;
+    const auto count = [&answered](const auto &) { ++answered; };
+    fleet::WatchRequest informed = watchRequest(3, 5);
+    informed.rateLimitRevision = 2;
+    watches.add(watchRequest(3, 5), count, kStart);
+    watches.add(informed, count, kStart);
+    watches.answerReady({fleet::ConfigurationVersion(3), 1, 5, 0}, kStart);
+    CHECK(answered == 0);
+    watches.answerReady({fleet::ConfigurationVersion(3), 1, 5, 2}, kStart);
+    CHECK(answered == 1);
+    CHECK(watches.size() == 1);
+}
--- a/libs/registry/tests/SendGrantsTest.cpp
+++ b/libs/registry/tests/SendGrantsTest.cpp
@@ -174,3 +174,20 @@
     fixture.request(report, kStart + Millis(5'000));
     CHECK(fixture.grantsBetween(request, kStart + Millis(5'000), kStart + Millis(7'500)) == 0);
 }
+
+TEST_CASE("the revision of the limits grows when one is new, changes or ends, and not otherwise")
+{
+    Fixture fixture;
+    const auto report = [&fixture](std::int64_t rate, Millis at) {
+        fleet::SendGrantRequest request;
+        request.limits = {limit("u", rate)};
+        fixture.request(request, kStart + at);
+        return fixture.grants.revision();
+    };
+    const std::int64_t isNew = report(2'300, Millis(0));
+    CHECK(isNew > 0);
+    CHECK(report(2'300, Millis(100)) == isNew);
+    const std::int64_t isLowered = report(500, Millis(200));
+    CHECK(isLowered > isNew);
+    CHECK(report(fleet::kUnlimitedRate.count(), Millis(300)) > isLowered);
+}
