dispatch: A host with a fresh answer without a limit takes over one that a control host tells

What was seen: with watches answered at once, two of seven hosts learned a new limit within 1 ms and the others half a second later, in 3 of 15 plays of the integration test (hosts' rate_limit lines).

Cause: a report tells the ages of its statement at the time of the reply. The host counted them from its request, up to 500 ms earlier, so that a limit stated now seemed older than an answer without one that the host had got meanwhile, and was dropped. Before nearly every watch was held for 500 ms, so this was the usual case.

Now the reply tells how long the control host held the request. The report was made between request plus that time and the arrival of the reply; where this overlaps an answer of the host's own, the lower limit holds, as it does for answers. Control hosts of earlier versions tell no time, and the whole wait counts.

--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -145,7 +145,7 @@
 struct RateLimitsReceived
 {
     std::vector<fleet::RateLimitReport> limits;
-    base::TimePoint requestedAt; ///< When the host asked. The reports may be that old.
+    base::TimePoint repliedAfter; ///< The control host replied between then and now.
 };
 
 /// This host sent a request of its own to an upstream, for which nothing was granted.
--- a/libs/dispatch/src/RateLimits.cpp
+++ b/libs/dispatch/src/RateLimits.cpp
@@ -33,7 +33,7 @@
 {
     for (const fleet::RateLimitReport &it : event.limits) {
         if (UpstreamState *state = findUpstream(it.upstream))
-            updateRateLimit(*state, fleet::toStatement(it, event.requestedAt),
+            updateRateLimit(*state, fleet::toStatement(it, event.repliedAfter, now),
                             RateLimitSource::Control, now);
     }
 }
--- a/libs/dispatch/tests/RateLimitTest.cpp
+++ b/libs/dispatch/tests/RateLimitTest.cpp
@@ -100,6 +100,22 @@
 
 } // namespace
 
+TEST_CASE("a host with a fresh answer without a limit takes over one that a control host tells")
+{
+    Fixture fixture(1);
+    REQUIRE(first<SendAttempt>(fixture.arrive()));
+    const CallId call(fixture.lastCall);
+    const auto answeredAt = kStart + Millis(5);
+    fixture.dispatcher.handle(RateLimitStated{call, fleet::kUnlimitedRate}, answeredAt);
+    fixture.dispatcher.handle(AttemptSucceeded{call}, answeredAt);
+    // Stated to another host 20 ms later, while this one's watch was held.
+    const fleet::RateLimitReport report{fixture.upstream(0).id, base::Incarnation(1),
+                                        fleet::RequestRate(200), Millis(2), Millis(1)};
+    const auto at = kStart + Millis(26);
+    CHECK(first<RateLimitChanged>(
+            fixture.dispatcher.handle(RateLimitsReceived{{report}, at - Millis(480)}, at)));
+}
+
 TEST_CASE("a limited upstream gets no call without a grant, and calls move to the others")
 {
     Fixture fixture(2);
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -265,7 +265,9 @@
     applyFleet(m_fleetView.apply(update.control, reply.directory, now), now);
     if (!reply.rateLimits.empty())
         execute(m_dispatcher.handle(
-                        dispatch::RateLimitsReceived{reply.rateLimits, update.requestedAt}, now),
+                        dispatch::RateLimitsReceived{reply.rateLimits,
+                                                     update.requestedAt + reply.heldFor},
+                        now),
                 now);
     if (reply.isConfirmed)
         m_leader = base::parseEndpoint(update.control.text());
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -237,8 +237,9 @@
 
 RateLimitReport toReport(const base::UpstreamId &upstream, const RateLimitStatement &statement,
                          base::TimePoint now);
-/// \a at is the time to which the ages refer.
-RateLimitStatement toStatement(const RateLimitReport &report, base::TimePoint at);
+/// The report was made between \a from and \a to; the statement may be that much older.
+RateLimitStatement toStatement(const RateLimitReport &report, base::TimePoint from,
+                               base::TimePoint to);
 
 /// Changes of a directory since a revision, or its whole content.
 struct DirectoryChanges
@@ -411,6 +412,7 @@
     LoadReport othersLoad; ///< Load of all other entry hosts.
     std::vector<RateLimitReport> rateLimits; ///< Limits that are in force or ended lately.
     std::int64_t rateLimitRevision = 0; ///< Of \c rateLimits; it grows with each change.
+    base::Millis heldFor{0}; ///< From the request to this reply, at the control host.
 };
 
 /// CBOR encoding and decoding. Decoding returns nothing for bytes that are not a valid message.
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -165,7 +165,7 @@
                          listToJson(reply.directory.departed), std::move(controlHosts),
                          reply.entryHostCount, listToJson(reply.othersLoad.upstreams),
                          std::move(loadPeers), listToJson(reply.rateLimits),
-                         reply.rateLimitRevision});
+                         reply.rateLimitRevision, reply.heldFor.count()});
 }
 
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes)
@@ -196,8 +196,10 @@
         // Control hosts of earlier versions send no limits.
         if (j.size() > 12)
             reply.rateLimits = rateLimitsFrom(j.at(12));
-        if (j.size() > 13)
+        if (j.size() > 14) {
             reply.rateLimitRevision = j.at(13);
+            reply.heldFor = base::Millis(j.at(14));
+        }
         return reply;
     });
 }
--- a/libs/fleet/src/RateLimit.cpp
+++ b/libs/fleet/src/RateLimit.cpp
@@ -30,9 +30,10 @@
             age(statement.receivedAt)};
 }
 
-RateLimitStatement toStatement(const RateLimitReport &report, base::TimePoint at)
+RateLimitStatement toStatement(const RateLimitReport &report, base::TimePoint from,
+                               base::TimePoint to)
 {
-    return {report.incarnation, report.rate, at - report.requestAge, at - report.answerAge};
+    return {report.incarnation, report.rate, from - report.requestAge, to - report.answerAge};
 }
 
 } // namespace hyssop::fleet
--- a/libs/fleet/tests/FleetViewTest.cpp
+++ b/libs/fleet/tests/FleetViewTest.cpp
@@ -111,7 +111,9 @@
     request.rateLimitRevision = 4;
     reply.rateLimitRevision = 5;
     CHECK(decodeWatchRequest(encode(request))->rateLimitRevision == 4);
+    reply.heldFor = Millis(480);
     CHECK(decodeWatchReply(encode(reply))->rateLimitRevision == 5);
+    CHECK(decodeWatchReply(encode(reply))->heldFor == Millis(480));
 }
 
 TEST_CASE("a watch of a host that knows no revisions of rate limits is not answered for them")
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -550,9 +550,11 @@
         m_impl->m_entryLoads.report(*watch, now);
         m_impl->m_watches.add(
                 *std::move(watch),
-                [this, answer](const fleet::WatchRequest &heldRequest) {
-                    answer(fleet::encode(
-                            m_impl->makeWatchReply(heldRequest, base::monotonicNow())));
+                [this, answer, now](const fleet::WatchRequest &heldRequest) {
+                    const base::TimePoint repliedAt = base::monotonicNow();
+                    fleet::WatchReply reply = m_impl->makeWatchReply(heldRequest, repliedAt);
+                    reply.heldFor = std::chrono::floor<base::Millis>(repliedAt - now);
+                    answer(fleet::encode(reply));
                 },
                 now);
         m_impl->answerWatches(now);
--- a/libs/registry/src/SendGrants.cpp
+++ b/libs/registry/src/SendGrants.cpp
@@ -45,7 +45,7 @@
 {
     refill(now);
     for (const fleet::RateLimitReport &it : limits) {
-        const fleet::RateLimitStatement statement = fleet::toStatement(it, now);
+        const fleet::RateLimitStatement statement = fleet::toStatement(it, now, now);
         const auto [position, isNew] = m_buckets.try_emplace(it.upstream);
         Bucket &bucket = position->second;
         const bool wasLimited = isLimited(bucket.limit);
