edge, platform: Log which shared parts of its prompt a failed attempt had

The adapter reads the ids of the prompt's parts, all but the last, which belongs to the request or its session. attempt_failed lists them as hashes.

--- a/libs/edge/include/edge/Edge.h
+++ b/libs/edge/include/edge/Edge.h
@@ -26,6 +26,8 @@
     std::optional<base::Millis> timeout; ///< How long the caller waits.
     base::Tokens promptTokens; ///< 0 when the request has none.
     base::Tokens maxOutputTokens;
+    /// Ids of the parts of the prompt that other requests may have in common with it.
+    std::vector<std::string> sharedParts;
 };
 
 /// Why the header of a request is invalid.
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -321,13 +321,17 @@
                              base::TimePoint now, std::string_view detail)
 {
     m_metrics->count("hyssop_attempt_faults_total", {{"fault", std::string(reason)}});
+    std::string content;
+    for (const fleet::Fingerprint it : call.fingerprints)
+        content += (content.empty() ? "" : ",") + fleet::fingerprintText(it);
     base::logEvent("attempt_failed", {{"request", call.requestMetadata.id},
                                       {"upstream", call.upstream},
                                       {"fault", dispatch::attemptFaultName(fault)},
                                       {"reason", reason},
                                       {"detail", detail},
                                       {"attempt", call.attemptCount},
-                                      {"status", call.answerHead.status}});
+                                      {"status", call.answerHead.status},
+                                      {"content", content}});
     execute(m_dispatcher.handle(
                     dispatch::AttemptFailed{call.id, fault, call.answerMetadata.faultyUpstream},
                     now),
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -187,6 +187,8 @@
     call.id = info.id;
     call.exchange = exchange;
     call.body = std::make_shared<const std::string>(exchange->takeBody());
+    for (const std::string &part : metadata.sharedParts)
+        call.fingerprints.push_back(fleet::fingerprintOf(info.service, {"part", part}));
     call.requestMetadata = std::move(metadata);
     call.team = info.team;
     call.route = route->name;
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -37,6 +37,7 @@
     std::string route;
     base::ServiceId service;
     bool isStream = false;
+    std::vector<fleet::Fingerprint> fingerprints; ///< Of what other requests may have in common.
     fleet::ConfigurationVersion configurationVersion; ///< Configuration that it was admitted under.
     base::Millis confirmationAge{0}; ///< Of that configuration, when the call was admitted.
     int attemptCount = 0;
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -188,6 +188,15 @@
     }
 };
 
+/// Identifies content that several requests to one service may have in common, such as a part of
+/// their prompts. A hash; 0 identifies none.
+using Fingerprint = base::Quantity<struct FingerprintTag>;
+/// Fingerprint of \a content, a sequence of texts, at \a service.
+Fingerprint fingerprintOf(const base::ServiceId &service,
+                          std::initializer_list<std::string_view> content);
+/// Hexadecimal text for logs.
+std::string fingerprintText(Fingerprint fingerprint);
+
 /// How an upstream departed.
 enum class DepartureKind {
     Left, ///< It announced its departure, or a later start took its address.
