--- a/integration/platform/Replica.cpp
+++ b/integration/platform/Replica.cpp
@@ -11,6 +11,9 @@
 
 /// Between two events of a stream.
 constexpr base::Millis kStep{20};
+/// From a request that crashes the replica to the head of its answer, and from there to the crash.
+constexpr base::Millis kPrefillBeforeCrash{60};
+constexpr base::Millis kHeadBeforeCrash{25};
 
 std::string fieldOf(const gateway::Exchange &exchange, std::string_view name)
 {
@@ -98,6 +101,50 @@
     return fields;
 }
 
+void Replica::crashOn(CrashTriggers triggers)
+{
+    const std::lock_guard guard(m_mutex);
+    m_crashTriggers = std::move(triggers);
+}
+
+std::string Replica::crashedBy() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_crashedBy;
+}
+
+bool Replica::isDeadly(const gateway::Exchange &exchange) const
+{
+    const std::string parts = "," + fieldOf(exchange, "Prompt-Prefix");
+    const std::lock_guard guard(m_mutex);
+    return std::any_of(m_crashTriggers.parts.begin(), m_crashTriggers.parts.end(),
+                       [&parts](const std::string &it) {
+                           return parts.find("," + it + ":") != std::string::npos;
+                       });
+}
+
+void Replica::crashOnRequest(const std::shared_ptr<gateway::Exchange> &exchange)
+{
+    const std::string id = fieldOf(*exchange, "Request-Id");
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, kPrefillBeforeCrash);
+    timer->async_wait([this, timer, exchange, id](boost::system::error_code) {
+        exchange->start(200, withLimit({{"Request-Id", id},
+                                        {"Response-Seal", m_id},
+                                        {"Content-Type", "text/event-stream"}},
+                                       id));
+        timer->expires_after(kHeadBeforeCrash);
+        timer->async_wait([this, timer, id](boost::system::error_code) { crash(id); });
+    });
+}
+
+void Replica::crash(const std::string &request)
+{
+    m_io.stop();
+    const std::lock_guard guard(m_mutex);
+    if (m_crashedBy.empty())
+        m_crashedBy = request;
+}
+
 bool Replica::draws(int percent)
 {
     return std::uniform_int_distribution<int>(0, 99)(m_rng) < percent;
@@ -126,6 +173,8 @@
     }
     if (draws(m_faults.lose))
         return exchange->abort();
+    if (isDeadly(*exchange))
+        return crashOnRequest(exchange);
     if (!fieldOf(*exchange, "Token-Counts").empty())
         return startStream(exchange);
     exchange->respond(200, withLimit({{"Request-Id", id}, {"Response-Seal", m_id}}, id),
--- a/integration/platform/Replica.h
+++ b/integration/platform/Replica.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace hyssop::harness {
@@ -28,6 +29,12 @@
     int breakOff = 0; ///< Closes the connection in the middle of a stream.
 };
 
+/// What makes a replica crash.
+struct CrashTriggers
+{
+    std::set<std::string> parts; ///< Ids of parts of prompts, as it begins to write an answer.
+};
+
 /// A stand-in for a replica of the users' platform, on a thread of its own.
 ///
 /// A request with token counts is answered by a stream of as many events as it asks for output
@@ -44,6 +51,11 @@
     std::vector<Run> runs() const;
     /// States \a perSecond as its request rate limit in all answers from now on, or none.
     void limitRequests(std::optional<double> perSecond);
+    /// Crashes on such requests from now on.
+    void crashOn(CrashTriggers triggers);
+    /// Id of the request that crashed it; empty while it runs. The owner then destroys it, which
+    /// ends its connections.
+    std::string crashedBy() const;
     /// Requests and limits since its start. Orders are among them, by the id of their reservation.
     ReplicaTraffic traffic() const;
     /// Reservations that were neither released nor have ended.
@@ -57,6 +69,10 @@
     void onDrained(gateway::Exchange &) override { }
     void onRejected(int, std::string_view) override { }
     void order(gateway::Exchange &exchange);
+    bool isDeadly(const gateway::Exchange &exchange) const;
+    /// Begins to answer a request and crashes.
+    void crashOnRequest(const std::shared_ptr<gateway::Exchange> &exchange);
+    void crash(const std::string &request);
     /// Adds what all answers state, and notes that this one did.
     gateway::Fields withLimit(gateway::Fields fields, const std::string &request);
     void startStream(const std::shared_ptr<gateway::Exchange> &exchange);
@@ -73,6 +89,8 @@
     std::vector<gateway::RequestHead> m_seen;
     std::vector<Run> m_runs;
     ReplicaTraffic m_traffic;
+    CrashTriggers m_crashTriggers;
+    std::string m_crashedBy;
     std::map<std::string, base::TimePoint> m_reservations; ///< End of each.
     std::map<gateway::Exchange *, std::shared_ptr<Stream>> m_streams;
     std::thread m_thread;
