registry, dispatch: Crashes are counted in any order, and a trial hit by another suspect's crash proves nothing

A trial named only the suspects that its host knew, so the crash of a call with the guilty part, which the host did not know yet, was blamed on the shared one. Trials now name all content. The leader now keeps what was in flight at the last 64 crashes. A failed trial proves content only if no other suspect was in flight at that crash. Each crash is now compared with the times of those counted.

--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -421,7 +421,7 @@
 {
     CallId call;
     base::ServiceId service;
-    std::vector<fleet::Fingerprint> fingerprints; ///< Of its suspect content.
+    std::vector<fleet::Fingerprint> fingerprints; ///< Of all its content.
     base::Millis maxWait{0}; ///< A later grant is of no use.
 };
 
--- a/libs/dispatch/src/Crashes.cpp
+++ b/libs/dispatch/src/Crashes.cpp
@@ -199,8 +199,8 @@
     if (call.trial == TrialState::Requested)
         return false;
     call.trial = TrialState::Requested;
-    m_actions.emplace_back(
-            RequestTrial{call.info.id, call.info.service, suspects, elapsed(now, waitsUntil)});
+    m_actions.emplace_back(RequestTrial{call.info.id, call.info.service, call.info.fingerprints,
+                                        elapsed(now, waitsUntil)});
     return false;
 }
 
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -567,7 +567,7 @@
 {
     TrialKey key;
     base::ServiceId service;
-    std::vector<Fingerprint> fingerprints; ///< Of the suspects that it contains.
+    std::vector<Fingerprint> fingerprints; ///< Of all its content, suspect or not.
     base::Millis maxWait{0}; ///< How long the reply may be delayed.
 };
 std::string encode(const TrialRequest &request);
--- a/libs/registry/src/CrashSuspects.cpp
+++ b/libs/registry/src/CrashSuspects.cpp
@@ -26,7 +26,8 @@
 constexpr base::Millis kQuarantineRetention{48 * 3'600'000};
 /// Limits on what is kept. The content with the oldest crash is dropped first.
 constexpr std::size_t kMaxContents = 4'096;
-constexpr std::size_t kMaxKnownCrashes = 8;
+constexpr std::size_t kMaxCrashes = 64;
+constexpr std::size_t kMaxKnownCrashes = 16;
 constexpr std::size_t kMaxFailedTrials = 4;
 /// Retry-After of a trial whose turn did not come.
 constexpr base::Millis kTrialRetryAfter{500};
@@ -39,6 +40,15 @@
     return std::min(interval, kMaxTrialInterval);
 }
 
+/// Appends to a list of which only the latest elements are kept.
+template <typename T>
+void pushLatest(std::vector<T> &latest, const T &element)
+{
+    latest.push_back(element);
+    if (latest.size() > kMaxKnownCrashes)
+        latest.erase(latest.begin());
+}
+
 void logChange(std::string_view change, const fleet::CrashSuspect &suspect)
 {
     base::logEvent("crash_content", {{"content", fleet::fingerprintText(suspect.fingerprint)},
@@ -62,6 +72,7 @@
                                         {"contents", report.contents.size()},
                                         {"trial", trial != nullptr},
                                         {"age_ms", report.age.count()}});
+        recordCrash(report);
         for (const fleet::InterruptedContent &it : report.contents)
             addCrash(report, it, it.wasTrial ? trial : nullptr, now);
     }
@@ -75,6 +86,7 @@
         });
     }
     removeForgotten(now);
+    updateQuarantines(now);
     tick(now);
 }
 
@@ -99,51 +111,79 @@
     Content &content = it->second;
     if (isNew)
         content.firstCrashAt = at;
-    const Crash crash{report.upstream, report.incarnation};
-    if (std::find(content.known.begin(), content.known.end(), crash) != content.known.end())
+    const CrashKey key{report.upstream, report.incarnation};
+    if (std::find(content.known.begin(), content.known.end(), key) != content.known.end())
         return;
-    content.known.push_back(crash);
-    if (content.known.size() > kMaxKnownCrashes)
-        content.known.erase(content.known.begin());
-    const bool isFailedTrial = trial && trial->suspects.contains(fingerprint);
-    if (content.crashes > 0 && at < content.lastCountedAt + kSeparation && !isFailedTrial)
+    pushLatest(content.known, key);
+    content.lastCrashAt = std::max(content.lastCrashAt, at);
+    const bool isFailedTrial =
+            trial
+            && std::find(trial->contents.begin(), trial->contents.end(), fingerprint)
+                       != trial->contents.end();
+    // Reports of a host that had no leader for a while come in any order.
+    const bool isSeparate = std::none_of(
+            content.countedAt.begin(), content.countedAt.end(),
+            [at](base::TimePoint counted) { return std::chrono::abs(counted - at) < kSeparation; });
+    if (!isSeparate && !isFailedTrial)
         return;
-    content.lastCountedAt = std::max(content.lastCountedAt, at);
+    pushLatest(content.countedAt, at);
     ++content.crashes;
-    if (isFailedTrial && content.failedTrials.size() < kMaxFailedTrials) {
-        std::set<fleet::Fingerprint> others = trial->suspects;
-        std::erase_if(others, [&](fleet::Fingerprint other) {
-            const auto entry = m_contents.find(other);
-            const bool isCleared =
-                    entry == m_contents.end() || entry->second.crashes < kSuspectCrashes;
-            return other == fingerprint || isCleared;
-        });
-        content.failedTrials.push_back(std::move(others));
-    }
+    if (isFailedTrial && content.failedTrials.size() < kMaxFailedTrials)
+        content.failedTrials.push_back(key);
     if (content.crashes < kSuspectCrashes)
         return;
     ++m_revision;
     logChange(isFailedTrial ? "trial_failed" : "suspect", toFact(fingerprint, content, now));
-    updateQuarantine(fingerprint, content, now);
 }
 
-void CrashSuspects::updateQuarantine(fleet::Fingerprint fingerprint, Content &content,
-                                     base::TimePoint now)
+void CrashSuspects::recordCrash(const fleet::CrashReport &report)
 {
-    const bool isOnlySuspect = std::any_of(content.failedTrials.begin(), content.failedTrials.end(),
-                                           [](const auto &others) { return others.empty(); });
-    fleet::Quarantine quarantine = content.quarantine;
-    if (isOnlySuspect && content.crashes >= kQuarantineCrashes)
-        quarantine = fleet::Quarantine::Full;
-    else if (content.failedTrials.size() >= kJointTrials)
-        quarantine = std::max(quarantine, fleet::Quarantine::Joint);
-    if (quarantine == content.quarantine)
-        return;
-    if (content.quarantine == fleet::Quarantine::None)
-        content.nextTrialAt = now + trialInterval(0);
-    content.quarantine = quarantine;
-    ++m_revision;
-    logChange(fleet::quarantineName(quarantine), toFact(fingerprint, content, now));
+    const CrashKey key{report.upstream, report.incarnation};
+    auto crash = std::find_if(m_crashes.begin(), m_crashes.end(),
+                              [&key](const Crash &it) { return it.key == key; });
+    if (crash == m_crashes.end())
+        crash = m_crashes.insert(m_crashes.end(), {key, {}});
+    for (const fleet::InterruptedContent &it : report.contents)
+        crash->contents.insert(it.fingerprint);
+    if (m_crashes.size() > kMaxCrashes)
+        m_crashes.pop_front();
+}
+
+bool CrashSuspects::isSuspect(fleet::Fingerprint fingerprint) const
+{
+    const auto it = m_contents.find(fingerprint);
+    return it != m_contents.end() && it->second.crashes >= kSuspectCrashes;
+}
+
+bool CrashSuspects::isProvenByTrial(fleet::Fingerprint fingerprint, const Content &content) const
+{
+    const auto isOnlySuspect = [&](const CrashKey &key) {
+        const auto crash = std::find_if(m_crashes.begin(), m_crashes.end(),
+                                        [&key](const Crash &it) { return it.key == key; });
+        return crash != m_crashes.end()
+               && std::none_of(
+                       crash->contents.begin(), crash->contents.end(),
+                       [&](fleet::Fingerprint it) { return it != fingerprint && isSuspect(it); });
+    };
+    return std::any_of(content.failedTrials.begin(), content.failedTrials.end(), isOnlySuspect);
+}
+
+void CrashSuspects::updateQuarantines(base::TimePoint now)
+{
+    for (auto &[fingerprint, content] : m_contents) {
+        fleet::Quarantine quarantine = content.learnedQuarantine;
+        if (content.crashes >= kQuarantineCrashes && isProvenByTrial(fingerprint, content))
+            quarantine = fleet::Quarantine::Full;
+        else if (content.failedTrials.size() >= kJointTrials)
+            quarantine = std::max(quarantine, fleet::Quarantine::Joint);
+        if (quarantine == content.quarantine)
+            continue;
+        if (content.quarantine == fleet::Quarantine::None)
+            content.nextTrialAt = now + trialInterval(0);
+        content.quarantine = quarantine;
+        ++m_revision;
+        logChange(fleet::quarantineName(quarantine), toFact(fingerprint, content, now));
+    }
 }
 
 void CrashSuspects::addKnown(const fleet::CrashSuspect &suspect, base::TimePoint now)
@@ -154,8 +194,9 @@
     const bool isMore =
             suspect.crashes > content.crashes || suspect.quarantine > content.quarantine;
     content.firstCrashAt = isNew ? firstCrashAt : std::min(content.firstCrashAt, firstCrashAt);
-    content.lastCountedAt = std::max(content.lastCountedAt, firstCrashAt);
+    content.lastCrashAt = std::max(content.lastCrashAt, firstCrashAt);
     content.crashes = std::max(content.crashes, suspect.crashes);
+    content.learnedQuarantine = std::max(content.learnedQuarantine, suspect.quarantine);
     content.quarantine = std::max(content.quarantine, suspect.quarantine);
     content.quarantineTrials = std::max(content.quarantineTrials, suspect.quarantineTrials);
     content.nextTrialAt = std::max(content.nextTrialAt, now + suspect.nextTrialIn);
@@ -176,11 +217,6 @@
         return;
     ++m_revision;
     logChange(cleared.quarantine == fleet::Quarantine::None ? "cleared" : "released", cleared);
-    for (auto &[other, content] : m_contents) {
-        for (auto &suspects : content.failedTrials)
-            suspects.erase(fingerprint);
-        updateQuarantine(other, content, now);
-    }
 }
 
 void CrashSuspects::removeForgotten(base::TimePoint now)
@@ -188,14 +224,14 @@
     const std::size_t before = m_contents.size();
     std::erase_if(m_contents, [now](const auto &it) {
         const bool isQuarantined = it.second.quarantine != fleet::Quarantine::None;
-        return now >= it.second.lastCountedAt
+        return now >= it.second.lastCrashAt
                               + (isQuarantined ? kQuarantineRetention : kContentRetention);
     });
     while (m_contents.size() > kMaxContents) {
         const auto oldest = std::min_element(
                 m_contents.begin(), m_contents.end(), [](const auto &a, const auto &b) {
-                    return std::pair(a.second.quarantine, a.second.lastCountedAt)
-                           < std::pair(b.second.quarantine, b.second.lastCountedAt);
+                    return std::pair(a.second.quarantine, a.second.lastCrashAt)
+                           < std::pair(b.second.quarantine, b.second.lastCrashAt);
                 });
         logChange("dropped", toFact(oldest->first, oldest->second, now));
         m_contents.erase(oldest);
@@ -286,16 +322,14 @@
     }
     if (best == m_waiting.end())
         return;
-    RunningTrial trial{best->request.key, {}, now + kTrialTimeout};
     for (const fleet::CrashSuspect &it : suspectsIn(best->request, now)) {
-        trial.suspects.insert(it.fingerprint);
         if (it.quarantine == fleet::Quarantine::None)
             continue;
         Content &content = m_contents.at(it.fingerprint);
         content.nextTrialAt = now + trialInterval(++content.quarantineTrials);
         ++m_revision;
     }
-    m_running[service] = std::move(trial);
+    m_running[service] = {best->request.key, best->request.fingerprints, now + kTrialTimeout};
     base::logEvent("crash_trial", {{"host", best->request.key.host},
                                    {"call", best->request.key.call},
                                    {"service", service},
@@ -311,7 +345,7 @@
     std::vector<std::pair<base::TimePoint, fleet::CrashSuspect>> latest;
     for (const auto &[fingerprint, content] : m_contents) {
         if (content.crashes >= kSuspectCrashes)
-            latest.emplace_back(content.lastCountedAt, toFact(fingerprint, content, now));
+            latest.emplace_back(content.lastCrashAt, toFact(fingerprint, content, now));
     }
     std::stable_sort(latest.begin(), latest.end(), [](const auto &a, const auto &b) {
         return std::pair(a.second.quarantine, a.first) > std::pair(b.second.quarantine, b.first);
--- a/libs/registry/src/CrashSuspects.h
+++ b/libs/registry/src/CrashSuspects.h
@@ -2,6 +2,7 @@
 
 #include "fleet/Fleet.h"
 
+#include <deque>
 #include <functional>
 
 namespace hyssop::registry {
@@ -16,9 +17,9 @@
 ///
 /// After a second crash the content is suspect. Its requests then run as trials, one at a time for
 /// each service, so that no two suspects run beside each other. An answered trial clears it. A
-/// crash in a trial confirms the suspicion of one of the suspects in that request; of which one, is
-/// known once all others are cleared. Confirmed content is quarantined: its requests are rejected,
-/// apart from trials at long intervals. While several suspects of a request may be to blame, only
+/// crash in a trial confirms the suspicion of one of the suspects that were in flight there; of
+/// which one, is known once all others are cleared. Confirmed content is quarantined: its requests
+/// are rejected, apart from trials at long intervals. While several suspects may be to blame, only
 /// requests with more than one of them are rejected.
 class CrashSuspects
 {
@@ -39,25 +40,31 @@
     static constexpr std::size_t kMaxPublished = 64;
 
 private:
-    /// A crash with some content in flight.
-    struct Crash
+    /// Identifies a crash by the start of the upstream that it ended.
+    struct CrashKey
     {
         base::UpstreamId upstream;
         base::Incarnation incarnation;
 
-        bool operator==(const Crash &other) const = default;
+        bool operator==(const CrashKey &other) const = default;
+    };
+    struct Crash
+    {
+        CrashKey key;
+        std::set<fleet::Fingerprint> contents; ///< In flight there, of all hosts.
     };
     /// Content that was in flight at a crash and in no answered request since.
     struct Content
     {
-        std::vector<Crash> known; ///< The latest crashes, so that each counts once.
+        std::vector<CrashKey> known; ///< The latest crashes, so that each counts once.
+        std::vector<base::TimePoint> countedAt; ///< The latest crashes that were counted.
         int crashes = 0;
-        /// For each crash in a trial, the other suspects that may be to blame for it.
-        std::vector<std::set<fleet::Fingerprint>> failedTrials;
+        std::vector<CrashKey> failedTrials; ///< Those of the crashes that ended a trial of it.
         fleet::Quarantine quarantine = fleet::Quarantine::None;
+        fleet::Quarantine learnedQuarantine = fleet::Quarantine::None; ///< Of a former leader.
         int quarantineTrials = 0;
         base::TimePoint firstCrashAt;
-        base::TimePoint lastCountedAt;
+        base::TimePoint lastCrashAt;
         base::TimePoint nextTrialAt{};
     };
     struct WaitingTrial
@@ -69,17 +76,22 @@
     struct RunningTrial
     {
         fleet::TrialKey key;
-        std::set<fleet::Fingerprint> suspects;
+        std::vector<fleet::Fingerprint> contents; ///< Of its request.
         base::TimePoint expiresAt;
     };
 
     /// \a trial is the one that the upstream crashed in, if any.
     void addCrash(const fleet::CrashReport &report, const fleet::InterruptedContent &interrupted,
                   const RunningTrial *trial, base::TimePoint now);
+    /// Notes what was in flight at a crash.
+    void recordCrash(const fleet::CrashReport &report);
+    bool isSuspect(fleet::Fingerprint fingerprint) const;
+    /// Whether \a content was the only suspect in flight when one of its trials failed.
+    bool isProvenByTrial(fleet::Fingerprint fingerprint, const Content &content) const;
     void addKnown(const fleet::CrashSuspect &suspect, base::TimePoint now);
     /// Forgets content that is part of an answered request.
     void clear(fleet::Fingerprint fingerprint, base::TimePoint now);
-    void updateQuarantine(fleet::Fingerprint fingerprint, Content &content, base::TimePoint now);
+    void updateQuarantines(base::TimePoint now);
     void removeForgotten(base::TimePoint now);
     static fleet::CrashSuspect toFact(fleet::Fingerprint fingerprint, const Content &content,
                                       base::TimePoint now);
@@ -92,6 +104,7 @@
     const RunningTrial *findTrial(const fleet::TrialKey &key) const;
 
     std::map<fleet::Fingerprint, Content> m_contents;
+    std::deque<Crash> m_crashes; ///< The latest ones, the last one at the end.
     std::vector<WaitingTrial> m_waiting; ///< In the order of arrival.
     std::map<base::ServiceId, RunningTrial> m_running;
     std::int64_t m_revision = 0;
