Known red: a request that crashes what runs it goes on from replica to replica

The replica of the users' platform can crash 50 ms after it began to run a given request: tenant, target and body. The test plays seven entry hosts as processes, three replicas of a plain service, 2 other calls a second and host of the same caller, 1 of another caller with the same target and body, and the request at 0.5, half of them in chunks.

The test of crashing parts makes its calls through the same bed; its checks are the same, in checkBounds().

--- a/integration/CrashTest.cpp
+++ b/integration/CrashTest.cpp
@@ -15,25 +15,64 @@
 /// Bound of the settings on how long hosts may take to know a fact.
 constexpr Millis kContact{3'000};
 constexpr std::size_t kEntryHosts = 7;
-constexpr std::size_t kReplicas = 6;
 constexpr int kEvents = 12;
-/// Requests that crash replicas may reach them so often, kContact after the fifth crash.
+/// Requests that crash replicas may reach them so often, kContact after the last counted crash.
 constexpr int kAllowedArrivals = 3;
-constexpr std::size_t kCrashesBeforeBound = 5;
+/// Crashes after which that counts, of a part and of a request.
+constexpr std::size_t kPartCrashes = 5;
+constexpr std::size_t kRequestCrashes = 3;
 const std::string kDeadlyPart = "dead";
 
 std::string manifest()
 {
-    return fmt::format(
-            R"({{"Version":1,"Routes":[{{"Name":"chat","Host":"site.example","PathPrefix":"/chat/",)"
-            R"("Kind":"streaming","TimeoutMs":6000,"TargetLatencyMs":300,"Priority":0,)"
-            R"("Service":"model","MaxAttempts":2,"NoAuth":false,"Sticky":true,"Resumable":true,)"
-            R"("GapTargetMs":250}}],"Services":[{{"Name":"model","HealthPath":"/health",)"
-            R"("MaxConns":200,"Engine":{{"Slots":16,"KvCapacityTokens":315000,"Stride":51,)"
-            R"("step_ms":0.85,"per_seq_ms":0.00425,"context_per_k":0.00285,)"
-            R"("read_per_s":177000.0,"pairs_per_m":0.184,"chunk":2048,"report_lag_ms":200.0,)"
-            R"("usual":{{"prompt":5000,"answer":500}}}}}}],)"
-            R"("Tenants":[{{"Name":"team","ApiKeys":["key"],"Priority":1}}]}})");
+    return R"({"Version":1,"Routes":[{"Name":"chat","Host":"site.example","PathPrefix":"/chat/",)"
+           R"("Kind":"streaming","TimeoutMs":6000,"TargetLatencyMs":300,"Priority":0,)"
+           R"("Service":"model","MaxAttempts":2,"NoAuth":false,"Sticky":true,"Resumable":true,)"
+           R"("GapTargetMs":250},{"Name":"look","Host":"site.example","PathPrefix":"/look/",)"
+           R"("Kind":"idempotent","TimeoutMs":4000,"TargetLatencyMs":300,"Priority":0,)"
+           R"("Service":"lookup","MaxAttempts":3,"NoAuth":false}],)"
+           R"("Services":[{"Name":"model","HealthPath":"/health",)"
+           R"("MaxConns":200,"Engine":{"Slots":16,"KvCapacityTokens":315000,"Stride":51,)"
+           R"("step_ms":0.85,"per_seq_ms":0.00425,"context_per_k":0.00285,)"
+           R"("read_per_s":177000.0,"pairs_per_m":0.184,"chunk":2048,"report_lag_ms":200.0,)"
+           R"("usual":{"prompt":5000,"answer":500}}},)"
+           R"({"Name":"lookup","HealthPath":"/health","MaxConns":200}],)"
+           R"("Tenants":[{"Name":"team","ApiKeys":["key"],"Priority":1},)"
+           R"({"Name":"other","ApiKeys":["key-2"],"Priority":1}]})";
+}
+
+/// A call as its sender makes it.
+struct PlannedCall
+{
+    std::string target;
+    std::string body;
+    std::string fields;
+    std::string key = "key";
+    bool isChunked = false;
+};
+/// Makes call \a count of an entry host. Ids differ between all calls.
+using CallMaker = std::function<PlannedCall(std::size_t entry, int count)>;
+
+/// A chat whose prompt shares its first part with all others and its second one with some.
+PlannedCall chat(std::size_t entry, int count, const std::string &deadlyPart)
+{
+    PlannedCall call;
+    call.target = "/chat/1";
+    call.body = fmt::format("prompt {} of {}", count, entry);
+    call.fields = fmt::format("Deadline-Ms: 5000\r\nModel: m\r\nToken-Counts: 1000,{}\r\n"
+                              "Prompt-Prefix: aa:40,b{}:400,{}c{:x}:300\r\n",
+                              kEvents, count % 5, deadlyPart.empty() ? "" : deadlyPart + ":100,",
+                              entry * 100'000 + static_cast<std::size_t>(count));
+    return call;
+}
+
+PlannedCall lookup(const std::string &body)
+{
+    PlannedCall call;
+    call.target = "/look/1";
+    call.body = body;
+    call.fields = "Deadline-Ms: 3000\r\n";
+    return call;
 }
 
 struct CallSeen
@@ -47,14 +86,13 @@
     bool isServed() const { return status == 200 && isWhole; }
 };
 
-/// Seven entry hosts, six replicas of a model, and callers at all entry hosts that share a key and
-/// the first part of their prompts.
+/// Seven entry hosts, replicas of a service, and callers at all entry hosts.
 class CrashBed : public PlatformBed
 {
 public:
-    CrashBed()
-        : PlatformBed({3, kEntryHosts, kReplicas})
-        , m_replicas(this, "model")
+    CrashBed(const std::string &service, std::size_t replicas)
+        : PlatformBed({3, kEntryHosts, replicas})
+        , m_replicas(this, service)
     {
         REQUIRE(put(0, manifest(), kSoon));
         REQUIRE(eventually(kSoon, [this] {
@@ -66,13 +104,15 @@
     ~CrashBed() { stopLoad(); }
 
     ReplicaKeeper &replicas() { return m_replicas; }
+    const ReplicaKeeper &replicas() const { return m_replicas; }
 
-    /// Callers send \a perSecond calls at each entry host, each with \a deadlyPart unless empty.
-    void startLoad(double perSecond, const std::string &deadlyPart)
+    /// Callers send \a perSecond calls at each entry host.
+    void startLoad(double perSecond, bool isDeadly, const CallMaker &makeCall)
     {
         for (std::size_t n = 0; n < kEntryHosts; ++n)
-            m_callers.emplace_back(
-                    [this, n, perSecond, deadlyPart] { sendCalls(n, perSecond, deadlyPart); });
+            m_callers.emplace_back([this, n, perSecond, isDeadly, makeCall] {
+                sendCalls(n, perSecond, isDeadly, makeCall);
+            });
     }
 
     void stopLoad()
@@ -83,7 +123,7 @@
         m_callers.clear();
     }
 
-    /// Calls without the deadly part that were sent from \a from to \a to.
+    /// Calls that crash nothing and were sent from \a from to \a to.
     std::vector<CallSeen> soundCalls(base::TimePoint from, base::TimePoint to) const
     {
         const std::lock_guard guard(m_mutex);
@@ -114,26 +154,24 @@
     }
 
 private:
-    void sendCalls(std::size_t entry, double perSecond, const std::string &deadlyPart)
+    void sendCalls(std::size_t entry, double perSecond, bool isDeadly, const CallMaker &makeCall)
     {
         const auto interval = std::chrono::microseconds(static_cast<std::int64_t>(1e6 / perSecond));
         base::TimePoint next = base::monotonicNow() + interval * static_cast<int>(entry) / 7;
         for (int count = 0; !m_isLoadOver; ++count) {
             std::this_thread::sleep_until(next);
             next = std::max(next + interval, base::monotonicNow());
-            const bool isDeadly = !deadlyPart.empty();
             CallSeen seen;
             seen.isDeadly = isDeadly;
-            seen.id = fmt::format("{}-{}-{}", isDeadly ? "deadly" : "sound", entry, count);
+            seen.id = fmt::format("{}-{}", isDeadly ? "deadly" : "sound", ++m_lastCall);
+            const PlannedCall call = makeCall(entry, count);
             CallOptions options;
-            options.body = "prompt of " + seen.id;
-            options.fields = fmt::format(
-                    "Request-Id: {0}\r\nApi-Key: key\r\nDeadline-Ms: 5000\r\nModel: m\r\n"
-                    "Token-Counts: 1000,{1}\r\nPrompt-Prefix: aa:40,b{2}:400,{3}c{4:x}:300\r\n",
-                    seen.id, kEvents, count % 5, isDeadly ? deadlyPart + ":100," : "",
-                    entry * 100'000 + static_cast<std::size_t>(count));
+            options.body = call.body;
+            options.isChunked = call.isChunked;
+            options.fields = fmt::format("Request-Id: {}\r\nApi-Key: {}\r\n{}", seen.id, call.key,
+                                         call.fields);
             seen.sentAt = base::monotonicNow();
-            const Reply reply = callOnce(entries[entry].listen, "POST", "/chat/1", options);
+            const Reply reply = callOnce(entries[entry].listen, "POST", call.target, options);
             seen.status = reply.status;
             seen.isWhole = reply.isWhole;
             const std::lock_guard guard(m_mutex);
@@ -144,37 +182,68 @@
     mutable std::mutex m_mutex;
     ReplicaKeeper m_replicas;
     std::vector<CallSeen> m_calls;
+    std::atomic<int> m_lastCall{0};
     std::vector<std::thread> m_callers;
     std::atomic<bool> m_isLoadOver{false};
 };
 
+/// Checks the bounds from \a countedCrashes on.
+void checkBounds(const CrashBed &bed, std::size_t countedCrashes, base::TimePoint end)
+{
+    const auto crashes = bed.replicas().crashes();
+    REQUIRE(!crashes.empty());
+    const base::TimePoint counted = crashes[std::min(countedCrashes, crashes.size()) - 1].at;
+    INFO(crashes.size() << " crashes");
+    if (crashes.size() >= countedCrashes)
+        CHECK(bed.deadlyArrivals(counted + kContact) <= kAllowedArrivals);
+    const auto sound = bed.soundCalls(counted + 2 * kContact, end);
+    CHECK(CrashBed::servedShare(sound) >= 0.5);
+    // None is held back for what others do.
+    CHECK(std::count_if(sound.begin(), sound.end(),
+                        [](const CallSeen &it) { return it.status == 503; })
+          == 0);
+}
+
 } // namespace
 
 TEST_CASE("requests with a part that crashes engines stop reaching them, and sound ones go on")
 {
-    CrashBed bed;
-    bed.startLoad(3, "");
+    CrashBed bed("model", 6);
+    bed.startLoad(3, false, [](std::size_t entry, int count) { return chat(entry, count, ""); });
     std::this_thread::sleep_for(Millis(2'500));
-    const base::TimePoint deadlyFrom = base::monotonicNow();
-    CHECK(CrashBed::servedShare(bed.soundCalls({}, deadlyFrom)) == 1);
-    bed.replicas().crashOn({{kDeadlyPart}});
-    bed.startLoad(0.7, kDeadlyPart);
+    CHECK(CrashBed::servedShare(bed.soundCalls({}, base::monotonicNow())) == 1);
+    bed.replicas().crashOn({{kDeadlyPart}, {}});
+    bed.startLoad(0.7, true,
+                  [](std::size_t entry, int count) { return chat(entry, count, kDeadlyPart); });
     std::this_thread::sleep_for(Millis(14'000));
     const base::TimePoint end = base::monotonicNow();
     bed.stopLoad();
-    const auto crashes = bed.replicas().crashes();
-    REQUIRE(!crashes.empty());
-    const base::TimePoint lastCounted =
-            crashes[std::min(kCrashesBeforeBound, crashes.size()) - 1].at;
-    INFO(crashes.size() << " crashes, the last counted one "
-                        << std::chrono::floor<Millis>(lastCounted - deadlyFrom).count()
-                        << " ms after the first deadly request");
-    if (crashes.size() >= kCrashesBeforeBound)
-        CHECK(bed.deadlyArrivals(lastCounted + kContact) <= kAllowedArrivals);
-    const auto sound = bed.soundCalls(lastCounted + 2 * kContact, end);
-    CHECK(CrashBed::servedShare(sound) >= 0.5);
-    // None is held back for the part that others have.
-    CHECK(std::count_if(sound.begin(), sound.end(),
-                        [](const CallSeen &it) { return it.status == 503; })
-          == 0);
+    checkBounds(bed, kPartCrashes, end);
+}
+
+TEST_CASE("a request that crashes the replicas that run it stops reaching them, and others go on",
+          "[.known-red]")
+{
+    CrashBed bed("lookup", 3);
+    // The same caller asks for other things, and another caller for the same.
+    bed.startLoad(2, false, [](std::size_t entry, int count) {
+        return lookup(fmt::format("ferry {} of {}", count, entry));
+    });
+    bed.startLoad(1, false, [](std::size_t, int) {
+        PlannedCall call = lookup("deadly ferry");
+        call.key = "key-2";
+        return call;
+    });
+    std::this_thread::sleep_for(Millis(2'500));
+    CHECK(CrashBed::servedShare(bed.soundCalls({}, base::monotonicNow())) == 1);
+    bed.replicas().crashOn({{}, {"team /look/1 deadly ferry"}});
+    bed.startLoad(0.5, true, [](std::size_t, int count) {
+        PlannedCall call = lookup("deadly ferry");
+        call.isChunked = count % 2 == 1;
+        return call;
+    });
+    std::this_thread::sleep_for(Millis(14'000));
+    const base::TimePoint end = base::monotonicNow();
+    bed.stopLoad();
+    checkBounds(bed, kRequestCrashes, end);
 }
--- a/integration/platform/Caller.cpp
+++ b/integration/platform/Caller.cpp
@@ -15,6 +15,22 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+namespace {
+
+/// A body in two chunks.
+std::string chunked(const std::string &body)
+{
+    const std::size_t half = body.size() / 2;
+    std::string text;
+    for (const std::string &it : {body.substr(0, half), body.substr(half)}) {
+        if (!it.empty())
+            text += fmt::format("{:x}\r\n{}\r\n", it.size(), it);
+    }
+    return text + "0\r\n\r\n";
+}
+
+} // namespace
+
 class Caller::Impl
 {
 public:
@@ -32,11 +48,13 @@
 
     Reply call(const std::string &method, const std::string &target, const CallOptions &options)
     {
-        const std::string request =
-                fmt::format("{} {} HTTP/1.1\r\nHost: site.example\r\n{}{}Content-Length: "
-                            "{}\r\n\r\n{}",
-                            method, target, options.closes ? "Connection: close\r\n" : "",
-                            options.fields, options.body.size(), options.body);
+        const std::string body = options.isChunked ? chunked(options.body) : options.body;
+        const std::string framing = options.isChunked
+                                            ? std::string("Transfer-Encoding: chunked")
+                                            : fmt::format("Content-Length: {}", body.size());
+        const std::string request = fmt::format(
+                "{} {} HTTP/1.1\r\nHost: site.example\r\n{}{}{}\r\n\r\n{}", method, target,
+                options.closes ? "Connection: close\r\n" : "", options.fields, framing, body);
         Reply reply;
         if (!m_isOpen)
             return reply;
--- a/integration/platform/Caller.h
+++ b/integration/platform/Caller.h
@@ -21,6 +21,7 @@
     std::string body;
     base::Millis limit{20'000}; ///< The connection is closed after this.
     bool closes = true; ///< Asks for the connection to be closed after the answer.
+    bool isChunked = false; ///< Sends the body in chunks.
 };
 
 /// A caller's connection for one request after the other; blocks.
--- a/integration/platform/Replica.cpp
+++ b/integration/platform/Replica.cpp
@@ -14,6 +14,8 @@
 /// From a request that crashes the replica to the head of its answer, and from there to the crash.
 constexpr base::Millis kPrefillBeforeCrash{60};
 constexpr base::Millis kHeadBeforeCrash{25};
+/// From the start of a request without token counts to the crash.
+constexpr base::Millis kRunBeforeCrash{50};
 
 std::string fieldOf(const gateway::Exchange &exchange, std::string_view name)
 {
@@ -113,7 +115,7 @@
     return m_crashedBy;
 }
 
-bool Replica::isDeadly(const gateway::Exchange &exchange) const
+bool Replica::hasDeadlyPart(const gateway::Exchange &exchange) const
 {
     const std::string parts = "," + fieldOf(exchange, "Prompt-Prefix");
     const std::lock_guard guard(m_mutex);
@@ -123,7 +125,22 @@
                        });
 }
 
+bool Replica::isDeadly(const gateway::Exchange &exchange) const
+{
+    const std::string text = fieldOf(exchange, "Tenant") + " " + exchange.head().target + " "
+                             + std::string(exchange.body());
+    const std::lock_guard guard(m_mutex);
+    return m_crashTriggers.requests.contains(text);
+}
+
 void Replica::crashOnRequest(const std::shared_ptr<gateway::Exchange> &exchange)
+{
+    const std::string id = fieldOf(*exchange, "Request-Id");
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, kRunBeforeCrash);
+    timer->async_wait([this, timer, exchange, id](boost::system::error_code) { crash(id); });
+}
+
+void Replica::crashOnStream(const std::shared_ptr<gateway::Exchange> &exchange)
 {
     const std::string id = fieldOf(*exchange, "Request-Id");
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, kPrefillBeforeCrash);
@@ -173,10 +190,12 @@
     }
     if (draws(m_faults.lose))
         return exchange->abort();
-    if (isDeadly(*exchange))
-        return crashOnRequest(exchange);
+    if (hasDeadlyPart(*exchange))
+        return crashOnStream(exchange);
     if (!fieldOf(*exchange, "Token-Counts").empty())
         return startStream(exchange);
+    if (isDeadly(*exchange))
+        return crashOnRequest(exchange);
     exchange->respond(200, withLimit({{"Request-Id", id}, {"Response-Seal", m_id}}, id),
                       id + " " + exchange->body());
 }
--- a/integration/platform/Replica.h
+++ b/integration/platform/Replica.h
@@ -33,6 +33,8 @@
 struct CrashTriggers
 {
     std::set<std::string> parts; ///< Ids of parts of prompts, as it begins to write an answer.
+    /// Requests without token counts, by "TENANT TARGET BODY", as it begins to run them.
+    std::set<std::string> requests;
 };
 
 /// A stand-in for a replica of the users' platform, on a thread of its own.
@@ -69,8 +71,11 @@
     void onDrained(gateway::Exchange &) override { }
     void onRejected(int, std::string_view) override { }
     void order(gateway::Exchange &exchange);
+    bool hasDeadlyPart(const gateway::Exchange &exchange) const;
     bool isDeadly(const gateway::Exchange &exchange) const;
     /// Begins to answer a request and crashes.
+    void crashOnStream(const std::shared_ptr<gateway::Exchange> &exchange);
+    /// Begins to run a request and crashes.
     void crashOnRequest(const std::shared_ptr<gateway::Exchange> &exchange);
     void crash(const std::string &request);
     /// Adds what all answers state, and notes that this one did.
