registry, dispatch: Quick retries count as crashes of their own, and trials are told from what runs beside them

- A retry that crashes the next upstream within 100 ms counted as the same crash.
A request that was sent after a crash was not interrupted by it, so the crash that it is lost in now counts.
Reports say when it was sent.
- Few upstreams are up after such crashes, so trials run beside sound requests.
These were lost twice beside them, became suspect, and kept the trials from proving anything.
What was only lost beside trials of some content is no longer held against them.
- A call that the leader had just granted such a trial was rejected when the news of the next one came first.

--- a/libs/dispatch/src/Crashes.cpp
+++ b/libs/dispatch/src/Crashes.cpp
@@ -36,7 +36,7 @@
     // What a leaving upstream loses with its end says nothing about the calls.
     if (!state || state->info().isLeaving || state->info().incarnation != call.upstreamIncarnation)
         return;
-    LostAttempt attempt{call.info.fingerprints, {}, now};
+    LostAttempt attempt{call.info.fingerprints, {}, call.attemptSentAt, now};
     if (call.trial == TrialState::Granted) {
         attempt.trial = call.info.id;
         call.trial = TrialState::None;
@@ -76,21 +76,23 @@
     action.report.upstream = start.first;
     action.report.incarnation = start.second;
     action.report.age = elapsed(attempts.front().at, now);
-    std::set<fleet::Fingerprint> reported;
+    std::map<fleet::Fingerprint, fleet::InterruptedContent> contents;
     for (const LostAttempt &attempt : attempts) {
         if (attempt.trial && action.trial)
             m_actions.emplace_back(EndTrial{*attempt.trial});
         else if (attempt.trial)
             action.trial = attempt.trial;
         for (const fleet::Fingerprint it : attempt.fingerprints) {
-            if (!reported.insert(it).second)
-                continue;
-            fleet::InterruptedContent content{it, attempt.trial.has_value(), {}};
+            fleet::InterruptedContent &content = contents[it];
+            content.fingerprint = it;
+            content.wasTrial = content.wasTrial || attempt.trial;
+            content.sentAge = elapsed(attempt.sentAt, now); // The attempts are in order.
             if (const auto answeredAt = m_answeredContent.lastAnswered(it))
                 content.answeredAge = elapsed(*answeredAt, now);
-            action.report.contents.push_back(content);
         }
     }
+    for (const auto &[fingerprint, content] : contents)
+        action.report.contents.push_back(content);
     m_actions.emplace_back(std::move(action));
 }
 
@@ -187,6 +189,9 @@
     if (suspects.empty())
         return true;
     call.blocker = QueueBlocker::Trial;
+    // The leader may have granted the last trial for a long time to this call.
+    if (call.trial == TrialState::Requested)
+        return false;
     std::vector<fleet::CrashSuspect> facts;
     for (const fleet::Fingerprint it : suspects)
         facts.push_back(toFact(m_suspects.at(it), now));
@@ -196,8 +201,6 @@
         holdBack(call, trialIn, now);
         return false;
     }
-    if (call.trial == TrialState::Requested)
-        return false;
     call.trial = TrialState::Requested;
     m_actions.emplace_back(RequestTrial{call.info.id, call.info.service, call.info.fingerprints,
                                         elapsed(now, waitsUntil)});
--- a/libs/dispatch/src/LostAttempts.h
+++ b/libs/dispatch/src/LostAttempts.h
@@ -11,6 +11,7 @@
 {
     std::vector<fleet::Fingerprint> fingerprints;
     std::optional<CallId> trial; ///< The call, if it was a trial.
+    base::TimePoint sentAt;
     base::TimePoint at;
 };
 
--- a/libs/edge/src/Crashes.cpp
+++ b/libs/edge/src/Crashes.cpp
@@ -133,8 +133,9 @@
         return keepEvidence(std::move(evidence), createdAt);
     evidence.host = m_options.host;
     fleet::CrashEvidence message = evidence;
+    const auto delay = std::chrono::floor<base::Millis>(now - createdAt);
     for (fleet::CrashReport &it : message.crashes)
-        it.age += std::chrono::floor<base::Millis>(now - createdAt);
+        it.addAge(delay);
     m_node->query(*m_leader, {fleet::kCrashTopic, fleet::encode(message)}, kEvidenceTimeout,
                   [this, evidence = std::move(evidence),
                    createdAt](const tl::expected<std::string, peers::PeerError> &answer) mutable {
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -275,8 +275,10 @@
     bool operator==(const CrashSuspect &other) const = default;
 };
 
-/// Time until the next trial of a request that contains all of \a suspects; 0 when it may be made
-/// at once.
+/// Those of \a suspects that keep a request with all of them from being sent before their next
+/// trial.
+std::vector<CrashSuspect> quarantinedIn(const std::vector<CrashSuspect> &suspects);
+/// Time until the next trial of a request with all of \a suspects; 0 when it may be made at once.
 base::Millis nextTrialIn(const std::vector<CrashSuspect> &suspects);
 
 /// Content of a request that was in flight when an upstream crashed.
@@ -284,6 +286,7 @@
 {
     Fingerprint fingerprint;
     bool wasTrial = false;
+    base::Millis sentAge{0}; ///< Since the latest request with it was sent there.
     /// Since this host last saw a request with it answered; empty if it never did.
     std::optional<base::Millis> answeredAge;
 
@@ -298,6 +301,8 @@
     base::Millis age{0}; ///< Since its connections ended.
     std::vector<InterruptedContent> contents;
 
+    /// Adds the time for which the report was kept to all its ages.
+    void addAge(base::Millis extra);
     bool operator==(const CrashReport &other) const = default;
 };
 
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -99,15 +99,15 @@
 
 json toJson(const InterruptedContent &it)
 {
-    return {it.fingerprint.count(), it.wasTrial,
+    return {it.fingerprint.count(), it.wasTrial, it.sentAge.count(),
             it.answeredAge ? json(it.answeredAge->count()) : json()};
 }
 
 InterruptedContent interruptedContentFrom(const json &j)
 {
-    InterruptedContent it{Fingerprint(j.at(0)), j.at(1), {}};
-    if (!j.at(2).is_null())
-        it.answeredAge = base::Millis(j.at(2));
+    InterruptedContent it{Fingerprint(j.at(0)), j.at(1), base::Millis(j.at(2)), {}};
+    if (!j.at(3).is_null())
+        it.answeredAge = base::Millis(j.at(3));
     return it;
 }
 
--- a/libs/registry/src/CrashSuspects.cpp
+++ b/libs/registry/src/CrashSuspects.cpp
@@ -120,10 +120,13 @@
             trial
             && std::find(trial->contents.begin(), trial->contents.end(), fingerprint)
                        != trial->contents.end();
-    // Reports of a host that had no leader for a while come in any order.
+    // Reports of a host that had no leader for a while come in any order. A request that was sent
+    // after a crash was not interrupted by what caused it.
+    const base::TimePoint sentAt = now - interrupted.sentAge;
     const bool isSeparate = std::none_of(
-            content.countedAt.begin(), content.countedAt.end(),
-            [at](base::TimePoint counted) { return std::chrono::abs(counted - at) < kSeparation; });
+            content.countedAt.begin(), content.countedAt.end(), [&](base::TimePoint counted) {
+                return std::chrono::abs(counted - at) < kSeparation && sentAt < counted;
+            });
     if (!isSeparate && !isFailedTrial)
         return;
     pushLatest(content.countedAt, at);
@@ -149,10 +152,18 @@
         m_crashes.pop_front();
 }
 
-bool CrashSuspects::isSuspect(fleet::Fingerprint fingerprint) const
+bool CrashSuspects::isAlternative(fleet::Fingerprint other, const Content &content) const
 {
-    const auto it = m_contents.find(fingerprint);
-    return it != m_contents.end() && it->second.crashes >= kSuspectCrashes;
+    const auto it = m_contents.find(other);
+    if (it == m_contents.end())
+        return false;
+    // What merely ran beside the trials is not suspected for their crashes.
+    const auto besideTrials = std::count_if(
+            it->second.known.begin(), it->second.known.end(), [&content](const CrashKey &key) {
+                return std::find(content.failedTrials.begin(), content.failedTrials.end(), key)
+                       != content.failedTrials.end();
+            });
+    return it->second.crashes - besideTrials >= kSuspectCrashes;
 }
 
 bool CrashSuspects::isProvenByTrial(fleet::Fingerprint fingerprint, const Content &content) const
@@ -161,9 +172,10 @@
         const auto crash = std::find_if(m_crashes.begin(), m_crashes.end(),
                                         [&key](const Crash &it) { return it.key == key; });
         return crash != m_crashes.end()
-               && std::none_of(
-                       crash->contents.begin(), crash->contents.end(),
-                       [&](fleet::Fingerprint it) { return it != fingerprint && isSuspect(it); });
+               && std::none_of(crash->contents.begin(), crash->contents.end(),
+                               [&](fleet::Fingerprint it) {
+                                   return it != fingerprint && isAlternative(it, content);
+                               });
     };
     return std::any_of(content.failedTrials.begin(), content.failedTrials.end(), isOnlySuspect);
 }
@@ -322,9 +334,7 @@
     }
     if (best == m_waiting.end())
         return;
-    for (const fleet::CrashSuspect &it : suspectsIn(best->request, now)) {
-        if (it.quarantine == fleet::Quarantine::None)
-            continue;
+    for (const fleet::CrashSuspect &it : fleet::quarantinedIn(suspectsIn(best->request, now))) {
         Content &content = m_contents.at(it.fingerprint);
         content.nextTrialAt = now + trialInterval(++content.quarantineTrials);
         ++m_revision;
--- a/libs/registry/src/CrashSuspects.h
+++ b/libs/registry/src/CrashSuspects.h
@@ -85,7 +85,8 @@
                   const RunningTrial *trial, base::TimePoint now);
     /// Notes what was in flight at a crash.
     void recordCrash(const fleet::CrashReport &report);
-    bool isSuspect(fleet::Fingerprint fingerprint) const;
+    /// Whether \a other may be to blame for failed trials of \a content.
+    bool isAlternative(fleet::Fingerprint other, const Content &content) const;
     /// Whether \a content was the only suspect in flight when one of its trials failed.
     bool isProvenByTrial(fleet::Fingerprint fingerprint, const Content &content) const;
     void addKnown(const fleet::CrashSuspect &suspect, base::TimePoint now);
--- a/libs/registry/tests/CrashPlayer.cpp
+++ b/libs/registry/tests/CrashPlayer.cpp
@@ -179,7 +179,10 @@
     info.latencyObjective = Millis(300);
     info.gapObjective = Millis(250);
     const std::int64_t common = std::uniform_int_distribution<int>(1, kCommonParts)(m_rng);
-    info.fingerprints = {partOf(0), partOf(common)};
+    if (!m_scenario.areWholeRequests)
+        info.fingerprints = {partOf(0), partOf(common)};
+    else if (!deadlyPart)
+        info.fingerprints = {partOf(1'000'000 + info.id.count())};
     if (deadlyPart)
         info.fingerprints.push_back(partOf(100 + static_cast<std::int64_t>(*deadlyPart)));
     m_attempts[info.id] = {host, 0, 0, {}};
@@ -362,7 +365,7 @@
         }
         fleet::CrashEvidence message = evidence;
         for (fleet::CrashReport &it : message.crashes)
-            it.age += std::chrono::floor<Millis>(m_now - createdAt);
+            it.addAge(std::chrono::floor<Millis>(m_now - createdAt));
         m_suspects.report(message, m_now);
         publish();
     });
--- a/libs/registry/tests/CrashPlayer.h
+++ b/libs/registry/tests/CrashPlayer.h
@@ -28,6 +28,8 @@
     /// One host starts only then, and gets all calls with deadly parts from then on.
     std::optional<base::Millis> lateHostAt;
     bool keepsIds = false; ///< Upstreams start again under their ids.
+    /// Calls have no part in common; a deadly one comes again and again.
+    bool areWholeRequests = false;
     std::uint64_t seed = 1;
 };
 
--- a/libs/registry/tests/CrashSharingTest.cpp
+++ b/libs/registry/tests/CrashSharingTest.cpp
@@ -13,14 +13,16 @@
 
 /// All hosts know a fact after this.
 constexpr Millis kContact{3'000};
-constexpr std::size_t kCrashesBeforeBound = 5;
+/// Crashes after which the arrivals of a part and of a whole request are counted.
+constexpr std::size_t kPartCrashes = 5;
+constexpr std::size_t kRequestCrashes = 3;
 constexpr int kAllowedArrivals = 3;
 
 /// The crash from which the bounds count.
-base::TimePoint countedCrash(const CrashOutcome::DeadlyPart &part)
+base::TimePoint countedCrash(const CrashOutcome::DeadlyPart &part, std::size_t count = kPartCrashes)
 {
     REQUIRE(!part.crashes.empty());
-    return part.crashes[std::min(kCrashesBeforeBound, part.crashes.size()) - 1];
+    return part.crashes[std::min(count, part.crashes.size()) - 1];
 }
 
 double servedShare(const std::vector<CrashOutcome::Call> &calls)
@@ -41,14 +43,15 @@
 {
     const CrashOutcome outcome = CrashPlayer(scenario).play();
     INFO("hosts " << scenario.hostCount << ", seed " << scenario.seed);
+    const std::size_t count = scenario.areWholeRequests ? kRequestCrashes : kPartCrashes;
     // Without a leader no fact reaches the hosts.
     base::TimePoint lastCounted = CrashPlayer::kStart + scenario.leaderLostTo;
     for (std::size_t n = 0; n < outcome.deadlyParts.size(); ++n) {
-        const base::TimePoint counted = std::max(countedCrash(outcome.deadlyParts[n]),
+        const base::TimePoint counted = std::max(countedCrash(outcome.deadlyParts[n], count),
                                                  CrashPlayer::kStart + scenario.leaderLostTo);
         lastCounted = std::max(lastCounted, counted);
         INFO("part " << n << ": " << outcome.deadlyParts[n].crashes.size() << " crashes");
-        if (outcome.deadlyParts[n].crashes.size() >= kCrashesBeforeBound)
+        if (outcome.deadlyParts[n].crashes.size() >= count)
             CHECK(outcome.arrivalsAfter(n, counted + kContact) <= kAllowedArrivals);
     }
     const auto sound = outcome.soundCalls(lastCounted + 2 * kContact);
@@ -139,6 +142,25 @@
     }
 }
 
+TEST_CASE("a request that crashes upstreams is held back however its retries spread it")
+{
+    for (const int hosts : {1, 7, 90}) {
+        for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6}) {
+            for (const double perSecond : {0.5, 3.5}) {
+                CrashScenario scenario;
+                scenario.hostCount = hosts;
+                scenario.upstreamCount = 3;
+                scenario.soundPerSecond = 6;
+                scenario.deadlyPerSecond = {perSecond};
+                scenario.areWholeRequests = true;
+                scenario.duration = Millis(40'000);
+                scenario.seed = seed;
+                playBounded(scenario);
+            }
+        }
+    }
+}
+
 TEST_CASE("content stays held back when the leader is lost between the crashes")
 {
     for (const int hosts : {7, 90}) {
@@ -175,7 +197,7 @@
     scenario.duration = Millis(100'000);
     const CrashOutcome lasting = CrashPlayer(scenario).play();
     const base::TimePoint boundFrom = countedCrash(lasting.deadlyParts[0]) + kContact;
-    CHECK(lasting.arrivalsAfter(0, boundFrom) >= 1);
+    CHECK(lasting.arrivalsAfter(0, CrashPlayer::kStart + Millis(30'000)) >= 1);
     CHECK(lasting.arrivalsAfter(0, boundFrom) <= kAllowedArrivals);
     CHECK(lasting.suspects == 1);
     scenario.deadlyTo = Millis(30'000);
--- a/libs/registry/tests/CrashSuspectsTest.cpp
+++ b/libs/registry/tests/CrashSuspectsTest.cpp
@@ -10,6 +10,8 @@
 
 constexpr base::TimePoint kStart{std::chrono::hours(1)};
 const base::ServiceId kService("model");
+/// Requests were sent so long before a crash, unless a test says otherwise.
+constexpr Millis kRunTime{500};
 const fleet::Fingerprint kPart(1);
 const fleet::Fingerprint kOther(2);
 
@@ -19,7 +21,7 @@
     fleet::CrashReport report{
             base::UpstreamId(std::to_string(upstream)), base::Incarnation(1), age, {}};
     for (const fleet::Fingerprint it : contents)
-        report.contents.push_back({it, wasTrial, {}});
+        report.contents.push_back({it, wasTrial, age + kRunTime, {}});
     return report;
 }
 
@@ -100,6 +102,16 @@
     CHECK(it.suspects.suspects(kStart + Millis(2'000)).empty());
 }
 
+TEST_CASE("a request that was sent after a crash counts for the next one, however soon it comes")
+{
+    Fixture it;
+    it.report(crash(1, {kPart}), kStart);
+    fleet::CrashReport second = crash(2, {kPart});
+    second.contents[0].sentAge = Millis(49);
+    it.report(second, kStart + Millis(50));
+    CHECK(it.suspects.suspects(kStart + Millis(60)).size() == 1);
+}
+
 TEST_CASE("content is suspect after two crashes and not after an answer between them")
 {
     Fixture it;
