edge: A request that crashes the upstreams that run it is known by its team, target and body

Cause: as for parts of prompts, the request is carried on by whoever tries elsewhere, and each attempt of its caller has a new id, so nothing knew that it came again.

Each call now has a fingerprint of its team, method, target and body, as it has one of each shared part of its prompt. The rest is the mechanism for parts: the leader counts the crashes under it that no answer followed, runs it as a trial once suspect, and quarantines it. The same body of another team is another request; the framing of the body makes no difference.

--- a/integration/CrashTest.cpp
+++ b/integration/CrashTest.cpp
@@ -221,8 +221,7 @@
     checkBounds(bed, kPartCrashes, end);
 }
 
-TEST_CASE("a request that crashes the replicas that run it stops reaching them, and others go on",
-          "[.known-red]")
+TEST_CASE("a request that crashes the replicas that run it stops reaching them, and others go on")
 {
     CrashBed bed("lookup", 3);
     // The same caller asks for other things, and another caller for the same.
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -184,11 +184,14 @@
     info.gapObjective = route->gapObjective;
     for (const std::string &part : metadata.sharedParts)
         info.fingerprints.push_back(fleet::fingerprintOf(info.service, {"part", part}));
+    const auto body = std::make_shared<const std::string>(exchange->takeBody());
+    info.fingerprints.push_back(fleet::fingerprintOf(
+            info.service, {"request", info.team.text(), head.method, head.target, *body}));
 
     EdgeCall &call = m_calls[info.id];
     call.id = info.id;
     call.exchange = exchange;
-    call.body = std::make_shared<const std::string>(exchange->takeBody());
+    call.body = body;
     call.fingerprints = info.fingerprints;
     call.requestMetadata = std::move(metadata);
     call.team = info.team;
