registry, dispatch: A crash that shows only with the next start of its upstream still counts for the trial

Where something in front of an upstream accepts its connections, or a supervisor starts it again at once, a probe is accepted, so the trial ended without a result and content that crashes each upstream was tried again and again without ever being quarantined.

The leader keeps the last 16 ended trials, and a host names the trial in the crash that it reports later. The next trial does not wait for that. Tests: test-registry, test-dispatch.

--- a/libs/dispatch/src/Crashes.cpp
+++ b/libs/dispatch/src/Crashes.cpp
@@ -36,7 +36,10 @@
     // What a leaving upstream loses with its end says nothing about the calls.
     if (!state || state->info().isLeaving || state->info().incarnation != call.upstreamIncarnation)
         return;
-    LostAttempt attempt{call.info.fingerprints, {}, call.attemptSentAt, now};
+    LostAttempt attempt;
+    attempt.fingerprints = call.info.fingerprints;
+    attempt.sentAt = call.attemptSentAt;
+    attempt.at = now;
     if (call.trial == TrialState::Granted) {
         attempt.trial = call.info.id;
         call.trial = TrialState::None;
@@ -57,7 +60,7 @@
     if (event.isRefused)
         return reportCrash(start, CrashSource::Refused, now);
     // A later start may still show that it crashed, but the next trial does not wait for that.
-    for (const CallId trial : m_lostAttempts.takeTrials(start))
+    for (const CallId trial : m_lostAttempts.endTrials(start))
         m_actions.emplace_back(EndTrial{trial});
 }
 
@@ -78,9 +81,9 @@
     action.report.age = elapsed(attempts.front().at, now);
     std::map<fleet::Fingerprint, fleet::InterruptedContent> contents;
     for (const LostAttempt &attempt : attempts) {
-        if (attempt.trial && action.trial)
+        if (attempt.trial && action.trial && !attempt.isTrialEnded)
             m_actions.emplace_back(EndTrial{*attempt.trial});
-        else if (attempt.trial)
+        else if (attempt.trial && !action.trial)
             action.trial = attempt.trial;
         for (const fleet::Fingerprint it : attempt.fingerprints) {
             fleet::InterruptedContent &content = contents[it];
--- a/libs/dispatch/src/LostAttempts.cpp
+++ b/libs/dispatch/src/LostAttempts.cpp
@@ -60,15 +60,15 @@
                                 : std::exchange(it->second.attempts, {});
 }
 
-std::vector<CallId> LostAttempts::takeTrials(const Start &start)
+std::vector<CallId> LostAttempts::endTrials(const Start &start)
 {
     std::vector<CallId> trials;
     const auto it = m_starts.find(start);
     if (it == m_starts.end())
         return trials;
     for (LostAttempt &attempt : it->second.attempts) {
-        if (attempt.trial)
-            trials.push_back(*std::exchange(attempt.trial, std::nullopt));
+        if (attempt.trial && !std::exchange(attempt.isTrialEnded, true))
+            trials.push_back(*attempt.trial);
     }
     return trials;
 }
--- a/libs/dispatch/src/LostAttempts.h
+++ b/libs/dispatch/src/LostAttempts.h
@@ -11,6 +11,7 @@
 {
     std::vector<fleet::Fingerprint> fingerprints;
     std::optional<CallId> trial; ///< The call, if it was a trial.
+    bool isTrialEnded = false; ///< The next trial does not wait for the result of this one.
     base::TimePoint sentAt;
     base::TimePoint at;
 };
@@ -31,8 +32,8 @@
     bool isCrashed(const Start &start) const;
     /// Removes and returns the attempts of a start.
     std::vector<LostAttempt> take(const Start &start);
-    /// Removes and returns the trials among the attempts of a start. The attempts stay.
-    std::vector<CallId> takeTrials(const Start &start);
+    /// Marks the trials among the attempts of a start as ended. Returns those that were not.
+    std::vector<CallId> endTrials(const Start &start);
     /// Starts with lost attempts that \a upstream shows to have ended, since it has the id or the
     /// address of a start before it.
     std::vector<Start> endedBy(const fleet::Upstream &upstream) const;
--- a/libs/dispatch/tests/CrashTest.cpp
+++ b/libs/dispatch/tests/CrashTest.cpp
@@ -203,6 +203,13 @@
     const fleet::Upstream upstream = first<ProbeUpstream>(lost)->upstream;
     CHECK(first<EndTrial>(it.dispatcher.handle(
             UpstreamProbed{upstream.id, upstream.incarnation, false}, kStart + Millis(12))));
+    // It did crash, as its next start shows.
+    fleet::Upstream next = upstream;
+    next.incarnation = base::Incarnation(2);
+    const Actions restarted = it.dispatcher.handle(UpstreamUpdated{next}, kStart + Millis(15));
+    CHECK_FALSE(first<EndTrial>(restarted));
+    REQUIRE(first<ReportCrash>(restarted));
+    CHECK(first<ReportCrash>(restarted)->trial == CallId(it.lastCall));
     // A grant that comes after its call has left is given back.
     CHECK(first<EndTrial>(it.dispatcher.handle(
             TrialDecided{CallId(it.lastCall), true, {true, Millis(0)}}, kStart + Millis(20))));
--- a/libs/registry/src/CrashSuspects.cpp
+++ b/libs/registry/src/CrashSuspects.cpp
@@ -27,6 +27,7 @@
 /// Limits on what is kept. The content with the oldest crash is dropped first.
 constexpr std::size_t kMaxContents = 4'096;
 constexpr std::size_t kMaxCrashes = 64;
+constexpr std::size_t kMaxEndedTrials = 16;
 constexpr std::size_t kMaxKnownCrashes = 16;
 constexpr std::size_t kMaxFailedTrials = 4;
 /// Retry-After of a trial whose turn did not come.
@@ -78,13 +79,8 @@
     }
     for (const fleet::Fingerprint it : evidence.answered)
         clear(it, now);
-    if (evidence.endedTrial) {
-        std::erase_if(m_running,
-                      [&](const auto &it) { return it.second.key == *evidence.endedTrial; });
-        std::erase_if(m_waiting, [&](const WaitingTrial &it) {
-            return it.request.key == *evidence.endedTrial;
-        });
-    }
+    if (evidence.endedTrial)
+        endTrial(*evidence.endedTrial);
     removeForgotten(now);
     updateQuarantines(now);
     tick(now);
@@ -92,9 +88,26 @@
 
 const CrashSuspects::RunningTrial *CrashSuspects::findTrial(const fleet::TrialKey &key) const
 {
-    const auto it = std::find_if(m_running.begin(), m_running.end(),
-                                 [&key](const auto &running) { return running.second.key == key; });
-    return it == m_running.end() ? nullptr : &it->second;
+    for (const auto &[service, trial] : m_running) {
+        if (trial.key == key)
+            return &trial;
+    }
+    const auto ended = std::find_if(m_ended.begin(), m_ended.end(),
+                                    [&key](const RunningTrial &it) { return it.key == key; });
+    return ended == m_ended.end() ? nullptr : &*ended;
+}
+
+void CrashSuspects::endTrial(const fleet::TrialKey &key)
+{
+    std::erase_if(m_waiting, [&](const WaitingTrial &it) { return it.request.key == key; });
+    const auto running = std::find_if(m_running.begin(), m_running.end(),
+                                      [&key](const auto &it) { return it.second.key == key; });
+    if (running == m_running.end())
+        return;
+    m_ended.push_back(std::move(running->second));
+    m_running.erase(running);
+    if (m_ended.size() > kMaxEndedTrials)
+        m_ended.pop_front();
 }
 
 void CrashSuspects::addCrash(const fleet::CrashReport &report,
--- a/libs/registry/src/CrashSuspects.h
+++ b/libs/registry/src/CrashSuspects.h
@@ -101,13 +101,17 @@
                                                 base::TimePoint now) const;
     /// Grants the next trial of \a service, if none runs.
     void grantNext(const base::ServiceId &service, base::TimePoint now);
-    /// Null when the trial is not running any more.
+    /// A trial that runs or has ended lately; null otherwise.
     const RunningTrial *findTrial(const fleet::TrialKey &key) const;
+    void endTrial(const fleet::TrialKey &key);
 
     std::map<fleet::Fingerprint, Content> m_contents;
     std::deque<Crash> m_crashes; ///< The latest ones, the last one at the end.
     std::vector<WaitingTrial> m_waiting; ///< In the order of arrival.
     std::map<base::ServiceId, RunningTrial> m_running;
+    /// The latest ones that have ended. A later start of the upstream may still show that it
+    /// crashed.
+    std::deque<RunningTrial> m_ended;
     std::int64_t m_revision = 0;
 };
 
--- a/libs/registry/tests/CrashSuspectsTest.cpp
+++ b/libs/registry/tests/CrashSuspectsTest.cpp
@@ -192,6 +192,21 @@
     CHECK(it.quarantineOf(kPart, kStart + Millis(24 * 3'600'000)) == fleet::Quarantine::Full);
 }
 
+TEST_CASE("a crash that shows only after its trial has ended counts for the trial")
+{
+    Fixture it;
+    it.report(crash(1, {kPart}), kStart);
+    it.report(crash(2, {kPart}), kStart + Millis(300));
+    for (int n = 0; n < 2; ++n) {
+        const base::TimePoint now = kStart + Millis(5'000 * (n + 1));
+        REQUIRE(it.requestTrial({kPart}, now));
+        it.suspects.report({base::HostId("e"), {}, {}, {}, key(it.lastCall)}, now + Millis(50));
+        it.lastUpstream = 10 + n;
+        it.failTrial({kPart}, now + Millis(3'000));
+    }
+    CHECK(it.quarantineOf(kPart, kStart + Millis(15'000)) == fleet::Quarantine::Full);
+}
+
 TEST_CASE("an answered trial ends a quarantine")
 {
     Fixture it;
