platform-soak: Some requests crash the replicas that run them

Chats share parts with each other. Checked: once the fifth crash of the part, or the third of the request, can be known, three more of them reach replicas at most, while no host or link was met by a fault.

Such crashes are no faults of the driver: they excuse nothing that its crashes excuse.

--- a/integration/platform-soak/Checks.cpp
+++ b/integration/platform-soak/Checks.cpp
@@ -16,6 +16,13 @@
 constexpr base::Millis kContact{3'000};
 /// An answer may be that late; the machine is shared.
 constexpr base::Millis kLateness{500};
+/// The fault proxy accepts connections to a replica that is down, so that a crash shows only when
+/// the replica is announced again.
+constexpr base::Millis kCrashKnown{3'500};
+/// Crashes after which the arrivals of requests that cause them are counted, and those allowed.
+constexpr std::size_t kPartCrashes = 5;
+constexpr std::size_t kRequestCrashes = 3;
+constexpr int kDeadlyArrivals = 3;
 /// Requests that come later than this into a stop may be refused or cut.
 constexpr base::Millis kStopNotice{1'000};
 
@@ -56,6 +63,15 @@
             });
 }
 
+bool Checks::isAnyHostDisturbed(base::TimePoint from, base::TimePoint to) const
+{
+    return std::any_of(m_history->faults().begin(), m_history->faults().end(),
+                       [&](const FaultRecord &it) {
+                           return !it.target.starts_with("replica") && it.from <= to
+                                  && it.to + kContact >= from;
+                       });
+}
+
 bool Checks::isDisturbedReplica(base::TimePoint from, base::TimePoint to) const
 {
     return std::any_of(m_history->faults().begin(), m_history->faults().end(),
@@ -133,6 +149,40 @@
     return lines;
 }
 
+std::vector<std::string> Checks::deadlyExcesses(
+        const std::vector<harness::ReplicaTraffic> &traffic,
+        const std::vector<harness::ReplicaCrash> &crashes) const
+{
+    std::vector<std::string> lines;
+    for (const auto &[kind, counted] :
+         {std::pair(Kind::Chat, kPartCrashes), std::pair(Kind::Lookup, kRequestCrashes)}) {
+        const auto isOfKind = [this, kind = kind](const std::string &request) {
+            const auto call = m_calls.find(request);
+            return call != m_calls.end() && call->second->isDeadly && call->second->kind == kind;
+        };
+        std::vector<base::TimePoint> times;
+        for (const harness::ReplicaCrash &it : crashes) {
+            if (isOfKind(it.request))
+                times.push_back(it.at);
+        }
+        if (times.size() < counted)
+            continue;
+        const base::TimePoint from = times[counted - 1] + kContact + kCrashKnown;
+        int arrived = 0;
+        for (const harness::ReplicaTraffic &replica : traffic) {
+            for (const auto &it : replica.arrivals) {
+                if (it.at > from && isOfKind(it.request)
+                    && !isAnyHostDisturbed(it.at - kContact - kCrashKnown, it.at))
+                    ++arrived;
+            }
+        }
+        if (arrived > kDeadlyArrivals)
+            lines.push_back(fmt::format("{} requests of kind {} reached replicas after {} crashes",
+                                        arrived, static_cast<int>(kind), times.size()));
+    }
+    return lines;
+}
+
 void Checks::checkLeaving()
 {
     for (const LeaveRecord &left : m_history->leaves()) {
--- a/integration/platform-soak/Checks.h
+++ b/integration/platform-soak/Checks.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "History.h"
-#include "Replica.h"
+#include "ReplicaKeeper.h"
 #include "Scorecard.h"
 
 namespace hyssop::platformsoak {
@@ -21,9 +21,17 @@
     std::vector<std::string> rateLimitExcesses(const std::vector<harness::ReplicaTraffic> &traffic,
                                                int &windows) const;
 
+    /// Returns a line for each kind of requests that crash replicas and went on reaching them,
+    /// given what reached replicas and the crashes.
+    std::vector<std::string> deadlyExcesses(
+            const std::vector<harness::ReplicaTraffic> &traffic,
+            const std::vector<harness::ReplicaCrash> &crashes) const;
+
 private:
     /// Whether an unplanned fault met \a target, or anyone for an empty one, from \a from to \a to.
     bool isDisturbed(const std::string &target, base::TimePoint from, base::TimePoint to) const;
+    /// Whether any host or link was met, also by planned work. Hosts learn facts from each other.
+    bool isAnyHostDisturbed(base::TimePoint from, base::TimePoint to) const;
     bool isDisturbedReplica(base::TimePoint from, base::TimePoint to) const;
     /// Whether \a entry was asked to stop or reload shortly before or during a call.
     bool isAtPlannedWork(const CallRecord &call) const;
--- a/integration/platform-soak/History.h
+++ b/integration/platform-soak/History.h
@@ -28,6 +28,7 @@
     bool isConnected = false;
     int status = 0; ///< 0 without an answer.
     bool isWhole = false;
+    bool isDeadly = false; ///< Crashes the replicas that run it.
     bool isOwn = false; ///< The body is what a replica made for this request, as far as it came.
 };
 
--- a/integration/platform-soak/Load.cpp
+++ b/integration/platform-soak/Load.cpp
@@ -12,6 +12,10 @@
 /// Part of the requests that come with a key which a version took away; in percent.
 constexpr int kFormerKeys = 20;
 constexpr int kEvents = 12;
+/// Part of the chats, and of the lookups of team 0, that crash replicas; in percent.
+constexpr int kDeadlyCalls = 4;
+/// Chats share one part with all others and one with some of them.
+constexpr int kCommonParts = 4;
 
 /// Events 1 to n, the last of them maybe cut short unless \a isWhole.
 bool isStreamOf(const std::string &body, int last, bool isWhole)
@@ -86,6 +90,7 @@
 void Load::work(std::size_t number, std::uint64_t seed)
 {
     base::Rng rng(seed);
+    base::Rng deadlyRng(seed); // Apart, so that the other draws of a seed stay as they are.
     std::unique_ptr<harness::Caller> caller;
     std::size_t entry = 0;
     for (std::int64_t count = 0; !m_isStopping; ++count) {
@@ -93,13 +98,19 @@
             entry = std::uniform_int_distribution<std::size_t>(0, m_bed->entries.size() - 1)(rng);
             caller = std::make_unique<harness::Caller>(m_bed->entries[entry].outside);
         }
-        const Request request = drawRequest(rng);
+        Request request = drawRequest(rng);
         // Team 0 is in every version; the others come and go.
         const bool isOwnTeam = std::uniform_int_distribution<int>(0, 99)(rng) >= kFormerKeys;
         const std::int64_t version = isOwnTeam ? 0 : m_manifests->acknowledged();
+        const bool isDeadly =
+                std::uniform_int_distribution<int>(0, 99)(deadlyRng) < kDeadlyCalls
+                && (request.kind == Kind::Chat || (request.kind == Kind::Lookup && isOwnTeam));
+        if (isDeadly && request.kind == Kind::Lookup)
+            request.target = kDeadlyTarget;
         CallRecord record;
         record.id = fmt::format("c{}-{}", number, count);
         record.kind = request.kind;
+        record.isDeadly = isDeadly;
         record.entry = m_bed->entries[entry].name;
         record.team = teamOf(version);
         record.deadline = request.deadline;
@@ -111,7 +122,10 @@
         options.fields = fmt::format("Request-Id: {}\r\nApi-Key: {}\r\nDeadline-Ms: {}\r\n",
                                      record.id, keyOf(version), request.deadline.count());
         if (!request.tokens.empty())
-            options.fields += "Token-Counts: " + request.tokens + "\r\n";
+            options.fields +=
+                    fmt::format("Token-Counts: {}\r\nPrompt-Prefix: aa:40,b{}:100,{}c{}:300\r\n",
+                                request.tokens, count % kCommonParts,
+                                isDeadly ? std::string(kDeadlyPart) + ":100," : "", record.id);
         record.sentAt = base::monotonicNow();
         const harness::Reply reply = caller->call(request.method, request.target, options);
         record.endedAt = base::monotonicNow();
--- a/integration/platform-soak/Load.h
+++ b/integration/platform-soak/Load.h
@@ -4,6 +4,10 @@
 
 namespace hyssop::platformsoak {
 
+/// Part of prompts, and path of lookups of team 0, that crash the replicas that run them.
+inline constexpr auto kDeadlyPart = "dead";
+inline constexpr auto kDeadlyTarget = "/look/dead";
+
 /// Callers of all four kinds, each a thread with a connection that it keeps while it can.
 class Load
 {
--- a/integration/platform-soak/PlatformSoakTest.cpp
+++ b/integration/platform-soak/PlatformSoakTest.cpp
@@ -106,6 +106,7 @@
     checks.checkKeys();
     int limitWindows = 0;
     const auto excesses = checks.rateLimitExcesses(replicas.traffic(), limitWindows);
+    const auto deadly = checks.deadlyExcesses(replicas.traffic(), replicas.deadlyCrashes());
     for (const std::string &it : faults.badStops())
         scorecard.check(Promise::GracefulStop, false, it);
     const auto served = std::count_if(history.calls().begin(), history.calls().end(),
@@ -119,9 +120,12 @@
               << history.acks().size() << " manifests, " << faults.stops() << " stops\n"
               << scorecard.text() << "request rate limits: " << limitWindows << " windows of 4 s, "
               << excesses.size() << " replicas over their limit\n"
+              << replicas.deadlyCrashes().size() << " crashes by requests\n"
               << std::flush;
     for (const std::string &it : excesses)
         FAIL_CHECK(it);
+    for (const std::string &it : deadly)
+        FAIL_CHECK(it);
     CHECK(limitWindows > 0);
     for (const std::string &it : faults.unexpectedEnds())
         FAIL_CHECK(it);
--- a/integration/platform-soak/ReplicaPool.cpp
+++ b/integration/platform-soak/ReplicaPool.cpp
@@ -1,5 +1,7 @@
 #include "ReplicaPool.h"
 
+#include "Load.h"
+
 #include <array>
 
 namespace hyssop::platformsoak {
@@ -54,6 +56,7 @@
         place.id = "i-" + std::to_string(++m_lastId);
     place.replica =
             std::make_unique<harness::Replica>(place.id, m_bed->replicaListen[n], kFaults, m_rng());
+    place.replica->crashOn(deadlyTriggers());
     place.incarnation = std::chrono::duration_cast<base::Millis>(
                                 std::chrono::system_clock::now().time_since_epoch())
                                 .count();
@@ -86,11 +89,35 @@
     if (place.state != State::Serving)
         return;
     const base::TimePoint now = base::monotonicNow();
+    takeDown(n, down, now);
+    m_history->add(FaultRecord{"replica-" + std::to_string(n), false, now, place.until});
+}
+
+harness::CrashTriggers ReplicaPool::deadlyTriggers()
+{
+    return {{kDeadlyPart}, {teamOf(0) + " " + kDeadlyTarget + " "}};
+}
+
+void ReplicaPool::takeDownCrashed(base::TimePoint now)
+{
+    const std::lock_guard guard(m_mutex);
+    for (std::size_t n = 0; n < m_places.size(); ++n) {
+        const auto &replica = m_places[n].replica;
+        const std::string request = replica ? replica->crashedBy() : "";
+        if (request.empty())
+            continue;
+        m_deadlyCrashes.push_back({replica->id(), request, now});
+        takeDown(n, kReuseAfter, now);
+    }
+}
+
+void ReplicaPool::takeDown(std::size_t n, base::Millis down, base::TimePoint now)
+{
+    Place &place = m_places[n];
     retire(n);
     place.keepsId = std::uniform_int_distribution<int>(0, 99)(m_limitRng) < kSameIds;
     place.state = State::Down;
     place.until = now + std::max(down, kReuseAfter);
-    m_history->add(FaultRecord{"replica-" + std::to_string(n), false, now, place.until});
 }
 
 void ReplicaPool::leave(std::size_t n)
@@ -153,7 +180,8 @@
             tick(n, base::monotonicNow());
         while (!m_isStopping && base::monotonicNow() < next) {
             changeLimit(base::monotonicNow());
-            std::this_thread::sleep_for(base::Millis(20));
+            takeDownCrashed(base::monotonicNow());
+            std::this_thread::sleep_for(base::Millis(5));
         }
     }
 }
--- a/integration/platform-soak/ReplicaPool.h
+++ b/integration/platform-soak/ReplicaPool.h
@@ -2,14 +2,15 @@
 
 #include "History.h"
 #include "PlatformBed.h"
-#include "Replica.h"
+#include "ReplicaKeeper.h"
 
 #include <atomic>
 
 namespace hyssop::platformsoak {
 
 /// Replicas of both services at fixed addresses, which announce themselves, crash, come back under
-/// their id or as others, leave, and state request rate limits that they change and drop.
+/// their id or as others, leave, and state request rate limits that they change and drop. Requests
+/// with deadlyTriggers() crash them.
 class ReplicaPool
 {
 public:
@@ -19,6 +20,9 @@
     ReplicaPool &operator=(const ReplicaPool &) = delete;
 
     std::size_t size() const { return m_places.size(); }
+    static harness::CrashTriggers deadlyTriggers();
+    /// Crashes that such requests caused. To be called after stop().
+    const std::vector<harness::ReplicaCrash> &deadlyCrashes() const { return m_deadlyCrashes; }
     /// Ends a replica without a word; another one starts at its address after \a down.
     void crash(std::size_t place, base::Millis down);
     /// Lets a replica say that it leaves; it serves on for a while, then another one starts there.
@@ -53,6 +57,10 @@
     void tick(std::size_t n, base::TimePoint now);
     void startAt(std::size_t n);
     void retire(std::size_t n);
+    /// Takes down a replica that is to start again later.
+    void takeDown(std::size_t n, base::Millis down, base::TimePoint now);
+    /// Takes down replicas that crashed on a request.
+    void takeDownCrashed(base::TimePoint now);
     /// States another limit, or none, at one of the places.
     void changeLimit(base::TimePoint now);
     static harness::ReplicaTraffic trafficOf(const Place &place, std::size_t n);
@@ -65,6 +73,7 @@
     std::vector<Place> m_places;
     std::vector<harness::Run> m_formerRuns;
     std::vector<harness::ReplicaTraffic> m_formerTraffic;
+    std::vector<harness::ReplicaCrash> m_deadlyCrashes;
     base::Rng m_limitRng; ///< Apart, so that the other draws of a seed stay as they are.
     base::TimePoint m_nextLimitAt{};
     bool m_areLimitsOver = false;
