dispatch: A paused host does not use a trial whose time has passed

From the users' list (a process that was paused acted on a permission that had run out); seen by reading. The new test fails without the fix: SendAttempt 3 s after the request, whose queue time was 150 ms.

--- a/libs/dispatch/src/Crashes.cpp
+++ b/libs/dispatch/src/Crashes.cpp
@@ -168,6 +168,7 @@
 std::vector<fleet::CrashSuspect> Dispatcher::Impl::crashSuspects(base::TimePoint now) const
 {
     std::vector<fleet::CrashSuspect> suspects;
+    suspects.reserve(m_suspects.size());
     for (const auto &[fingerprint, suspect] : m_suspects)
         suspects.push_back(toFact(suspect, now));
     return suspects;
@@ -196,6 +197,7 @@
     if (call.trial == TrialState::Requested)
         return false;
     std::vector<fleet::CrashSuspect> facts;
+    facts.reserve(suspects.size());
     for (const fleet::Fingerprint it : suspects)
         facts.push_back(toFact(m_suspects.at(it), now));
     const base::Millis trialIn = fleet::nextTrialIn(facts);
@@ -220,7 +222,9 @@
         return;
     }
     if (event.reply.isGranted) {
-        call->trial = TrialState::Granted;
+        // A host that stood still may get a grant that another call has by now.
+        if (now < queueDeadline(*call))
+            call->trial = TrialState::Granted;
         return;
     }
     call->trial = TrialState::None;
--- a/libs/dispatch/tests/CrashTest.cpp
+++ b/libs/dispatch/tests/CrashTest.cpp
@@ -215,6 +215,19 @@
             TrialDecided{CallId(it.lastCall), true, {true, Millis(0)}}, kStart + Millis(20))));
 }
 
+TEST_CASE("a host that was paused does not use a trial whose time has passed")
+{
+    Fixture it;
+    it.suspect(fleet::Quarantine::None, Millis(0));
+    it.arrive({kPart});
+    const Actions late = it.dispatcher.handle(
+            TrialDecided{CallId(it.lastCall), true, {true, Millis(0)}}, kStart + Millis(3'000));
+    CHECK_FALSE(first<SendAttempt>(late));
+    const Actions ended = it.dispatcher.tick(kStart + Millis(3'000));
+    CHECK(first<RejectCall>(ended));
+    CHECK(first<EndTrial>(ended));
+}
+
 TEST_CASE("an answered trial clears its content, at once for this host")
 {
     Fixture it;
--- a/libs/registry/src/CrashSuspects.cpp
+++ b/libs/registry/src/CrashSuspects.cpp
@@ -376,6 +376,7 @@
     if (latest.size() > kMaxPublished)
         latest.resize(kMaxPublished);
     std::vector<fleet::CrashSuspect> suspects;
+    suspects.reserve(latest.size());
     for (const auto &[at, suspect] : latest)
         suspects.push_back(suspect);
     return suspects;
--- a/libs/registry/tests/CrashSharingTest.cpp
+++ b/libs/registry/tests/CrashSharingTest.cpp
@@ -79,6 +79,7 @@
 std::vector<int> firstUpstreams(int count)
 {
     std::vector<int> upstreams;
+    upstreams.reserve(static_cast<std::size_t>(count));
     for (int n = 0; n < count; ++n)
         upstreams.push_back(n);
     return upstreams;
