--- a/libs/gateway/tests/GatewayTest.cpp
+++ b/libs/gateway/tests/GatewayTest.cpp
@@ -412,3 +412,38 @@
     CHECK(recorder.completedCount == 8);
     CHECK(server.connectionCount() == 2);
 }
+
+TEST_CASE("a probe tells an address where nothing listens from one that accepts connections")
+{
+    boost::asio::io_context io;
+    EchoHandler echo;
+    Server server(&io, &echo);
+    const base::Endpoint address = *server.listen({"127.0.0.1", 0});
+    tcp::acceptor closed(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const base::Endpoint closedAddress{"127.0.0.1", closed.local_endpoint().port()};
+    closed.close();
+    class : public ResponseHandler
+    {
+        void onHead(CallId, const ResponseHead &) override { }
+        void onBody(CallId, std::string_view) override { }
+        void onEnd(CallId) override { }
+        void onFailed(CallId, const CallError &) override { }
+    } handler;
+    auto client = std::make_unique<Client>(&io, &handler);
+    std::vector<ProbeResult> results;
+    const auto probe = [&](const base::Endpoint &to) {
+        const std::size_t before = results.size();
+        client->probe(to, base::Millis(400), [&](ProbeResult it) { results.push_back(it); });
+        CHECK(results.size() == before);
+        for (int n = 0; n < 100 && results.size() == before; ++n)
+            io.run_for(base::Millis(10));
+    };
+    probe(address);
+    probe(closedAddress);
+    CHECK(results == std::vector<ProbeResult>{ProbeResult::Accepted, ProbeResult::Refused});
+    // The owner of a client that is gone is not called.
+    client->probe(address, base::Millis(400), [&](ProbeResult it) { results.push_back(it); });
+    client.reset();
+    io.run_for(base::Millis(100));
+    CHECK(results.size() == 2);
+}
--- a/libs/registry/tests/CrashPlayer.cpp
+++ b/libs/registry/tests/CrashPlayer.cpp
@@ -46,7 +46,8 @@
 }
 
 CrashPlayer::CrashPlayer(CrashScenario scenario)
-    : m_scenario(std::move(scenario))
+    : VirtualTime(kStart)
+    , m_scenario(std::move(scenario))
     , m_rng(m_scenario.seed)
 {
     m_outcome.deadlyParts.resize(m_scenario.deadlyPerSecond.size());
@@ -86,11 +87,6 @@
     watch(host);
 }
 
-void CrashPlayer::scheduleAt(base::TimePoint at, Step step)
-{
-    m_steps.push({at, ++m_lastStep, std::move(step)});
-}
-
 bool CrashPlayer::hasLeader() const
 {
     return m_now < kStart + m_scenario.leaderLostFrom || m_now >= kStart + m_scenario.leaderLostTo;
@@ -150,12 +146,7 @@
             for (std::size_t n = 0; n < m_hosts.size(); ++n)
                 watch(n);
         });
-    while (!m_steps.empty()) {
-        const ScheduledStep next = m_steps.top();
-        m_steps.pop();
-        m_now = next.at;
-        next.step();
-    }
+    while (runNext()) { }
     m_outcome.suspects = m_suspects.suspects(m_now).size();
     return m_outcome;
 }
--- a/libs/registry/tests/CrashPlayer.h
+++ b/libs/registry/tests/CrashPlayer.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "CrashSuspects.h"
+#include "VirtualTime.h"
 
 #include "dispatch/Dispatch.h"
 
-#include <queue>
 #include <set>
 
 namespace hyssop::registry {
@@ -58,7 +58,7 @@
 };
 
 /// Plays a scenario in virtual time on the decisions of the entry hosts and of the control host.
-class CrashPlayer
+class CrashPlayer : private VirtualTime
 {
 public:
     static constexpr base::TimePoint kStart{std::chrono::hours(1)};
@@ -69,17 +69,6 @@
     CrashOutcome play();
 
 private:
-    using Step = std::function<void()>;
-    struct ScheduledStep
-    {
-        base::TimePoint at;
-        std::int64_t number;
-        Step step;
-        bool operator<(const ScheduledStep &other) const
-        {
-            return std::pair(at, number) > std::pair(other.at, other.number);
-        }
-    };
     struct Host
     {
         std::unique_ptr<dispatch::Dispatcher> dispatcher;
@@ -101,7 +90,6 @@
         base::Incarnation incarnation;
     };
 
-    void scheduleAt(base::TimePoint at, Step step);
     void scheduleCalls(double perSecond, std::optional<std::size_t> deadlyPart,
                        base::TimePoint from, base::TimePoint to);
     void sendCall(std::optional<std::size_t> deadlyPart);
@@ -142,10 +130,7 @@
     std::vector<Host> m_hosts;
     std::vector<Upstream> m_upstreams;
     std::map<dispatch::CallId, Attempt> m_attempts;
-    std::priority_queue<ScheduledStep> m_steps;
     CrashOutcome m_outcome;
-    base::TimePoint m_now = kStart;
-    std::int64_t m_lastStep = 0;
     std::int64_t m_lastStart = 0;
 };
 
--- a/libs/registry/tests/PromptLoadPlayer.cpp
+++ b/libs/registry/tests/PromptLoadPlayer.cpp
@@ -36,7 +36,8 @@
 } // namespace
 
 PromptLoadPlayer::PromptLoadPlayer(PromptScenario scenario)
-    : m_scenario(std::move(scenario))
+    : VirtualTime(kStart)
+    , m_scenario(std::move(scenario))
     , m_rng(m_scenario.seed)
 {
     dispatch::ServiceParameters parameters;
@@ -73,17 +74,11 @@
 
 std::vector<PromptOutcome> PromptLoadPlayer::play()
 {
-    m_now = kStart;
     for (const PromptLoad &load : m_scenario.loads)
         scheduleArrivals(load);
     shareLoads();
     tickPermits();
-    while (!m_steps.empty()) {
-        const ScheduledStep next = m_steps.top();
-        m_steps.pop();
-        m_now = next.at;
-        next.step();
-    }
+    while (runNext()) { }
     return m_outcomes;
 }
 
@@ -92,11 +87,6 @@
     return m_now >= kStart + m_scenario.duration + kTrailingTime;
 }
 
-void PromptLoadPlayer::scheduleAt(base::TimePoint at, Step step)
-{
-    m_steps.push({at, ++m_lastStep, std::move(step)});
-}
-
 void PromptLoadPlayer::scheduleAfter(base::TimePoint::duration delay, Step step)
 {
     scheduleAt(m_now + delay, std::move(step));
--- a/libs/registry/tests/PromptLoadPlayer.h
+++ b/libs/registry/tests/PromptLoadPlayer.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "PrefillPermits.h"
+#include "VirtualTime.h"
 
 #include "dispatch/Dispatch.h"
 
-#include <queue>
 #include <random>
 #include <set>
 
@@ -50,7 +50,7 @@
 /// Engines prefill in order of arrival, decode all answers at the same pace, except that prefill
 /// interrupts them, and reserve memory while they have some. Hosts learn of each other's load and
 /// of permits after a network delay. Callers retry once, after the time that a rejection names.
-class PromptLoadPlayer
+class PromptLoadPlayer : private VirtualTime
 {
 public:
     explicit PromptLoadPlayer(PromptScenario scenario);
@@ -80,19 +80,7 @@
         int attempt = 0; ///< Number of the current attempt. Events of earlier ones are ignored.
         std::vector<std::pair<base::UpstreamId, std::int64_t>> reservations;
     };
-    using Step = std::function<void()>;
-    struct ScheduledStep
-    {
-        base::TimePoint at;
-        std::int64_t number;
-        Step step;
-        bool operator<(const ScheduledStep &other) const
-        {
-            return std::pair(at, number) > std::pair(other.at, other.number);
-        }
-    };
 
-    void scheduleAt(base::TimePoint at, Step step);
     void scheduleAfter(base::TimePoint::duration delay, Step step);
     void scheduleArrivals(const PromptLoad &load);
     void send(std::size_t outcome, base::TimePoint firstSentAt, bool isRetry);
@@ -128,10 +116,7 @@
     std::map<dispatch::CallId, Call> m_calls;
     std::map<std::string, PromptLoad> m_loads;
     std::vector<PromptOutcome> m_outcomes;
-    std::priority_queue<ScheduledStep> m_steps;
-    base::TimePoint m_now;
     base::TimePoint m_nextSnapshotAt{};
-    std::int64_t m_lastStep = 0;
     std::int64_t m_lastCall = 0;
 };
 
--- a/libs/registry/tests/RateLimitPlayer.cpp
+++ b/libs/registry/tests/RateLimitPlayer.cpp
@@ -35,7 +35,8 @@
 }
 
 RateLimitPlayer::RateLimitPlayer(RateLimitScenario scenario)
-    : m_scenario(std::move(scenario))
+    : VirtualTime(kStart)
+    , m_scenario(std::move(scenario))
     , m_rng(m_scenario.seed)
 {
     m_outcome.arrivals.resize(m_scenario.limits.size());
@@ -60,11 +61,6 @@
     }
 }
 
-void RateLimitPlayer::scheduleAt(base::TimePoint at, Step step)
-{
-    m_steps.push({at, ++m_lastStep, std::move(step)});
-}
-
 void RateLimitPlayer::scheduleAtHost(std::size_t host, base::TimePoint at, Step step)
 {
     const bool canPause = host < m_hosts.size() / 3;
@@ -105,12 +101,7 @@
     }
     for (base::TimePoint at = kStart; at < end; at += kWatchInterval)
         scheduleAt(at, [this] { shareLimits(); });
-    while (!m_steps.empty()) {
-        const ScheduledStep next = m_steps.top();
-        m_steps.pop();
-        m_now = next.at;
-        next.step();
-    }
+    while (runNext()) { }
     return m_outcome;
 }
 
--- a/libs/registry/tests/RateLimitPlayer.h
+++ b/libs/registry/tests/RateLimitPlayer.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "SendGrants.h"
+#include "VirtualTime.h"
 
 #include "dispatch/Dispatch.h"
 
-#include <queue>
-
 namespace hyssop::registry {
 
 /// Entry hosts, upstreams with rate limits and calls to them.
@@ -38,7 +37,7 @@
 };
 
 /// Plays a scenario in virtual time on the decisions of the entry hosts and of the control host.
-class RateLimitPlayer
+class RateLimitPlayer : private VirtualTime
 {
 public:
     static constexpr base::TimePoint kStart{std::chrono::hours(1)};
@@ -47,24 +46,12 @@
     RateLimitOutcome play();
 
 private:
-    using Step = std::function<void()>;
-    struct ScheduledStep
-    {
-        base::TimePoint at;
-        std::int64_t number;
-        Step step;
-        bool operator<(const ScheduledStep &other) const
-        {
-            return std::pair(at, number) > std::pair(other.at, other.number);
-        }
-    };
     struct Call
     {
         std::size_t host = 0;
         base::TimePoint arrivedAt;
     };
 
-    void scheduleAt(base::TimePoint at, Step step);
     /// Runs \a step at a host, later when it stands still.
     void scheduleAtHost(std::size_t host, base::TimePoint at, Step step);
     void sendCall();
@@ -86,10 +73,7 @@
     SendGrants m_grants;
     std::vector<std::unique_ptr<dispatch::Dispatcher>> m_hosts;
     std::map<dispatch::CallId, Call> m_calls;
-    std::priority_queue<ScheduledStep> m_steps;
     RateLimitOutcome m_outcome;
-    base::TimePoint m_now = kStart;
-    std::int64_t m_lastStep = 0;
     std::int64_t m_lastCall = 0;
     bool m_wasLeaderLost = false;
 };
