platform: Numbers with a fraction or an exponent no longer end a process at its start

Cause: bounds and counts were read by integer conversions, which take no fraction and no exponent.

Weights keep their fraction. Values that are infinite, not numbers or out of range are rejected. Versions, sequence numbers and start times stay integers, as fractions of these would make different ones equal.

--- a/fuzz/PlatformTargets.cpp
+++ b/fuzz/PlatformTargets.cpp
@@ -55,6 +55,25 @@
     return read || !read.error().message.empty();
 }
 
+/// The first byte chooses the bound that gets the rest. What is accepted is in range.
+bool boundsHold(std::string_view bytes)
+{
+    static const std::vector<std::string> kNames{"RevokeMs",         "ConfigDeadlineMs",
+                                                 "GraceS",           "RetryBudgetRatio",
+                                                 "RetryBudgetExtra", "BudgetWindowS"};
+    if (bytes.empty())
+        return true;
+    const std::string &name = kNames[static_cast<unsigned char>(bytes.front()) % kNames.size()];
+    const auto read = platform::parseSettings(
+            "Node: a\nZone: z\nIp: 127.0.0.1\nInternalPorts: [7, 9]\nSeeds: []\nBounds:\n  " + name
+            + ": " + std::string(bytes.substr(1)) + "\n");
+    const base::Millis zero(0);
+    return !read
+           || (read->maxKeyRevocationDelay > zero && read->maxConfigurationDelay > zero
+               && read->stopTimeout > zero && read->retryWindow > zero && read->retryRatio >= 0
+               && read->retryAllowance >= 0);
+}
+
 /// The first byte chooses the field that gets the rest.
 bool headersHold(std::string_view bytes)
 {
@@ -118,6 +137,7 @@
             {"heartbeat", heartbeatHolds, {kHeartbeat}},
             {"leave", leaveHolds, {R"({"born":5})"}},
             {"platform-settings", settingsHold, {kSettings}},
+            {"platform-bounds", boundsHold, {"a3", "b3.0", "c3.5", "d3e2", "e-1", "f.inf"}},
             {"platform-headers", headersHold, {"a1460,80", "b100", "c3,0,8", "d127.0.0.1:80"}},
             {"fleet-message", fleetMessagesHold, exampleFleetMessages()}};
 }
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -24,7 +24,7 @@
 struct WeightedService
 {
     base::ServiceId service;
-    std::int64_t weight = 1;
+    double weight = 1;
 };
 
 /// Maps requests of one host name and path prefix to services.
--- a/libs/fleet/src/Configuration.cpp
+++ b/libs/fleet/src/Configuration.cpp
@@ -1,6 +1,7 @@
 #include "fleet/Fleet.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hyssop::fleet {
 
@@ -24,7 +25,7 @@
         return makeError(route.name, "the timeout must be greater than 0");
     if (route.maxAttempts < 1)
         return makeError(route.name, "at least one attempt must be allowed");
-    std::int64_t total = 0;
+    double total = 0;
     for (const WeightedService &it : route.services) {
         if (!services.contains(it.service))
             return makeError(route.name, "service " + it.service.text() + " does not exist");
@@ -32,8 +33,8 @@
             return makeError(route.name, "a weight is negative");
         total += it.weight;
     }
-    if (total <= 0)
-        return makeError(route.name, "the sum of the weights must be greater than 0");
+    if (!(total > 0) || !std::isfinite(total))
+        return makeError(route.name, "the sum of the weights must be finite and greater than 0");
     return {};
 }
 
--- a/libs/fleet/src/RouteTable.cpp
+++ b/libs/fleet/src/RouteTable.cpp
@@ -60,12 +60,12 @@
 
 const base::ServiceId &RouteTable::pickService(const Route &route, double draw)
 {
-    std::int64_t total = 0;
+    double total = 0;
     for (const WeightedService &it : route.services)
         total += it.weight;
-    auto left = static_cast<double>(total) * draw;
+    double left = total * draw;
     for (const WeightedService &it : route.services) {
-        left -= static_cast<double>(it.weight);
+        left -= it.weight;
         if (left < 0 && it.weight > 0)
             return it.service;
     }
