--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -193,7 +193,8 @@
     fleet::TrialReply reply;
 };
 
-/// Outstanding load of all other entry hosts together, added up by a control host.
+/// Outstanding load of the entry hosts that do not send theirs directly, added up by a control
+/// host.
 struct PeerLoadSumReceived
 {
     fleet::LoadReport load;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -9,6 +9,9 @@
 
 /// Capacity can become free without an event, as when an ejection or a call of another host ends.
 constexpr base::Millis kQueueRecheckInterval{40};
+/// Sums arrive each half second. After this time without one, no control host is in reach, and what
+/// the last one said of distant hosts is over.
+constexpr base::Millis kDistantLoadLifetime{3'500};
 
 } // namespace
 
@@ -130,6 +133,8 @@
     ActiveCall &call = m_calls[event.call.id];
     call.info = event.call;
     call.queuedAt = now;
+    if (!m_distantLoads.empty() && now >= m_distantLoadsAt + kDistantLoadLifetime)
+        setDistantLoads({}, now);
     ServiceState &service = serviceOf(call.info.service);
     service.retryBudget->recordCall(now);
     classifyPrompt(call, service, now);
@@ -192,7 +197,7 @@
     }
     if (state.requests() > 0 || state.prefillBacklogMs(now) > 0)
         m_changedUpstreams.insert(id);
-    state.setPeerLoad(m_peerLoads.totalAt(id), now);
+    state.setPeerLoad(peerLoadAt(id), now);
 }
 
 void Dispatcher::Impl::handle(const UpstreamRemoved &event, base::TimePoint)
@@ -223,22 +228,27 @@
         serviceOf(parameters.service).parameters = parameters;
 }
 
-void Dispatcher::Impl::applyPeerLoads(base::TimePoint now)
+fleet::UpstreamLoad Dispatcher::Impl::peerLoadAt(const base::UpstreamId &upstream) const
 {
-    for (const auto &[id, state] : m_upstreams) {
-        state->setPeerLoad(m_peerLoads.totalAt(id), now);
+    fleet::UpstreamLoad load = m_peerLoads.totalAt(upstream);
+    if (const auto distant = m_distantLoads.find(upstream); distant != m_distantLoads.end())
+        load += distant->second;
+    return load;
+}
+
+void Dispatcher::Impl::applyPeerLoads(const std::set<base::UpstreamId> &upstreams,
+                                      base::TimePoint now)
+{
+    for (const base::UpstreamId &id : upstreams) {
+        if (UpstreamState *state = findUpstream(id))
+            state->setPeerLoad(peerLoadAt(id), now);
     }
 }
 
 void Dispatcher::Impl::handle(const PeerLoadReceived &event, base::TimePoint now)
 {
-    m_peerLoads.apply(event.update, now);
-    if (m_peerLoads.removeExpired(now) || event.update.isSnapshot)
-        return applyPeerLoads(now);
-    for (const fleet::UpstreamLoad &it : event.update.upstreams) {
-        if (UpstreamState *state = findUpstream(it.upstream))
-            state->setPeerLoad(m_peerLoads.totalAt(it.upstream), now);
-    }
+    applyPeerLoads(m_peerLoads.apply(event.update, now), now);
+    applyPeerLoads(m_peerLoads.removeExpired(now), now);
 }
 
 fleet::LoadUpdate Dispatcher::Impl::takeLoadUpdate(bool isSnapshot)
@@ -261,45 +271,39 @@
 void Dispatcher::Impl::handle(const UpstreamLoadReported &event, base::TimePoint)
 {
     // The loads that hosts send are newer than those in answer headers.
-    if (!m_peerLoads.isEmpty())
+    if (m_entryHostCount > 1)
         return;
     if (UpstreamState *state = findUpstream(event.upstream))
         state->setReportedLoad(event.running, event.waiting);
 }
 
-bool Dispatcher::Impl::arePeersMissing() const
-{
-    return m_peerLoads.hostCount() + 1 < static_cast<std::size_t>(m_entryHostCount);
-}
-
 void Dispatcher::Impl::handle(const PeerLoadSumReceived &event, base::TimePoint now)
 {
     m_entryHostCount = event.entryHostCount;
     m_sharingHosts.record(std::max(1, event.entryHostCount), now);
-    std::map<base::UpstreamId, const fleet::UpstreamLoad *> loads;
-    for (const fleet::UpstreamLoad &load : event.load.upstreams)
-        loads[load.upstream] = &load;
-    m_peerLoads.removeExpired(now);
-    for (const auto &[id, state] : m_upstreams) {
-        // The load sent directly by peers is newer than the sum from the control host.
-        if (!arePeersMissing())
-            break;
-        const auto it = loads.find(id);
-        fleet::UpstreamLoad load = it == loads.end() ? fleet::UpstreamLoad() : *it->second;
-        const fleet::UpstreamLoad peerLoad = m_peerLoads.totalAt(id);
-        load.requests = std::max(load.requests, peerLoad.requests);
-        load.kvTokens = std::max(load.kvTokens, peerLoad.kvTokens);
-        load.shortRequests = std::max(load.shortRequests, peerLoad.shortRequests);
-        load.prefillMs = std::max(load.prefillMs, peerLoad.prefillMs);
-        state->setPeerLoad(load, now);
+    applyPeerLoads(m_peerLoads.removeExpired(now), now);
+    setDistantLoads(event.load, now);
+}
+
+void Dispatcher::Impl::setDistantLoads(const fleet::LoadReport &load, base::TimePoint now)
+{
+    m_distantLoadsAt = now;
+    std::set<base::UpstreamId> changed;
+    for (const auto &[id, previous] : std::exchange(m_distantLoads, {}))
+        changed.insert(id);
+    for (const fleet::UpstreamLoad &it : load.upstreams) {
+        m_distantLoads[it.upstream] = it;
+        changed.insert(it.upstream);
     }
+    applyPeerLoads(changed, now);
 }
 
 fleet::LoadReport Dispatcher::Impl::ownLoad() const
 {
     fleet::LoadReport report;
     for (const auto &[id, state] : m_upstreams) {
-        if (state->ownLoad().requests > 0 || state->ownLoad().prefillMs > 0)
+        const fleet::UpstreamLoad &load = state->ownLoad();
+        if (load.requests > 0 || load.prefillMs > 0 || load.kvTokens.count() > 0)
             report.upstreams.push_back(state->ownLoad());
     }
     return report;
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -279,9 +279,10 @@
 
     /// Adds the calls that are still outstanding at an upstream that was removed and is back.
     void restoreLoad(UpstreamState &state, base::TimePoint now);
-    void applyPeerLoads(base::TimePoint now);
-    /// Whether some other entry hosts do not send their load directly.
-    bool arePeersMissing() const;
+    /// Updates what other hosts have outstanding at \a upstreams.
+    void applyPeerLoads(const std::set<base::UpstreamId> &upstreams, base::TimePoint now);
+    void setDistantLoads(const fleet::LoadReport &load, base::TimePoint now);
+    fleet::UpstreamLoad peerLoadAt(const base::UpstreamId &upstream) const;
 
     // Attempts.
     void sendAttempt(ActiveCall &call, const Placement &placement, base::TimePoint now);
@@ -328,6 +329,8 @@
     std::map<std::pair<int, CallId>, CallId> m_queue; ///< Ordered by priority, then by arrival.
     Reachability m_reachability;
     PeerLoads m_peerLoads;
+    std::map<base::UpstreamId, fleet::UpstreamLoad> m_distantLoads; ///< Of hosts that are no peers.
+    base::TimePoint m_distantLoadsAt{};
     std::set<base::UpstreamId> m_changedUpstreams; ///< Since the last takeLoadUpdate().
     int m_entryHostCount = 0; ///< As reported last; 0 when unknown.
     HostCount m_sharingHosts;
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -29,15 +29,11 @@
 /// Load changes are collected for this long before they are sent. Engine passes take several times
 /// as long.
 constexpr base::Millis kLoadUpdateDelay{12};
-constexpr base::Millis kGossipTimeout{300};
 
-/// Accepts load updates of other entry hosts. They send no other requests.
-class GossipService final : public peers::Service
+/// Entry hosts serve no requests of other hosts.
+class NoService final : public peers::Service
 {
 public:
-    explicit GossipService(std::function<void(std::string)> onGossip)
-        : m_onGossip(std::move(onGossip))
-    { }
     void onWatch(peers::WatchRequest, peers::Answer<peers::WatchReply> answer) override
     {
         answer({});
@@ -47,11 +43,8 @@
         answer({});
     }
     void onReplicate(peers::ReplicateMessage) override { }
-    void onGossip(peers::GossipMessage message) override { m_onGossip(std::move(message.body)); }
+    void onGossip(peers::GossipMessage) override { }
     void onQuery(peers::QueryRequest, peers::Answer<std::string> answer) override { answer(""); }
-
-private:
-    std::function<void(std::string)> m_onGossip;
 };
 
 gateway::ServerLimits serverLimits(const fleet::CallerLimits &limits)
@@ -83,18 +76,19 @@
     , m_fleetTimer(*io)
     , m_stopTimer(*io)
     , m_loadUpdateTimer(*io)
+    , m_loadChannel(io, [this](const auto &update) { onLoadUpdate(update); })
     , m_startId(static_cast<std::int64_t>(m_rng() >> 1))
-    , m_gossipService(std::make_unique<GossipService>([this](std::string body) {
-        boost::asio::post(*m_io, [this, body = std::move(body)] { onGossip(body); });
-    }))
+    , m_peerService(std::make_unique<NoService>())
 { }
 
 tl::expected<void, EdgeError> Edge::Impl::open()
 {
-    auto node = peers::Node::start(m_options.listenPeers, m_gossipService.get());
+    auto node = peers::Node::start(m_options.listenPeers, m_peerService.get());
     if (!node)
         return tl::unexpected(EdgeError{node.error().message});
     m_node = *std::move(node);
+    if (const auto opened = m_loadChannel.open(m_options.listenPeers); !opened)
+        return opened;
     const auto localState = [this] {
         FleetWatcher::LocalState state;
         state.configurationVersion =
@@ -278,13 +272,18 @@
     if (reply.isConfirmed)
         m_leader = base::parseEndpoint(update.control.text());
     if (reply.isConfirmed) {
-        m_loadPeers = reply.loadPeers;
+        if (reply.loadPeers) {
+            m_loadChannel.setPeers(*reply.loadPeers);
+            // New peers do not wait for the next change to learn this host's load.
+            sendLoadUpdate(true);
+        }
         m_entryHostCount = std::max(1, reply.entryHostCount);
         applyCrashSuspects(update, now);
     }
-    if (reply.isConfirmed || !reply.othersLoad.upstreams.empty())
+    if (reply.isConfirmed || !reply.distantLoad.upstreams.empty())
         execute(m_dispatcher.handle(
-                        dispatch::PeerLoadSumReceived{reply.othersLoad, reply.entryHostCount}, now),
+                        dispatch::PeerLoadSumReceived{reply.distantLoad, reply.entryHostCount},
+                        now),
                 now);
     scheduleTick(now);
 }
@@ -366,28 +365,25 @@
 
 void Edge::Impl::sendLoadUpdate(bool isSnapshot)
 {
-    const fleet::LoadUpdate update = m_dispatcher.takeLoadUpdate(isSnapshot);
-    if (!isSnapshot && update.upstreams.empty())
+    fleet::LoadUpdate update = m_dispatcher.takeLoadUpdate(isSnapshot);
+    // Idle hosts are silent, so that they cost their peers nothing. The last snapshot before that
+    // is empty, in case the update before it was lost.
+    const bool wasIdle = std::exchange(m_isIdle, isSnapshot && update.upstreams.empty());
+    if (update.upstreams.empty() && (!isSnapshot || wasIdle))
         return;
-    const std::string body = fleet::encode(update);
-    for (const base::Endpoint &it : m_loadPeers)
-        m_node->gossip(it, {m_options.host, body}, kGossipTimeout);
+    update.startId = m_startId;
+    m_loadChannel.send(std::move(update), base::monotonicNow());
 }
 
-void Edge::Impl::onGossip(const std::string &body)
+void Edge::Impl::onLoadUpdate(const fleet::LoadUpdate &update)
 {
-    const auto update = fleet::decodeLoadUpdate(body);
-    if (!update) {
-        base::logEvent("bad_message", {{"topic", "load"}});
-        return;
-    }
     const base::TimePoint now = base::monotonicNow();
-    execute(m_dispatcher.handle(dispatch::PeerLoadReceived{*update}, now), now);
+    execute(m_dispatcher.handle(dispatch::PeerLoadReceived{update}, now), now);
 }
 
 void Edge::Impl::scheduleTick(base::TimePoint now)
 {
-    if (!m_loadPeers.empty())
+    if (m_loadChannel.hasPeers())
         scheduleLoadUpdate();
     /// A wake-up costs more than a delay of a few milliseconds.
     constexpr base::Millis kMinTickDelay{4};
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -5,6 +5,7 @@
 #include "EventSplitter.h"
 #include "FleetWatcher.h"
 #include "Freshness.h"
+#include "LoadChannel.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -160,7 +161,7 @@
     /// Sends this host's load to its peers after a short delay that collects further changes.
     void scheduleLoadUpdate();
     void sendLoadUpdate(bool isSnapshot);
-    void onGossip(const std::string &body);
+    void onLoadUpdate(const fleet::LoadUpdate &update);
 
     void stopWhenIdle();
 
@@ -190,16 +191,17 @@
     std::function<void()> m_onStopped;
     boost::asio::steady_timer m_loadUpdateTimer;
     bool m_isLoadUpdateScheduled = false;
+    bool m_isIdle = true; ///< The last update sent was a snapshot without load.
     /// Evidence of crashes that no leader has accepted yet, and when it was created.
     std::deque<std::pair<base::TimePoint, fleet::CrashEvidence>> m_keptEvidence;
     /// Start of the control host that knows the suspects of this host; 0 for none.
     std::int64_t m_informedLeader = 0;
-    std::vector<base::Endpoint> m_loadPeers;
+    LoadChannel m_loadChannel;
     int m_entryHostCount = 1; ///< As the leader counted them last.
     std::optional<base::Endpoint> m_leader; ///< Last control host that confirmed a configuration.
     std::int64_t m_startId; ///< Random number drawn at each start.
     std::unique_ptr<FleetWatcher> m_watcher;
-    std::unique_ptr<peers::Service> m_gossipService;
+    std::unique_ptr<peers::Service> m_peerService;
     std::unique_ptr<peers::Node> m_node; ///< Last, as its thread uses the members above.
 };
 
--- a/libs/edge/src/FleetWatcher.cpp
+++ b/libs/edge/src/FleetWatcher.cpp
@@ -77,6 +77,7 @@
     request.directoryIncarnation = it->second.directoryIncarnation;
     request.directoryRevision = it->second.directoryRevision;
     request.factsRevision = it->second.factsRevision;
+    request.loadPeersRevision = it->second.loadPeersRevision;
     request.maxWait = kLongPollWait;
     request.load = std::move(local.load);
     const base::TimePoint requestedAt = base::monotonicNow();
@@ -116,6 +117,11 @@
     control.directoryIncarnation = reply->directory.incarnation;
     control.directoryRevision = reply->directory.revision;
     control.factsRevision = reply->factsRevision;
+    if (reply->loadPeers) {
+        for (auto &[address, other] : m_controlHosts)
+            other.loadPeersRevision = 0;
+        control.loadPeersRevision = reply->loadPeersRevision;
+    }
     for (const base::Endpoint &other : reply->controlHosts)
         addControlHost(other, now);
     m_onUpdate({base::HostId(from.text()), requestedAt, *std::move(reply)});
--- a/libs/edge/src/FleetWatcher.h
+++ b/libs/edge/src/FleetWatcher.h
@@ -43,6 +43,7 @@
         std::int64_t directoryIncarnation = 0;
         std::int64_t directoryRevision = 0;
         std::int64_t factsRevision = 0;
+        std::int64_t loadPeersRevision = 0; ///< 0 unless the peers in use are from this host.
         int consecutiveFailures = 0; ///< Since the last reply.
         bool isQueryPending = false;
         bool isSeed = false;
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -425,6 +425,8 @@
     int shortRequests = 0; ///< Those of \c requests whose prompts share engines with others.
     std::int64_t prefillMs = 0; ///< Pending prefill time, for engines.
 
+    UpstreamLoad &operator+=(const UpstreamLoad &other);
+    UpstreamLoad &operator-=(const UpstreamLoad &other);
     bool operator==(const UpstreamLoad &other) const = default;
 };
 
@@ -460,6 +462,7 @@
     LoadReport load;
     /// Of the last reply of the same control host.
     std::int64_t factsRevision = 0;
+    std::int64_t loadPeersRevision = 0; ///< Of the peers that the requesting host uses; 0 for none.
 };
 
 /// Reply to a WatchRequest.
@@ -475,8 +478,11 @@
     DirectoryChanges directory;
     std::vector<base::Endpoint> controlHosts; ///< Known control hosts.
     int entryHostCount = 1; ///< Entry hosts that poll, including the requesting one.
-    std::vector<base::Endpoint> loadPeers; ///< Some other entry hosts to send loads to.
-    LoadReport othersLoad; ///< Load of all other entry hosts.
+    /// The hosts that exchange their loads directly with the requesting one, if the request holds
+    /// another revision of them.
+    std::optional<std::vector<base::Endpoint>> loadPeers;
+    std::int64_t loadPeersRevision = 0; ///< 0 when this control host does not know them.
+    LoadReport distantLoad; ///< Load of the entry hosts that are not among these peers.
     std::vector<RateLimitReport> rateLimits; ///< Limits that are in force or ended lately.
     /// Of what entry hosts share through the leader: \c rateLimits and \c crashSuspects. It grows
     /// with each change.
@@ -497,7 +503,13 @@
     base::HostId host;
     bool isSnapshot = false; ///< Upstreams missing from \c upstreams have no outstanding load.
     std::vector<UpstreamLoad> upstreams;
+    std::int64_t startId = 0; ///< Random number drawn at each start of the host.
+    std::int64_t sequence = 0; ///< Increases with each update of a start; 0 when not known.
 };
+/// Splits an update into several with at most \a maxUpstreams each, numbered upwards after \a
+/// sequence. Later parts of a snapshot add to its first part.
+std::vector<LoadUpdate> splitUpdate(const LoadUpdate &update, std::size_t maxUpstreams,
+                                    std::int64_t sequence);
 std::string encode(const LoadUpdate &update);
 std::optional<LoadUpdate> decodeLoadUpdate(std::string_view bytes);
 
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -185,6 +185,43 @@
 
 } // namespace
 
+UpstreamLoad &UpstreamLoad::operator+=(const UpstreamLoad &other)
+{
+    requests += other.requests;
+    kvTokens += other.kvTokens;
+    shortRequests += other.shortRequests;
+    prefillMs += other.prefillMs;
+    return *this;
+}
+
+UpstreamLoad &UpstreamLoad::operator-=(const UpstreamLoad &other)
+{
+    requests -= other.requests;
+    kvTokens -= other.kvTokens;
+    shortRequests -= other.shortRequests;
+    prefillMs -= other.prefillMs;
+    return *this;
+}
+
+std::vector<LoadUpdate> splitUpdate(const LoadUpdate &update, std::size_t maxUpstreams,
+                                    std::int64_t sequence)
+{
+    std::vector<LoadUpdate> parts;
+    auto it = update.upstreams.begin();
+    do {
+        const auto left = static_cast<std::size_t>(update.upstreams.end() - it);
+        const auto end = it + static_cast<std::ptrdiff_t>(std::min(maxUpstreams, left));
+        LoadUpdate &part = parts.emplace_back();
+        part.host = update.host;
+        part.isSnapshot = update.isSnapshot && parts.size() == 1;
+        part.upstreams.assign(it, end);
+        part.startId = update.startId;
+        part.sequence = ++sequence;
+        it = end;
+    } while (it != update.upstreams.end());
+    return parts;
+}
+
 LoadReport sumLoads(const std::vector<LoadReport> &reports)
 {
     std::map<base::UpstreamId, UpstreamLoad> upstreams;
@@ -192,10 +229,7 @@
         for (const UpstreamLoad &it : report.upstreams) {
             UpstreamLoad &sum = upstreams[it.upstream];
             sum.upstream = it.upstream;
-            sum.requests += it.requests;
-            sum.kvTokens += it.kvTokens;
-            sum.shortRequests += it.shortRequests;
-            sum.prefillMs += it.prefillMs;
+            sum += it;
         }
     }
     LoadReport total;
@@ -206,10 +240,11 @@
 
 std::string encode(const WatchRequest &request)
 {
-    return base::toCbor(
-            {request.host.text(), request.dataCentre.text(), request.configurationVersion.count(),
-             request.directoryIncarnation, request.directoryRevision, request.maxWait.count(),
-             listToJson(request.load.upstreams), request.address.text(), request.factsRevision});
+    return base::toCbor({request.host.text(), request.dataCentre.text(),
+                         request.configurationVersion.count(), request.directoryIncarnation,
+                         request.directoryRevision, request.maxWait.count(),
+                         listToJson(request.load.upstreams), request.address.text(),
+                         request.factsRevision, request.loadPeersRevision});
 }
 
 std::optional<WatchRequest> decodeWatchRequest(std::string_view bytes)
@@ -228,15 +263,20 @@
         // Entry hosts of earlier versions do not wait for rate limits.
         request.factsRevision = j.size() > 8 ? j.at(8).get<std::int64_t>()
                                              : std::numeric_limits<std::int64_t>::max();
+        if (j.size() > 9)
+            request.loadPeersRevision = j.at(9);
         return request;
     });
 }
 
 std::string encode(const WatchReply &reply)
 {
-    json loadPeers = json::array();
-    for (const base::Endpoint &it : reply.loadPeers)
-        loadPeers.push_back(it.text());
+    json loadPeers;
+    if (reply.loadPeers) {
+        loadPeers = json::array();
+        for (const base::Endpoint &it : *reply.loadPeers)
+            loadPeers.push_back(it.text());
+    }
     json controlHosts = json::array();
     for (const base::Endpoint &it : reply.controlHosts)
         controlHosts.push_back(it.text());
@@ -245,9 +285,10 @@
                          reply.isConfirmed, reply.directory.incarnation, reply.directory.revision,
                          reply.directory.isSnapshot, listToJson(reply.directory.upstreams),
                          listToJson(reply.directory.departed), std::move(controlHosts),
-                         reply.entryHostCount, listToJson(reply.othersLoad.upstreams),
+                         reply.entryHostCount, listToJson(reply.distantLoad.upstreams),
                          std::move(loadPeers), listToJson(reply.rateLimits), reply.factsRevision,
-                         reply.heldFor.count(), listToJson(reply.crashSuspects)});
+                         reply.heldFor.count(), listToJson(reply.crashSuspects),
+                         reply.loadPeersRevision});
 }
 
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes)
@@ -270,10 +311,13 @@
                 reply.controlHosts.push_back(*host);
         }
         reply.entryHostCount = j.at(9);
-        reply.othersLoad = loadFrom(j.at(10));
-        for (const json &it : j.at(11)) {
-            if (const auto peer = base::parseEndpoint(it.get<std::string>()))
-                reply.loadPeers.push_back(*peer);
+        reply.distantLoad = loadFrom(j.at(10));
+        if (!j.at(11).is_null()) {
+            reply.loadPeers.emplace();
+            for (const json &it : j.at(11)) {
+                if (const auto peer = base::parseEndpoint(it.get<std::string>()))
+                    reply.loadPeers->push_back(*peer);
+            }
         }
         // Control hosts of earlier versions send no limits.
         if (j.size() > 12)
@@ -284,13 +328,16 @@
         }
         if (j.size() > 15)
             reply.crashSuspects = crashSuspectsFrom(j.at(15));
+        if (j.size() > 16)
+            reply.loadPeersRevision = j.at(16);
         return reply;
     });
 }
 
 std::string encode(const LoadUpdate &update)
 {
-    return base::toCbor({update.host.text(), update.isSnapshot, listToJson(update.upstreams)});
+    return base::toCbor({update.host.text(), update.isSnapshot, listToJson(update.upstreams),
+                         update.startId, update.sequence});
 }
 
 std::optional<LoadUpdate> decodeLoadUpdate(std::string_view bytes)
@@ -301,6 +348,10 @@
         update.isSnapshot = j.at(1);
         for (const json &it : j.at(2))
             update.upstreams.push_back(upstreamLoadFrom(it));
+        if (j.size() > 4) {
+            update.startId = j.at(3);
+            update.sequence = j.at(4);
+        }
         return update;
     });
 }
--- a/libs/fleet/tests/FleetViewTest.cpp
+++ b/libs/fleet/tests/FleetViewTest.cpp
@@ -97,18 +97,25 @@
     reply.isConfirmed = true;
     reply.directory = snapshot({upstream("a", 10, 1)});
     reply.controlHosts = {{"127.0.0.1", 5}};
-    reply.othersLoad.upstreams = {{base::UpstreamId("a"), 2, base::Tokens(9), 1, 70}};
+    reply.distantLoad.upstreams = {{base::UpstreamId("a"), 2, base::Tokens(9), 1, 70}};
     const auto read = decodeWatchReply(encode(reply));
     REQUIRE(read);
     CHECK(read->packedConfiguration == reply.packedConfiguration);
     CHECK(read->directory.upstreams == reply.directory.upstreams);
-    CHECK(read->othersLoad == reply.othersLoad);
+    CHECK(read->distantLoad == reply.distantLoad);
     CHECK(read->controlHosts == reply.controlHosts);
+    CHECK_FALSE(read->loadPeers);
+    reply.loadPeers = {{"127.0.0.2", 6}};
+    reply.loadPeersRevision = 9;
+    CHECK(decodeWatchReply(encode(reply))->loadPeers == reply.loadPeers);
+    CHECK(decodeWatchReply(encode(reply))->loadPeersRevision == 9);
     CHECK_FALSE(decodeWatchReply("no message"));
     WatchRequest request;
-    request.load = reply.othersLoad;
+    request.load = reply.distantLoad;
     CHECK(decodeWatchRequest(encode(request))->load == request.load);
     request.factsRevision = 4;
+    request.loadPeersRevision = 8;
+    CHECK(decodeWatchRequest(encode(request))->loadPeersRevision == 8);
     reply.factsRevision = 5;
     CHECK(decodeWatchRequest(encode(request))->factsRevision == 4);
     reply.heldFor = Millis(480);
@@ -116,6 +123,32 @@
     CHECK(decodeWatchReply(encode(reply))->heldFor == Millis(480));
 }
 
+TEST_CASE("a load update that is split for datagrams is whole again after all its parts")
+{
+    LoadUpdate update;
+    update.host = base::HostId("e");
+    update.isSnapshot = true;
+    update.startId = 6;
+    for (const char *id : {"a", "b", "c", "d", "e"})
+        update.upstreams.push_back({base::UpstreamId(id), 1, {}, 0, 0});
+    const auto parts = splitUpdate(update, 2, 10);
+    REQUIRE(parts.size() == 3);
+    std::vector<UpstreamLoad> upstreams;
+    for (std::size_t n = 0; n < parts.size(); ++n) {
+        const auto read = decodeLoadUpdate(encode(parts[n]));
+        REQUIRE(read);
+        CHECK(read->host == update.host);
+        CHECK(read->startId == 6);
+        CHECK(read->sequence == 11 + static_cast<std::int64_t>(n));
+        // A second part that cleared what the first one said would lose it.
+        CHECK(read->isSnapshot == (n == 0));
+        upstreams.insert(upstreams.end(), read->upstreams.begin(), read->upstreams.end());
+    }
+    CHECK(upstreams == update.upstreams);
+    update.upstreams.clear();
+    CHECK(splitUpdate(update, 2, 10).size() == 1);
+}
+
 TEST_CASE("a watch of a host that knows no revisions of rate limits is not answered for them")
 {
     const std::string bytes = base::toCbor(
--- a/libs/registry/src/LoadAggregator.cpp
+++ b/libs/registry/src/LoadAggregator.cpp
@@ -10,39 +10,82 @@
 constexpr base::Millis kReportLifetime{3'500};
 /// With many hosts, summing for every request would dominate the CPU time.
 constexpr base::Millis kTotalsInterval{50};
+constexpr base::Millis kExpiryCheckInterval{100};
 
 } // namespace
 
 void LoadAggregator::report(const fleet::WatchRequest &request, base::TimePoint now)
 {
-    m_reports[request.host] = {request.address, request.dataCentre, request.load, now};
+    const auto [it, isNew] = m_reports.try_emplace(request.host);
+    Report &report = it->second;
+    const bool hasMoved =
+            report.address != request.address || report.dataCentre != request.dataCentre;
+    if (isNew || hasMoved) {
+        if (!isNew)
+            --m_hostsByDataCentre[report.dataCentre];
+        ++m_hostsByDataCentre[request.dataCentre];
+        ++m_membersRevision;
+    }
+    report = {request.address, request.dataCentre, request.load, now};
 }
 
-std::vector<base::Endpoint> LoadAggregator::neighbours(const base::HostId &host,
-                                                       std::size_t limit) const
+std::size_t LoadAggregator::hostsIn(const base::DataCentreId &dataCentre) const
 {
-    const auto ownReport = m_reports.find(host);
-    if (ownReport == m_reports.end())
-        return {};
-    std::vector<base::Endpoint> sameDataCentre;
-    std::vector<base::Endpoint> otherDataCentres;
-    auto it = std::next(ownReport);
-    for (std::size_t n = 1; n < m_reports.size(); ++n) {
-        if (it == m_reports.end())
-            it = m_reports.begin();
-        const bool isSameDataCentre = it->second.dataCentre == ownReport->second.dataCentre;
-        (isSameDataCentre ? sameDataCentre : otherDataCentres).push_back(it->second.address);
-        ++it;
+    const auto it = m_hostsByDataCentre.find(dataCentre);
+    return it == m_hostsByDataCentre.end() ? 0 : it->second;
+}
+
+std::vector<LoadAggregator::Reports::const_iterator> LoadAggregator::peersOf(
+        Reports::const_iterator host) const
+{
+    const bool areAllPeers = m_reports.size() <= m_limit + 1;
+    const base::DataCentreId &dataCentre = host->second.dataCentre;
+    const std::size_t count =
+            areAllPeers ? m_reports.size() - 1 : std::min(m_limit, hostsIn(dataCentre) - 1);
+    std::vector<Reports::const_iterator> peers;
+    peers.reserve(count);
+    auto after = host;
+    auto before = host;
+    for (bool isForward = true; peers.size() < count; isForward = !isForward) {
+        auto &it = isForward ? after : before;
+        do {
+            if (isForward)
+                it = std::next(it) == m_reports.end() ? m_reports.begin() : std::next(it);
+            else
+                it = std::prev(it == m_reports.begin() ? m_reports.end() : it);
+        } while (!areAllPeers && it->second.dataCentre != dataCentre);
+        peers.push_back(it);
     }
-    sameDataCentre.insert(sameDataCentre.end(), otherDataCentres.begin(), otherDataCentres.end());
-    sameDataCentre.resize(std::min(sameDataCentre.size(), limit));
-    return sameDataCentre;
+    std::stable_partition(peers.begin(), peers.end(), [&dataCentre](const auto &it) {
+        return it->second.dataCentre == dataCentre;
+    });
+    return peers;
+}
+
+std::vector<base::Endpoint> LoadAggregator::peers(const base::HostId &host) const
+{
+    const auto own = m_reports.find(host);
+    if (own == m_reports.end())
+        return {};
+    std::vector<base::Endpoint> addresses;
+    for (const auto &it : peersOf(own))
+        addresses.push_back(it->second.address);
+    return addresses;
 }
 
 void LoadAggregator::removeExpired(base::TimePoint now)
 {
-    std::erase_if(m_reports,
-                  [now](const auto &it) { return now >= it.second.receivedAt + kReportLifetime; });
+    if (now < m_nextExpiryCheckAt)
+        return;
+    m_nextExpiryCheckAt = now + kExpiryCheckInterval;
+    const auto removed = std::erase_if(m_reports, [&](const auto &it) {
+        if (now < it.second.receivedAt + kReportLifetime)
+            return false;
+        --m_hostsByDataCentre[it.second.dataCentre];
+        return true;
+    });
+    if (removed > 0)
+        ++m_membersRevision;
 }
 
 std::size_t LoadAggregator::reportingHosts(base::TimePoint now)
@@ -58,35 +101,51 @@
     removeExpired(now);
     m_totalsAt = now;
     m_totals.clear();
-    m_loadInTotals.clear();
-    std::vector<fleet::LoadReport> all;
     for (const auto &[name, report] : m_reports) {
-        all.push_back(report.load);
-        m_loadInTotals[name] = report.load;
+        Loads &totals = m_totals[report.dataCentre];
+        for (const fleet::UpstreamLoad &it : report.load.upstreams) {
+            fleet::UpstreamLoad &total = totals[it.upstream];
+            total.upstream = it.upstream;
+            total += it;
+        }
     }
-    const fleet::LoadReport total = fleet::sumLoads(all);
-    for (const fleet::UpstreamLoad &it : total.upstreams)
-        m_totals[it.upstream] = it;
 }
 
-fleet::LoadReport LoadAggregator::loadOfOthers(const base::HostId &host, base::TimePoint now)
+fleet::LoadReport LoadAggregator::distantLoad(const base::HostId &host, base::TimePoint now)
 {
     updateTotals(now);
-    auto upstreams = m_totals;
-    if (const auto own = m_loadInTotals.find(host); own != m_loadInTotals.end()) {
-        for (const fleet::UpstreamLoad &it : own->second.upstreams) {
-            upstreams[it.upstream].requests -= it.requests;
-            upstreams[it.upstream].kvTokens -= it.kvTokens;
-            upstreams[it.upstream].shortRequests -= it.shortRequests;
-            upstreams[it.upstream].prefillMs -= it.prefillMs;
+    const auto own = m_reports.find(host);
+    const bool hasPeers = own != m_reports.end();
+    if (hasPeers && m_reports.size() <= m_limit + 1)
+        return {};
+    Loads loads;
+    for (const auto &[dataCentre, totals] : m_totals) {
+        const bool isOwn = hasPeers && dataCentre == own->second.dataCentre;
+        if (isOwn && hostsIn(dataCentre) <= m_limit + 1)
+            continue;
+        for (const auto &[id, total] : totals) {
+            fleet::UpstreamLoad &load = loads[id];
+            load.upstream = id;
+            load += total;
+        }
+    }
+    if (hasPeers && hostsIn(own->second.dataCentre) > m_limit + 1) {
+        auto known = peersOf(own);
+        known.push_back(own);
+        for (const auto &it : known) {
+            for (const fleet::UpstreamLoad &load : it->second.load.upstreams) {
+                // The sums are older than the reports.
+                if (const auto total = loads.find(load.upstream); total != loads.end())
+                    total->second -= load;
+            }
         }
     }
-    fleet::LoadReport others;
-    for (const auto &[id, load] : upstreams) {
-        if (load.requests > 0 || load.prefillMs > 0)
-            others.upstreams.push_back(load);
+    fleet::LoadReport distant;
+    for (const auto &[id, load] : loads) {
+        if (load.requests > 0 || load.prefillMs > 0 || load.kvTokens.count() > 0)
+            distant.upstreams.push_back(load);
     }
-    return others;
+    return distant;
 }
 
 } // namespace hyssop::registry
--- a/libs/registry/src/LoadAggregator.h
+++ b/libs/registry/src/LoadAggregator.h
@@ -10,12 +10,21 @@
 public:
     /// Replaces the report of the host that sent \a request.
     void report(const fleet::WatchRequest &request, base::TimePoint now);
-    /// Up to \a limit addresses of other hosts, those in the data centre of \a host first. Hosts
-    /// form a ring ordered by id and each gets its successors, so every host sends its load to
-    /// about as many hosts as send theirs to it. Empty when \a host has not reported.
-    std::vector<base::Endpoint> neighbours(const base::HostId &host, std::size_t limit) const;
-    /// Total outstanding load of all hosts except \a host.
-    fleet::LoadReport loadOfOthers(const base::HostId &host, base::TimePoint now);
+    /// \a limit is the number of peers with which a host can exchange its load directly.
+    /// The revisions of members begin at \a firstRevision.
+    explicit LoadAggregator(std::size_t limit, std::int64_t firstRevision = 1)
+        : m_limit(limit)
+        , m_membersRevision(firstRevision)
+    { }
+    /// Addresses of the peers of \a host: all other hosts if the limit allows, else those in its
+    /// data centre, else the nearest of these in a ring ordered by id, so that (for an even limit)
+    /// a host sends its load to those that send theirs to it. Those in its data centre come first.
+    /// Empty when \a host has not reported.
+    std::vector<base::Endpoint> peers(const base::HostId &host) const;
+    /// Changes with each host that begins or ends to report, or moves.
+    std::int64_t membersRevision() const { return m_membersRevision; }
+    /// Total outstanding load of all hosts except \a host and its peers.
+    fleet::LoadReport distantLoad(const base::HostId &host, base::TimePoint now);
     /// Number of hosts with an unexpired report.
     std::size_t reportingHosts(base::TimePoint now);
 
@@ -27,13 +36,21 @@
         fleet::LoadReport load;
         base::TimePoint receivedAt;
     };
+    using Loads = std::map<base::UpstreamId, fleet::UpstreamLoad>;
+    using Reports = std::map<base::HostId, Report>;
+
     void removeExpired(base::TimePoint now);
     void updateTotals(base::TimePoint now);
+    std::vector<Reports::const_iterator> peersOf(Reports::const_iterator host) const;
+    std::size_t hostsIn(const base::DataCentreId &dataCentre) const;
 
-    std::map<base::HostId, Report> m_reports;
-    /// Sums over all hosts, recomputed at most once per kTotalsInterval.
-    std::map<base::UpstreamId, fleet::UpstreamLoad> m_totals;
-    std::map<base::HostId, fleet::LoadReport> m_loadInTotals; ///< Share of each host in m_totals.
+    std::size_t m_limit;
+    Reports m_reports;
+    std::map<base::DataCentreId, std::size_t> m_hostsByDataCentre;
+    std::int64_t m_membersRevision;
+    base::TimePoint m_nextExpiryCheckAt{};
+    /// Sums over the hosts of each data centre, recomputed at most once per kTotalsInterval.
+    std::map<base::DataCentreId, Loads> m_totals;
     std::optional<base::TimePoint> m_totalsAt;
 };
 
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -17,9 +17,9 @@
 constexpr auto kAccepted = "accepted";
 constexpr auto kReadConfigurationTopic = "configuration";
 
-/// Entry hosts to which each entry host sends its load directly. With more, the load messages
-/// would cost a host more than its calls do.
-constexpr std::size_t kMaxNeighbours = 30;
+/// Peers with which an entry host exchanges its load directly. With more, the load messages would
+/// cost a host more than its calls do.
+constexpr std::size_t kMaxLoadPeers = 96;
 
 /// Interval at which the group is pumped without an event; a fifth of the heartbeat interval.
 constexpr base::Millis kPumpInterval{20};
@@ -96,6 +96,8 @@
         , m_loop(loop)
         , m_onFailed(std::move(onFailed))
         , m_directory(static_cast<std::int64_t>(m_options.seed >> 1), m_options.upstreamTimeout)
+        // Hosts compare revisions with those of an earlier start of this control host.
+        , m_entryLoads(kMaxLoadPeers, static_cast<std::int64_t>(m_options.seed >> 2) + 1)
     { }
 
     tl::expected<void, RegistryError> open(peers::Service *service);
@@ -287,14 +289,16 @@
     reply.entryHostCount =
             static_cast<int>(std::max<std::size_t>(1, m_entryLoads.reportingHosts(now)));
     if (reply.isConfirmed) {
-        reply.loadPeers = m_entryLoads.neighbours(request.host, kMaxNeighbours);
+        reply.loadPeersRevision = m_entryLoads.membersRevision();
+        if (request.loadPeersRevision != reply.loadPeersRevision)
+            reply.loadPeers = m_entryLoads.peers(request.host);
         reply.rateLimits = m_sendGrants.limits(now);
         reply.crashSuspects = m_crashSuspects.suspects(now);
         reply.factsRevision = factsRevision();
     }
     // The sum of one control host is enough; without a leader, that of any host serves.
     if (servesConfiguration(now))
-        reply.othersLoad = m_entryLoads.loadOfOthers(request.host, now);
+        reply.distantLoad = m_entryLoads.distantLoad(request.host, now);
     return reply;
 }
 
--- a/libs/registry/tests/LoadAggregatorTest.cpp
+++ b/libs/registry/tests/LoadAggregatorTest.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
+
 using namespace hyssop;
 using namespace hyssop::registry;
 using base::Millis;
@@ -28,38 +31,105 @@
 
 } // namespace
 
-TEST_CASE("the load of other hosts excludes the host's own and expires")
+TEST_CASE("the distant load excludes the host's own and expires")
 {
-    LoadAggregator aggregator;
+    LoadAggregator aggregator(0);
     aggregator.report(report("x", "d", 1), kStart);
     aggregator.report(report("y", "d", 2), kStart);
     aggregator.report(report("z", "d", 4), kStart);
-    const fleet::LoadReport others = aggregator.loadOfOthers(base::HostId("y"), kStart);
+    const fleet::LoadReport others = aggregator.distantLoad(base::HostId("y"), kStart);
     REQUIRE(others.upstreams.size() == 1);
     CHECK(others.upstreams.front().requests == 5);
     CHECK(others.upstreams.front().kvTokens.count() == 50);
     CHECK(others.upstreams.front().shortRequests == 5);
     aggregator.report(report("y", "d", 2), kStart + Millis(3'000));
-    CHECK(aggregator.loadOfOthers(base::HostId("y"), kStart + Millis(4'000)).upstreams.empty());
+    CHECK(aggregator.distantLoad(base::HostId("y"), kStart + Millis(4'000)).upstreams.empty());
     CHECK(aggregator.reportingHosts(kStart + Millis(4'000)) == 1);
 }
 
-TEST_CASE("a host gets at most the requested number of neighbours and never itself")
+TEST_CASE("a load that a host learns from its peers is not counted again as distant")
+{
+    const auto distantRequests = [](LoadAggregator &aggregator, const char *host) {
+        const auto load = aggregator.distantLoad(base::HostId(host), kStart);
+        return load.upstreams.empty() ? 0 : load.upstreams.front().requests;
+    };
+    for (const std::size_t limit :
+         {std::size_t(0), std::size_t(2), std::size_t(4), std::size_t(8)}) {
+        LoadAggregator aggregator(limit);
+        std::map<std::string, int> requests;
+        for (const char *host : {"a", "b", "c", "d", "e", "f"}) {
+            const char *dataCentre = *host < 'd' ? "near" : "far";
+            requests[host] = 1 << requests.size();
+            aggregator.report(report(host, dataCentre, requests[host]), kStart);
+        }
+        for (const auto &[host, own] : requests) {
+            int known = own;
+            for (const base::Endpoint &peer : aggregator.peers(base::HostId(host)))
+                known += requests.at(peer.address);
+            CAPTURE(limit, host);
+            CHECK(known + distantRequests(aggregator, host.c_str()) == 63);
+        }
+    }
+}
+
+TEST_CASE("hosts send their load to those that send theirs to them")
+{
+    for (const std::size_t limit : {2, 4, 6, 40}) {
+        LoadAggregator aggregator(limit);
+        for (char host = 'a'; host < 'u'; ++host)
+            aggregator.report(report(std::string(1, host).c_str(), host % 2 == 0 ? "p" : "q", 1),
+                              kStart);
+        const auto sendsTo = [&aggregator](char from, char to) {
+            const auto peers = aggregator.peers(base::HostId(std::string(1, from)));
+            return std::find(peers.begin(), peers.end(), at(std::string(1, to).c_str()))
+                   != peers.end();
+        };
+        for (char from = 'a'; from < 'u'; ++from) {
+            for (char to = 'a'; to < 'u'; ++to) {
+                CAPTURE(limit, from, to);
+                CHECK(sendsTo(from, to) == sendsTo(to, from));
+            }
+        }
+    }
+}
+
+TEST_CASE("a host gets at most the requested number of peers and never itself")
+{
+    LoadAggregator one(1);
+    LoadAggregator nine(9);
+    for (const char *host : {"x", "y", "z"}) {
+        one.report(report(host, "d", 1), kStart);
+        nine.report(report(host, "d", 1), kStart);
+    }
+    CHECK(one.peers(base::HostId("y")) == std::vector{at("z")});
+    CHECK(nine.peers(base::HostId("z")) == std::vector{at("x"), at("y")});
+    CHECK(nine.peers(base::HostId("q")).empty());
+}
+
+TEST_CASE("peers in the same data centre come first")
 {
-    LoadAggregator aggregator;
-    for (const char *host : {"x", "y", "z"})
-        aggregator.report(report(host, "d", 1), kStart);
-    CHECK(aggregator.neighbours(base::HostId("y"), 1) == std::vector{at("z")});
-    CHECK(aggregator.neighbours(base::HostId("z"), 9) == std::vector{at("x"), at("y")});
-    CHECK(aggregator.neighbours(base::HostId("q"), 9).empty());
+    LoadAggregator one(1);
+    LoadAggregator two(2);
+    for (LoadAggregator *it : {&one, &two}) {
+        it->report(report("a", "near", 1), kStart);
+        it->report(report("b", "far", 1), kStart);
+        it->report(report("c", "near", 1), kStart);
+    }
+    CHECK(one.peers(base::HostId("a")) == std::vector{at("c")});
+    CHECK(two.peers(base::HostId("a")) == std::vector{at("c"), at("b")});
 }
 
-TEST_CASE("neighbours in the same data centre come first")
+TEST_CASE("the revision of members changes when a host comes, moves or leaves, and not otherwise")
 {
-    LoadAggregator aggregator;
-    aggregator.report(report("a", "near", 1), kStart);
-    aggregator.report(report("b", "far", 1), kStart);
-    aggregator.report(report("c", "near", 1), kStart);
-    CHECK(aggregator.neighbours(base::HostId("a"), 1) == std::vector{at("c")});
-    CHECK(aggregator.neighbours(base::HostId("a"), 2) == std::vector{at("c"), at("b")});
+    LoadAggregator aggregator(8, 100);
+    aggregator.report(report("a", "d", 1), kStart);
+    const std::int64_t one = aggregator.membersRevision();
+    CHECK(one > 100);
+    aggregator.report(report("a", "d", 5), kStart + Millis(500));
+    CHECK(aggregator.membersRevision() == one);
+    aggregator.report(report("a", "e", 5), kStart + Millis(600));
+    const std::int64_t moved = aggregator.membersRevision();
+    CHECK(moved > one);
+    CHECK(aggregator.reportingHosts(kStart + Millis(9'000)) == 0);
+    CHECK(aggregator.membersRevision() > moved);
 }
--- a/libs/registry/tests/PromptLoadPlayer.cpp
+++ b/libs/registry/tests/PromptLoadPlayer.cpp
@@ -9,11 +9,11 @@
 
 constexpr base::TimePoint kStart{std::chrono::hours(1)};
 const base::ServiceId kService{"model"};
-const base::DataCentreId kDataCentre{"a"};
 
 constexpr base::Millis kNetworkDelay{1};
 constexpr base::Millis kLoadInterval{12};
 constexpr base::Millis kSnapshotInterval{500};
+constexpr base::Millis kSumInterval{500};
 constexpr base::Millis kMinTickInterval{10};
 constexpr base::Millis kPermitTickInterval{20};
 /// Longer than any deadline, so that all prompts have ended.
@@ -33,12 +33,24 @@
     return count / spec.prefillTokensPerMs + count * count / 2e6 * spec.msPerMillionPairs;
 }
 
+base::DataCentreId dataCentreOf(int n, const PromptScenario &scenario)
+{
+    return base::DataCentreId(
+            std::string(1, static_cast<char>('a' + n % scenario.dataCentreCount)));
+}
+
+base::Endpoint addressOf(std::size_t host)
+{
+    return {"127.0.0.1", static_cast<std::uint16_t>(1 + host)};
+}
+
 } // namespace
 
 PromptLoadPlayer::PromptLoadPlayer(PromptScenario scenario)
     : VirtualTime(kStart)
     , m_scenario(std::move(scenario))
     , m_rng(m_scenario.seed)
+    , m_aggregator(m_scenario.loadPeerLimit)
 {
     dispatch::ServiceParameters parameters;
     parameters.service = kService;
@@ -54,21 +66,27 @@
         Engine &engine = m_engines.emplace_back();
         engine.upstream.id = base::UpstreamId("engine" + std::to_string(n));
         engine.upstream.service = kService;
-        engine.upstream.dataCentre = kDataCentre;
+        engine.upstream.dataCentre = dataCentreOf(n, m_scenario);
         engine.upstream.address = {"127.0.0.1", static_cast<std::uint16_t>(8'000 + n)};
         engine.upstream.slots = m_scenario.engine.slots;
     }
     for (int n = 0; n < m_scenario.entryHostCount; ++n) {
         dispatch::DispatcherOptions options;
         options.host = base::HostId("entry" + std::to_string(n));
-        options.dataCentre = kDataCentre;
+        options.dataCentre = dataCentreOf(n, m_scenario);
         options.seed = m_scenario.seed + static_cast<std::uint64_t>(n);
         auto dispatcher = std::make_unique<dispatch::Dispatcher>(options);
         dispatcher->handle(dispatch::ServicesChanged{{parameters}}, kStart);
         for (const Engine &engine : m_engines)
             dispatcher->handle(dispatch::UpstreamUpdated{engine.upstream}, kStart);
         dispatcher->handle(dispatch::PeerLoadSumReceived{{}, m_scenario.entryHostCount}, kStart);
-        m_hosts.push_back({std::move(dispatcher)});
+        m_hosts.push_back({std::move(dispatcher), base::TimePoint::max(), {}});
+    }
+    sumLoads();
+    for (int n = 0; n < m_scenario.entryHostCount; ++n) {
+        for (const base::Endpoint &it :
+             m_aggregator.peers(base::HostId("entry" + std::to_string(n))))
+            m_hosts[static_cast<std::size_t>(n)].peers.push_back(it.port - std::size_t(1));
     }
 }
 
@@ -214,6 +232,17 @@
 void PromptLoadPlayer::executeAction(const dispatch::SendAttempt &action)
 {
     Call &call = m_calls.at(action.call);
+    if (isFull(engineOf(action.upstream.id))) {
+        ++m_outcomes[call.outcome].refusals;
+        ++call.attempt;
+        scheduleForAttempt(m_now + 2 * kNetworkDelay, action.call, [this, id = action.call] {
+            handle(m_calls.at(id).host,
+                   dispatch::AttemptFailed{id, dispatch::AttemptFault::Refused, {}});
+        });
+        return;
+    }
+    ++engineOf(action.upstream.id).requests;
+    call.engine = action.upstream.id;
     std::vector<Engine *> engines{&engineOf(action.upstream.id)};
     for (const dispatch::Helper &it : action.helpers)
         engines.push_back(&engineOf(it.upstream.id));
@@ -252,9 +281,22 @@
 
 void PromptLoadPlayer::executeAction(const dispatch::CancelAttempt &action)
 {
+    leaveEngine(m_calls.at(action.call));
     ++m_calls.at(action.call).attempt;
 }
 
+void PromptLoadPlayer::leaveEngine(Call &call)
+{
+    if (const auto engine = std::exchange(call.engine, std::nullopt))
+        --engineOf(*engine).requests;
+}
+
+bool PromptLoadPlayer::isFull(const Engine &engine) const
+{
+    return m_scenario.engineQueue
+           && engine.requests >= m_scenario.engine.slots + *m_scenario.engineQueue;
+}
+
 void PromptLoadPlayer::scheduleForAttempt(base::TimePoint at, dispatch::CallId id, Step step)
 {
     const int attempt = m_calls.at(id).attempt;
@@ -272,9 +314,10 @@
     const int attempt = call.attempt;
     scheduleAfter(duration, [this, id, engine, attempt] {
         engineOf(engine).decoding.erase(id);
-        const Call &it = m_calls.at(id);
+        Call &it = m_calls.at(id);
         if (it.attempt != attempt)
             return;
+        leaveEngine(it);
         m_outcomes[it.outcome].isServed = true;
         m_outcomes[it.outcome].isInTime = it.isInTime;
         handle(it.host, dispatch::AttemptSucceeded{id});
@@ -301,15 +344,32 @@
         const fleet::LoadUpdate update = m_hosts[from].dispatcher->takeLoadUpdate(isSnapshot);
         if (!isSnapshot && update.upstreams.empty())
             continue;
-        for (std::size_t to = 0; to < m_hosts.size(); ++to) {
-            if (to != from)
-                handle(to, dispatch::PeerLoadReceived{update});
-        }
+        for (const std::size_t to : m_hosts[from].peers)
+            handle(to, dispatch::PeerLoadReceived{update});
     }
     if (!isOver())
         scheduleAfter(kLoadInterval, [this] { shareLoads(); });
 }
 
+void PromptLoadPlayer::sumLoads()
+{
+    for (std::size_t n = 0; n < m_hosts.size(); ++n) {
+        fleet::WatchRequest report;
+        report.host = base::HostId("entry" + std::to_string(n));
+        report.dataCentre = dataCentreOf(static_cast<int>(n), m_scenario);
+        report.address = addressOf(n);
+        report.load = m_hosts[n].dispatcher->ownLoad();
+        m_aggregator.report(report, m_now);
+    }
+    for (std::size_t n = 0; n < m_hosts.size(); ++n)
+        handle(n,
+               dispatch::PeerLoadSumReceived{
+                       m_aggregator.distantLoad(base::HostId("entry" + std::to_string(n)), m_now),
+                       m_scenario.entryHostCount});
+    if (!isOver())
+        scheduleAfter(kSumInterval, [this] { sumLoads(); });
+}
+
 void PromptLoadPlayer::tickPermits()
 {
     m_permits.tick(m_now);
--- a/libs/registry/tests/PromptLoadPlayer.h
+++ b/libs/registry/tests/PromptLoadPlayer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LoadAggregator.h"
 #include "PrefillPermits.h"
 #include "VirtualTime.h"
 
@@ -30,6 +31,12 @@
     int engineCount = 0;
     fleet::EngineSpec engine;
     int entryHostCount = 0;
+    int dataCentreCount = 1; ///< Engines and hosts are divided evenly among them.
+    /// Peers with which a host exchanges its load directly. All others' load comes from a sum.
+    std::size_t loadPeerLimit = 1'000;
+    /// Requests that an engine holds in addition to its slots before it refuses more; unlimited
+    /// without a value.
+    std::optional<int> engineQueue;
     std::vector<PromptLoad> loads;
     base::Millis duration{0};
     std::uint64_t seed = 1;
@@ -42,6 +49,7 @@
     std::int64_t tokens = 0;
     bool isServed = false;
     bool isInTime = false;
+    int refusals = 0; ///< By engines that were full.
     dispatch::QueueBlocker lastBlocker = dispatch::QueueBlocker::None; ///< Of its last rejection.
 };
 
@@ -63,11 +71,13 @@
         base::TimePoint prefillEndsAt{};
         std::set<dispatch::CallId> decoding; ///< Calls whose answer it is sending.
         std::int64_t usedTokens = 0;
+        int requests = 0; ///< Sent to it and not ended.
     };
     struct Host
     {
         std::unique_ptr<dispatch::Dispatcher> dispatcher;
         base::TimePoint tickAt = base::TimePoint::max();
+        std::vector<std::size_t> peers; ///< Hosts that it sends its load to.
     };
     struct Call
     {
@@ -79,6 +89,7 @@
         bool isInTime = false;
         int attempt = 0; ///< Number of the current attempt. Events of earlier ones are ignored.
         std::vector<std::pair<base::UpstreamId, std::int64_t>> reservations;
+        std::optional<base::UpstreamId> engine; ///< That holds the current attempt.
     };
 
     void scheduleAfter(base::TimePoint::duration delay, Step step);
@@ -96,13 +107,19 @@
     template <typename Ignored>
     void executeAction(const Ignored &)
     { }
+    /// The current attempt of a call leaves its engine.
+    void leaveEngine(Call &call);
     void decode(dispatch::CallId id, const base::UpstreamId &engine);
     /// Answers that an engine sends are late if its prefill interrupts them for too long.
     void interruptDecoding(const Engine &engine);
     /// Runs \a step at \a at unless the attempt has been cancelled by then.
     void scheduleForAttempt(base::TimePoint at, dispatch::CallId id, Step step);
     base::TimePoint::duration passTime() const;
+    /// Whether the engine refuses another request.
+    bool isFull(const Engine &engine) const;
     void shareLoads();
+    /// Sends each host the sum of the loads of hosts that are not its peers.
+    void sumLoads();
     void tickPermits();
     bool isOver() const;
     Engine &engineOf(const base::UpstreamId &id);
@@ -111,6 +128,7 @@
     PromptScenario m_scenario;
     std::mt19937_64 m_rng;
     PrefillPermits m_permits;
+    LoadAggregator m_aggregator;
     std::vector<Engine> m_engines;
     std::vector<Host> m_hosts;
     std::map<dispatch::CallId, Call> m_calls;
