edge, registry: Entry hosts poll control hosts that do not lead a quarter as often

Now 2 s at control hosts whose last answer was not a leader's, 0.5 s at the leader and wherever that is unknown.

What could suffer, and why it does not: reports of hosts live 3.5 s; a new leader answers the watches that are pending with it within 0.5 s, spread evenly, so that freshness of keys and configuration goes on as before. Test: 'hosts that wait at a new leader learn of it in time, and not all at once' (300 hosts).

--- a/libs/edge/src/FleetWatcher.cpp
+++ b/libs/edge/src/FleetWatcher.cpp
@@ -6,8 +6,11 @@
 
 namespace {
 
-/// Wait time of a long poll. It limits the age of loads and confirmations.
+/// Wait time of a long poll at the leader. It limits the age of loads and confirmations.
 constexpr base::Millis kLongPollWait{500};
+/// Wait time at other control hosts, which only answer when upstreams change. They must hear from
+/// this host more often than its reports expire there.
+constexpr base::Millis kFollowerPollWait{2'000};
 /// An answer is overdue this long after the wait. Round trips take milliseconds.
 constexpr base::Millis kAnswerMargin{500};
 /// First and longest delay after a failed query. It doubles with each failure.
@@ -78,16 +81,17 @@
     request.directoryRevision = it->second.directoryRevision;
     request.factsRevision = it->second.factsRevision;
     request.loadPeersRevision = it->second.loadPeersRevision;
-    request.maxWait = kLongPollWait;
+    const base::Millis wait = it->second.isLeader ? kLongPollWait : kFollowerPollWait;
+    request.maxWait = wait;
     request.load = std::move(local.load);
     const base::TimePoint requestedAt = base::monotonicNow();
-    m_node->query(
-            control, {fleet::kWatchTopic, fleet::encode(request)}, kLongPollWait + kAnswerMargin,
-            [this, control, requestedAt](tl::expected<std::string, peers::PeerError> answer) {
-                boost::asio::post(*m_io, [this, control, requestedAt, answer = std::move(answer)] {
-                    handleAnswer(control, requestedAt, answer);
-                });
-            });
+    m_node->query(control, {fleet::kWatchTopic, fleet::encode(request)}, wait + kAnswerMargin,
+                  [this, control, requestedAt](tl::expected<std::string, peers::PeerError> answer) {
+                      boost::asio::post(*m_io,
+                                        [this, control, requestedAt, answer = std::move(answer)] {
+                                            handleAnswer(control, requestedAt, answer);
+                                        });
+                  });
 }
 
 void FleetWatcher::handleAnswer(const base::Endpoint &from, base::TimePoint requestedAt,
@@ -101,6 +105,7 @@
     const base::TimePoint now = base::monotonicNow();
     auto reply = answer ? fleet::decodeWatchReply(*answer) : std::nullopt;
     if (!reply) {
+        control.isLeader = true; // Until its next answer.
         if (++control.consecutiveFailures == 1)
             base::logEvent("control_lost",
                            {{"control", from.text()},
@@ -114,6 +119,7 @@
         base::logEvent("control_regained",
                        {{"control", from.text()}, {"failures", control.consecutiveFailures}});
     control.consecutiveFailures = 0;
+    control.isLeader = reply->isConfirmed;
     control.directoryIncarnation = reply->directory.incarnation;
     control.directoryRevision = reply->directory.revision;
     control.factsRevision = reply->factsRevision;
--- a/libs/edge/src/FleetWatcher.h
+++ b/libs/edge/src/FleetWatcher.h
@@ -46,6 +46,7 @@
         std::int64_t loadPeersRevision = 0; ///< 0 unless the peers in use are from this host.
         int consecutiveFailures = 0; ///< Since the last reply.
         bool isQueryPending = false;
+        bool isLeader = true; ///< Unless its last answer says otherwise.
         bool isSeed = false;
         base::TimePoint lastListedAt; ///< When another control host last listed it.
         std::unique_ptr<boost::asio::steady_timer> retryTimer;
--- a/libs/registry/src/PendingWatches.cpp
+++ b/libs/registry/src/PendingWatches.cpp
@@ -36,4 +36,12 @@
     }
 }
 
+void PendingWatches::answerWithin(base::Millis duration, base::TimePoint now)
+{
+    const auto count = static_cast<std::int64_t>(m_watches.size());
+    std::int64_t n = 0;
+    for (Watch &it : m_watches)
+        it.deadline = std::min(it.deadline, now + duration * ++n / count);
+}
+
 } // namespace hyssop::registry
--- a/libs/registry/src/PendingWatches.h
+++ b/libs/registry/src/PendingWatches.h
@@ -26,6 +26,8 @@
     void add(fleet::WatchRequest request, Answer answer, base::TimePoint now);
     /// Answers requests with revisions older than \a state and requests whose wait is over.
     void answerReady(const Revisions &state, base::TimePoint now);
+    /// Answers all requests within \a duration, spread evenly over it.
+    void answerWithin(base::Millis duration, base::TimePoint now);
     std::size_t size() const { return m_watches.size(); }
 
 private:
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -35,6 +35,8 @@
 /// Operators try another control host after 1 s.
 constexpr base::Millis kReadTimeout{800};
 constexpr base::Millis kPutTimeout{2'500};
+/// A new leader answers the pending watches within this time.
+constexpr base::Millis kLeaderAnnounceTime{500};
 /// The host stops after this time even when no other leader was elected.
 constexpr base::Millis kStopTimeout{2'000};
 
@@ -229,6 +231,11 @@
         m_onFailed();
         return;
     }
+    // Entry hosts wait longer at control hosts that do not lead, and do not know that this one
+    // does.
+    const bool hadLease = std::exchange(m_hadLease, hasLease(now));
+    if (m_hadLease && !hadLease)
+        m_watches.answerWithin(kLeaderAnnounceTime, now);
     m_directory.removeExpired(now);
     m_prefillPermits.tick(now);
     if (hasLease(now)) {
--- a/libs/registry/tests/PendingWatchesTest.cpp
+++ b/libs/registry/tests/PendingWatchesTest.cpp
@@ -68,3 +68,25 @@
     CHECK(answered == 1);
     CHECK(watches.size() == 1);
 }
+
+TEST_CASE("hosts that wait at a new leader learn of it in time, and not all at once")
+{
+    PendingWatches watches;
+    int answered = 0;
+    constexpr int kHosts = 300;
+    for (int n = 0; n < kHosts; ++n) {
+        fleet::WatchRequest request = watchRequest(3, 5);
+        request.maxWait = Millis(2'000);
+        watches.add(
+                request, [&answered](const auto &) { ++answered; }, kStart);
+    }
+    watches.answerWithin(Millis(500), kStart);
+    const PendingWatches::Revisions state{fleet::ConfigurationVersion(3), 1, 5};
+    int before = 0;
+    for (Millis at(0); at <= Millis(500); at += Millis(20)) {
+        watches.answerReady(state, kStart + at);
+        CHECK(answered - before <= kHosts / 20);
+        before = answered;
+    }
+    CHECK(answered == kHosts);
+}
