registry: Changes of upstreams within 100 ms reach the entry hosts in one answer

Cause, by the logs and arithmetic: 147 upstreams announce themselves anew within a heartbeat interval, each one a change that answers the pending watches of 295 hosts at once: 43,000 answers at each of five control hosts with 0.15 cores, while they elect a leader.

Test: 'hundreds of upstreams that announce themselves at once cost each host a few answers only' (150 upstreams, 300 hosts, at most 13 answers a host; without the limit 150).

Why it works: the first change is still published at once, and those within 100 ms after it together. Shared facts were limited in the same way, now by the same class.

--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -4,6 +4,7 @@
 #include "LoadAggregator.h"
 #include "PendingWatches.h"
 #include "PrefillPermits.h"
+#include "PublishedRevision.h"
 #include "SendGrants.h"
 
 #include <nlohmann/json.hpp>
@@ -29,6 +30,9 @@
 constexpr base::Millis kRelayInterval{400};
 /// Shared facts that change within this time after others are sent to entry hosts together.
 constexpr base::Millis kFactsInterval{50};
+/// Likewise for upstreams. After a restart of the control hosts all upstreams announce themselves
+/// within a heartbeat interval, and each entry host would get an answer for each of them.
+constexpr base::Millis kDirectoryInterval{100};
 /// Limits how long the answer to an announcement waits for other control hosts. The sender times
 /// out after 1 s.
 constexpr base::Millis kRelayTimeout{250};
@@ -152,8 +156,8 @@
     CrashSuspects m_crashSuspects;
     std::vector<base::UpstreamId> m_refreshedUpstreams; ///< Refreshed since the last relay.
     base::TimePoint m_nextRelayAt{};
-    std::int64_t m_publishedFacts = 0; ///< Revision for which watches were answered.
-    base::TimePoint m_nextFactsAt{};
+    PublishedRevision m_publishedFacts{kFactsInterval};
+    PublishedRevision m_publishedDirectory{kDirectoryInterval};
     bool m_isPumpScheduled = false;
     bool m_hasFailed = false;
     bool m_hadLease = false;
@@ -268,14 +272,9 @@
     if (servesConfiguration(now))
         state.configuration = fleet::ConfigurationVersion(m_appliedVersion);
     state.directoryIncarnation = m_directory.incarnation();
-    state.directoryRevision = m_directory.revision();
-    if (hasLease(now)) {
-        if (factsRevision() != m_publishedFacts && now >= m_nextFactsAt) {
-            m_publishedFacts = factsRevision();
-            m_nextFactsAt = now + kFactsInterval;
-        }
-        state.factsRevision = m_publishedFacts;
-    }
+    state.directoryRevision = m_publishedDirectory.read(m_directory.revision(), now);
+    if (hasLease(now))
+        state.factsRevision = m_publishedFacts.read(factsRevision(), now);
     m_watches.answerReady(state, now);
 }
 
@@ -411,7 +410,7 @@
 void Registry::Impl::publishFacts(base::TimePoint now)
 {
     // Until they know a new fact, the other hosts go on as before.
-    if (factsRevision() != m_publishedFacts)
+    if (m_publishedFacts.isBehind(factsRevision()))
         answerWatches(now);
 }
 
--- a/libs/registry/tests/PendingWatchesTest.cpp
+++ b/libs/registry/tests/PendingWatchesTest.cpp
@@ -1,4 +1,5 @@
 #include "PendingWatches.h"
+#include "PublishedRevision.h"
 
 #include <catch2/catch.hpp>
 
@@ -90,3 +91,36 @@
     }
     CHECK(answered == kHosts);
 }
+
+TEST_CASE(
+        "hundreds of upstreams that announce themselves at once cost each host a few answers only")
+{
+    constexpr int kHosts = 300;
+    constexpr int kUpstreams = 150;
+    constexpr Millis kHeartbeat(1'200);
+    PendingWatches watches;
+    PublishedRevision published(Millis(100));
+    int answers = 0;
+    std::int64_t revision = 0;
+    std::int64_t known = 0;
+    const std::function<void(base::TimePoint)> watch = [&](base::TimePoint now) {
+        fleet::WatchRequest request = watchRequest(3, known);
+        request.maxWait = Millis(2'000);
+        watches.add(
+                request, [&](const auto &) { ++answers; }, now);
+    };
+    for (int n = 0; n < kHosts; ++n)
+        watch(kStart);
+    for (int n = 1; n <= kUpstreams; ++n) {
+        const base::TimePoint now = kStart + kHeartbeat * n / kUpstreams;
+        revision = n;
+        const int before = answers;
+        known = published.read(revision, now);
+        watches.answerReady({fleet::ConfigurationVersion(3), 1, known}, now);
+        for (int host = 0; host < answers - before; ++host)
+            watch(now);
+    }
+    CHECK(answers <= kHosts * 13);
+    // The last change is not kept back for longer than the interval.
+    CHECK(published.read(revision, kStart + kHeartbeat + Millis(100)) == revision);
+}
