fleet, registry, edge: Entry hosts get what a configuration changed, not the whole text

Why it works: a control host keeps the texts of the last versions and makes one delta for each version that hosts hold, in whole elements of the lists, for all of them. A host applies it to the text that it holds and checks a hash of the result; if that does not fit, or the version is not kept, it asks for the whole. What is applied is checked as before. Hosts of earlier versions ask for no deltas and get none.

--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -93,6 +93,7 @@
         FleetWatcher::LocalState state;
         state.configurationVersion =
                 m_routeTable ? m_routeTable->version() : fleet::ConfigurationVersion();
+        state.acceptsDelta = m_routeTable && !m_needsWholeConfiguration;
         state.load = m_dispatcher.ownLoad();
         return state;
     };
@@ -251,10 +252,8 @@
 {
     const base::TimePoint now = base::monotonicNow();
     const fleet::WatchReply &reply = update.reply;
-    const fleet::ConfigurationVersion heldVersion =
-            m_routeTable ? m_routeTable->version() : fleet::ConfigurationVersion();
-    if (reply.packedConfiguration && reply.configurationVersion > heldVersion)
-        applyConfiguration(*reply.packedConfiguration, reply.configurationVersion, now);
+    if (auto text = configurationTextFrom(reply))
+        applyConfiguration(*std::move(text), reply.configurationVersion, now);
     if (reply.isConfirmed && m_routeTable && m_routeTable->version() >= reply.configurationVersion
         && reply.configurationVersion > fleet::ConfigurationVersion()) {
         if (!m_freshness.wasConfirmed())
@@ -288,16 +287,35 @@
     scheduleTick(now);
 }
 
-void Edge::Impl::applyConfiguration(const std::string &packed, fleet::ConfigurationVersion version,
-                                    base::TimePoint now)
+std::optional<std::string> Edge::Impl::configurationTextFrom(const fleet::WatchReply &reply)
 {
-    const auto text = fleet::decompressText(packed);
-    if (!text) {
-        base::logEvent("configuration_unreadable",
-                       {{"version", version.count()}, {"reason", "corrupted packed text"}});
-        return;
+    const fleet::ConfigurationVersion heldVersion =
+            m_routeTable ? m_routeTable->version() : fleet::ConfigurationVersion();
+    const fleet::ConfigurationVersion version = reply.configurationVersion;
+    if (version <= heldVersion)
+        return std::nullopt;
+    if (reply.packedConfiguration) {
+        auto text = fleet::decompressText(*reply.packedConfiguration);
+        if (!text)
+            base::logEvent("configuration_unreadable",
+                           {{"version", version.count()}, {"reason", "corrupted packed text"}});
+        return text;
     }
-    auto configuration = m_reader->parse(*text);
+    // Another control host may have sent a newer version since the delta was asked for.
+    if (!reply.configurationDelta || reply.deltaBase != heldVersion)
+        return std::nullopt;
+    auto text = fleet::applyDelta(m_configurationText, *reply.configurationDelta);
+    if (!text)
+        base::logEvent("configuration_delta_unfit",
+                       {{"version", version.count()}, {"base", heldVersion.count()}});
+    m_needsWholeConfiguration = !text;
+    return text;
+}
+
+void Edge::Impl::applyConfiguration(std::string text, fleet::ConfigurationVersion version,
+                                    base::TimePoint now)
+{
+    auto configuration = m_reader->parse(text);
     if (!configuration) {
         // Control hosts check what they accept, so this program is too old for the format.
         base::logEvent("configuration_unreadable", {{"version", version.count()},
@@ -306,6 +324,8 @@
         return;
     }
     m_routeTable = std::make_shared<const fleet::RouteTable>(*std::move(configuration));
+    m_configurationText = std::move(text);
+    m_needsWholeConfiguration = false;
     dispatch::ServicesChanged changed;
     for (const fleet::Service &service : m_routeTable->configuration().services)
         changed.services.push_back({service.id, service.engine,
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -154,7 +154,9 @@
 
     // Fleet.
     void onFleetUpdate(const FleetWatcher::Update &update);
-    void applyConfiguration(const std::string &packed, fleet::ConfigurationVersion version,
+    /// The text of a newer configuration in \a reply; empty when there is none.
+    std::optional<std::string> configurationTextFrom(const fleet::WatchReply &reply);
+    void applyConfiguration(std::string text, fleet::ConfigurationVersion version,
                             base::TimePoint now);
     void applyFleet(const fleet::FleetView::Changes &changes, base::TimePoint now);
     void tickFleet();
@@ -174,6 +176,8 @@
     gateway::Server m_server;
     gateway::Client m_client;
     std::shared_ptr<const fleet::RouteTable> m_routeTable;
+    std::string m_configurationText; ///< Of the route table.
+    bool m_needsWholeConfiguration = false; ///< The last delta did not fit.
     Freshness m_freshness;
     fleet::FleetView m_fleetView;
     base::Rng m_rng;
--- a/libs/edge/src/FleetWatcher.cpp
+++ b/libs/edge/src/FleetWatcher.cpp
@@ -77,6 +77,7 @@
     request.dataCentre = m_dataCentre;
     request.address = m_address;
     request.configurationVersion = local.configurationVersion;
+    request.acceptsDelta = local.acceptsDelta;
     request.directoryIncarnation = it->second.directoryIncarnation;
     request.directoryRevision = it->second.directoryRevision;
     request.factsRevision = it->second.factsRevision;
--- a/libs/edge/src/FleetWatcher.h
+++ b/libs/edge/src/FleetWatcher.h
@@ -26,6 +26,7 @@
     struct LocalState
     {
         fleet::ConfigurationVersion configurationVersion;
+        bool acceptsDelta = false;
         fleet::LoadReport load;
     };
     using LocalStateProvider = std::function<LocalState()>;
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -128,6 +128,12 @@
 /// nothing if \a packed is damaged or the text exceeds the accepted size.
 std::optional<std::string> decompressText(std::string_view packed);
 
+/// Encodes how \a target differs from \a base, both texts of configurations. Its size depends on
+/// the difference only, in whole elements of their lists.
+std::string makeDelta(std::string_view base, std::string_view target);
+/// Returns the target of a delta, or nothing if the delta is damaged or was made for another base.
+std::optional<std::string> applyDelta(std::string_view base, std::string_view delta);
+
 /// Looks up routes, services and teams of a configuration.
 class RouteTable
 {
@@ -456,6 +462,7 @@
     base::DataCentreId dataCentre;
     base::Endpoint address; ///< Where other entry hosts connect to it.
     ConfigurationVersion configurationVersion; ///< Held by the requesting host.
+    bool acceptsDelta = false; ///< It also holds the text of that version.
     std::int64_t directoryIncarnation = 0;
     std::int64_t directoryRevision = 0;
     base::Millis maxWait{0}; ///< How long the reply may be delayed while nothing is newer.
@@ -472,6 +479,9 @@
             configurationVersion; ///< Highest version that this control host has applied.
     std::optional<std::string>
             packedConfiguration; ///< Its packed source if the requesting host has an older one.
+    /// In place of the packed source: a delta from the text of version \c deltaBase.
+    std::optional<std::string> configurationDelta;
+    ConfigurationVersion deltaBase;
     /// The control host is leader with a valid lease, so that no higher version was accepted before
     /// it replied.
     bool isConfirmed = false;
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -244,7 +244,7 @@
                          request.configurationVersion.count(), request.directoryIncarnation,
                          request.directoryRevision, request.maxWait.count(),
                          listToJson(request.load.upstreams), request.address.text(),
-                         request.factsRevision, request.loadPeersRevision});
+                         request.factsRevision, request.loadPeersRevision, request.acceptsDelta});
 }
 
 std::optional<WatchRequest> decodeWatchRequest(std::string_view bytes)
@@ -265,6 +265,8 @@
                                              : std::numeric_limits<std::int64_t>::max();
         if (j.size() > 9)
             request.loadPeersRevision = j.at(9);
+        if (j.size() > 10)
+            request.acceptsDelta = j.at(10);
         return request;
     });
 }
@@ -288,7 +290,9 @@
                          reply.entryHostCount, listToJson(reply.distantLoad.upstreams),
                          std::move(loadPeers), listToJson(reply.rateLimits), reply.factsRevision,
                          reply.heldFor.count(), listToJson(reply.crashSuspects),
-                         reply.loadPeersRevision});
+                         reply.loadPeersRevision,
+                         reply.configurationDelta ? json(*reply.configurationDelta) : json(),
+                         reply.deltaBase.count()});
 }
 
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes)
@@ -330,6 +334,11 @@
             reply.crashSuspects = crashSuspectsFrom(j.at(15));
         if (j.size() > 16)
             reply.loadPeersRevision = j.at(16);
+        if (j.size() > 18) {
+            if (!j.at(17).is_null())
+                reply.configurationDelta = j.at(17).get<std::string>();
+            reply.deltaBase = ConfigurationVersion(j.at(18));
+        }
         return reply;
     });
 }
--- a/libs/fleet/tests/FleetViewTest.cpp
+++ b/libs/fleet/tests/FleetViewTest.cpp
@@ -120,6 +120,12 @@
     CHECK(decodeWatchRequest(encode(request))->factsRevision == 4);
     reply.heldFor = Millis(480);
     CHECK(decodeWatchReply(encode(reply))->factsRevision == 5);
+    reply.configurationDelta = "delta";
+    reply.deltaBase = ConfigurationVersion(6);
+    CHECK(decodeWatchReply(encode(reply))->configurationDelta == "delta");
+    CHECK(decodeWatchReply(encode(reply))->deltaBase.count() == 6);
+    request.acceptsDelta = true;
+    CHECK(decodeWatchRequest(encode(request))->acceptsDelta);
     CHECK(decodeWatchReply(encode(reply))->heldFor == Millis(480));
 }
 
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -1,5 +1,6 @@
 #include "registry/Registry.h"
 
+#include "ConfigurationHistory.h"
 #include "CrashSuspects.h"
 #include "LoadAggregator.h"
 #include "PendingWatches.h"
@@ -17,6 +18,7 @@
 constexpr auto kGranted = "granted";
 constexpr auto kAccepted = "accepted";
 constexpr auto kReadConfigurationTopic = "configuration";
+const std::string kNoDelta;
 
 /// Peers with which an entry host exchanges its load directly. With more, the load messages would
 /// cost a host more than its calls do.
@@ -162,6 +164,7 @@
     bool m_hasFailed = false;
     bool m_hadLease = false;
     std::int64_t m_appliedVersion = 0;
+    ConfigurationHistory m_history;
     std::function<void()> m_onStopped;
     std::optional<base::TimePoint> m_stopDeadline;
     std::unique_ptr<peers::Node> m_node; ///< Declared last: its thread uses the members above.
@@ -250,6 +253,8 @@
     const auto &configuration = groupHost().ledger().configuration();
     if (configuration && configuration->version != m_appliedVersion) {
         m_appliedVersion = configuration->version;
+        if (const auto unpacked = withUnpackedText(configuration))
+            m_history.add(fleet::ConfigurationVersion(m_appliedVersion), unpacked->text);
         base::logEvent("configuration_applied", {{"version", m_appliedVersion},
                                                  {"term", configuration->position.term.count()},
                                                  {"index", configuration->position.index.count()}});
@@ -284,8 +289,17 @@
     fleet::WatchReply reply;
     if (const auto &configuration = groupHost().ledger().configuration()) {
         reply.configurationVersion = fleet::ConfigurationVersion(configuration->version);
-        if (request.configurationVersion < reply.configurationVersion && servesConfiguration(now))
-            reply.packedConfiguration = configuration->text;
+        if (request.configurationVersion < reply.configurationVersion && servesConfiguration(now)) {
+            const std::string &delta = request.acceptsDelta
+                                               ? m_history.deltaFrom(request.configurationVersion)
+                                               : kNoDelta;
+            if (!delta.empty() && delta.size() < configuration->text.size()) {
+                reply.configurationDelta = delta;
+                reply.deltaBase = request.configurationVersion;
+            } else {
+                reply.packedConfiguration = configuration->text;
+            }
+        }
     }
     reply.isConfirmed = hasLease(now);
     reply.directory =
