fleet, dispatch, edge: What an upstream says of itself in its answers is kept to: that it leaves, and when to come back

Why it works: leaving is noted in the host's own view of the fleet for that start of the upstream, where it goes the way of a drain that was announced: nothing new is sent, what is in flight ends by itself, and a late announcement or another control host cannot undo it. The host tells all control hosts, which keep it for that start as well, so that the other hosts need no answer of their own. A pause is the host's alone: no calls, retries, resumed streams or parts of prompts until its end, not even where no other upstream is left; a call then waits for the first upstream to come back if that is in time and is rejected at once, with that time, if not. Answers to orders count; 421 does not.

--- a/integration/RateLimitTest.cpp
+++ b/integration/RateLimitTest.cpp
@@ -362,3 +362,42 @@
     bed.stopLoad();
     CHECK(bed.checkLimits() > 0);
 }
+
+TEST_CASE("an upstream that says in an answer that it leaves gets no more requests from any host")
+{
+    LimitBed bed;
+    bed.startLoad(6);
+    std::this_thread::sleep_for(Millis(1'500));
+    REQUIRE(bed.arrivedAt(0, base::TimePoint()) > 0);
+    bed.replica(0).sayLeaving();
+    // Its heartbeats go on to say that it is ready.
+    std::this_thread::sleep_for(Millis(2'500));
+    const base::TimePoint settledAt = base::monotonicNow();
+    std::this_thread::sleep_for(Millis(4'000));
+    CHECK(bed.arrivedAt(0, settledAt) == 0);
+    // Its next start is another upstream.
+    bed.restartReplica(0);
+    CHECK(eventually(kSoon, [&] { return bed.arrivedAt(0, settledAt) > 0; }));
+    bed.stopLoad();
+    const auto seen = bed.calls();
+    CHECK(std::all_of(seen.begin(), seen.end(),
+                      [](const CallSeen &it) { return it.status == 200; }));
+}
+
+TEST_CASE("an upstream that asks for a pause gets it from each host that it asked")
+{
+    LimitBed bed;
+    constexpr Millis kPause(4'000);
+    bed.startLoad(6);
+    std::this_thread::sleep_for(Millis(1'000));
+    const base::TimePoint turnedAwayAt = base::monotonicNow();
+    bed.replica(0).turnAway(kPause);
+    std::this_thread::sleep_for(Millis(3'500));
+    // Each host has to be told once; the calls on their way count as well.
+    CHECK(bed.arrivedAt(0, turnedAwayAt) <= 2 * static_cast<int>(kEntryHosts));
+    bed.replica(0).turnAway({});
+    const base::TimePoint servesAt = base::monotonicNow();
+    CHECK(eventually(kSoon, [&] { return bed.arrivedAt(0, servesAt) > 0; }));
+    bed.stopLoad();
+    CHECK(bed.servedSince(turnedAwayAt) > 0);
+}
--- a/integration/platform/Replica.cpp
+++ b/integration/platform/Replica.cpp
@@ -96,6 +96,8 @@
 gateway::Fields Replica::withLimit(gateway::Fields fields, const std::string &request)
 {
     const std::lock_guard guard(m_mutex);
+    if (m_saysLeaving)
+        fields.push_back({"Server-Leaving", "1"});
     if (m_traffic.limits.empty() || !m_traffic.limits.back().perSecond)
         return fields;
     fields.push_back({"Server-Limit", fmt::format("{}", *m_traffic.limits.back().perSecond)});
@@ -103,6 +105,24 @@
     return fields;
 }
 
+void Replica::sayLeaving()
+{
+    const std::lock_guard guard(m_mutex);
+    m_saysLeaving = true;
+}
+
+void Replica::turnAway(std::optional<base::Millis> duration)
+{
+    const std::lock_guard guard(m_mutex);
+    m_turnsAwayFor = duration;
+}
+
+std::optional<base::Millis> Replica::turnsAwayFor() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_turnsAwayFor;
+}
+
 void Replica::crashOn(CrashTriggers triggers)
 {
     const std::lock_guard guard(m_mutex);
@@ -180,6 +200,15 @@
     const std::string expected = fieldOf(*exchange, "Expect-Instance");
     if (!expected.empty() && expected != m_id)
         return exchange->respond(421, {{"Request-Id", id}, {"Not-Executed", "1"}}, "");
+    if (const auto duration = turnsAwayFor())
+        return exchange->respond(
+                503,
+                withLimit({{"Request-Id", id},
+                           {"Not-Executed", "1"},
+                           {"Retry-After",
+                            fmt::format("{}", static_cast<double>(duration->count()) / 1e3)}},
+                          id),
+                "");
     if (draws(m_faults.refuse))
         return exchange->respond(503, withLimit({{"Request-Id", id}, {"Not-Executed", "1"}}, id),
                                  "");
--- a/integration/platform/Replica.h
+++ b/integration/platform/Replica.h
@@ -53,6 +53,10 @@
     std::vector<Run> runs() const;
     /// States \a perSecond as its request rate limit in all answers from now on, or none.
     void limitRequests(std::optional<double> perSecond);
+    /// Says in all answers from now on that it leaves.
+    void sayLeaving();
+    /// From now on turns all requests away and asks for none for \a duration, or serves again.
+    void turnAway(std::optional<base::Millis> duration);
     /// Crashes on such requests from now on.
     void crashOn(CrashTriggers triggers);
     /// Id of the request that crashed it; empty while it runs. The owner then destroys it, which
@@ -80,6 +84,7 @@
     void crash(const std::string &request);
     /// Adds what all answers state, and notes that this one did.
     gateway::Fields withLimit(gateway::Fields fields, const std::string &request);
+    std::optional<base::Millis> turnsAwayFor() const;
     void startStream(const std::shared_ptr<gateway::Exchange> &exchange);
     void writeEvent(const std::shared_ptr<Stream> &stream);
     bool draws(int percent);
@@ -94,6 +99,8 @@
     std::vector<gateway::RequestHead> m_seen;
     std::vector<Run> m_runs;
     ReplicaTraffic m_traffic;
+    bool m_saysLeaving = false;
+    std::optional<base::Millis> m_turnsAwayFor;
     CrashTriggers m_crashTriggers;
     std::string m_crashedBy;
     std::map<std::string, base::TimePoint> m_reservations; ///< End of each.
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -68,6 +68,7 @@
     Memory, ///< The engines chosen for its prefill had too little free memory.
     Reservation, ///< An engine did not reserve memory for it in time.
     RateLimit, ///< The upstreams with a free place accept no more requests now.
+    BackOff, ///< All upstreams want no requests from this host for some time.
     Trial, ///< It has suspect content and other suspects are tried before it.
 };
 
@@ -145,6 +146,14 @@
     fleet::RequestRate rate = fleet::kUnlimitedRate;
 };
 
+/// An upstream wants no requests from this host for some time.
+struct BackOffStated
+{
+    base::UpstreamId upstream;
+    base::Incarnation incarnation;
+    base::Millis duration{0};
+};
+
 /// What a control host knows of rate limits.
 struct RateLimitsReceived
 {
@@ -241,12 +250,12 @@
     std::optional<base::Endpoint> faultyUpstream = {}; ///< Upstream at fault, if it is another one.
 };
 
-using Event =
-        std::variant<CallArrived, CallerDisconnected, UpstreamUpdated, UpstreamRemoved,
-                     ServicesChanged, UpstreamLoadReported, RateLimitStated, RateLimitsReceived,
-                     OrderSent, SendGrantReceived, UpstreamProbed, CrashSuspectsReceived,
-                     TrialDecided, PeerLoadSumReceived, PeerLoadReceived, PermitGranted,
-                     ReservationDone, AnswerProgressed, AttemptSucceeded, AttemptFailed>;
+using Event = std::variant<CallArrived, CallerDisconnected, UpstreamUpdated, UpstreamRemoved,
+                           ServicesChanged, UpstreamLoadReported, BackOffStated, RateLimitStated,
+                           RateLimitsReceived, OrderSent, SendGrantReceived, UpstreamProbed,
+                           CrashSuspectsReceived, TrialDecided, PeerLoadSumReceived,
+                           PeerLoadReceived, PermitGranted, ReservationDone, AnswerProgressed,
+                           AttemptSucceeded, AttemptFailed>;
 
 // Actions.
 
--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -393,9 +393,10 @@
     if (call.trialRetryAfter > base::Millis(0))
         return call.trialRetryAfter;
     // A rejected long prompt means that many are pending, and these take long to serve.
-    const base::Millis minDelay = call.promptClass == PromptClass::Long
-                                          ? std::max(kMinRetryAfter, call.info.latencyObjective / 2)
-                                          : std::max(kMinRetryAfter, rateLimitDelay(call));
+    const base::Millis minDelay =
+            call.promptClass == PromptClass::Long
+                    ? std::max(kMinRetryAfter, call.info.latencyObjective / 2)
+                    : std::max({kMinRetryAfter, rateLimitDelay(call), backOffDelay(call, now)});
     std::uniform_int_distribution<std::int64_t> delay(minDelay.count(), 2 * minDelay.count());
     const auto remaining = std::chrono::duration_cast<base::Millis>(call.info.deadline - now);
     return std::clamp(base::Millis(delay(m_rng)), base::Millis(1),
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -55,6 +55,8 @@
         return "reservation";
     case QueueBlocker::RateLimit:
         return "rate_limit";
+    case QueueBlocker::BackOff:
+        return "back_off";
     case QueueBlocker::Trial:
         return "trial";
     }
@@ -163,6 +165,8 @@
     const auto it = m_upstreams.find(event.upstream.id);
     if (it != m_upstreams.end()) {
         const bool isSameService = it->second->info().service == event.upstream.service;
+        if (event.upstream.incarnation != it->second->info().incarnation)
+            m_backOffs.erase(event.upstream.id);
         it->second->setInfo(event.upstream);
         const base::Incarnation incarnation = event.upstream.incarnation;
         reportCrashesBefore(event.upstream, now);
@@ -174,6 +178,7 @@
     } else {
         auto &state = m_upstreams[event.upstream.id];
         state = std::make_unique<UpstreamState>(event.upstream);
+        restoreBackOff(*state, now);
         restoreLoad(*state, now);
         reportCrashesBefore(event.upstream, now);
     }
@@ -335,6 +340,8 @@
             sendAttempt(call, *placement, now);
         } else if (call.blocker == QueueBlocker::RateLimit) {
             waitForSendGrant(call, service, now);
+        } else if (call.blocker == QueueBlocker::BackOff) {
+            rejectIfBackOffLasts(call, service, now);
         }
     }
 }
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -147,6 +147,7 @@
     void handle(const UpstreamRemoved &event, base::TimePoint now);
     void handle(const ServicesChanged &event, base::TimePoint now);
     void handle(const UpstreamLoadReported &event, base::TimePoint now);
+    void handle(const BackOffStated &event, base::TimePoint now);
     void handle(const RateLimitStated &event, base::TimePoint now);
     void handle(const RateLimitsReceived &event, base::TimePoint now);
     void handle(const OrderSent &event, base::TimePoint now);
@@ -239,6 +240,14 @@
     std::vector<UpstreamState *> usableUpstreams(const ServiceState &service,
                                                  base::TimePoint now) const;
     void rebuildServiceUpstreams();
+    // Back off.
+    /// When the first upstream of \a service that wants no requests now takes some again.
+    static base::TimePoint firstBackOffEnd(const ServiceState &service, base::TimePoint now);
+    /// Rejects a call that waits for upstreams to take requests again if none will in time.
+    void rejectIfBackOffLasts(ActiveCall &call, const ServiceState &service, base::TimePoint now);
+    base::Millis backOffDelay(const ActiveCall &call, base::TimePoint now) const;
+    /// An upstream that was removed and is back still wants no requests.
+    void restoreBackOff(UpstreamState &state, base::TimePoint now);
     // Rate limits.
     /// Upstreams of \a candidates that only their rate limit keeps from getting \a call now.
     static std::vector<UpstreamState *> rateLimitedCandidates(
@@ -334,6 +343,8 @@
     std::set<base::UpstreamId> m_changedUpstreams; ///< Since the last takeLoadUpdate().
     int m_entryHostCount = 0; ///< As reported last; 0 when unknown.
     HostCount m_sharingHosts;
+    /// Starts of upstreams that want no requests, and until when.
+    std::map<base::UpstreamId, std::pair<base::Incarnation, base::TimePoint>> m_backOffs;
     AnsweredContent m_answeredContent;
     LostAttempts m_lostAttempts;
     std::map<fleet::Fingerprint, Suspect> m_suspects;
--- a/libs/dispatch/src/Placement.cpp
+++ b/libs/dispatch/src/Placement.cpp
@@ -90,7 +90,7 @@
     if (!usable.empty())
         return usable;
     for (UpstreamState *it : service.upstreams) {
-        if (!it->info().isLeaving)
+        if (it->isOpen(now))
             usable.push_back(it);
     }
     return usable;
@@ -124,7 +124,10 @@
 std::optional<Placement> Dispatcher::Impl::place(ActiveCall &call, ServiceState &service,
                                                  base::TimePoint now)
 {
-    call.blocker = QueueBlocker::Capacity;
+    call.blocker = firstBackOffEnd(service, now) < base::TimePoint::max()
+                                   && usableUpstreams(service, now).empty()
+                           ? QueueBlocker::BackOff
+                           : QueueBlocker::Capacity;
     return service.parameters.engine && call.info.promptTokens.count() > 0
                    ? placePrompt(call, service, now)
                    : placePlain(call, service, now);
--- a/libs/dispatch/src/UpstreamState.cpp
+++ b/libs/dispatch/src/UpstreamState.cpp
@@ -50,6 +50,7 @@
         m_consecutiveLost = 0;
         m_consecutiveEjections = 0;
         m_ejectedUntil = {};
+        m_backsOffUntil = {};
         m_peerLoad = {};
     }
     m_info = upstream;
--- a/libs/dispatch/src/UpstreamState.h
+++ b/libs/dispatch/src/UpstreamState.h
@@ -54,8 +54,13 @@
     bool isEjected(base::TimePoint now) const { return now < m_ejectedUntil; }
     base::TimePoint ejectedUntil() const { return m_ejectedUntil; }
     base::Millis nextEjectionDuration() const;
+    /// It wants no requests of this host until then.
+    void backOffUntil(base::TimePoint time) { m_backsOffUntil = std::max(m_backsOffUntil, time); }
+    base::TimePoint backsOffUntil() const { return m_backsOffUntil; }
+    /// Whether it takes new calls at all, even if they are likely to fail.
+    bool isOpen(base::TimePoint now) const { return !m_info.isLeaving && now >= m_backsOffUntil; }
     /// Whether it may get new calls.
-    bool isUsable(base::TimePoint now) const { return !m_info.isLeaving && !isEjected(now); }
+    bool isUsable(base::TimePoint now) const { return isOpen(now) && !isEjected(now); }
 
 private:
     /// Requests that this host may send in spite of the rate limit.
@@ -79,6 +84,7 @@
     int m_consecutiveLost = 0;
     int m_consecutiveEjections = 0; ///< Since it last counted as healthy.
     base::TimePoint m_ejectedUntil{};
+    base::TimePoint m_backsOffUntil{};
 };
 
 } // namespace hyssop::dispatch
--- a/libs/edge/include/edge/Edge.h
+++ b/libs/edge/include/edge/Edge.h
@@ -66,6 +66,8 @@
     /// Requests that the upstream accepts from all hosts together; kUnlimitedRate when it states no
     /// limit, empty when its statement is unreadable.
     std::optional<fleet::RequestRate> acceptedRate;
+    bool isLeaving = false; ///< The upstream takes no new requests.
+    base::Millis backOff{0}; ///< For so long it wants no requests from this host.
 };
 
 /// A request of this host itself to an upstream. Status 200 means success.
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -25,6 +25,7 @@
 /// for calls that open one.
 constexpr int kIdleConnectionDivisor = 2;
 constexpr base::Millis kPermitTimeout{500};
+constexpr base::Millis kRelayTimeout{500};
 constexpr int kSuccessStatus = 200;
 
 int statusOf(dispatch::FailureReason reason)
@@ -80,6 +81,7 @@
     request.maxIdleConnections = maxIdleConnections(call.service);
     call.attemptCount = action.attempt;
     call.upstream = action.upstream.id;
+    call.upstreamIncarnation = action.upstream.incarnation;
     call.answerHead = {};
     call.answerMetadata = {};
     call.answerBody.clear();
@@ -283,14 +285,18 @@
 
 void Edge::Impl::onHead(gateway::CallId id, const gateway::ResponseHead &head)
 {
-    if (m_reservationRequests.contains(id))
+    const base::TimePoint now = base::monotonicNow();
+    if (const auto order = m_reservationRequests.find(id); order != m_reservationRequests.end()) {
+        applyStatements(order->second.upstream, order->second.incarnation,
+                        m_protocol->parseResponse(head), now);
         return onReservationAnswer(id, head.status == kSuccessStatus);
+    }
     EdgeCall *call = findCallByAttempt(id);
     if (!call)
         return;
-    const base::TimePoint now = base::monotonicNow();
     call->answerHead = head;
     call->answerMetadata = m_protocol->parseResponse(head);
+    applyStatements(call->upstream, call->upstreamIncarnation, call->answerMetadata, now);
     if (call->answerMetadata.runningRequests)
         execute(m_dispatcher.handle(
                         dispatch::UpstreamLoadReported{call->upstream,
@@ -320,6 +326,34 @@
     scheduleTick(now);
 }
 
+void Edge::Impl::applyStatements(const base::UpstreamId &upstream, base::Incarnation incarnation,
+                                 const ResponseMetadata &metadata, base::TimePoint now)
+{
+    // Such an answer is of another start, or of another upstream at the same address.
+    if (metadata.isMisdirected)
+        return;
+    if (metadata.backOff > base::Millis(0)) {
+        m_metrics->count("hyssop_upstream_statements_total", {{"kind", "back_off"}});
+        base::logEvent("back_off", {{"upstream", upstream}, {"ms", metadata.backOff.count()}});
+        execute(m_dispatcher.handle(
+                        dispatch::BackOffStated{upstream, incarnation, metadata.backOff}, now),
+                now);
+    }
+    if (!metadata.isLeaving)
+        return;
+    const auto changes = m_fleetView.markLeaving({upstream, incarnation});
+    if (changes.upstreams.empty())
+        return;
+    m_metrics->count("hyssop_upstream_statements_total", {{"kind", "leaving"}});
+    base::logEvent("said_leaving", {{"upstream", upstream}, {"born", incarnation.count()}});
+    applyFleet(changes, now);
+    fleet::RelayedAnnouncements relay;
+    relay.leaving.push_back({upstream, incarnation});
+    for (const base::Endpoint &control : m_watcher->controlHosts())
+        m_node->query(control, {fleet::kRelayTopic, fleet::encode(relay)}, kRelayTimeout,
+                      [](const auto &) {});
+}
+
 void Edge::Impl::failAttempt(EdgeCall &call, dispatch::AttemptFault fault, std::string_view reason,
                              base::TimePoint now, std::string_view detail)
 {
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -26,6 +26,8 @@
 struct PendingReservationRequest
 {
     dispatch::CallId call; ///< 0 when the answer is ignored.
+    base::UpstreamId upstream;
+    base::Incarnation incarnation; ///< Of the upstream.
     std::string reservationId;
 };
 
@@ -54,6 +56,7 @@
     // The current attempt.
     gateway::CallId attemptId; ///< 0 when there is none.
     base::UpstreamId upstream;
+    base::Incarnation upstreamIncarnation;
     gateway::ResponseHead answerHead;
     ResponseMetadata answerMetadata;
     std::string answerBody; ///< Answer that is buffered whole.
@@ -95,6 +98,9 @@
     // Upstreams.
     void onHead(gateway::CallId id, const gateway::ResponseHead &head) override;
     void onBody(gateway::CallId id, std::string_view data) override;
+    /// Applies what an answer of a start of an upstream says of that upstream itself.
+    void applyStatements(const base::UpstreamId &upstream, base::Incarnation incarnation,
+                         const ResponseMetadata &metadata, base::TimePoint now);
     void onEnd(gateway::CallId id) override;
     void onFailed(gateway::CallId id, const gateway::CallError &error) override;
     void forwardEvents(EdgeCall &call, std::string_view data, base::TimePoint now);
--- a/libs/edge/src/FleetWatcher.cpp
+++ b/libs/edge/src/FleetWatcher.cpp
@@ -43,6 +43,15 @@
     }
 }
 
+std::vector<base::Endpoint> FleetWatcher::controlHosts() const
+{
+    std::vector<base::Endpoint> hosts;
+    hosts.reserve(m_controlHosts.size());
+    for (const auto &[address, control] : m_controlHosts)
+        hosts.push_back(address);
+    return hosts;
+}
+
 void FleetWatcher::addControlHost(const base::Endpoint &control, base::TimePoint now)
 {
     const auto [it, isNew] = m_controlHosts.try_emplace(control);
--- a/libs/edge/src/FleetWatcher.h
+++ b/libs/edge/src/FleetWatcher.h
@@ -37,6 +37,8 @@
 
     void setSeeds(const std::vector<base::Endpoint> &seeds);
     void stop() { m_isStopped = true; }
+    /// Those that are known, reachable or not.
+    std::vector<base::Endpoint> controlHosts() const;
 
 private:
     struct ControlHost
--- a/libs/edge/src/Memory.cpp
+++ b/libs/edge/src/Memory.cpp
@@ -31,7 +31,8 @@
     request.body = std::make_shared<const std::string>(engineRequest.body);
     request.connectTimeout = kReservationConnectTimeout;
     request.responseTimeout = kReservationTimeout;
-    m_reservationRequests[m_client.start(std::move(request))] = {call, reservation.id};
+    m_reservationRequests[m_client.start(std::move(request))] = {
+            call, reservation.upstream.id, reservation.upstream.incarnation, reservation.id};
     // Not now, as this runs while actions of the dispatcher are executed.
     boost::asio::post(*m_io, [this, upstream = reservation.upstream.id] {
         const base::TimePoint now = base::monotonicNow();
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -333,6 +333,13 @@
 /// Name in metrics and logs.
 std::string_view announceResultName(AnnounceResult result);
 
+/// A start of an upstream that said in an answer that it leaves.
+struct LeavingUpstream
+{
+    base::UpstreamId id;
+    base::Incarnation incarnation;
+};
+
 /// Upstreams known to a control host from their announcements or through another control host.
 class Directory
 {
@@ -342,6 +349,8 @@
     Directory(std::int64_t incarnation, base::Millis announceTimeout);
 
     AnnounceResult announce(const Upstream &upstream, base::TimePoint now);
+    /// Notes that a start of an upstream leaves, whatever its announcements still say.
+    AnnounceResult markLeaving(const LeavingUpstream &leaving);
     /// Removes an upstream. Returns \c Stale if \a incarnation is an earlier start than the known
     /// one.
     AnnounceResult leave(const base::UpstreamId &id, std::optional<base::Incarnation> incarnation,
@@ -400,6 +409,8 @@
     Changes apply(const base::HostId &control, const DirectoryChanges &changes,
                   base::TimePoint now);
     Changes removeExpired(base::TimePoint now);
+    /// Notes that a start of an upstream leaves, whatever directories say of that start.
+    Changes markLeaving(const LeavingUpstream &leaving);
     std::size_t size() const { return m_entries.size(); }
     bool isEmpty() const { return m_entries.empty(); }
 
@@ -614,6 +625,7 @@
 {
     std::vector<Upstream> upstreams;
     std::vector<DepartedUpstream> departed;
+    std::vector<LeavingUpstream> leaving = {}; ///< Sent by entry hosts.
 };
 std::string encode(const RelayedAnnouncements &relay);
 std::optional<RelayedAnnouncements> decodeRelayedAnnouncements(std::string_view bytes);
--- a/libs/fleet/src/Directory.cpp
+++ b/libs/fleet/src/Directory.cpp
@@ -98,6 +98,17 @@
     return AnnounceResult::New;
 }
 
+AnnounceResult Directory::markLeaving(const LeavingUpstream &leaving)
+{
+    const auto it = m_entries.find(leaving.id);
+    if (it == m_entries.end() || it->second.upstream.incarnation != leaving.incarnation)
+        return AnnounceResult::Stale;
+    if (std::exchange(it->second.upstream.isLeaving, true))
+        return AnnounceResult::Unchanged;
+    it->second.revision = ++m_revision;
+    return AnnounceResult::Changed;
+}
+
 AnnounceResult Directory::leave(const base::UpstreamId &id,
                                 std::optional<base::Incarnation> incarnation, base::TimePoint now)
 {
--- a/libs/fleet/src/FleetView.cpp
+++ b/libs/fleet/src/FleetView.cpp
@@ -66,6 +66,15 @@
         changes.upstreams.push_back(next);
 }
 
+FleetView::Changes FleetView::markLeaving(const LeavingUpstream &leaving)
+{
+    const auto it = m_entries.find(leaving.id);
+    if (it == m_entries.end() || it->second.upstream.incarnation != leaving.incarnation
+        || std::exchange(it->second.upstream.isLeaving, true))
+        return {};
+    return {{it->second.upstream}, {}};
+}
+
 FleetView::Changes FleetView::apply(const base::HostId &control, const DirectoryChanges &update,
                                     base::TimePoint now)
 {
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -42,6 +42,11 @@
             j.at(2).get<int>() == 0 ? DepartureKind::Left : DepartureKind::TimedOut};
 }
 
+json toJson(const LeavingUpstream &it)
+{
+    return {it.id.text(), it.incarnation.count()};
+}
+
 json toJson(const UpstreamLoad &it)
 {
     return {it.upstream.text(), it.requests, it.kvTokens.count(), it.shortRequests, it.prefillMs};
@@ -486,7 +491,8 @@
 
 std::string encode(const RelayedAnnouncements &relay)
 {
-    return base::toCbor({listToJson(relay.upstreams), listToJson(relay.departed)});
+    return base::toCbor(
+            {listToJson(relay.upstreams), listToJson(relay.departed), listToJson(relay.leaving)});
 }
 
 std::optional<RelayedAnnouncements> decodeRelayedAnnouncements(std::string_view bytes)
@@ -497,6 +503,10 @@
             relay.upstreams.push_back(upstreamFrom(it));
         for (const json &it : j.at(1))
             relay.departed.push_back(departedFrom(it));
+        if (j.size() > 2) {
+            for (const json &it : j.at(2))
+                relay.leaving.push_back({base::UpstreamId(it.at(0)), base::Incarnation(it.at(1))});
+        }
         return relay;
     });
 }
--- a/libs/fleet/tests/DirectoryTest.cpp
+++ b/libs/fleet/tests/DirectoryTest.cpp
@@ -56,6 +56,22 @@
     CHECK(directory.find(base::UpstreamId("a"))->incarnation.count() == 30);
 }
 
+TEST_CASE("a late announcement that says ready does not bring back an upstream that said it leaves")
+{
+    Directory directory(1, kAnnounceTimeout);
+    directory.announce(upstream("a", 10, 1), kStart);
+    const LeavingUpstream leaving{base::UpstreamId("a"), base::Incarnation(10)};
+    CHECK(directory.markLeaving({leaving.id, base::Incarnation(9)}) == AnnounceResult::Stale);
+    const std::int64_t before = directory.revision();
+    CHECK(directory.markLeaving(leaving) == AnnounceResult::Changed);
+    CHECK(directory.revision() > before);
+    CHECK(directory.markLeaving(leaving) == AnnounceResult::Unchanged);
+    directory.announce(upstream("a", 10, 2), kStart);
+    CHECK(directory.find(leaving.id)->isLeaving);
+    directory.announce(upstream("a", 20, 1), kStart);
+    CHECK_FALSE(directory.find(leaving.id)->isLeaving);
+}
+
 TEST_CASE("draining lasts until the next start")
 {
     Directory directory(1, kAnnounceTimeout);
--- a/libs/fleet/tests/FleetViewTest.cpp
+++ b/libs/fleet/tests/FleetViewTest.cpp
@@ -80,6 +80,21 @@
     CHECK(view.apply(kSecond, snapshot({upstream("a", 10, 1)}), kStart).upstreams.empty());
 }
 
+TEST_CASE("an upstream that said it leaves stays so for that start, whatever is announced of it")
+{
+    FleetView view(kRetention);
+    view.apply(kFirst, snapshot({upstream("a", 10, 1)}), kStart);
+    CHECK(view.markLeaving({base::UpstreamId("a"), base::Incarnation(9)}).upstreams.empty());
+    const auto changes = view.markLeaving({base::UpstreamId("a"), base::Incarnation(10)});
+    REQUIRE(changes.upstreams.size() == 1);
+    CHECK(changes.upstreams.front().isLeaving);
+    CHECK(view.markLeaving({base::UpstreamId("a"), base::Incarnation(10)}).upstreams.empty());
+    CHECK(view.apply(kSecond, snapshot({upstream("a", 10, 5)}), kStart).upstreams.empty());
+    const auto restarted = view.apply(kSecond, snapshot({upstream("a", 11, 1)}), kStart);
+    REQUIRE(restarted.upstreams.size() == 1);
+    CHECK_FALSE(restarted.upstreams.front().isLeaving);
+}
+
 TEST_CASE("an address belongs to the upstream with the latest start")
 {
     FleetView view(kRetention);
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -371,6 +371,12 @@
         m_directory.announce(upstream, now);
     for (const fleet::DepartedUpstream &it : relay.departed)
         m_directory.leave(it.id, it.incarnation, now);
+    for (const fleet::LeavingUpstream &it : relay.leaving) {
+        const auto result = m_directory.markLeaving(it);
+        base::logEvent("said_leaving", {{"upstream", it.id},
+                                        {"born", it.incarnation.count()},
+                                        {"verdict", fleet::announceResultName(result)}});
+    }
     answerWatches(now);
 }
 
