gateway: Callers of HTTP/1.0 get streams without chunks, and a broken one never looks complete

Looked for after the users' remark that an answer that broke off reached a caller as a complete success. A caller of HTTP/1.0 got a stream in chunks, which it takes for part of the body, on a connection that was kept open, so that the answer never ended for it. Its answers now end with the connection, and one that breaks off resets it, as the normal end would make it look complete.

--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -94,7 +94,8 @@
 {
     m_state = State::Responding;
     m_stateSince = now;
-    m_isKeepAlive = m_parser->keep_alive();
+    m_acceptsChunks = m_parser->version >= 11;
+    m_isKeepAlive = m_parser->keep_alive() && m_acceptsChunks;
     RequestHead head{std::move(m_parser->method), std::move(m_parser->target),
                      std::move(m_parser->fields)};
     m_exchange = std::make_shared<Exchange>(weak_from_this(), std::move(head),
@@ -155,8 +156,13 @@
     if (m_state == State::Closed)
         return;
     m_exchange.reset();
-    if (!isComplete)
+    if (!isComplete) {
+        // The normal end of the connection would make the response look complete.
+        boost::system::error_code ec;
+        if (!m_acceptsChunks)
+            m_socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
         return close();
+    }
     if (m_hasCloseHeader)
         return startClosing();
     m_state = State::Idle;
--- a/libs/gateway/src/CallerConnection.h
+++ b/libs/gateway/src/CallerConnection.h
@@ -40,6 +40,8 @@
     bool shouldCloseAfterResponse() const;
     void beginResponse() { m_hasCloseHeader = shouldCloseAfterResponse(); }
     bool hasCloseHeader() const { return m_hasCloseHeader; }
+    /// Whether the caller understands chunks. If not, a streamed response ends with its connection.
+    bool acceptsChunks() const { return m_acceptsChunks; }
 
 private:
     enum class State { Idle, ReadingHeaders, ReadingBody, Responding, Closing, Closed };
@@ -66,6 +68,7 @@
     bool m_isReading = false;
     bool m_isKeepAlive = true;
     bool m_hasCloseHeader = false;
+    bool m_acceptsChunks = true;
     bool m_expectsContinue = false;
 };
 
--- a/libs/gateway/src/Exchange.cpp
+++ b/libs/gateway/src/Exchange.cpp
@@ -42,7 +42,8 @@
     connection->beginResponse();
     std::string out = statusLine(status);
     appendFields(out, fields);
-    out += "Transfer-Encoding: chunked\r\n";
+    if (connection->acceptsChunks())
+        out += "Transfer-Encoding: chunked\r\n";
     if (connection->hasCloseHeader())
         out += "Connection: close\r\n";
     out += "\r\n";
@@ -54,7 +55,10 @@
     const auto connection = m_connection.lock();
     if (!connection || m_isEnded || !m_isStarted || data.empty())
         return;
-    connection->write(fmt::format("{:x}\r\n{}\r\n", data.size(), data));
+    if (connection->acceptsChunks())
+        connection->write(fmt::format("{:x}\r\n{}\r\n", data.size(), data));
+    else
+        connection->write(data);
 }
 
 void Exchange::finish()
@@ -63,7 +67,8 @@
     if (!connection || m_isEnded || !m_isStarted)
         return;
     m_isEnded = true;
-    connection->write("0\r\n\r\n");
+    if (connection->acceptsChunks())
+        connection->write("0\r\n\r\n");
     connection->endResponse(true);
 }
 
--- a/libs/gateway/src/Parser.h
+++ b/libs/gateway/src/Parser.h
@@ -29,15 +29,17 @@
 
     std::string method;
     std::string target;
+    int version = 11; ///< Ten times the HTTP version of a request.
     int status = 0;
     Fields fields;
     std::string body; ///< Parsed bytes that were not taken out yet.
     std::optional<std::uint64_t> length;
 
 private:
-    void on_request_impl(boost::beast::http::verb, string_view name, string_view text, int,
-                         error_code &) override
+    void on_request_impl(boost::beast::http::verb, string_view name, string_view text,
+                         int requestVersion, error_code &) override
     {
+        version = requestVersion;
         method = std::string(name);
         target = std::string(text);
     }
--- a/libs/gateway/tests/GatewayTest.cpp
+++ b/libs/gateway/tests/GatewayTest.cpp
@@ -24,10 +24,13 @@
         if (exchange->head().target == "/hang")
             return m_unanswered.push_back(exchange);
         const std::string body = exchange->head().method + " " + exchange->body();
-        if (exchange->head().target != "/stream")
+        const bool breaksOff = exchange->head().target == "/broken";
+        if (exchange->head().target != "/stream" && !breaksOff)
             return exchange->respond(200, {{"X-Echo", "1"}}, body);
         exchange->start(200, {});
         exchange->send("one");
+        if (breaksOff)
+            return exchange->abort();
         exchange->send("two");
         exchange->finish();
     }
@@ -69,8 +72,10 @@
             boost::system::error_code ec;
             const auto size = socket.read_some(boost::asio::buffer(buf), ec);
             received.append(buf.data(), size);
-            if (ec == boost::asio::error::eof)
+            if (ec == boost::asio::error::eof || ec == boost::asio::error::connection_reset) {
+                end = ec;
                 return received;
+            }
         }
         return received;
     }
@@ -80,6 +85,7 @@
     Server server;
     base::Endpoint address;
     tcp::socket socket;
+    boost::system::error_code end; ///< How the connection ended, if it did.
 };
 
 /// Records the events of calls.
@@ -205,6 +211,29 @@
     CHECK(received.ends_with("3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n"));
 }
 
+TEST_CASE("a caller of HTTP/1.0 gets a stream without chunks that ends with its connection")
+{
+    ServerFixture fixture;
+    const std::string received = fixture.exchange(
+            "GET /stream HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n", "never");
+    CHECK(received.find("Transfer-Encoding") == std::string::npos);
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK(received.ends_with("\r\n\r\nonetwo"));
+    CHECK(fixture.end == boost::asio::error::eof);
+}
+
+TEST_CASE("a stream that breaks off does not look complete to its caller")
+{
+    ServerFixture old;
+    old.exchange("GET /broken HTTP/1.0\r\nHost: h\r\n\r\n", "never");
+    CHECK(old.end == boost::asio::error::connection_reset);
+    ServerFixture fixture;
+    const std::string received =
+            fixture.exchange("GET /broken HTTP/1.1\r\nHost: h\r\n\r\n", "never");
+    CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+    CHECK(fixture.end);
+}
+
 TEST_CASE("a request with conflicting lengths is rejected and what follows is not parsed")
 {
     ServerFixture fixture;
