dispatch: Short prompts are packed up to nine tenths of an engine's slots

Cause: up to 12 short requests were packed on an engine, which 16 slots bear and 10 do not: the tenth slot was aimed at, and when another host had sent there in the last milliseconds, the request waited for a whole answer.

The player's engines now have slots, and requests wait for one.

Test that failed first: 'short prompts leave a slot free at each engine while other engines have room' (10 < 10).

--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -197,10 +197,11 @@
                                                   base::TimePoint now) const;
     /// Engines that serve short prompts, with headroom for some more.
     std::vector<UpstreamState *> enginesKeptForShort(
-            const std::vector<UpstreamState *> &engines) const;
+            const fleet::EngineSpec &spec, const std::vector<UpstreamState *> &engines) const;
     /// Number of engines at the end of \a engines that short prompts occupy with \a extraRequests
     /// more of them.
-    static std::size_t shortEngineCount(const std::vector<UpstreamState *> &engines,
+    static std::size_t shortEngineCount(const fleet::EngineSpec &spec,
+                                        const std::vector<UpstreamState *> &engines,
                                         double extraRequests, bool isLongExpected);
     /// Number of engines at the end of \a engines, at least \a minCount, that can prefill another
     /// \a prefillMs in time.
--- a/libs/dispatch/src/LongPlacement.cpp
+++ b/libs/dispatch/src/LongPlacement.cpp
@@ -116,12 +116,12 @@
 }
 
 std::vector<UpstreamState *> Dispatcher::Impl::enginesKeptForShort(
-        const std::vector<UpstreamState *> &engines) const
+        const fleet::EngineSpec &spec, const std::vector<UpstreamState *> &engines) const
 {
     std::vector<UpstreamState *> kept;
     for (const auto &group : engineGroups(engines)) {
-        const auto count =
-                static_cast<std::ptrdiff_t>(shortEngineCount(group, kShortRequestHeadroom, true));
+        const auto count = static_cast<std::ptrdiff_t>(
+                shortEngineCount(spec, group, kShortRequestHeadroom, true));
         kept.insert(kept.end(), group.end() - count, group.end());
     }
     return kept;
@@ -132,7 +132,8 @@
                                                   const std::vector<UpstreamState *> &engines,
                                                   base::TimePoint now) const
 {
-    const std::vector<UpstreamState *> keptForShort = enginesKeptForShort(engines);
+    const std::vector<UpstreamState *> keptForShort =
+            enginesKeptForShort(*parameters.engine, engines);
     const double expectedShortValue =
             kShortRequestHeadroom * kTypicalShortValue
             / static_cast<double>(std::max<std::size_t>(1, keptForShort.size()));
--- a/libs/dispatch/src/Placement.cpp
+++ b/libs/dispatch/src/Placement.cpp
@@ -23,6 +23,10 @@
 /// Short requests per engine before another engine is used. Passes then stay below a third of the
 /// gap that chat allows.
 constexpr double kShortRequestsPerEngine = 12;
+/// Part of an engine's slots up to which short requests are packed. What other hosts sent in the
+/// last milliseconds is not known yet, and a request that finds no free slot waits for a whole
+/// answer.
+constexpr double kMaxPackedSlotShare = 0.9;
 /// Mean prefill backlog in milliseconds at engines for short prompts. With more, a new prompt
 /// misses an objective of a few hundred milliseconds once the current pass has ended.
 constexpr double kShortPrefillBacklogMs = 60;
@@ -146,13 +150,15 @@
     return std::nullopt;
 }
 
-std::size_t Dispatcher::Impl::shortEngineCount(const std::vector<UpstreamState *> &engines,
+std::size_t Dispatcher::Impl::shortEngineCount(const fleet::EngineSpec &spec,
+                                               const std::vector<UpstreamState *> &engines,
                                                double extraRequests, bool isLongExpected)
 {
+    const double perEngine = std::min(kShortRequestsPerEngine, spec.slots * kMaxPackedSlotShare);
     double requests = extraRequests;
     for (const UpstreamState *it : engines)
         requests += it->shortRequests();
-    const auto wanted = static_cast<std::size_t>(std::ceil(requests / kShortRequestsPerEngine));
+    const auto wanted = static_cast<std::size_t>(std::ceil(requests / perEngine));
     const std::size_t keptForLong =
             isLongExpected && engines.size() > kMinEnginesForLong ? kMinEnginesForLong : 0;
     return std::clamp<std::size_t>(wanted, 1, engines.size() - keptForLong);
@@ -230,7 +236,8 @@
     if (std::any_of(group.begin(), group.end(),
                     [now](const UpstreamState *it) { return it->maySend(now); }))
         std::erase_if(group, [now](const UpstreamState *it) { return !it->maySend(now); });
-    const std::size_t decodeCount = shortEngineCount(group, 1, now < service.longExpectedUntil);
+    const std::size_t decodeCount =
+            shortEngineCount(*service.parameters.engine, group, 1, now < service.longExpectedUntil);
     const auto poolSize = static_cast<std::ptrdiff_t>(
             prefillEngineCount(group, decodeCount, call.prefillMs, now));
     // A trial runs where it can interrupt the fewest requests.
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <set>
 
 using namespace hyssop;
@@ -311,6 +312,26 @@
     CHECK(sent->helpers.size() >= 3);
 }
 
+TEST_CASE("short prompts leave a slot free at each engine while other engines have room")
+{
+    constexpr int kSlots = 10;
+    Fixture fixture;
+    fleet::EngineSpec spec;
+    spec.slots = kSlots;
+    spec.kvTokens = base::Tokens(315'000);
+    spec.prefillTokensPerMs = 177;
+    fixture.dispatcher.handle(ServicesChanged{{{fixture.kModel, spec, Millis(250), Millis(1'000)}}},
+                              kStart);
+    fixture.addUpstreams(fixture.kModel, 8);
+    std::map<std::string, int> requests;
+    for (int n = 0; n < 5 * kSlots; ++n) {
+        const CallInfo call = fixture.promptCall(4'000);
+        const SendAttempt sent = fixture.sendShort(call);
+        fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart);
+        CHECK(++requests[sent.upstream.id.text()] < kSlots);
+    }
+}
+
 TEST_CASE("an engine with a long prefill backlog is not used for further prompts")
 {
     Fixture fixture;
--- a/libs/registry/tests/PromptLoadPlayer.cpp
+++ b/libs/registry/tests/PromptLoadPlayer.cpp
@@ -243,8 +243,21 @@
         });
         return;
     }
-    ++engineOf(action.upstream.id).requests;
+    Engine &primary = engineOf(action.upstream.id);
+    ++primary.requests;
     call.engine = action.upstream.id;
+    ++call.attempt;
+    if (m_scenario.engineQueue && primary.runningRequests >= m_scenario.engine.slots)
+        primary.waiting.emplace_back(call.attempt, action);
+    else
+        run(action);
+}
+
+void PromptLoadPlayer::run(const dispatch::SendAttempt &action)
+{
+    Call &call = m_calls.at(action.call);
+    ++engineOf(action.upstream.id).runningRequests;
+    call.hasSlot = true;
     std::vector<Engine *> engines{&engineOf(action.upstream.id)};
     for (const dispatch::Helper &it : action.helpers)
         engines.push_back(&engineOf(it.upstream.id));
@@ -259,7 +272,6 @@
     const base::TimePoint firstEventAt = prefilledAt + passTime();
     const auto &load = m_loads.at(m_outcomes[call.outcome].route);
     call.isInTime = firstEventAt - call.firstSentAt <= load.latencyObjective;
-    ++call.attempt;
     scheduleForAttempt(firstEventAt, action.call,
                        [this, id = action.call, engine = action.upstream.id] {
                            handle(m_calls.at(id).host, dispatch::AnswerProgressed{id});
@@ -289,8 +301,20 @@
 
 void PromptLoadPlayer::leaveEngine(Call &call)
 {
-    if (const auto engine = std::exchange(call.engine, std::nullopt))
-        --engineOf(*engine).requests;
+    const auto id = std::exchange(call.engine, std::nullopt);
+    if (!id)
+        return;
+    Engine &engine = engineOf(*id);
+    --engine.requests;
+    if (!std::exchange(call.hasSlot, false))
+        return;
+    --engine.runningRequests;
+    while (!engine.waiting.empty()) {
+        const auto [attempt, action] = engine.waiting.front();
+        engine.waiting.pop_front();
+        if (m_calls.at(action.call).attempt == attempt)
+            return run(action);
+    }
 }
 
 bool PromptLoadPlayer::isFull(const Engine &engine) const
--- a/libs/registry/tests/PromptLoadPlayer.h
+++ b/libs/registry/tests/PromptLoadPlayer.h
@@ -6,6 +6,7 @@
 
 #include "dispatch/Dispatch.h"
 
+#include <deque>
 #include <random>
 #include <set>
 
@@ -34,8 +35,8 @@
     int dataCentreCount = 1; ///< Engines and hosts are divided evenly among them.
     /// Peers with which a host exchanges its load directly. All others' load comes from a sum.
     std::size_t loadPeerLimit = 1'000;
-    /// Requests that an engine holds in addition to its slots before it refuses more; unlimited
-    /// without a value.
+    /// Requests that wait at an engine while its slots are taken; it refuses more. Without a value,
+    /// slots are not limited.
     std::optional<int> engineQueue;
     std::vector<PromptLoad> loads;
     base::Millis duration{0};
@@ -72,6 +73,9 @@
         std::set<dispatch::CallId> decoding; ///< Calls whose answer it is sending.
         std::int64_t usedTokens = 0;
         int requests = 0; ///< Sent to it and not ended.
+        int runningRequests = 0; ///< Those that have a slot.
+        std::deque<std::pair<int, dispatch::SendAttempt>>
+                waiting; ///< With their attempts' numbers.
     };
     struct Host
     {
@@ -90,6 +94,7 @@
         int attempt = 0; ///< Number of the current attempt. Events of earlier ones are ignored.
         std::vector<std::pair<base::UpstreamId, std::int64_t>> reservations;
         std::optional<base::UpstreamId> engine; ///< That holds the current attempt.
+        bool hasSlot = false; ///< At that engine.
     };
 
     void scheduleAfter(base::TimePoint::duration delay, Step step);
@@ -107,6 +112,8 @@
     template <typename Ignored>
     void executeAction(const Ignored &)
     { }
+    /// Begins the prefill of an attempt.
+    void run(const dispatch::SendAttempt &action);
     /// The current attempt of a call leaves its engine.
     void leaveEngine(Call &call);
     void decode(dispatch::CallId id, const base::UpstreamId &engine);
