fleet, dispatch, registry: What an announcement costs does not grow with the number of upstreams

Causes, by reading what each announcement and each answer to a watch do: a control host looked through all upstreams three times for each announcement, its own and relayed ones, twice as often as they are; an entry host did the same for each upstream that a watch tells, and then sorted all of them by hashes that it computed anew; each change went to each other control host in a message of its own.

Now upstreams are found by their address, services are sorted once after any number of changes, and changes of one pump (20 ms) are relayed together. Watches without news no longer go through the directory.

--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -182,7 +182,7 @@
         restoreLoad(*state, now);
         reportCrashesBefore(event.upstream, now);
     }
-    rebuildServiceUpstreams();
+    m_areServicesOutdated = true;
 }
 
 void Dispatcher::Impl::restoreLoad(UpstreamState &state, base::TimePoint now)
@@ -209,11 +209,13 @@
 {
     // Outstanding calls continue until their connections end.
     if (m_upstreams.erase(event.upstream) > 0)
-        rebuildServiceUpstreams();
+        m_areServicesOutdated = true;
 }
 
-void Dispatcher::Impl::rebuildServiceUpstreams()
+void Dispatcher::Impl::updateServices()
 {
+    if (!std::exchange(m_areServicesOutdated, false))
+        return;
     for (auto &[id, service] : m_services)
         service.upstreams.clear();
     for (const auto &[id, state] : m_upstreams)
@@ -221,8 +223,7 @@
     for (auto &[id, service] : m_services) {
         std::sort(service.upstreams.begin(), service.upstreams.end(),
                   [](const UpstreamState *a, const UpstreamState *b) {
-                      return base::stableHash(a->info().id.text())
-                             < base::stableHash(b->info().id.text());
+                      return a->orderKey() < b->orderKey();
                   });
     }
 }
@@ -325,6 +326,9 @@
 
 void Dispatcher::Impl::dispatchQueued(base::TimePoint now)
 {
+    if (m_queue.empty())
+        return;
+    updateServices();
     // A call that cannot be placed does not block calls of other services or sizes.
     std::vector<CallId> queuedIds;
     queuedIds.reserve(m_queue.size());
@@ -348,6 +352,7 @@
 
 void Dispatcher::Impl::tick(base::TimePoint now)
 {
+    updateServices();
     std::vector<CallId> due;
     for (const auto &[id, call] : m_calls) {
         const base::TimePoint dueAt = call.stage == CallStage::Queued
@@ -416,6 +421,10 @@
 
 Actions Dispatcher::handle(const Event &event, base::TimePoint now)
 {
+    // Hundreds of upstreams may be added or removed in succession.
+    if (!std::holds_alternative<UpstreamUpdated>(event)
+        && !std::holds_alternative<UpstreamRemoved>(event))
+        m_impl->updateServices();
     std::visit([&](const auto &it) { m_impl->handle(it, now); }, event);
     m_impl->dispatchQueued(now);
     return m_impl->takeActions();
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -172,6 +172,8 @@
     Actions takeActions() { return std::exchange(m_actions, {}); }
     /// Sends queued calls for which there is capacity now.
     void dispatchQueued(base::TimePoint now);
+    /// Assigns the upstreams to their services again if any were added or removed.
+    void updateServices();
 
 private:
     // Placement.
@@ -240,7 +242,6 @@
     /// Upstreams that may get new calls, or ejected and unreachable ones if there are no others.
     std::vector<UpstreamState *> usableUpstreams(const ServiceState &service,
                                                  base::TimePoint now) const;
-    void rebuildServiceUpstreams();
     // Back off.
     /// When the first upstream of \a service that wants no requests now takes some again.
     static base::TimePoint firstBackOffEnd(const ServiceState &service, base::TimePoint now);
@@ -335,6 +336,7 @@
     base::Rng m_rng;
     std::map<base::UpstreamId, std::unique_ptr<UpstreamState>> m_upstreams;
     std::map<base::ServiceId, ServiceState> m_services;
+    bool m_areServicesOutdated = false; ///< Their upstreams may no longer exist.
     std::map<CallId, ActiveCall> m_calls;
     std::map<std::pair<int, CallId>, CallId> m_queue; ///< Ordered by priority, then by arrival.
     Reachability m_reachability;
--- a/libs/dispatch/src/UpstreamState.cpp
+++ b/libs/dispatch/src/UpstreamState.cpp
@@ -36,6 +36,7 @@
 
 UpstreamState::UpstreamState(fleet::Upstream upstream)
     : m_info(std::move(upstream))
+    , m_orderKey(base::stableHash(m_info.id.text()))
 {
     m_ownLoad.upstream = m_info.id;
     m_rateLimit.incarnation = m_info.incarnation;
--- a/libs/dispatch/src/UpstreamState.h
+++ b/libs/dispatch/src/UpstreamState.h
@@ -14,6 +14,8 @@
     explicit UpstreamState(fleet::Upstream upstream);
 
     const fleet::Upstream &info() const { return m_info; }
+    /// Orders the upstreams of a service in the same way on every host.
+    std::uint64_t orderKey() const { return m_orderKey; }
     void setInfo(const fleet::Upstream &upstream);
 
     void addRequest(base::Tokens kvTokens, bool isShort);
@@ -73,6 +75,7 @@
     void extendPrefill(std::int64_t ms, base::TimePoint now);
 
     fleet::Upstream m_info;
+    std::uint64_t m_orderKey; ///< Hash of its id.
     fleet::UpstreamLoad m_ownLoad;
     fleet::UpstreamLoad m_peerLoad;
     fleet::RateLimitStatement m_rateLimit;
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -333,6 +333,20 @@
 /// Name in metrics and logs.
 std::string_view announceResultName(AnnounceResult result);
 
+/// The upstreams at each address. Looking through all of them for each announcement would cost a
+/// control host its processor time with thousands of them.
+class AddressIndex
+{
+public:
+    void add(const Upstream &upstream) { m_ids[upstream.address].insert(upstream.id); }
+    void remove(const Upstream &upstream);
+    /// Ids of those at \a address.
+    const std::set<base::UpstreamId> &at(const base::Endpoint &address) const;
+
+private:
+    std::map<base::Endpoint, std::set<base::UpstreamId>> m_ids;
+};
+
 /// A start of an upstream that said in an answer that it leaves.
 struct LeavingUpstream
 {
@@ -388,6 +402,7 @@
     std::int64_t m_revision = 0;
     std::int64_t m_prunedRevision = 0; ///< Departures up to this revision have been deleted.
     std::map<base::UpstreamId, Entry> m_entries;
+    AddressIndex m_addresses; ///< Of the entries.
     std::map<base::UpstreamId, Tombstone> m_tombstones;
 };
 
@@ -430,6 +445,7 @@
 
     base::Millis m_retention;
     std::map<base::UpstreamId, Entry> m_entries;
+    AddressIndex m_addresses; ///< Of the entries.
     std::map<base::UpstreamId, std::pair<base::Incarnation, base::TimePoint>> m_leftUpstreams;
 };
 
--- a/libs/fleet/src/Directory.cpp
+++ b/libs/fleet/src/Directory.cpp
@@ -43,18 +43,19 @@
     if (tombstone != m_tombstones.end() && tombstone->second.departed.kind == DepartureKind::Left
         && tombstone->second.departed.incarnation >= upstream.incarnation)
         return true;
-    return std::any_of(m_entries.begin(), m_entries.end(), [&upstream](const auto &it) {
-        return it.second.upstream.replacesAddressOf(upstream);
+    const auto &ids = m_addresses.at(upstream.address);
+    return std::any_of(ids.begin(), ids.end(), [&](const base::UpstreamId &id) {
+        return m_entries.at(id).upstream.replacesAddressOf(upstream);
     });
 }
 
 bool Directory::isAddressInUse(const Upstream &upstream, base::TimePoint now) const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &it) {
-        const Upstream &other = it.second.upstream;
-        return other.id != upstream.id && other.address == upstream.address
-               && !upstream.replacesAddressOf(other)
-               && now < it.second.lastAnnouncedAt + m_announceTimeout / 2;
+    const auto &ids = m_addresses.at(upstream.address);
+    return std::any_of(ids.begin(), ids.end(), [&](const base::UpstreamId &id) {
+        const Entry &other = m_entries.at(id);
+        return id != upstream.id && !upstream.replacesAddressOf(other.upstream)
+               && now < other.lastAnnouncedAt + m_announceTimeout / 2;
     });
 }
 
@@ -75,7 +76,9 @@
         next.isLeaving = next.isLeaving || wasLeaving;
         Upstream before = entry.upstream;
         before.sequence = next.sequence;
+        m_addresses.remove(entry.upstream);
         entry.upstream = next;
+        m_addresses.add(next);
         if (before == next)
             return AnnounceResult::Unchanged;
         entry.revision = ++m_revision;
@@ -84,17 +87,13 @@
     // A delayed announcement may come from an upstream that has ended.
     if (isAddressInUse(upstream, now))
         return AnnounceResult::Stale;
-    std::vector<base::UpstreamId> replaced;
-    for (const auto &[id, entry] : m_entries) {
-        if (entry.upstream.address == upstream.address)
-            replaced.push_back(id);
-    }
-    for (const base::UpstreamId &id : replaced) {
+    for (const base::UpstreamId &id : std::set(m_addresses.at(upstream.address))) {
         const bool isCertain = upstream.replacesAddressOf(m_entries.at(id).upstream);
         remove(id, isCertain ? DepartureKind::Left : DepartureKind::TimedOut, now);
     }
     m_tombstones.erase(upstream.id);
     m_entries[upstream.id] = {upstream, ++m_revision, now};
+    m_addresses.add(upstream);
     return AnnounceResult::New;
 }
 
@@ -138,6 +137,7 @@
 {
     const auto it = m_entries.find(id);
     m_tombstones[id] = {{id, it->second.upstream.incarnation, departure}, ++m_revision, now};
+    m_addresses.remove(it->second.upstream);
     m_entries.erase(it);
 }
 
@@ -164,6 +164,8 @@
     changes.incarnation = m_incarnation;
     changes.revision = m_revision;
     changes.isSnapshot = incarnation != m_incarnation || revision < m_prunedRevision;
+    if (!changes.isSnapshot && revision == m_revision)
+        return changes;
     for (const auto &[id, entry] : m_entries) {
         if (changes.isSnapshot || entry.revision > revision)
             changes.upstreams.push_back(entry.upstream);
--- a/libs/fleet/src/FleetView.cpp
+++ b/libs/fleet/src/FleetView.cpp
@@ -18,15 +18,20 @@
 
 bool FleetView::isAddressTakenOver(const Upstream &upstream) const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(), [&upstream](const auto &it) {
-        return it.second.upstream.replacesAddressOf(upstream);
+    const auto &ids = m_addresses.at(upstream.address);
+    return std::any_of(ids.begin(), ids.end(), [&](const base::UpstreamId &id) {
+        return m_entries.at(id).upstream.replacesAddressOf(upstream);
     });
 }
 
 void FleetView::removeUpstream(const base::UpstreamId &id, Changes &changes)
 {
-    if (m_entries.erase(id) > 0)
-        changes.removed.push_back(id);
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end())
+        return;
+    m_addresses.remove(it->second.upstream);
+    m_entries.erase(it);
+    changes.removed.push_back(id);
 }
 
 void FleetView::applyUpstream(const base::HostId &control, const Upstream &upstream,
@@ -39,14 +44,10 @@
     if (it == m_entries.end()) {
         if (isAddressTakenOver(upstream))
             return;
-        std::vector<base::UpstreamId> replaced;
-        for (const auto &[id, entry] : m_entries) {
-            if (entry.upstream.address == upstream.address)
-                replaced.push_back(id);
-        }
-        for (const base::UpstreamId &id : replaced)
+        for (const base::UpstreamId &id : std::set(m_addresses.at(upstream.address)))
             removeUpstream(id, changes);
         m_entries[upstream.id] = {upstream, {control}, now};
+        m_addresses.add(upstream);
         changes.upstreams.push_back(upstream);
         return;
     }
@@ -61,7 +62,9 @@
         next.isLeaving = entry.upstream.isLeaving || upstream.isLeaving;
     Upstream before = entry.upstream;
     before.sequence = next.sequence;
+    m_addresses.remove(entry.upstream);
     entry.upstream = next;
+    m_addresses.add(next);
     if (before != next)
         changes.upstreams.push_back(next);
 }
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -125,6 +125,9 @@
     void answerConfigurationRead(const peers::Answer<std::string> &answer,
                                  base::TimePoint now) const;
     void relayToControlHosts(const fleet::RelayedAnnouncements &relay, std::function<void()> done);
+    /// Passes changes on with the next pump. Many may come at once.
+    void relayLater(const fleet::RelayedAnnouncements &relay, std::function<void()> done);
+    void sendPendingRelay();
     void relayRefreshedUpstreams(base::TimePoint now);
     void applyRelay(const fleet::RelayedAnnouncements &relay, base::TimePoint now);
     std::vector<base::Endpoint> otherControlHosts() const;
@@ -157,6 +160,8 @@
     SendGrants m_sendGrants;
     CrashSuspects m_crashSuspects;
     std::vector<base::UpstreamId> m_refreshedUpstreams; ///< Refreshed since the last relay.
+    fleet::RelayedAnnouncements m_pendingRelay;
+    std::vector<std::function<void()>> m_relayDone; ///< For the announcements in m_pendingRelay.
     base::TimePoint m_nextRelayAt{};
     PublishedRevision m_publishedFacts{kFactsInterval};
     PublishedRevision m_publishedDirectory{kDirectoryInterval};
@@ -249,6 +254,7 @@
         m_sendGrants.tick(now);
         m_crashSuspects.tick(now);
     }
+    sendPendingRelay();
     relayRefreshedUpstreams(now);
     const auto &configuration = groupHost().ledger().configuration();
     if (configuration && configuration->version != m_appliedVersion) {
@@ -352,6 +358,27 @@
     }
 }
 
+void Registry::Impl::relayLater(const fleet::RelayedAnnouncements &relay,
+                                std::function<void()> done)
+{
+    m_pendingRelay.upstreams.insert(m_pendingRelay.upstreams.end(), relay.upstreams.begin(),
+                                    relay.upstreams.end());
+    m_pendingRelay.departed.insert(m_pendingRelay.departed.end(), relay.departed.begin(),
+                                   relay.departed.end());
+    m_relayDone.push_back(std::move(done));
+}
+
+void Registry::Impl::sendPendingRelay()
+{
+    if (m_relayDone.empty())
+        return;
+    relayToControlHosts(std::exchange(m_pendingRelay, {}),
+                        [callbacks = std::exchange(m_relayDone, {})] {
+                            for (const auto &done : callbacks)
+                                done();
+                        });
+}
+
 void Registry::Impl::relayRefreshedUpstreams(base::TimePoint now)
 {
     if (m_refreshedUpstreams.empty() || now < m_nextRelayAt)
@@ -539,7 +566,7 @@
         return result;
     }
     m_impl->answerWatches(now);
-    m_impl->relayToControlHosts({{*m_impl->m_directory.find(upstream.id)}, {}}, std::move(done));
+    m_impl->relayLater({{*m_impl->m_directory.find(upstream.id)}, {}}, std::move(done));
     return result;
 }
 
@@ -557,8 +584,8 @@
         return result;
     }
     m_impl->answerWatches(now);
-    m_impl->relayToControlHosts({{}, {{id, departedIncarnation, fleet::DepartureKind::Left}}},
-                                std::move(done));
+    m_impl->relayLater({{}, {{id, departedIncarnation, fleet::DepartureKind::Left}}},
+                       std::move(done));
     return result;
 }
 
