registry, fleet: The directory is packed once for all hosts that get the same

An entry host that starts gets all upstreams from each of five control hosts. Now the changes between two revisions are encoded and compressed once: a third of the bytes at most ('a packed directory is read as one that is not, and a damaged one is rejected'), and one encoding for all.

--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -513,6 +513,9 @@
     /// it replied.
     bool isConfirmed = false;
     DirectoryChanges directory;
+    /// The packed form of \c directory, made once for all hosts that get the same. Empty where it
+    /// is not packed.
+    std::string packedDirectory;
     std::vector<base::Endpoint> controlHosts; ///< Known control hosts.
     int entryHostCount = 1; ///< Entry hosts that poll, including the requesting one.
     /// The hosts that exchange their loads directly with the requesting one, if the request holds
@@ -531,6 +534,8 @@
 /// CBOR encoding and decoding. Decoding returns nothing for bytes that are not a valid message.
 std::string encode(const WatchRequest &request);
 std::string encode(const WatchReply &reply);
+/// Encodes and compresses what WatchReply::packedDirectory holds.
+std::string packDirectory(const DirectoryChanges &changes);
 std::optional<WatchRequest> decodeWatchRequest(std::string_view bytes);
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes);
 
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -276,8 +276,30 @@
     });
 }
 
+std::string packDirectory(const DirectoryChanges &changes)
+{
+    return compressText(base::toCbor(
+            json::array({listToJson(changes.upstreams), listToJson(changes.departed)})));
+}
+
+namespace {
+
+/// Reads the lists of \a changes. Throws json::exception if \a packed is damaged.
+void unpackDirectory(const std::string &packed, DirectoryChanges &changes)
+{
+    const auto bytes = decompressText(packed);
+    const json lists = json::from_cbor(bytes.value_or(""));
+    for (const json &it : lists.at(0))
+        changes.upstreams.push_back(upstreamFrom(it));
+    for (const json &it : lists.at(1))
+        changes.departed.push_back(departedFrom(it));
+}
+
+} // namespace
+
 std::string encode(const WatchReply &reply)
 {
+    const bool isPacked = !reply.packedDirectory.empty();
     json loadPeers;
     if (reply.loadPeers) {
         loadPeers = json::array();
@@ -289,15 +311,24 @@
         controlHosts.push_back(it.text());
     return base::toCbor({reply.configurationVersion.count(),
                          reply.packedConfiguration ? json(*reply.packedConfiguration) : json(),
-                         reply.isConfirmed, reply.directory.incarnation, reply.directory.revision,
-                         reply.directory.isSnapshot, listToJson(reply.directory.upstreams),
-                         listToJson(reply.directory.departed), std::move(controlHosts),
-                         reply.entryHostCount, listToJson(reply.distantLoad.upstreams),
-                         std::move(loadPeers), listToJson(reply.rateLimits), reply.factsRevision,
-                         reply.heldFor.count(), listToJson(reply.crashSuspects),
+                         reply.isConfirmed,
+                         reply.directory.incarnation,
+                         reply.directory.revision,
+                         reply.directory.isSnapshot,
+                         isPacked ? json::array() : listToJson(reply.directory.upstreams),
+                         isPacked ? json::array() : listToJson(reply.directory.departed),
+                         std::move(controlHosts),
+                         reply.entryHostCount,
+                         listToJson(reply.distantLoad.upstreams),
+                         std::move(loadPeers),
+                         listToJson(reply.rateLimits),
+                         reply.factsRevision,
+                         reply.heldFor.count(),
+                         listToJson(reply.crashSuspects),
                          reply.loadPeersRevision,
                          reply.configurationDelta ? json(*reply.configurationDelta) : json(),
-                         reply.deltaBase.count()});
+                         reply.deltaBase.count(),
+                         reply.packedDirectory});
 }
 
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes)
@@ -344,6 +375,8 @@
                 reply.configurationDelta = j.at(17).get<std::string>();
             reply.deltaBase = ConfigurationVersion(j.at(18));
         }
+        if (j.size() > 19 && !j.at(19).get<std::string>().empty())
+            unpackDirectory(j.at(19), reply.directory);
         return reply;
     });
 }
--- a/libs/fleet/tests/FleetViewTest.cpp
+++ b/libs/fleet/tests/FleetViewTest.cpp
@@ -144,6 +144,28 @@
     CHECK(decodeWatchReply(encode(reply))->heldFor == Millis(480));
 }
 
+TEST_CASE("a packed directory is read as one that is not, and a damaged one is rejected")
+{
+    WatchReply reply;
+    std::vector<Upstream> upstreams;
+    for (int n = 0; n < 3'000; ++n)
+        upstreams.push_back(upstream(("i-" + std::to_string(n * 7'919)).c_str(), n, 1));
+    reply.directory = snapshot(upstreams);
+    reply.directory.departed = {{base::UpstreamId("x"), base::Incarnation(3), DepartureKind::Left}};
+    const std::string plain = encode(reply);
+    reply.packedDirectory = packDirectory(reply.directory);
+    const std::string packed = encode(reply);
+    CHECK(packed.size() < plain.size() / 3);
+    const auto read = decodeWatchReply(packed);
+    REQUIRE(read);
+    CHECK(read->directory.isSnapshot);
+    CHECK(read->directory.upstreams == reply.directory.upstreams);
+    REQUIRE(read->directory.departed.size() == 1);
+    CHECK(read->directory.departed.front().id.text() == "x");
+    reply.packedDirectory.resize(reply.packedDirectory.size() / 2);
+    CHECK_FALSE(decodeWatchReply(encode(reply)));
+}
+
 TEST_CASE("a load update that is split for datagrams is whole again after all its parts")
 {
     LoadUpdate update;
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -3,6 +3,7 @@
 #include "ConfigurationHistory.h"
 #include "CrashSuspects.h"
 #include "LoadAggregator.h"
+#include "PackedDirectory.h"
 #include "PendingWatches.h"
 #include "PrefillPermits.h"
 #include "PublishedRevision.h"
@@ -159,6 +160,7 @@
     PrefillPermits m_prefillPermits;
     SendGrants m_sendGrants;
     CrashSuspects m_crashSuspects;
+    PackedDirectory m_packedDirectory;
     std::vector<base::UpstreamId> m_refreshedUpstreams; ///< Refreshed since the last relay.
     fleet::RelayedAnnouncements m_pendingRelay;
     std::vector<std::function<void()>> m_relayDone; ///< For the announcements in m_pendingRelay.
@@ -308,8 +310,10 @@
         }
     }
     reply.isConfirmed = hasLease(now);
-    reply.directory =
-            m_directory.changesSince(request.directoryIncarnation, request.directoryRevision);
+    const PackedDirectory::Changes &changes = m_packedDirectory.changesSince(
+            m_directory, request.directoryIncarnation, request.directoryRevision);
+    reply.directory = changes.header;
+    reply.packedDirectory = changes.packed;
     reply.controlHosts = otherControlHosts();
     reply.controlHosts.push_back(m_options.listenPeers);
     reply.entryHostCount =
