registry, dispatch: Oversized prompts wait as long as other long ones, and one permit in seven is theirs

Tests: 'requests that keep coming do not keep an oversized one from ever being granted' failed first. The bound of 'an oversized prompt lets another one be prefilled where engines suffice for both' was the old wait; it is now the wait of other long prompts, as exact as before.

--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -31,9 +31,8 @@
 /// Tenths of the time until its deadline for which a long prompt is queued. A late answer is worth
 /// more than a refusal, and the queued prompt delays no other call.
 constexpr int kLongQueueTenths = 4;
-/// Fractions of its objective for which an oversized prompt is queued: where its prefill leaves
-/// engines for others, and where it would block them all and is served only while they are idle.
-constexpr int kOversizedQueueDivisor = 2;
+/// Fraction of its objective for which an oversized prompt is queued where it would block all
+/// engines.
 constexpr int kExclusiveQueueDivisor = 8;
 /// Retry-After of a rejected call is drawn between this and twice as much.
 constexpr base::Millis kMinRetryAfter{400};
@@ -376,11 +375,9 @@
 
 base::TimePoint Dispatcher::Impl::queueDeadline(const ActiveCall &call) const
 {
-    if (call.isOversized) {
-        const int divisor =
-                hasEnginesForTwo(call) ? kOversizedQueueDivisor : kExclusiveQueueDivisor;
-        return call.queuedAt + call.info.latencyObjective / divisor;
-    }
+    // Where it would block all engines it is served only while they are idle.
+    if (call.isOversized && !hasEnginesForTwo(call))
+        return call.queuedAt + call.info.latencyObjective / kExclusiveQueueDivisor;
     if (call.promptClass == PromptClass::Long)
         return call.queuedAt + (call.info.deadline - call.queuedAt) * kLongQueueTenths / 10;
     const auto objectiveShare =
--- a/libs/registry/src/PrefillPermits.cpp
+++ b/libs/registry/src/PrefillPermits.cpp
@@ -17,6 +17,9 @@
 constexpr base::Millis kMaxPermitLifetime{4'000};
 /// A request that has waited this long is granted before shorter ones.
 constexpr base::Millis kPriorityAfter{1'500};
+/// An oversized request that has waited that long is granted before all others once after this many
+/// of these. They come last otherwise and would never be granted in an overload.
+constexpr int kGrantsPerOversized = 6;
 
 } // namespace
 
@@ -66,10 +69,16 @@
         base::TimePoint now)
 {
     auto candidate = m_waiting.end();
-    const auto sortKey = [now](const WaitingRequest &it) {
+    const auto sortKey = [this, now](const WaitingRequest &it) {
         const bool isLate = now >= it.waitingSince + it.request.lateAfter;
         const bool hasWaitedLong = !isLate && now >= it.waitingSince + kPriorityAfter;
-        const int priority = it.request.isOversized ? 3 : isLate ? 2 : hasWaitedLong ? 0 : 1;
+        const bool isItsTurn = it.request.isOversized && hasWaitedLong
+                               && m_grantsSinceOversized >= kGrantsPerOversized;
+        const int priority = isItsTurn                ? 0
+                             : it.request.isOversized ? 4
+                             : isLate                 ? 3
+                             : hasWaitedLong          ? 1
+                                                      : 2;
         return std::pair(priority, hasWaitedLong ? std::int64_t(0) : it.request.prefillMs);
     };
     for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
@@ -100,6 +109,7 @@
     if (it == m_waiting.end())
         return;
     m_lastGrantAt = now;
+    m_grantsSinceOversized = it->request.isOversized ? 0 : m_grantsSinceOversized + 1;
     m_held[it->request.key] = {it->request.service, it->request.dataCentre,
                                now + permitLifetime(it->request)};
     const Answer answer = std::move(it->answer);
--- a/libs/registry/src/PrefillPermits.h
+++ b/libs/registry/src/PrefillPermits.h
@@ -53,6 +53,7 @@
     std::vector<WaitingRequest> m_waiting;
     std::map<fleet::PermitKey, HeldPermit> m_held;
     base::TimePoint m_lastGrantAt{};
+    int m_grantsSinceOversized = 0;
 };
 
 } // namespace hyssop::registry
--- a/libs/registry/tests/PrefillPermitsTest.cpp
+++ b/libs/registry/tests/PrefillPermitsTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace hyssop;
 using namespace hyssop::registry;
 using base::Millis;
@@ -190,3 +192,37 @@
     permits.release({base::HostId("e"), 1, 1}, kStart + Millis(400));
     CHECK(granted == std::vector{1, 2, 4, 5, 6, 3});
 }
+
+TEST_CASE("requests that keep coming do not keep an oversized one from ever being granted")
+{
+    PrefillPermits permits;
+    std::vector<int> granted;
+    const auto acquire = [&](fleet::PermitRequest request, base::TimePoint now) {
+        const int call = static_cast<int>(request.key.call);
+        request.maxWait = Millis(10'000);
+        request.lateAfter = Millis(9'000);
+        permits.acquire(
+                request,
+                [&granted, call](bool isGranted) {
+                    if (isGranted)
+                        granted.push_back(call);
+                },
+                now);
+    };
+    constexpr int kOversized = 1'000;
+    fleet::PermitRequest oversized = permitRequest(kOversized, 20'000);
+    oversized.isOversized = true;
+    acquire(oversized, kStart);
+    // A prefill ends each 200 ms, and there are always some that wait.
+    for (int n = 1; n <= 40; ++n) {
+        const base::TimePoint now = kStart + Millis(200) * n;
+        acquire(permitRequest(n, 300), now);
+        acquire(permitRequest(100 + n, 300), now + Millis(20));
+        permits.tick(now + Millis(60));
+        if (granted.size() > 1)
+            permits.release({base::HostId("e"), 1, granted[granted.size() - 2]}, now + Millis(100));
+        permits.tick(now + Millis(140));
+    }
+    CHECK(std::find(granted.begin(), granted.end(), kOversized) != granted.end());
+    CHECK(std::count(granted.begin(), granted.end(), kOversized) == 1);
+}
