--- a/libs/fleet/tests/FleetViewTest.cpp
+++ b/libs/fleet/tests/FleetViewTest.cpp
@@ -147,8 +147,10 @@
 TEST_CASE("a packed directory is read as one that is not, and a damaged one is rejected")
 {
     WatchReply reply;
+    constexpr int kUpstreams = 3'000;
     std::vector<Upstream> upstreams;
-    for (int n = 0; n < 3'000; ++n)
+    upstreams.reserve(kUpstreams);
+    for (int n = 0; n < kUpstreams; ++n)
         upstreams.push_back(upstream(("i-" + std::to_string(n * 7'919)).c_str(), n, 1));
     reply.directory = snapshot(upstreams);
     reply.directory.departed = {{base::UpstreamId("x"), base::Incarnation(3), DepartureKind::Left}};
--- a/libs/registry/src/LoadAggregator.cpp
+++ b/libs/registry/src/LoadAggregator.cpp
@@ -131,7 +131,7 @@
     }
     if (hasPeers && hostsIn(own->second.dataCentre) > m_limit + 1) {
         auto known = peersOf(own);
-        known.push_back(own);
+        known.emplace_back(own);
         for (const auto &it : known) {
             for (const fleet::UpstreamLoad &load : it->second.load.upstreams) {
                 // The sums are older than the reports.
