dispatch: Long prompts are not sent where their answer would come after the deadline

Callers saw: in an overload prompts that fit on an engine were admitted, kept and then ended by their deadline (502, 504 or a lost stream), the largest ones always.

Cause: the plan for a long prompt gave a late answer a quarter of its value however late it was. A prompt that was late anyway was therefore sent to one engine, which pauses the fewest others, even where that engine alone needs longer for it than its caller waits.

An answer after the deadline now has no value, so the plan takes more engines, or the prompt waits for better ones. One that all engines together cannot prefill before its deadline is rejected at once.

--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -140,10 +140,10 @@
     ServiceState &service = serviceOf(call.info.service);
     service.retryBudget->recordCall(now);
     classifyPrompt(call, service, now);
-    if (isUnservable(call, service))
-        return rejectOrFail(call, FailureReason::TooLarge, now);
     if (service.upstreams.empty())
         return rejectOrFail(call, FailureReason::NoUpstream, now);
+    if (isUnservable(call, service, now))
+        return rejectOrFail(call, FailureReason::TooLarge, now);
     enqueue(call, now);
     prefetchSendGrant(service, now);
 }
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -212,7 +212,9 @@
                                           base::TimePoint now);
     UpstreamState *leastLoaded(const std::vector<UpstreamState *> &candidates,
                                const ActiveCall &call, int maxRequests, base::TimePoint now);
-    static bool isUnservable(const ActiveCall &call, const ServiceState &service);
+    /// Whether all engines together cannot hold the prompt or prefill it in time.
+    static bool isUnservable(const ActiveCall &call, const ServiceState &service,
+                             base::TimePoint now);
     std::vector<UpstreamState *> helperCandidates(const ActiveCall &call,
                                                   const std::vector<UpstreamState *> &engines,
                                                   const UpstreamState *primary,
--- a/libs/dispatch/src/EngineModel.cpp
+++ b/libs/dispatch/src/EngineModel.cpp
@@ -22,11 +22,11 @@
     return stepMs * m_spec->stepsPerPass;
 }
 
-double EngineModel::meanAnswerMs(int requests, base::Tokens contextTokens) const
+double EngineModel::answerMs(base::Tokens outputTokens, base::Tokens contextTokens) const
 {
-    const double passes = std::ceil(static_cast<double>(m_spec->meanAnswerTokens.count())
+    const double passes = std::ceil(static_cast<double>(outputTokens.count())
                                     / std::max(1, m_spec->stepsPerPass));
-    return passes * passMs(requests, contextTokens);
+    return passes * passMs(1, contextTokens);
 }
 
 base::Tokens EngineModel::maxKvTokens(base::Tokens promptTokens, base::Tokens maxOutputTokens) const
--- a/libs/dispatch/src/EngineModel.h
+++ b/libs/dispatch/src/EngineModel.h
@@ -17,8 +17,8 @@
     /// Time of a pass in which \a requests requests of \a contextTokens tokens each decode and none
     /// is prefilled.
     double passMs(int requests, base::Tokens contextTokens) const;
-    /// Time to decode an answer of mean length beside \a requests others.
-    double meanAnswerMs(int requests, base::Tokens contextTokens) const;
+    /// Time to decode an answer to one request alone.
+    double answerMs(base::Tokens outputTokens, base::Tokens contextTokens) const;
     /// Largest amount of KV memory that a request may use.
     base::Tokens maxKvTokens(base::Tokens promptTokens, base::Tokens maxOutputTokens) const;
     /// KV tokens in \a share of the memory of an engine.
--- a/libs/dispatch/src/LongPlacement.cpp
+++ b/libs/dispatch/src/LongPlacement.cpp
@@ -161,7 +161,15 @@
     const auto isInTime = [&](double firstEventMs) {
         return waitedMs + firstEventMs * kFirstEventErrorFactor + kFirstEventErrorMs <= objectiveMs;
     };
+    const double answerMs = EngineModel(*parameters.engine)
+                                    .answerMs(std::min(call.info.maxOutputTokens,
+                                                       parameters.engine->meanAnswerTokens),
+                                              call.info.promptTokens);
+    const double timeLeftMs = elapsedMs(now, call.info.deadline);
     const auto valueAt = [&](double firstEventMs) {
+        // An answer that its caller no longer waits for would only cost others their time.
+        if (firstEventMs * kFirstEventErrorFactor + kFirstEventErrorMs + answerMs > timeLeftMs)
+            return 0.0;
         return expectedValue(plan.answerValue, firstEventMs, isInTime(firstEventMs), objectiveMs);
     };
     std::size_t bestCount = 0;
--- a/libs/dispatch/src/Placement.cpp
+++ b/libs/dispatch/src/Placement.cpp
@@ -71,10 +71,17 @@
     }
 }
 
-bool Dispatcher::Impl::isUnservable(const ActiveCall &call, const ServiceState &service)
+bool Dispatcher::Impl::isUnservable(const ActiveCall &call, const ServiceState &service,
+                                    base::TimePoint now)
 {
     const auto &spec = service.parameters.engine;
-    if (!spec || spec->kvTokens.count() <= 0)
+    if (!spec || call.info.promptTokens.count() == 0 || service.upstreams.empty())
+        return false;
+    const auto maxParts = static_cast<double>(std::min(kMaxHelpers + 1, service.upstreams.size()));
+    const std::chrono::duration<double, std::milli> timeLeft = call.info.deadline - now;
+    if (call.prefillMs / maxParts > timeLeft.count())
+        return true;
+    if (spec->kvTokens.count() <= 0)
         return false;
     // Other requests may need half of the engines at the same time.
     const auto engineCount = std::min(kMaxHelpers + 1, (service.upstreams.size() + 1) / 2);
