registry, dispatch: A size that is passed over gets the next prefill permit

Cause: permits go to the shortest prompt first and to oversized ones last. Class of fault: strict priority without a bound on how long the lowest class is passed over.

Now the leader keeps the last prompts of each route by size, how many were prefilled and how many not. A rank (largest tenth, fifth below it, the rest) that is served less than 0.6 times as often as its route comes before all others, the one furthest below first; while such a prompt needs all engines, later ones wait for it. One that would block all engines and whose size is served enough is told after an eighth of its objective that it gets no permit, and its caller at once when to come back. Prompts that are spread without a permit are reported too, as they are of the same routes. The rule of one in seven is gone.

Logs: prefill_permit names route, size_rank, relative_percent and passed_over; the gauge hyssop_prompt_size_share tells the same of each route. The test of oversized prompts on few engines pinned the wait of an eighth of the objective; it now pins that wait as the one for idle engines beside the full one.

--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -30,6 +30,7 @@
     CallId id;
     base::ServiceId service;
     base::TeamId team;
+    std::string route;
     int priority = 0; ///< 0 is served first.
     bool isStream = false;
     bool isRetrySafe = false; ///< May be sent again even if it may have run.
@@ -222,6 +223,12 @@
     CallId call;
 };
 
+/// A long prompt will get no permit in time.
+struct PermitDenied
+{
+    CallId call;
+};
+
 /// All memory of a ReserveMemory action is reserved, or some of it could not be.
 struct ReservationDone
 {
@@ -254,8 +261,8 @@
                            ServicesChanged, UpstreamLoadReported, BackOffStated, RateLimitStated,
                            RateLimitsReceived, OrderSent, SendGrantReceived, UpstreamProbed,
                            CrashSuspectsReceived, TrialDecided, PeerLoadSumReceived,
-                           PeerLoadReceived, PermitGranted, ReservationDone, AnswerProgressed,
-                           AttemptSucceeded, AttemptFailed>;
+                           PeerLoadReceived, PermitGranted, PermitDenied, ReservationDone,
+                           AnswerProgressed, AttemptSucceeded, AttemptFailed>;
 
 // Actions.
 
@@ -330,13 +337,20 @@
     base::Millis lateAfter{0}; ///< A grant after this makes the answer miss its objective.
     bool isOversized = false; ///< The prompt exceeds the memory of one engine.
     bool isExclusive = false; ///< No other long prompt may be prefilled meanwhile.
+    base::Millis idleWait{0}; ///< See fleet::PermitRequest.
+    std::string route;
     base::DataCentreId dataCentre; ///< Whose engines are to prefill it; empty for all of them.
 };
 
-/// Returns a permit after the prefill, or when the prompt will not be prefilled.
+/// Returns a permit after the prefill, or when the prompt will not be prefilled. Also reports the
+/// prefill of prompts that needed none but are of a kind that may need one.
 struct ReleasePermit
 {
     CallId call;
+    base::ServiceId service;
+    std::string route;
+    std::int64_t prefillMs = 0; ///< Prefill time of the whole prompt on one engine.
+    bool isPrefilled = false;
 };
 
 /// Reports a retry, for metrics and logs.
--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -31,8 +31,8 @@
 /// Tenths of the time until its deadline for which a long prompt is queued. A late answer is worth
 /// more than a refusal, and the queued prompt delays no other call.
 constexpr int kLongQueueTenths = 4;
-/// Fraction of its objective for which an oversized prompt is queued where it would block all
-/// engines.
+/// Fraction of its objective for which an oversized prompt that would block all engines waits until
+/// they are idle.
 constexpr int kExclusiveQueueDivisor = 8;
 /// Retry-After of a rejected call is drawn between this and twice as much.
 constexpr base::Millis kMinRetryAfter{400};
@@ -108,15 +108,17 @@
             call.info.id, call.info.service, static_cast<std::int64_t>(call.prefillMs),
             millisUntil(queueDeadline(call)), millisUntil(lateAt), call.isOversized,
             call.isOversized && !hasEnginesForTwo(call),
+            call.info.latencyObjective / kExclusiveQueueDivisor, call.info.route,
             call.usesLocalEngines ? m_options.dataCentre : base::DataCentreId()});
 }
 
-void Dispatcher::Impl::releasePermit(ActiveCall &call)
+void Dispatcher::Impl::releasePermit(ActiveCall &call, bool isPrefilled)
 {
-    if (call.permit == PermitState::None)
+    if (std::exchange(call.isPrefillReported, true))
         return;
     call.permit = PermitState::None;
-    m_actions.emplace_back(ReleasePermit{call.info.id});
+    m_actions.emplace_back(ReleasePermit{call.info.id, call.info.service, call.info.route,
+                                         static_cast<std::int64_t>(call.prefillMs), isPrefilled});
 }
 
 void Dispatcher::Impl::handle(const PermitGranted &event, base::TimePoint)
@@ -126,9 +128,18 @@
         call->permit = PermitState::Held;
 }
 
-void Dispatcher::Impl::endPrefill(ActiveCall &call, base::TimePoint now)
+void Dispatcher::Impl::handle(const PermitDenied &event, base::TimePoint now)
 {
-    releasePermit(call);
+    ActiveCall *call = findCall(event.call);
+    if (!call || call->stage != CallStage::Queued || call->permit != PermitState::Requested)
+        return;
+    call->blocker = QueueBlocker::Permit;
+    rejectOrFail(*call, FailureReason::Overloaded, now);
+}
+
+void Dispatcher::Impl::endPrefill(ActiveCall &call, bool isPrefilled, base::TimePoint now)
+{
+    releasePermit(call, isPrefilled);
     const std::int64_t partPrefillMs = std::exchange(call.partPrefillMs, 0);
     if (partPrefillMs == 0)
         return;
@@ -174,7 +185,7 @@
 
 void Dispatcher::Impl::releaseAttempt(ActiveCall &call, base::TimePoint now)
 {
-    endPrefill(call, now);
+    endPrefill(call, false, now);
     releaseMemory(call);
     if (UpstreamState *state = findUpstream(call.upstream))
         state->removeRequest(call.primaryKvTokens, call.promptClass == PromptClass::Short);
@@ -213,7 +224,7 @@
         call->firstEventAt = now;
     if (now >= call->firstEventAt + kProofTime)
         recordAnswered(*call, now);
-    endPrefill(*call, now);
+    endPrefill(*call, true, now);
     call->progressDeadline = now + gapTimeout(*call);
 }
 
@@ -228,6 +239,7 @@
     }
     if (event.isSuccess)
         recordAnswered(*call, now);
+    endPrefill(*call, true, now);
     releaseAttempt(*call, now);
     removeCall(event.call);
 }
@@ -297,6 +309,7 @@
 void Dispatcher::Impl::enqueue(ActiveCall &call, base::TimePoint now)
 {
     call.queuedAt = now;
+    call.isPrefillReported = !call.mayNeedPermit;
     requestPermit(call, now);
     m_queue.emplace(std::pair(call.info.priority, call.info.id), call.info.id);
 }
@@ -375,9 +388,6 @@
 
 base::TimePoint Dispatcher::Impl::queueDeadline(const ActiveCall &call) const
 {
-    // Where it would block all engines it is served only while they are idle.
-    if (call.isOversized && !hasEnginesForTwo(call))
-        return call.queuedAt + call.info.latencyObjective / kExclusiveQueueDivisor;
     if (call.promptClass == PromptClass::Long)
         return call.queuedAt + (call.info.deadline - call.queuedAt) * kLongQueueTenths / 10;
     const auto objectiveShare =
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -318,7 +318,7 @@
 void Dispatcher::Impl::removeCall(CallId id)
 {
     const auto it = m_calls.find(id);
-    releasePermit(it->second);
+    releasePermit(it->second, false);
     endTrial(it->second);
     m_queue.erase({it->second.info.priority, id});
     m_calls.erase(it);
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -48,6 +48,8 @@
     TrialState trial = TrialState::None;
     QueueBlocker blocker = QueueBlocker::None;
     bool isOversized = false; ///< Exceeds the memory of one engine.
+    bool mayNeedPermit = false; ///< It is long, or may become so while few engines are free.
+    bool isPrefillReported = true; ///< Whether it was prefilled since it was queued last.
     bool usesLocalEngines = false; ///< Its permit is for engines of this data centre.
     double prefillMs = 0;
     base::Tokens kvTokens;
@@ -159,6 +161,7 @@
     fleet::LoadUpdate takeLoadUpdate(bool isSnapshot);
     void handle(const PeerLoadSumReceived &event, base::TimePoint now);
     void handle(const PermitGranted &event, base::TimePoint now);
+    void handle(const PermitDenied &event, base::TimePoint now);
     void handle(const ReservationDone &event, base::TimePoint now);
     void handle(const AnswerProgressed &event, base::TimePoint now);
     void handle(const AttemptSucceeded &event, base::TimePoint now);
@@ -303,7 +306,7 @@
     void releaseAttempt(ActiveCall &call, base::TimePoint now);
     void releaseMemory(ActiveCall &call);
     /// Updates the load after the prefill has ended or was given up, and returns the permit.
-    void endPrefill(ActiveCall &call, base::TimePoint now);
+    void endPrefill(ActiveCall &call, bool isPrefilled, base::TimePoint now);
     void handleStall(ActiveCall &call, base::TimePoint now);
     /// Whether the current attempt has made no progress for too long.
     bool isStalled(const ActiveCall &call, base::TimePoint now) const;
@@ -320,7 +323,7 @@
     /// Queues the call from \a now on.
     void enqueue(ActiveCall &call, base::TimePoint now);
     void requestPermit(ActiveCall &call, base::TimePoint now);
-    void releasePermit(ActiveCall &call);
+    void releasePermit(ActiveCall &call, bool isPrefilled);
     /// Ends the call with RejectCall if it cannot have run, otherwise with FailCall.
     void rejectOrFail(ActiveCall &call, FailureReason reason, base::TimePoint now);
     /// Random time after which the caller may try again.
--- a/libs/dispatch/src/Placement.cpp
+++ b/libs/dispatch/src/Placement.cpp
@@ -69,6 +69,8 @@
         call.promptClass = PromptClass::Long;
         service.longExpectedUntil = now + kLongPromptWindow;
     }
+    call.mayNeedPermit = call.promptClass == PromptClass::Long
+                         || (gapMs > 0 && call.prefillMs > gapMs * kSpreadThresholdGaps);
 }
 
 bool Dispatcher::Impl::isUnservable(const ActiveCall &call, const ServiceState &service,
@@ -217,9 +219,9 @@
     if (call.promptClass == PromptClass::Long)
         return placeLongPrompt(call, service, engines, now);
     auto placement = placeShortPrompt(call, service, engines, now);
-    const auto gapMs = static_cast<double>(service.parameters.shortestGap.count());
-    if (!placement || call.prefillMs <= gapMs * kSpreadThresholdGaps)
+    if (!placement || !call.mayNeedPermit)
         return placement;
+    const auto gapMs = static_cast<double>(service.parameters.shortestGap.count());
     const auto parts = static_cast<double>(placement->helpers.size() + 1);
     if (call.prefillMs / parts <= gapMs * kSpreadPartGapShare)
         return placement;
@@ -263,7 +265,7 @@
     const auto gapMs = static_cast<double>(service.parameters.shortestGap.count());
     if (gapMs <= 0)
         return placement;
-    if (call.prefillMs > gapMs * kSpreadThresholdGaps)
+    if (call.mayNeedPermit)
         addSpreadHelpers(call, group, placement, now);
     else
         addMinimalHelpers(call, pool, gapMs, placement, now);
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -688,9 +688,9 @@
         REQUIRE(request);
         CHECK(request->isOversized);
         CHECK(request->isExclusive == (engines == 14));
-        // Elsewhere it may wait as long as other long prompts, two fifths of its time.
-        CHECK(request->maxWait
-              == (engines == 14 ? call.latencyObjective / 8 : Millis(10'000) * 2 / 5));
+        // One that would block all engines gives up early unless its size is passed over.
+        CHECK(request->idleWait == call.latencyObjective / 8);
+        CHECK(request->maxWait == Millis(10'000) * 2 / 5);
     }
 }
 
@@ -722,3 +722,36 @@
     REQUIRE(rejected);
     CHECK(rejected->reason == FailureReason::TooLarge);
 }
+
+TEST_CASE("a prompt that will get no permit in time is rejected at once")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 14);
+    const CallInfo call = longCall(fixture, 150'000);
+    REQUIRE(first<RequestPermit>(fixture.dispatcher.handle(CallArrived{call}, kStart)));
+    const Actions denied = fixture.dispatcher.handle(PermitDenied{call.id}, kStart);
+    const auto *rejected = first<RejectCall>(denied);
+    REQUIRE(rejected);
+    CHECK(rejected->blocker == QueueBlocker::Permit);
+    CHECK(rejected->retryAfter > Millis(0));
+}
+
+TEST_CASE("prompts that needed no permit count when sizes are compared")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 14);
+    CallInfo call = longCall(fixture, 60'000);
+    call.route = "summary";
+    fixture.sendShort(call);
+    const Actions begun = fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart);
+    const auto *report = first<ReleasePermit>(begun);
+    REQUIRE(report);
+    CHECK(report->isPrefilled);
+    CHECK(report->route == "summary");
+    CHECK(report->prefillMs > 0);
+    CHECK_FALSE(first<ReleasePermit>(fixture.dispatcher.handle(AttemptSucceeded{call.id}, kStart)));
+
+    const CallInfo chat = fixture.promptCall(5'000);
+    fixture.sendShort(chat);
+    CHECK_FALSE(first<ReleasePermit>(fixture.dispatcher.handle(AttemptSucceeded{chat.id}, kStart)));
+}
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -194,15 +194,24 @@
     request.lateAfter = action.lateAfter;
     request.isOversized = action.isOversized;
     request.isExclusive = action.isExclusive;
+    request.idleWait = action.idleWait;
+    request.route = action.route;
     request.dataCentre = action.dataCentre;
-    m_node->query(*m_leader, {fleet::kPermitTopic, fleet::encode(request)},
-                  action.maxWait + kPermitTimeout,
-                  [this, onGranted](const tl::expected<std::string, peers::PeerError> &answer) {
-                      // An empty answer means that the wait is over. The call then ends by its own
-                      // timeout.
-                      if (!answer || !answer->empty())
-                          boost::asio::post(*m_io, onGranted);
-                  });
+    const auto onDenied = [this, call] {
+        const base::TimePoint at = base::monotonicNow();
+        execute(m_dispatcher.handle(dispatch::PermitDenied{call}, at), at);
+        scheduleTick(at);
+    };
+    m_node->query(
+            *m_leader, {fleet::kPermitTopic, fleet::encode(request)},
+            action.maxWait + kPermitTimeout,
+            [this, onGranted, onDenied](const tl::expected<std::string, peers::PeerError> &answer) {
+                // An empty answer means that no permit will be granted in time.
+                if (!answer || !answer->empty())
+                    boost::asio::post(*m_io, onGranted);
+                else
+                    boost::asio::post(*m_io, onDenied);
+            });
 }
 
 void Edge::Impl::executeAction(const dispatch::ReleasePermit &action, base::TimePoint)
@@ -212,6 +221,10 @@
     fleet::PermitRequest request;
     request.key = {m_options.host, m_startId, action.call.count()};
     request.isRelease = true;
+    request.service = action.service;
+    request.route = action.route;
+    request.prefillMs = action.prefillMs;
+    request.isPrefilled = action.isPrefilled;
     m_node->query(*m_leader, {fleet::kPermitTopic, fleet::encode(request)}, kPermitTimeout,
                   [](const auto &) {});
 }
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -166,6 +166,7 @@
     info.id = dispatch::CallId(++m_lastCallId);
     info.service = fleet::RouteTable::pickService(*route, draw(m_rng));
     info.team = team ? team->id : base::TeamId();
+    info.route = route->name;
     info.priority = team && team->priority ? *team->priority : route->priority;
     info.isStream = route->isStream;
     info.isRetrySafe = route->isRetrySafe();
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -576,6 +576,11 @@
     bool isOversized = false; ///< Exceeds the memory of one engine. Others are granted first.
     bool isExclusive = false; ///< Granted only while no other permit is held.
     bool isRelease = false;
+    bool isPrefilled = false; ///< Of a release: the prompt was prefilled.
+    std::string route; ///< Sizes of prompts are compared within a route.
+    /// How long one that is exclusive waits for a moment without other prefills, unless its size is
+    /// passed over.
+    base::Millis idleWait{0};
     /// Data centre whose engines are to prefill it; empty for all of them.
     base::DataCentreId dataCentre;
 };
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -408,7 +408,8 @@
     return base::toCbor({request.key.host.text(), request.key.startId, request.key.call,
                          request.service.text(), request.prefillMs, request.maxWait.count(),
                          request.lateAfter.count(), request.isRelease, request.isOversized,
-                         request.dataCentre.text(), request.isExclusive});
+                         request.dataCentre.text(), request.isExclusive, request.isPrefilled,
+                         request.route, request.idleWait.count()});
 }
 
 std::optional<PermitRequest> decodePermitRequest(std::string_view bytes)
@@ -428,6 +429,12 @@
             request.dataCentre = base::DataCentreId(j.at(9));
             request.isExclusive = j.at(10);
         }
+        request.idleWait = request.maxWait;
+        if (j.size() > 13) {
+            request.isPrefilled = j.at(11);
+            request.route = j.at(12);
+            request.idleWait = base::Millis(j.at(13));
+        }
         return request;
     });
 }
--- a/libs/fleet/tests/FleetViewTest.cpp
+++ b/libs/fleet/tests/FleetViewTest.cpp
@@ -208,13 +208,20 @@
     PermitRequest request;
     request.isOversized = true;
     request.dataCentre = base::DataCentreId("d");
+    request.route = "r";
+    request.idleWait = base::Millis(7);
+    request.isPrefilled = true;
     const auto read = decodePermitRequest(encode(request));
     REQUIRE(read);
+    CHECK(read->route == request.route);
+    CHECK(read->idleWait == request.idleWait);
+    CHECK(read->isPrefilled);
     CHECK(read->dataCentre == request.dataCentre);
     CHECK_FALSE(read->isExclusive);
     const auto earlier = decodePermitRequest(
             base::toCbor(nlohmann::json::array({"e", 1, 7, "s", 900, 500, 400, false, true})));
     REQUIRE(earlier);
     CHECK(earlier->isExclusive);
+    CHECK(earlier->idleWait == earlier->maxWait);
     CHECK(earlier->dataCentre.text().empty());
 }
--- a/libs/registry/include/registry/Registry.h
+++ b/libs/registry/include/registry/Registry.h
@@ -46,6 +46,15 @@
 /// Name of \a outcome as sent to operators.
 std::string_view putOutcomeName(PutOutcome outcome);
 
+/// How often the prompts of a rank of sizes were prefilled lately, relative to all of their route.
+struct SizeShare
+{
+    base::ServiceId service;
+    std::string route;
+    std::string_view rank; ///< "rest", "next_fifth" or "largest_tenth".
+    double relativeShare = 1;
+};
+
 struct RegistryStats
 {
     std::int64_t configurationVersion = 0; ///< Of the applied configuration; 0 when there is none.
@@ -55,6 +64,7 @@
     std::size_t pendingWatches = 0; ///< Watches that wait for a change.
     std::size_t entryHosts = 0; ///< Entry hosts that reported recently.
     std::size_t voters = 0;
+    std::vector<SizeShare> sizeShares; ///< Of routes with long prompts.
 };
 
 class Registry final : private peers::Service
--- a/libs/registry/src/PrefillPermits.cpp
+++ b/libs/registry/src/PrefillPermits.cpp
@@ -17,9 +17,19 @@
 constexpr base::Millis kMaxPermitLifetime{4'000};
 /// A request that has waited this long is granted before shorter ones.
 constexpr base::Millis kPriorityAfter{1'500};
-/// An oversized request that has waited that long is granted before all others once after this many
-/// of these. They come last otherwise and would never be granted in an overload.
-constexpr int kGrantsPerOversized = 6;
+
+PromptKind kindOf(const fleet::PermitRequest &request)
+{
+    return {request.service, request.route};
+}
+
+/// Whether two permits use the same engines.
+bool areCompeting(const fleet::PermitRequest &a, const fleet::PermitRequest &b)
+{
+    return a.service == b.service
+           && (a.dataCentre == b.dataCentre || a.dataCentre.text().empty()
+               || b.dataCentre.text().empty());
+}
 
 } // namespace
 
@@ -46,13 +56,57 @@
     tick(now);
 }
 
-void PrefillPermits::release(const fleet::PermitKey &key, base::TimePoint now)
+void PrefillPermits::release(const fleet::PermitRequest &request, base::TimePoint now)
 {
-    m_held.erase(key);
-    std::erase_if(m_waiting, [&key](const WaitingRequest &it) { return it.request.key == key; });
+    m_held.erase(request.key);
+    std::erase_if(m_waiting,
+                  [&request](const WaitingRequest &it) { return it.request.key == request.key; });
+    if (request.prefillMs > 0)
+        m_sizeShares.record(kindOf(request), {request.prefillMs, request.isPrefilled}, now);
     tick(now);
 }
 
+KindShares PrefillPermits::sharesOf(const PromptKind &kind, base::TimePoint now) const
+{
+    std::vector<PromptEnd> pending;
+    for (const auto &[key, permit] : m_held) {
+        if (permit.service == kind.service && permit.route == kind.route)
+            pending.push_back({permit.prefillMs, true});
+    }
+    for (const WaitingRequest &it : m_waiting) {
+        if (kindOf(it.request) == kind && now >= it.waitingSince + kPriorityAfter)
+            pending.push_back({it.request.prefillMs, false});
+    }
+    return m_sizeShares.sharesOf(kind, pending, now);
+}
+
+PrefillPermits::Shares PrefillPermits::waitingShares(base::TimePoint now) const
+{
+    Shares shares;
+    for (const WaitingRequest &it : m_waiting) {
+        const PromptKind kind = kindOf(it.request);
+        if (!shares.contains(kind))
+            shares[kind] = sharesOf(kind, now);
+    }
+    return shares;
+}
+
+std::map<PromptKind, KindShares> PrefillPermits::shares(base::TimePoint now) const
+{
+    Shares shares;
+    for (const PromptKind &kind : m_sizeShares.kinds())
+        shares[kind] = sharesOf(kind, now);
+    return shares;
+}
+
+PrefillPermits::Standing PrefillPermits::standingOf(const fleet::PermitRequest &request,
+                                                    base::TimePoint now) const
+{
+    const KindShares shares = sharesOf(kindOf(request), now);
+    const SizeRank rank = shares.rankOf(request.prefillMs);
+    return {rank, shares.relativeShare(rank), shares.isPassedOver(rank)};
+}
+
 std::size_t PrefillPermits::competingCount(const fleet::PermitRequest &request) const
 {
     return static_cast<std::size_t>(
@@ -68,34 +122,51 @@
 std::vector<PrefillPermits::WaitingRequest>::iterator PrefillPermits::nextToGrant(
         base::TimePoint now)
 {
-    auto candidate = m_waiting.end();
-    const auto sortKey = [this, now](const WaitingRequest &it) {
+    const Shares shares = waitingShares(now);
+    const auto sortKey = [&shares, now](const WaitingRequest &it) {
+        const KindShares &kind = shares.at(kindOf(it.request));
+        const SizeRank rank = kind.rankOf(it.request.prefillMs);
+        if (kind.isPassedOver(rank))
+            return std::tuple(0, kind.relativeShare(rank), it.request.prefillMs);
         const bool isLate = now >= it.waitingSince + it.request.lateAfter;
         const bool hasWaitedLong = !isLate && now >= it.waitingSince + kPriorityAfter;
-        const bool isItsTurn = it.request.isOversized && hasWaitedLong
-                               && m_grantsSinceOversized >= kGrantsPerOversized;
-        const int priority = isItsTurn                ? 0
-                             : it.request.isOversized ? 4
-                             : isLate                 ? 3
-                             : hasWaitedLong          ? 1
-                                                      : 2;
-        return std::pair(priority, hasWaitedLong ? std::int64_t(0) : it.request.prefillMs);
+        const int priority = it.request.isOversized ? 4 : isLate ? 3 : hasWaitedLong ? 1 : 2;
+        return std::tuple(priority, 0.0, hasWaitedLong ? std::int64_t(0) : it.request.prefillMs);
     };
-    for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
-        const std::size_t limit = it->request.isExclusive ? 1 : kMaxPermitsPerService;
-        if (competingCount(it->request) >= limit)
+    using Key = decltype(sortKey(m_waiting.front()));
+    std::vector<std::pair<Key, std::vector<WaitingRequest>::iterator>> order;
+    for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it)
+        order.emplace_back(sortKey(*it), it);
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::vector<const fleet::PermitRequest *> reserved;
+    for (const auto &[key, it] : order) {
+        const fleet::PermitRequest &request = it->request;
+        const bool isReserved =
+                std::any_of(reserved.begin(), reserved.end(), [&request](const auto *other) {
+                    return areCompeting(request, *other);
+                });
+        if (isReserved)
             continue;
-        if (candidate == m_waiting.end() || sortKey(*it) < sortKey(*candidate))
-            candidate = it;
+        const std::size_t limit = request.isExclusive ? 1 : kMaxPermitsPerService;
+        if (competingCount(request) < limit)
+            return it;
+        // Later grants would keep a passed over size from ever having the engines to itself.
+        if (std::get<0>(key) == 0)
+            reserved.push_back(&request);
     }
-    return candidate;
+    return m_waiting.end();
 }
 
-void PrefillPermits::tick(base::TimePoint now)
+void PrefillPermits::denyHopeless(base::TimePoint now)
 {
-    std::erase_if(m_held, [now](const auto &it) { return now >= it.second.expiresAt; });
+    const Shares shares = waitingShares(now);
     for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-        if (now < it->waitingSince + it->request.maxWait) {
+        const fleet::PermitRequest &request = it->request;
+        const KindShares &kind = shares.at(kindOf(request));
+        const bool mayWaitOn =
+                !request.isExclusive || kind.isPassedOver(kind.rankOf(request.prefillMs));
+        if (now < it->waitingSince + (mayWaitOn ? request.maxWait : request.idleWait)) {
             ++it;
             continue;
         }
@@ -103,15 +174,22 @@
         it = m_waiting.erase(it);
         answer(false);
     }
+}
+
+void PrefillPermits::tick(base::TimePoint now)
+{
+    std::erase_if(m_held, [now](const auto &it) { return now >= it.second.expiresAt; });
+    if (m_waiting.empty())
+        return;
+    denyHopeless(now);
     if (now < m_lastGrantAt + kGrantInterval)
         return;
     const auto it = nextToGrant(now);
     if (it == m_waiting.end())
         return;
     m_lastGrantAt = now;
-    m_grantsSinceOversized = it->request.isOversized ? 0 : m_grantsSinceOversized + 1;
-    m_held[it->request.key] = {it->request.service, it->request.dataCentre,
-                               now + permitLifetime(it->request)};
+    m_held[it->request.key] = {it->request.service, it->request.dataCentre, it->request.route,
+                               it->request.prefillMs, now + permitLifetime(it->request)};
     const Answer answer = std::move(it->answer);
     m_waiting.erase(it);
     answer(true);
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -11,6 +11,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace hyssop::registry {
 
 namespace {
@@ -421,19 +423,26 @@
         return answer("");
     }
     if (request->isRelease) {
-        m_prefillPermits.release(request->key, now);
+        m_prefillPermits.release(*request, now);
         return answer("");
     }
     const auto onDecided = [this, answer, request = *request, now](bool isGranted) {
-        const auto wait = std::chrono::floor<base::Millis>(base::monotonicNow() - now);
-        base::logEvent("prefill_permit", {{"host", request.key.host},
-                                          {"call", request.key.call},
-                                          {"outcome", isGranted ? "granted" : "expired"},
-                                          {"prefill_ms", request.prefillMs},
-                                          {"oversized", request.isOversized},
-                                          {"waited_ms", wait.count()},
-                                          {"held", m_prefillPermits.heldCount()},
-                                          {"waiting", m_prefillPermits.waitingCount()}});
+        const base::TimePoint decidedAt = base::monotonicNow();
+        const auto wait = std::chrono::floor<base::Millis>(decidedAt - now);
+        const auto standing = m_prefillPermits.standingOf(request, decidedAt);
+        base::logEvent("prefill_permit",
+                       {{"host", request.key.host},
+                        {"call", request.key.call},
+                        {"outcome", isGranted ? "granted" : "expired"},
+                        {"prefill_ms", request.prefillMs},
+                        {"oversized", request.isOversized},
+                        {"route", request.route},
+                        {"size_rank", sizeRankName(standing.rank)},
+                        {"relative_percent", std::lround(standing.relativeShare * 100)},
+                        {"passed_over", standing.isPassedOver},
+                        {"waited_ms", wait.count()},
+                        {"held", m_prefillPermits.heldCount()},
+                        {"waiting", m_prefillPermits.waitingCount()}});
         answer(isGranted ? kGranted : "");
     };
     m_prefillPermits.acquire(*request, onDecided, now);
@@ -616,6 +625,11 @@
     stats.pendingWatches = m_impl->m_watches.size();
     stats.entryHosts = m_impl->m_entryLoads.reportingHosts(now);
     stats.voters = m_impl->groupHost().replica().configuration().voters.size();
+    for (const auto &[kind, shares] : m_impl->m_prefillPermits.shares(now)) {
+        for (const SizeRank rank : {SizeRank::Rest, SizeRank::NextFifth, SizeRank::LargestTenth})
+            stats.sizeShares.push_back(
+                    {kind.service, kind.route, sizeRankName(rank), shares.relativeShare(rank)});
+    }
     return stats;
 }
 
--- a/libs/registry/tests/PrefillPermitsTest.cpp
+++ b/libs/registry/tests/PrefillPermitsTest.cpp
@@ -20,9 +20,35 @@
     request.prefillMs = prefillMs;
     request.maxWait = Millis(3'000);
     request.lateAfter = Millis(2'000);
+    request.idleWait = request.maxWait;
     return request;
 }
 
+/// Release of the permit of a call that says nothing of its prompt.
+fleet::PermitRequest released(std::int64_t call)
+{
+    fleet::PermitRequest request;
+    request.key = {base::HostId("e"), 1, call};
+    request.isRelease = true;
+    return request;
+}
+
+/// End of a prompt that needed no permit.
+fleet::PermitRequest ended(std::int64_t prefillMs, bool isPrefilled)
+{
+    fleet::PermitRequest request = permitRequest(0, prefillMs);
+    request.isRelease = true;
+    request.isPrefilled = isPrefilled;
+    return request;
+}
+
+/// Records prompts of 100 to 1,000 ms of prefill, of which the largest are not served.
+void passOverLargest(PrefillPermits &permits)
+{
+    for (int n = 1; n <= 20; ++n)
+        permits.release(ended(50 * n, n <= 14), kStart);
+}
+
 } // namespace
 
 TEST_CASE("two prefills run concurrently and the shortest waiting request is granted next")
@@ -42,7 +68,7 @@
     acquire(4, 200, kStart + Millis(60));
     permits.tick(kStart + Millis(100));
     CHECK(granted == std::vector{1, 2});
-    permits.release({base::HostId("e"), 1, 1}, kStart + Millis(200));
+    permits.release(released(1), kStart + Millis(200));
     CHECK(granted == std::vector{1, 2, 4});
 }
 
@@ -59,7 +85,7 @@
     acquire(2, 6'000, kStart + Millis(40));
     acquire(3, 9'000, kStart + Millis(80));
     acquire(4, 200, kStart + Millis(1'500));
-    permits.release({base::HostId("e"), 1, 1}, kStart + Millis(1'600));
+    permits.release(released(1), kStart + Millis(1'600));
     CHECK(granted == std::vector{1, 2, 3});
 }
 
@@ -76,7 +102,7 @@
     acquire(2, 6'000, kStart + Millis(40));
     acquire(3, 100, kStart + Millis(80));
     acquire(4, 5'000, kStart + Millis(2'000));
-    permits.release({base::HostId("e"), 1, 1}, kStart + Millis(2'200));
+    permits.release(released(1), kStart + Millis(2'200));
     CHECK(granted == std::vector{1, 2, 4});
 }
 
@@ -97,9 +123,9 @@
     CHECK(granted == std::vector{1});
     acquire(permitRequest(3, 900), kStart + Millis(100));
     CHECK(granted == std::vector{1, 3});
-    permits.release({base::HostId("e"), 1, 1}, kStart + Millis(200));
+    permits.release(released(1), kStart + Millis(200));
     CHECK(granted == std::vector{1, 3});
-    permits.release({base::HostId("e"), 1, 3}, kStart + Millis(300));
+    permits.release(released(3), kStart + Millis(300));
     CHECK(granted == std::vector{1, 3, 2});
 }
 
@@ -162,8 +188,8 @@
     acquire(permitRequest(2, 900), kStart + Millis(40));
     acquire(oversized, kStart + Millis(80));
     acquire(permitRequest(4, 9'000), kStart + Millis(120));
-    permits.release({base::HostId("e"), 1, 1}, kStart + Millis(200));
-    permits.release({base::HostId("e"), 1, 2}, kStart + Millis(300));
+    permits.release(released(1), kStart + Millis(200));
+    permits.release(released(2), kStart + Millis(300));
     CHECK(granted == std::vector{1, 2, 4, 3});
 }
 
@@ -187,9 +213,9 @@
     acquire(5, "");
     acquire(6, "b");
     CHECK(granted == std::vector{1, 2, 4, 5});
-    permits.release({base::HostId("e"), 1, 5}, kStart + Millis(300));
+    permits.release(released(5), kStart + Millis(300));
     CHECK(granted == std::vector{1, 2, 4, 5, 6});
-    permits.release({base::HostId("e"), 1, 1}, kStart + Millis(400));
+    permits.release(released(1), kStart + Millis(400));
     CHECK(granted == std::vector{1, 2, 4, 5, 6, 3});
 }
 
@@ -220,9 +246,74 @@
         acquire(permitRequest(100 + n, 300), now + Millis(20));
         permits.tick(now + Millis(60));
         if (granted.size() > 1)
-            permits.release({base::HostId("e"), 1, granted[granted.size() - 2]}, now + Millis(100));
+            permits.release(released(granted[granted.size() - 2]), now + Millis(100));
         permits.tick(now + Millis(140));
     }
     CHECK(std::find(granted.begin(), granted.end(), kOversized) != granted.end());
     CHECK(std::count(granted.begin(), granted.end(), kOversized) == 1);
 }
+
+TEST_CASE("a size that is passed over is granted before shorter prompts")
+{
+    PrefillPermits permits;
+    passOverLargest(permits);
+    std::vector<int> granted;
+    const auto acquire = [&](int call, int prefillMs, base::TimePoint now) {
+        permits.acquire(
+                permitRequest(call, prefillMs), [&granted, call](bool) { granted.push_back(call); },
+                now);
+    };
+    acquire(1, 500, kStart);
+    acquire(2, 500, kStart + Millis(40));
+    acquire(3, 200, kStart + Millis(80));
+    acquire(4, 990, kStart + Millis(80));
+    CHECK(permits.standingOf(permitRequest(4, 990), kStart + Millis(80)).isPassedOver);
+    permits.release(released(1), kStart + Millis(200));
+    CHECK(granted == std::vector{1, 2, 4});
+}
+
+TEST_CASE("an exclusive request of a size that is passed over is not starved by later ones")
+{
+    PrefillPermits permits;
+    passOverLargest(permits);
+    std::vector<int> granted;
+    std::vector<int> denied;
+    const auto acquire = [&](const fleet::PermitRequest &request, base::TimePoint now) {
+        const int call = static_cast<int>(request.key.call);
+        permits.acquire(
+                request,
+                [&granted, &denied, call](bool isGranted) {
+                    (isGranted ? granted : denied).push_back(call);
+                },
+                now);
+    };
+    fleet::PermitRequest exclusive = permitRequest(2, 2'000);
+    exclusive.isOversized = true;
+    exclusive.isExclusive = true;
+    exclusive.idleWait = Millis(300);
+    acquire(permitRequest(1, 900), kStart);
+    acquire(exclusive, kStart + Millis(50));
+    acquire(permitRequest(3, 100), kStart + Millis(100));
+    CHECK(granted == std::vector{1});
+    permits.tick(kStart + Millis(500));
+    CHECK(denied.empty());
+    permits.release(released(1), kStart + Millis(600));
+    CHECK(granted == std::vector{1, 2});
+}
+
+TEST_CASE("an exclusive request of a size that is served enough is denied early")
+{
+    PrefillPermits permits;
+    int denied = 0;
+    permits.acquire(
+            permitRequest(1, 5'000), [](bool) {}, kStart);
+    fleet::PermitRequest exclusive = permitRequest(2, 2'000);
+    exclusive.isExclusive = true;
+    exclusive.idleWait = Millis(300);
+    permits.acquire(
+            exclusive, [&denied](bool isGranted) { denied += isGranted ? 0 : 1; }, kStart);
+    permits.tick(kStart + Millis(299));
+    CHECK(denied == 0);
+    permits.tick(kStart + Millis(300));
+    CHECK(denied == 1);
+}
--- a/libs/registry/tests/PromptLoadPlayer.cpp
+++ b/libs/registry/tests/PromptLoadPlayer.cpp
@@ -138,6 +138,7 @@
     call.isRetry = isRetry;
     call.info.id = dispatch::CallId(++m_lastCall);
     call.info.service = kService;
+    call.info.route = load.route;
     call.info.isStream = true;
     call.info.isRetrySafe = true;
     call.info.maxAttempts = 2;
@@ -191,20 +192,30 @@
     request.lateAfter = action.lateAfter;
     request.isOversized = action.isOversized;
     request.isExclusive = action.isExclusive;
+    request.idleWait = action.idleWait;
+    request.route = action.route;
     request.dataCentre = action.dataCentre;
     const auto onDecided = [this, id = action.call](bool isGranted) {
-        if (!isGranted)
-            return;
-        scheduleAfter(kNetworkDelay,
-                      [this, id] { handle(m_calls.at(id).host, dispatch::PermitGranted{id}); });
+        scheduleAfter(kNetworkDelay, [this, id, isGranted] {
+            if (isGranted)
+                handle(m_calls.at(id).host, dispatch::PermitGranted{id});
+            else
+                handle(m_calls.at(id).host, dispatch::PermitDenied{id});
+        });
     };
     scheduleAfter(kNetworkDelay, [=, this] { m_permits.acquire(request, onDecided, m_now); });
 }
 
 void PromptLoadPlayer::executeAction(const dispatch::ReleasePermit &action)
 {
-    scheduleAfter(kNetworkDelay,
-                  [this, key = permitKey(action.call)] { m_permits.release(key, m_now); });
+    fleet::PermitRequest request;
+    request.key = permitKey(action.call);
+    request.isRelease = true;
+    request.service = action.service;
+    request.route = action.route;
+    request.prefillMs = action.prefillMs;
+    request.isPrefilled = action.isPrefilled;
+    scheduleAfter(kNetworkDelay, [this, request] { m_permits.release(request, m_now); });
 }
 
 void PromptLoadPlayer::executeAction(const dispatch::ReserveMemory &action)
--- a/libs/registry/tests/PromptSizesTest.cpp
+++ b/libs/registry/tests/PromptSizesTest.cpp
@@ -96,9 +96,9 @@
     }
 }
 
-/// Plays the loads on engines of that memory at three seeds.
+/// Plays the loads on engines of that memory at several seeds.
 void checkAllSizesServed(int engineCount, std::int64_t kvTokens, Millis duration,
-                         std::vector<PromptLoad> loads)
+                         std::vector<PromptLoad> loads, std::uint64_t lastSeed = 3)
 {
     PromptScenario scenario;
     scenario.engineCount = engineCount;
@@ -106,7 +106,7 @@
     scenario.entryHostCount = 3;
     scenario.duration = duration;
     scenario.loads = std::move(loads);
-    for (scenario.seed = 1; scenario.seed <= 3; ++scenario.seed)
+    for (scenario.seed = 1; scenario.seed <= lastSeed; ++scenario.seed)
         checkAllSizesServed(scenario);
 }
 
@@ -117,18 +117,33 @@
     checkAllSizesServed(50, 260'000, Millis(40'000), {chat(80), summary(5), review(3, 220'000)});
 }
 
-TEST_CASE("an overload of long prompts does not shut out the largest ones", "[.known-red]")
+TEST_CASE("an overload of long prompts does not shut out the largest ones")
 {
     checkAllSizesServed(50, 260'000, Millis(40'000), {chat(30), summary(7), review(7, 220'000)});
 }
 
-TEST_CASE("the largest prompts are served on few engines", "[.known-red]")
+TEST_CASE("the largest prompts are served on few engines")
 {
     checkAllSizesServed(14, 300'000, Millis(60'000), {chat(15), summary(1.5), review(2, 160'000)});
 }
 
-TEST_CASE("an overload of prompts that fit on an engine does not shut out the largest ones",
-          "[.known-red]")
+TEST_CASE("an overload of prompts that fit on an engine does not shut out the largest ones")
 {
     checkAllSizesServed(14, 1'000'000, Millis(60'000), {chat(15), summary(8), review(3, 160'000)});
 }
+
+TEST_CASE("no load of these mixes shuts out a size at any of many seeds", "[.long]")
+{
+    constexpr std::uint64_t kLastSeed = 40;
+    constexpr Millis kDuration{60'000};
+    checkAllSizesServed(50, 260'000, kDuration, {chat(80), summary(5), review(3, 220'000)},
+                        kLastSeed);
+    checkAllSizesServed(50, 260'000, kDuration, {chat(30), summary(7), review(7, 220'000)},
+                        kLastSeed);
+    checkAllSizesServed(14, 300'000, kDuration, {chat(15), summary(1.5), review(2, 160'000)},
+                        kLastSeed);
+    checkAllSizesServed(14, 300'000, kDuration, {chat(30), summary(1.5), review(1, 160'000)},
+                        kLastSeed);
+    checkAllSizesServed(14, 1'000'000, kDuration, {chat(15), summary(8), review(3, 160'000)},
+                        kLastSeed);
+}
