--- a/integration/platform/PlatformBed.cpp
+++ b/integration/platform/PlatformBed.cpp
@@ -90,12 +90,13 @@
                                        : fmt::format("  Control: \"{}\"\n", host.listen.text());
     const std::string data = host.data.empty() ? "null" : '"' + host.data.string() + '"';
     const auto number = static_cast<std::size_t>(host.name.back() - '0');
-    return fmt::format("Node: \"{}\"\nIp: \"{}\"\nZone: \"{}\"\nListen:\n{}InternalPorts:\n  - {}\n"
-                       "Seeds:\n{}Bootstrap: {}\nDataDir: {}\nHeartbeatMs: 1200\nTolerate:\n"
-                       "  Machines: 1\nBounds:\n  RevokeMs: 5000\n  ConfigDeadlineMs: 2000\n"
-                       "  GraceS: 8\nMark: \"{}\"\n",
-                       host.name, host.ip, dataCentreOf(number), listen, m_peerPort, seeds,
-                       m_isFirstStart, data, mark);
+    return fmt::format(
+            "Node: \"{}\"\nIp: \"{}\"\nZone: \"{}\"\nListen:\n{}InternalPorts:\n  - {}\n  - {}\n"
+            "Seeds:\n{}Bootstrap: {}\nDataDir: {}\nHeartbeatMs: 1200\nTolerate:\n"
+            "  Machines: 1\nBounds:\n  RevokeMs: 5000\n  ConfigDeadlineMs: 2000\n"
+            "  GraceS: 8\nMark: \"{}\"\n",
+            host.name, host.ip, dataCentreOf(number), listen, m_peerPort, m_peerPort + 1, seeds,
+            m_isFirstStart, data, mark);
 }
 
 void PlatformBed::rewriteSettings(const PlatformHost &host, const std::string &mark)
