--- a/integration/UplinkCutTest.cpp
+++ b/integration/UplinkCutTest.cpp
@@ -2,7 +2,6 @@
 
 #include "PlatformBed.h"
 #include "Replica.h"
-#include "UplinkGate.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -66,12 +65,9 @@
 {
 public:
     CutBed()
-        : PlatformBed({3, kEntryHosts, 2 * kReplicas})
+        : PlatformBed({3, kEntryHosts, kReplicas, false, true})
     {
-        for (PlatformHost &it : entries)
-            m_gate.set(it.process->id(), Uplinks::Open);
         for (std::size_t n = 0; n < kReplicas; ++n) {
-            m_gate.forward(replicaListen[kReplicas + n], replicaListen[n]);
             m_replicas.push_back(
                     std::make_unique<Replica>("i-" + std::to_string(n), replicaListen[n]));
         }
@@ -112,7 +108,7 @@
     void cut(const std::vector<std::size_t> &hosts, Uplinks uplinks)
     {
         for (const std::size_t n : hosts)
-            m_gate.set(entries[n].process->id(), uplinks);
+            setUplinks(entries[n], uplinks);
     }
 
     /// Share of the calls of a kind at some hosts that were served, of those sent in that time.
@@ -171,8 +167,7 @@
         ++m_sequence;
         for (std::size_t n = 0; n < kReplicas; ++n)
             announce(controls[n % controls.size()].listen, m_replicas[n]->id(),
-                     n < kEngines ? "model" : "booking", replicaListen[kReplicas + n], m_sequence,
-                     false);
+                     n < kEngines ? "model" : "booking", replicaOutside[n], m_sequence, false);
     }
 
     void sendCalls(std::size_t entry, bool isStream)
@@ -206,7 +201,6 @@
     }
 
     mutable std::mutex m_mutex;
-    UplinkGate m_gate;
     std::vector<std::unique_ptr<Replica>> m_replicas;
     std::vector<CallSeen> m_calls;
     std::atomic<int> m_lastCall{0};
--- a/integration/platform-soak/Faults.cpp
+++ b/integration/platform-soak/Faults.cpp
@@ -42,6 +42,7 @@
     , m_replicas(replicas)
     , m_history(history)
     , m_rng(seed)
+    , m_uplinkRng(seed + 7)
 { }
 
 bool FaultDriver::isFree(const std::string &target) const
@@ -67,12 +68,41 @@
 {
     std::erase_if(m_active, [&](Active &it) { return advance(it, now); });
     lookAtProcesses();
+    tickUplinks(now);
     if (m_isStopping || now < m_nextAt)
         return;
     m_nextAt = now + base::Millis(draw(kLeastPauseMs, kMostPauseMs));
     begin(now);
 }
 
+void FaultDriver::tickUplinks(base::TimePoint now)
+{
+    std::erase_if(m_uplinkCuts, [&](const UplinkCut &it) {
+        if (now < it.until)
+            return false;
+        if (it.entry->process)
+            m_bed->setUplinks(*it.entry, harness::Uplinks::Open);
+        m_history->add(FaultRecord{it.entry->name, false, it.from, now});
+        return true;
+    });
+    if (m_isStopping || now < m_nextUplinkCutAt)
+        return;
+    const auto drawMs = [this](std::int64_t least, std::int64_t most) {
+        return base::Millis(std::uniform_int_distribution<std::int64_t>(least, most)(m_uplinkRng));
+    };
+    m_nextUplinkCutAt = now + drawMs(kLeastPauseMs, 2 * kMostPauseMs);
+    PlatformHost &entry = m_bed->entries[m_uplinkRng() % m_bed->entries.size()];
+    constexpr std::array kManners{harness::Uplinks::Reset, harness::Uplinks::Silent,
+                                  harness::Uplinks::NoNew};
+    const bool isCut = std::any_of(m_uplinkCuts.begin(), m_uplinkCuts.end(),
+                                   [&entry](const UplinkCut &it) { return it.entry == &entry; });
+    if (isCut || !entry.process)
+        return;
+    std::cout << "cut_uplinks " << entry.name << '\n';
+    m_bed->setUplinks(entry, kManners[m_uplinkRng() % kManners.size()]);
+    m_uplinkCuts.push_back({&entry, now, now + drawMs(kLeastFaultMs, kMostFaultMs)});
+}
+
 void FaultDriver::begin(base::TimePoint now)
 {
     const auto fault = static_cast<Fault>(draw(0, static_cast<int>(Fault::Last)));
--- a/integration/platform-soak/Faults.h
+++ b/integration/platform-soak/Faults.h
@@ -39,7 +39,7 @@
     void tick(base::TimePoint now);
     /// Begins no further fault.
     void stop() { m_isStopping = true; }
-    bool isWhole() const { return m_active.empty(); }
+    bool isWhole() const { return m_active.empty() && m_uplinkCuts.empty(); }
     /// Control host processes that ended by themselves, but for a full disk; entries likewise.
     const std::vector<std::string> &unexpectedEnds() const { return m_unexpectedEnds; }
     /// Planned stops that did not end in time and with 0.
@@ -67,18 +67,31 @@
     bool isFree(const std::string &target) const;
     harness::PlatformHost *drawFree(std::vector<harness::PlatformHost> &hosts);
     void lookAtProcesses();
+    /// Begins and ends cuts of entry hosts from all replicas.
+    void tickUplinks(base::TimePoint now);
     template <typename Number>
     Number draw(Number least, Number most)
     {
         return std::uniform_int_distribution<Number>(least, most)(m_rng);
     }
 
+    /// An entry host that reaches no replica, until it starts again or the cut is over.
+    struct UplinkCut
+    {
+        harness::PlatformHost *entry;
+        base::TimePoint from;
+        base::TimePoint until;
+    };
+
     harness::PlatformBed *m_bed;
     ReplicaPool *m_replicas;
     History *m_history;
     base::Rng m_rng;
     std::vector<Active> m_active;
     base::TimePoint m_nextAt{};
+    base::Rng m_uplinkRng; ///< Of its own, so that other faults of a seed stay as they are.
+    std::vector<UplinkCut> m_uplinkCuts;
+    base::TimePoint m_nextUplinkCutAt{};
     base::TimePoint m_diskLossFrom{}; ///< The next disk may be lost from then on.
     int m_marks = 0;
     bool m_isStopping = false;
--- a/integration/platform-soak/PlatformSoakTest.cpp
+++ b/integration/platform-soak/PlatformSoakTest.cpp
@@ -40,6 +40,7 @@
     plan.entries = static_cast<std::size_t>(numberFrom("HYSSOP_SOAK_ENTRIES", 3));
     plan.replicas = static_cast<std::size_t>(numberFrom("HYSSOP_SOAK_REPLICAS", 6));
     plan.hasFaultLinks = true;
+    plan.hasUplinkGate = true;
     return plan;
 }
 
--- a/integration/platform/PlatformBed.cpp
+++ b/integration/platform/PlatformBed.cpp
@@ -25,6 +25,7 @@
 
 PlatformBed::PlatformBed(const PlatformPlan &plan)
     : m_hasFaultLinks(plan.hasFaultLinks)
+    , m_uplinkGate(plan.hasUplinkGate ? std::make_unique<UplinkGate>() : nullptr)
 {
     std::string folder =
             (std::filesystem::temp_directory_path() / "hyssop-platform-XXXXXX").string();
@@ -55,6 +56,10 @@
         replicaListen.push_back(m_addresses.nextEndpoint(m_addresses.nextHost()));
         replicaOutside.push_back(
                 linked("entries", "replica-" + std::to_string(n), replicaListen.back()));
+        if (m_uplinkGate) {
+            const base::Endpoint gate = m_addresses.nextEndpoint(m_addresses.nextHost());
+            m_uplinkGate->forward(gate, std::exchange(replicaOutside.back(), gate));
+        }
     }
     if (m_hasFaultLinks)
         m_faults.start(&m_client, m_folder / "fault-proxy.log", m_addresses);
@@ -112,6 +117,13 @@
     ::setenv("HYSSOPSPAN_SETTINGS", host.settings.c_str(), 1);
     host.process =
             std::make_unique<Process>(ProcessOptions{host.program, {}, host.log, maxFileBytes});
+    if (m_uplinkGate && host.data.empty())
+        setUplinks(host, Uplinks::Open);
+}
+
+void PlatformBed::setUplinks(const PlatformHost &entry, Uplinks uplinks)
+{
+    m_uplinkGate->set(entry.process->id(), uplinks);
 }
 
 void PlatformBed::wipe(PlatformHost &host)
--- a/integration/platform/PlatformBed.h
+++ b/integration/platform/PlatformBed.h
@@ -4,6 +4,7 @@
 #include "Caller.h"
 #include "Faults.h"
 #include "Process.h"
+#include "UplinkGate.h"
 
 #include <functional>
 
@@ -15,6 +16,7 @@
     std::size_t entries = 1;
     std::size_t replicas = 1; ///< Addresses for them; the test starts what stands there.
     bool hasFaultLinks = false; ///< What comes from and goes to the outside passes the fault proxy.
+    bool hasUplinkGate = false; ///< Entry hosts can be cut off from all replicas.
 };
 
 /// A host of the platform and the program on it.
@@ -58,6 +60,8 @@
     /// Puts a manifest to a control host until it is acknowledged; false when \a limit passes.
     bool put(std::size_t control, const std::string &manifest, base::Millis limit) const;
     Faults &faults() { return m_faults; }
+    /// Sets what becomes of an entry host's connections to replicas until it starts again.
+    void setUplinks(const PlatformHost &entry, Uplinks uplinks);
 
 private:
     std::string settingsOf(const PlatformHost &host, const std::string &mark) const;
@@ -71,6 +75,7 @@
     bool m_hasFaultLinks;
     Client m_client;
     Faults m_faults;
+    std::unique_ptr<UplinkGate> m_uplinkGate;
 };
 
 /// Status of a replica's announcement at a control host.
