dispatch: Refused connections of a host without links are checked again once it has links

Cause: three upstreams that crash one after the other make a host take its links for lost, until the next answer or probe. What it found out meanwhile, that the crashed ones refuse connections, was dropped, so that their crashes were reported only with their next start.

Upstreams that refused a connection while the links were lost are now probed again when these are back.

--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -222,7 +222,7 @@
         return;
     if (const UpstreamState *state = findUpstream(call->upstream))
         m_reachability.recordSuccess(state->info().dataCentre);
-    recordLinkAnswer(*call);
+    recordLinkAnswer(*call, now);
     call->hasForwardedEvents = true;
     call->lastProgressAt = now;
     if (call->firstEventAt == base::TimePoint())
@@ -242,7 +242,7 @@
         state->recordSuccess();
         m_reachability.recordSuccess(state->info().dataCentre);
     }
-    recordLinkAnswer(*call);
+    recordLinkAnswer(*call, now);
     if (event.isSuccess)
         recordAnswered(*call, now);
     endPrefill(*call, true, now);
@@ -342,7 +342,7 @@
     const bool isUnanswered = fault == AttemptFault::NotSent || fault == AttemptFault::AnswerLost
                               || fault == AttemptFault::Stalled;
     if (!isUnanswered)
-        recordLinkAnswer(call);
+        recordLinkAnswer(call, now);
     else if (state && !isUnattributable)
         recordLinkFailure(*state, call.attemptSentAt, now);
     if (state && !isUnattributable && state->recordFailure(fault, meanFailureRate(*state)))
--- a/libs/dispatch/src/Crashes.cpp
+++ b/libs/dispatch/src/Crashes.cpp
@@ -59,8 +59,12 @@
     m_lostAttempts.endProbe(start);
     // While this host reaches no upstream of the service, a refusal says nothing of this one.
     const UpstreamState *state = findUpstream(event.upstream);
-    const bool isLinkLost = state && serviceOf(state->info().service).links.isLost();
-    if (event.isRefused && !isLinkLost)
+    ServiceState *service = state ? &serviceOf(state->info().service) : nullptr;
+    if (event.isRefused && service && service->links.isLost()) {
+        service->refusedWithoutLinks.push_back(start);
+        return;
+    }
+    if (event.isRefused)
         return reportCrash(start, CrashSource::Refused, now);
     // A later start may still show that it crashed, but the next trial does not wait for that.
     for (const CallId trial : m_lostAttempts.endTrials(start))
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -113,6 +113,8 @@
     std::map<int, SendGrantQueue> sendGrantQueues; ///< By priority.
     LinkMonitor links;
     base::TimePoint relaysPausedUntil{}; ///< Other hosts do not reach its upstreams either.
+    /// Starts of upstreams that refused a connection while the links were lost.
+    std::vector<LostAttempts::Start> refusedWithoutLinks;
 };
 
 /// The upstream and helpers chosen for a call.
@@ -261,9 +263,9 @@
     void recordLinkFailure(const UpstreamState &upstream, base::TimePoint sentAt,
                            base::TimePoint now);
     /// Records that the current attempt of a call got an answer or a part of one.
-    void recordLinkAnswer(const ActiveCall &call);
+    void recordLinkAnswer(const ActiveCall &call, base::TimePoint now);
     /// Uses all upstreams of a service again.
-    void restoreLinks(const base::ServiceId &id, ServiceState &service);
+    void restoreLinks(const base::ServiceId &id, ServiceState &service, base::TimePoint now);
     /// Begins the probes of lost links that are due.
     void probeLinks(base::TimePoint now);
     /// Relays a call that reaches no upstream from here. Returns false if it cannot be relayed or
--- a/libs/dispatch/src/LostAttempts.cpp
+++ b/libs/dispatch/src/LostAttempts.cpp
@@ -33,6 +33,12 @@
     return true;
 }
 
+void LostAttempts::discardProbe(const Start &start)
+{
+    if (const auto it = m_starts.find(start); it != m_starts.end())
+        it->second.nextProbeAt = {};
+}
+
 void LostAttempts::endProbe(const Start &start)
 {
     const auto it = m_starts.find(start);
--- a/libs/dispatch/src/LostAttempts.h
+++ b/libs/dispatch/src/LostAttempts.h
@@ -27,6 +27,8 @@
     /// Whether a probe of the upstream is due now. It is then noted as pending.
     bool beginProbe(const Start &start, base::TimePoint now);
     void endProbe(const Start &start);
+    /// Makes a probe due at once, as the result of the last one does not count.
+    void discardProbe(const Start &start);
     /// Marks a start as crashed. Attempts that it loses later were lost with it.
     void setCrashed(const Start &start, base::TimePoint now);
     bool isCrashed(const Start &start) const;
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -31,20 +31,28 @@
     probeLinks(now);
 }
 
-void Dispatcher::Impl::recordLinkAnswer(const ActiveCall &call)
+void Dispatcher::Impl::recordLinkAnswer(const ActiveCall &call, base::TimePoint now)
 {
     if (call.relay)
         return;
     ServiceState &service = serviceOf(call.info.service);
     if (service.links.recordAnswer(call.upstream, call.attemptSentAt))
-        restoreLinks(call.info.service, service);
+        restoreLinks(call.info.service, service, now);
 }
 
-void Dispatcher::Impl::restoreLinks(const base::ServiceId &id, ServiceState &service)
+void Dispatcher::Impl::restoreLinks(const base::ServiceId &id, ServiceState &service,
+                                    base::TimePoint now)
 {
     for (UpstreamState *it : service.upstreams)
         it->endEjection();
     m_actions.emplace_back(LinksChanged{id, false, 0, service.upstreams.size()});
+    for (const LostAttempts::Start &it : std::exchange(service.refusedWithoutLinks, {})) {
+        const UpstreamState *upstream = findUpstream(it.first);
+        m_lostAttempts.discardProbe(it);
+        if (upstream && upstream->info().incarnation == it.second
+            && m_lostAttempts.beginProbe(it, now))
+            m_actions.emplace_back(ProbeUpstream{upstream->info()});
+    }
 }
 
 void Dispatcher::Impl::probeLinks(base::TimePoint now)
@@ -58,11 +66,11 @@
     }
 }
 
-void Dispatcher::Impl::handle(const LinkProbed &event, base::TimePoint)
+void Dispatcher::Impl::handle(const LinkProbed &event, base::TimePoint now)
 {
     ServiceState &service = serviceOf(event.service);
     if (service.links.endProbe(event.isAnswered))
-        restoreLinks(event.service, service);
+        restoreLinks(event.service, service, now);
 }
 
 void Dispatcher::Impl::handle(const RelayPeersChanged &event, base::TimePoint)
--- a/libs/dispatch/tests/RelayTest.cpp
+++ b/libs/dispatch/tests/RelayTest.cpp
@@ -278,4 +278,10 @@
     fixture.loseLinks();
     CHECK_FALSE(first<ReportCrash>(fixture.dispatcher.handle(
             UpstreamProbed{upstream.id, upstream.incarnation, true}, kStart + Millis(5))));
+    // One that also refuses connections once the links are back has crashed.
+    const Actions restored =
+            fixture.dispatcher.handle(LinkProbed{fixture.kService, true}, kStart + Millis(20));
+    REQUIRE(first<ProbeUpstream>(restored));
+    CHECK(first<ReportCrash>(fixture.dispatcher.handle(
+            UpstreamProbed{upstream.id, upstream.incarnation, true}, kStart + Millis(25))));
 }
