registry: Permits last as long as prefills, and a size is passed over by more than chance

And one refused prompt among three was enough for its size to come first.

A permit now lasts for its prefill on one engine, 10 s at most. A rank is passed over once half a prompt is missing to 0.65 of the share of its route, in place of any shortfall to 0.6.

--- a/libs/registry/src/LoadAggregator.cpp
+++ b/libs/registry/src/LoadAggregator.cpp
@@ -88,6 +88,12 @@
         ++m_membersRevision;
 }
 
+bool LoadAggregator::isReporting(const base::HostId &host, base::TimePoint now)
+{
+    removeExpired(now);
+    return m_reports.contains(host);
+}
+
 std::size_t LoadAggregator::reportingHosts(base::TimePoint now)
 {
     removeExpired(now);
--- a/libs/registry/src/LoadAggregator.h
+++ b/libs/registry/src/LoadAggregator.h
@@ -25,6 +25,8 @@
     std::int64_t membersRevision() const { return m_membersRevision; }
     /// Total outstanding load of all hosts except \a host and its peers.
     fleet::LoadReport distantLoad(const base::HostId &host, base::TimePoint now);
+    /// Whether a host has an unexpired report.
+    bool isReporting(const base::HostId &host, base::TimePoint now);
     /// Number of hosts with an unexpired report.
     std::size_t reportingHosts(base::TimePoint now);
 
--- a/libs/registry/src/PrefillPermits.cpp
+++ b/libs/registry/src/PrefillPermits.cpp
@@ -10,11 +10,12 @@
 constexpr std::size_t kMaxPermitsPerService = 2;
 /// Minimum time between grants, so that hosts learn which engine the previous one was placed on.
 constexpr base::Millis kGrantInterval{30};
-/// A permit that is never released, for example because its host was killed, expires after this
-/// time for placement plus the prefill time divided over at least kMinPrefillEngines engines.
+/// A permit that is never released expires after this time for placement plus the prefill time on
+/// one engine. While engines are busy, even a very long prompt gets few of them.
 constexpr base::Millis kPlacementAllowance{700};
-constexpr std::int64_t kMinPrefillEngines = 3;
-constexpr base::Millis kMaxPermitLifetime{4'000};
+constexpr base::Millis kMaxPermitLifetime{10'000};
+/// A host that began to use another control host a moment ago has not reported to this one yet.
+constexpr base::Millis kFirstReportTime{2'000};
 /// A request that has waited this long is granted before shorter ones.
 constexpr base::Millis kPriorityAfter{1'500};
 
@@ -35,8 +36,7 @@
 
 base::Millis PrefillPermits::permitLifetime(const fleet::PermitRequest &request)
 {
-    return std::min(kMaxPermitLifetime,
-                    kPlacementAllowance + base::Millis(request.prefillMs / kMinPrefillEngines));
+    return std::min(kMaxPermitLifetime, kPlacementAllowance + base::Millis(request.prefillMs));
 }
 
 void PrefillPermits::dropEarlierIncarnations(const fleet::PermitKey &key)
@@ -48,6 +48,13 @@
     std::erase_if(m_waiting, [&](const WaitingRequest &it) { return isEarlier(it.request.key); });
 }
 
+void PrefillPermits::dropLostHosts(const IsLost &isLost, base::TimePoint now)
+{
+    std::erase_if(m_held, [&](const auto &it) {
+        return now >= it.second.grantedAt + kFirstReportTime && isLost(it.first.host);
+    });
+}
+
 void PrefillPermits::acquire(const fleet::PermitRequest &request, Answer answer,
                              base::TimePoint now)
 {
@@ -188,8 +195,12 @@
     if (it == m_waiting.end())
         return;
     m_lastGrantAt = now;
-    m_held[it->request.key] = {it->request.service, it->request.dataCentre, it->request.route,
-                               it->request.prefillMs, now + permitLifetime(it->request)};
+    m_held[it->request.key] = {it->request.service,
+                               it->request.dataCentre,
+                               it->request.route,
+                               it->request.prefillMs,
+                               now,
+                               now + permitLifetime(it->request)};
     const Answer answer = std::move(it->answer);
     m_waiting.erase(it);
     answer(true);
--- a/libs/registry/src/PrefillPermits.h
+++ b/libs/registry/src/PrefillPermits.h
@@ -23,10 +23,14 @@
     /// Called with true when granted, with false when the maximum wait is over.
     using Answer = std::function<void(bool isGranted)>;
 
+    using IsLost = std::function<bool(const base::HostId &host)>;
+
     /// Queues a request. \a answer is called once, unless the request is released first.
     void acquire(const fleet::PermitRequest &request, Answer answer, base::TimePoint now);
     /// Returns a permit or withdraws a waiting request. Records whether the prompt was prefilled.
     void release(const fleet::PermitRequest &request, base::TimePoint now);
+    /// Takes back the permits of hosts that are lost, which will not release them.
+    void dropLostHosts(const IsLost &isLost, base::TimePoint now);
     /// Expires permits and waiting requests, then grants at most one request.
     void tick(base::TimePoint now);
     std::size_t heldCount() const { return m_held.size(); }
@@ -55,6 +59,7 @@
         base::DataCentreId dataCentre;
         std::string route;
         std::int64_t prefillMs = 0;
+        base::TimePoint grantedAt;
         base::TimePoint expiresAt;
     };
     using Shares = std::map<PromptKind, KindShares>;
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -253,6 +253,8 @@
     if (m_hadLease && !hadLease)
         m_watches.answerWithin(kLeaderAnnounceTime, now);
     m_directory.removeExpired(now);
+    m_prefillPermits.dropLostHosts(
+            [&](const base::HostId &host) { return !m_entryLoads.isReporting(host, now); }, now);
     m_prefillPermits.tick(now);
     if (hasLease(now)) {
         m_sendGrants.tick(now);
--- a/libs/registry/src/SizeShares.cpp
+++ b/libs/registry/src/SizeShares.cpp
@@ -16,7 +16,9 @@
 constexpr std::array<double, kSizeRanks> kRankBegins{0, 0.7, 0.9};
 /// A rank is due half of the share of its kind. Some prompts are granted a permit and then not
 /// served, so a little more is aimed at.
-constexpr double kMinRelativeShare = 0.6;
+constexpr double kMinRelativeShare = 0.65;
+/// Prompts by which a rank may fall short of that. A few are refused by chance.
+constexpr double kAllowedShortfall = 0.5;
 
 } // namespace
 
@@ -59,19 +61,24 @@
     return static_cast<SizeRank>(rank);
 }
 
-double KindShares::relativeShare(SizeRank rank) const
+double KindShares::servedLikeKind(SizeRank rank) const
 {
-    const auto n = static_cast<std::size_t>(rank);
     const int asked = std::accumulate(m_asked.begin(), m_asked.end(), 0);
     const int served = std::accumulate(m_served.begin(), m_served.end(), 0);
-    if (m_asked[n] == 0 || served == 0)
-        return 1;
-    return static_cast<double>(m_served[n]) * asked / (static_cast<double>(m_asked[n]) * served);
+    const int askedOfRank = m_asked[static_cast<std::size_t>(rank)];
+    return asked > 0 ? static_cast<double>(askedOfRank) * served / asked : 0;
+}
+
+double KindShares::relativeShare(SizeRank rank) const
+{
+    const double due = servedLikeKind(rank);
+    return due > 0 ? m_served[static_cast<std::size_t>(rank)] / due : 1;
 }
 
 bool KindShares::isPassedOver(SizeRank rank) const
 {
-    return relativeShare(rank) < kMinRelativeShare;
+    return m_served[static_cast<std::size_t>(rank)] + kAllowedShortfall
+           <= kMinRelativeShare * servedLikeKind(rank);
 }
 
 void SizeShares::record(const PromptKind &kind, const PromptEnd &prompt, base::TimePoint now)
--- a/libs/registry/src/SizeShares.h
+++ b/libs/registry/src/SizeShares.h
@@ -46,6 +46,9 @@
     bool isPassedOver(SizeRank rank) const;
 
 private:
+    /// Prompts of a rank that would have been served at the share of the kind.
+    double servedLikeKind(SizeRank rank) const;
+
     std::array<std::int64_t, kSizeRanks> m_lowest{}; ///< Prefill time at which each rank begins.
     std::array<int, kSizeRanks> m_asked{};
     std::array<int, kSizeRanks> m_served{};
