--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -412,8 +412,10 @@
                         : std::min(call.progressDeadline, call.info.deadline);
         next = std::min(next, dueAt);
     }
-    for (const auto &[id, service] : m_services)
-        next = std::min(next, service.links.nextProbeAt());
+    for (const auto &[id, service] : m_services) {
+        if (!service.upstreams.empty())
+            next = std::min(next, service.links.nextProbeAt());
+    }
     return next;
 }
 
--- a/libs/dispatch/tests/RelayTest.cpp
+++ b/libs/dispatch/tests/RelayTest.cpp
@@ -285,3 +285,16 @@
     CHECK(first<ReportCrash>(fixture.dispatcher.handle(
             UpstreamProbed{upstream.id, upstream.incarnation, true}, kStart + Millis(25))));
 }
+
+TEST_CASE("a host whose unreachable upstreams are all removed does not wake up for probes")
+{
+    Fixture fixture;
+    fixture.loseLinks();
+    fixture.dispatcher.handle(LinkProbed{fixture.kService, false}, kStart + Millis(10));
+    CHECK(fixture.dispatcher.nextTick() < base::TimePoint::max());
+    for (int n = 0; n < 6; ++n)
+        fixture.dispatcher.handle(UpstreamRemoved{base::UpstreamId("u" + std::to_string(n))},
+                                  kStart + Millis(20));
+    fixture.dispatcher.tick(kStart + Millis(20));
+    CHECK(fixture.dispatcher.nextTick() == base::TimePoint::max());
+}
