--- a/libs/dispatch/tests/BackOffTest.cpp
+++ b/libs/dispatch/tests/BackOffTest.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/Dispatch.h"
+#include "FirstAction.h"
 
 #include <catch2/catch.hpp>
 
@@ -73,16 +73,6 @@
     std::int64_t m_lastCall = 0;
 };
 
-template <typename T>
-const T *first(const Actions &actions)
-{
-    for (const Action &it : actions) {
-        if (const T *found = std::get_if<T>(&it))
-            return found;
-    }
-    return nullptr;
-}
-
 } // namespace
 
 TEST_CASE("an upstream that wants no requests gets none until the time is over")
--- a/libs/dispatch/tests/CrashTest.cpp
+++ b/libs/dispatch/tests/CrashTest.cpp
@@ -2,7 +2,7 @@
 
 #include "AnsweredContent.h"
 
-#include "dispatch/Dispatch.h"
+#include "FirstAction.h"
 
 #include <catch2/catch.hpp>
 
@@ -16,16 +16,6 @@
 const base::ServiceId kService("plain");
 const fleet::Fingerprint kPart(1);
 
-template <typename T>
-const T *first(const Actions &actions)
-{
-    for (const Action &it : actions) {
-        if (const T *found = std::get_if<T>(&it))
-            return found;
-    }
-    return nullptr;
-}
-
 class Fixture
 {
 public:
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/Dispatch.h"
+#include "FirstAction.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,16 +13,6 @@
 
 constexpr base::TimePoint kStart{std::chrono::hours(1)};
 
-template <typename T>
-const T *first(const Actions &actions)
-{
-    for (const Action &it : actions) {
-        if (const T *found = std::get_if<T>(&it))
-            return found;
-    }
-    return nullptr;
-}
-
 class Fixture
 {
 public:
--- a/libs/dispatch/tests/RateLimitTest.cpp
+++ b/libs/dispatch/tests/RateLimitTest.cpp
@@ -1,6 +1,6 @@
 // Rate limits that upstreams state, as an entry host follows them.
 
-#include "dispatch/Dispatch.h"
+#include "FirstAction.h"
 
 #include <catch2/catch.hpp>
 
@@ -14,16 +14,6 @@
 const base::ServiceId kPlain("plain");
 const base::ServiceId kModel("model");
 
-template <typename T>
-const T *first(const Actions &actions)
-{
-    for (const Action &it : actions) {
-        if (const T *found = std::get_if<T>(&it))
-            return found;
-    }
-    return nullptr;
-}
-
 class Fixture
 {
 public:
--- a/libs/dispatch/tests/RelayTest.cpp
+++ b/libs/dispatch/tests/RelayTest.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/Dispatch.h"
+#include "FirstAction.h"
 #include "LinkMonitor.h"
 
 #include <catch2/catch.hpp>
@@ -11,16 +11,6 @@
 
 constexpr base::TimePoint kStart{std::chrono::hours(1)};
 
-template <typename T>
-const T *first(const Actions &actions)
-{
-    for (const Action &it : actions) {
-        if (const T *found = std::get_if<T>(&it))
-            return found;
-    }
-    return nullptr;
-}
-
 /// A host with upstreams of one service and two other hosts.
 class Fixture
 {
