--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -132,7 +132,7 @@
     };
     void setRelayPeers(const std::vector<base::Endpoint> &peers, base::TimePoint now);
     void takeOver(const std::shared_ptr<gateway::Exchange> &exchange);
-    /// Begins an attempt with a request that is already addressed. Returns its id.
+    /// Begins an attempt with a request that is already addressed.
     void startAttempt(EdgeCall &call, gateway::Call request);
     void onRelayHead(EdgeCall &call, base::TimePoint now);
     void executeAction(const dispatch::RelayCall &action, base::TimePoint now);
