--- a/integration/platform/Replica.cpp
+++ b/integration/platform/Replica.cpp
@@ -1,5 +1,6 @@
 #include "Replica.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -123,6 +124,23 @@
     return m_turnsAwayFor;
 }
 
+void Replica::fallSilent(base::Millis duration)
+{
+    boost::asio::post(m_io, [duration] { std::this_thread::sleep_for(duration); });
+}
+
+void Replica::answerResumes(std::optional<int> status)
+{
+    const std::lock_guard guard(m_mutex);
+    m_statusOfResumes = status;
+}
+
+std::optional<int> Replica::statusOfResumes() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_statusOfResumes;
+}
+
 void Replica::crashOn(CrashTriggers triggers)
 {
     const std::lock_guard guard(m_mutex);
@@ -219,6 +237,9 @@
     }
     if (draws(m_faults.lose))
         return exchange->abort();
+    if (const auto status = statusOfResumes();
+        status && gateway::fieldValue(exchange->head().fields, "Last-Event-Id"))
+        return exchange->respond(*status, {{"Request-Id", id}, {"Response-Seal", m_id}}, "");
     if (hasDeadlyPart(*exchange))
         return crashOnStream(exchange);
     if (!fieldOf(*exchange, "Token-Counts").empty())
--- a/integration/platform/Replica.h
+++ b/integration/platform/Replica.h
@@ -57,6 +57,10 @@
     void sayLeaving();
     /// From now on turns all requests away and asks for none for \a duration, or serves again.
     void turnAway(std::optional<base::Millis> duration);
+    /// Sends nothing for \a duration from now on, and then goes on as if nothing had been.
+    void fallSilent(base::Millis duration);
+    /// From now on answers requests to resume a stream with \a status, or resumes again.
+    void answerResumes(std::optional<int> status);
     /// Crashes on such requests from now on.
     void crashOn(CrashTriggers triggers);
     /// Id of the request that crashed it; empty while it runs. The owner then destroys it, which
@@ -85,6 +89,7 @@
     /// Adds what all answers state, and notes that this one did.
     gateway::Fields withLimit(gateway::Fields fields, const std::string &request);
     std::optional<base::Millis> turnsAwayFor() const;
+    std::optional<int> statusOfResumes() const;
     void startStream(const std::shared_ptr<gateway::Exchange> &exchange);
     void writeEvent(const std::shared_ptr<Stream> &stream);
     bool draws(int percent);
@@ -101,6 +106,7 @@
     ReplicaTraffic m_traffic;
     bool m_saysLeaving = false;
     std::optional<base::Millis> m_turnsAwayFor;
+    std::optional<int> m_statusOfResumes;
     CrashTriggers m_crashTriggers;
     std::string m_crashedBy;
     std::map<std::string, base::TimePoint> m_reservations; ///< End of each.
