gateway: A request whose handler cannot answer it any more closes its connection

Cause: Exchange::respond() did nothing once the response had started, and the call was removed; a connection that waits for its response has no timeout. The class: a step that can no longer do what it says does nothing, says nothing and forgets the request.

Now the exchange ends what nobody ended: a second response breaks a started one off, and an exchange that is dropped closes its connection, as the connection no longer keeps it alive. Both print response_abandoned. Server counts the requests that were read whole and how they ended; their sum must agree, as metrics and in the line `stopped`.

The new tests of the counters cannot be built on the code before.

--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -463,7 +463,14 @@
     const bool isNoticeOver = now >= *m_stopRequestedAt + kStopNoticeTime;
     const bool isTimeUp = now >= *m_stopRequestedAt + m_options.stopTimeout - kStopMargin;
     if (isTimeUp || (isNoticeOver && m_calls.empty())) {
-        base::logEvent("stopped", {{"calls", m_calls.size()}});
+        const gateway::Server::Stats &stats = m_server.stats();
+        base::logEvent("stopped", {{"calls", m_calls.size()},
+                                   {"requests", stats.requests},
+                                   {"answered", stats.answered},
+                                   {"broken_off", stats.brokenOff},
+                                   {"abandoned", stats.abandoned},
+                                   {"caller_left", stats.disconnected},
+                                   {"open", stats.open()}});
         m_watcher->stop();
         m_server.closeIdle();
         m_relayServer.closeIdle();
@@ -493,6 +500,14 @@
                    m_routeTable ? static_cast<double>(m_routeTable->version().count()) : 0);
     m_metrics->set("hyssop_configuration_age_seconds",
                    static_cast<double>(m_freshness.confirmationAge(now).count()) / 1e3);
+    const gateway::Server::Stats &requests = m_server.stats();
+    m_metrics->set("hyssop_caller_requests", static_cast<double>(requests.requests));
+    m_metrics->set("hyssop_caller_requests_answered", static_cast<double>(requests.answered));
+    m_metrics->set("hyssop_caller_requests_broken_off", static_cast<double>(requests.brokenOff));
+    m_metrics->set("hyssop_caller_requests_abandoned",
+                   static_cast<double>(requests.abandoned + m_relayServer.stats().abandoned));
+    m_metrics->set("hyssop_caller_requests_left", static_cast<double>(requests.disconnected));
+    m_metrics->set("hyssop_caller_requests_open", static_cast<double>(requests.open()));
     const auto &client = m_client.stats();
     m_metrics->set("hyssop_upstream_connects", static_cast<double>(client.connects));
     m_metrics->set("hyssop_upstream_reuses", static_cast<double>(client.reuses));
--- a/libs/gateway/include/gateway/Gateway.h
+++ b/libs/gateway/include/gateway/Gateway.h
@@ -56,12 +56,16 @@
 class CallerConnection;
 
 /// A request of a caller and its response. After the response has ended or the caller has
-/// disconnected, functions that send have no effect.
+/// disconnected, functions that send have no effect. An exchange that is destroyed before its
+/// response has ended closes its connection, so that its caller does not wait in vain.
 class Exchange
 {
 public:
     Exchange(std::weak_ptr<CallerConnection> connection, RequestHead head, std::string body,
              base::TimePoint arrivedAt);
+    ~Exchange();
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
 
     const RequestHead &head() const { return m_head; }
     const std::string &body() const { return m_body; }
@@ -70,7 +74,8 @@
     /// Moves the body out, for a request that is still needed after its exchange.
     std::string takeBody() { return std::move(m_body); }
 
-    /// Sends a complete response. The response to HEAD has a Content-Length but no body.
+    /// Sends a complete response. The response to HEAD has a Content-Length but no body. A streamed
+    /// response that was started is broken off instead.
     void respond(int status, const Fields &fields, std::string_view body);
     /// Starts a streamed response, which is sent in chunks.
     void start(int status, const Fields &fields);
@@ -87,6 +92,9 @@
 
 private:
     friend class CallerConnection;
+    /// Breaks the response off, which the handler can no longer complete.
+    void abandon(std::string_view reason);
+
     std::weak_ptr<CallerConnection> m_connection;
     RequestHead m_head;
     std::string m_body;
@@ -100,7 +108,7 @@
 {
 public:
     virtual ~CallerHandler() = default;
-    /// A request has arrived, including its body.
+    /// A request has arrived, including its body. The handler owns the exchange.
     virtual void onRequest(const std::shared_ptr<Exchange> &exchange) = 0;
     /// The connection was closed or failed before the response was complete.
     virtual void onCallerDisconnected(Exchange &exchange) = 0;
@@ -120,6 +128,22 @@
 class Server
 {
 public:
+    /// Counters since the server was created. Each request that was read whole ends in one way.
+    struct Stats
+    {
+        std::int64_t requests = 0; ///< Requests that were read whole.
+        std::int64_t answered = 0; ///< Got a complete response.
+        std::int64_t brokenOff = 0; ///< The handler closed the connection instead.
+        std::int64_t abandoned = 0; ///< The handler forgot them or could not complete the response.
+        std::int64_t disconnected = 0; ///< The caller closed its connection first.
+
+        /// Requests without an end.
+        std::int64_t open() const
+        {
+            return requests - answered - brokenOff - abandoned - disconnected;
+        }
+    };
+
     Server(boost::asio::io_context *io, CallerHandler *handler);
     ~Server();
     Server(const Server &) = delete;
@@ -137,6 +161,7 @@
     void closeIdle();
     /// Number of open connections.
     std::size_t connectionCount() const;
+    const Stats &stats() const;
 
     struct Shared; ///< Defined inside the library.
 
--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -98,10 +98,11 @@
     m_isKeepAlive = m_parser->keep_alive() && m_acceptsChunks;
     RequestHead head{std::move(m_parser->method), std::move(m_parser->target),
                      std::move(m_parser->fields)};
-    m_exchange = std::make_shared<Exchange>(weak_from_this(), std::move(head),
-                                            std::move(m_parser->body), m_firstByteAt);
+    const auto exchange = std::make_shared<Exchange>(weak_from_this(), std::move(head),
+                                                     std::move(m_parser->body), m_firstByteAt);
+    m_exchange = exchange;
     m_parser.reset();
-    const auto exchange = m_exchange;
+    ++m_server->stats.requests;
     m_server->handler->onRequest(exchange);
 }
 
@@ -145,18 +146,22 @@
                 if (self->m_state == State::Closing) {
                     boost::system::error_code ignored;
                     self->m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-                } else if (const auto exchange = self->m_exchange) {
+                } else if (const auto exchange = self->m_exchange.lock()) {
                     self->m_server->handler->onDrained(*exchange);
                 }
             });
 }
 
-void CallerConnection::endResponse(bool isComplete)
+void CallerConnection::endResponse(ResponseEnd end)
 {
     if (m_state == State::Closed)
         return;
     m_exchange.reset();
-    if (!isComplete) {
+    Server::Stats &stats = m_server->stats;
+    ++(end == ResponseEnd::Answered    ? stats.answered
+       : end == ResponseEnd::BrokenOff ? stats.brokenOff
+                                       : stats.abandoned);
+    if (end != ResponseEnd::Answered) {
         // The normal end of the connection would make the response look complete.
         boost::system::error_code ec;
         if (!m_acceptsChunks)
@@ -226,8 +231,10 @@
     boost::system::error_code ec;
     m_socket.close(ec);
     m_server->connections.erase(self);
-    if (const auto exchange = std::exchange(m_exchange, nullptr)) {
+    if (const auto exchange = m_exchange.lock()) {
+        m_exchange.reset();
         exchange->m_isEnded = true;
+        ++m_server->stats.disconnected;
         m_server->handler->onCallerDisconnected(*exchange);
     }
 }
--- a/libs/gateway/src/CallerConnection.h
+++ b/libs/gateway/src/CallerConnection.h
@@ -16,9 +16,17 @@
     CallerHandler *handler = nullptr;
     ServerLimits limits;
     bool isCloseAnnounced = false;
+    Stats stats;
     std::set<std::shared_ptr<CallerConnection>> connections;
 };
 
+/// How a response ended.
+enum class ResponseEnd {
+    Answered,
+    BrokenOff, ///< As its handler asked.
+    Abandoned, ///< It cannot be completed.
+};
+
 /// Connection of a caller. Handles one request at a time and keeps reading while the response is
 /// sent, so that it detects a disconnect.
 class CallerConnection final : public std::enable_shared_from_this<CallerConnection>
@@ -35,7 +43,7 @@
     // For the exchange.
     void write(std::string_view data);
     /// Ends the response. Closes the connection at once if it is incomplete.
-    void endResponse(bool isComplete);
+    void endResponse(ResponseEnd end);
     std::size_t unsentBytes() const { return m_output.size() + m_writeBuffer.size(); }
     bool shouldCloseAfterResponse() const;
     void beginResponse() { m_hasCloseHeader = shouldCloseAfterResponse(); }
@@ -60,7 +68,7 @@
     base::TimePoint m_stateSince; ///< Start of the current state.
     base::TimePoint m_firstByteAt;
     std::unique_ptr<Parser<true>> m_parser;
-    std::shared_ptr<Exchange> m_exchange;
+    std::weak_ptr<Exchange> m_exchange; ///< While its response has not ended.
     std::array<char, 8192> m_readBuffer{};
     std::string m_input;
     std::string m_output;
--- a/libs/gateway/src/Exchange.cpp
+++ b/libs/gateway/src/Exchange.cpp
@@ -12,11 +12,28 @@
     , m_arrivedAt(arrivedAt)
 { }
 
+Exchange::~Exchange()
+{
+    abandon("dropped by its handler");
+}
+
+void Exchange::abandon(std::string_view reason)
+{
+    const auto connection = m_connection.lock();
+    if (!connection || std::exchange(m_isEnded, true))
+        return;
+    base::logEvent("response_abandoned",
+                   {{"target", m_head.target}, {"reason", reason}, {"started", m_isStarted}});
+    connection->endResponse(ResponseEnd::Abandoned);
+}
+
 void Exchange::respond(int status, const Fields &fields, std::string_view body)
 {
     const auto connection = m_connection.lock();
-    if (!connection || m_isEnded || m_isStarted)
+    if (!connection || m_isEnded)
         return;
+    if (m_isStarted)
+        return abandon("a second response");
     m_isEnded = true;
     connection->beginResponse();
     std::string out = statusLine(status);
@@ -30,7 +47,7 @@
     if (hasBody && m_head.method != "HEAD")
         out += body;
     connection->write(out);
-    connection->endResponse(true);
+    connection->endResponse(ResponseEnd::Answered);
 }
 
 void Exchange::start(int status, const Fields &fields)
@@ -69,7 +86,7 @@
     m_isEnded = true;
     if (connection->acceptsChunks())
         connection->write("0\r\n\r\n");
-    connection->endResponse(true);
+    connection->endResponse(ResponseEnd::Answered);
 }
 
 void Exchange::abort()
@@ -78,7 +95,7 @@
     if (!connection || m_isEnded)
         return;
     m_isEnded = true;
-    connection->endResponse(false);
+    connection->endResponse(ResponseEnd::BrokenOff);
 }
 
 std::size_t Exchange::unsentBytes() const
--- a/libs/gateway/src/Server.cpp
+++ b/libs/gateway/src/Server.cpp
@@ -142,6 +142,11 @@
     m_impl->closeIdle();
 }
 
+const Server::Stats &Server::stats() const
+{
+    return m_impl->m_shared.stats;
+}
+
 std::size_t Server::connectionCount() const
 {
     return m_impl->m_shared.connections.size();
--- a/libs/gateway/tests/GatewayTest.cpp
+++ b/libs/gateway/tests/GatewayTest.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-/// Echoes method and body of each request. Streams the response to /stream and never responds to
-/// /hang.
+/// Echoes method and body of each request. Streams the response to /stream, never responds to
+/// /hang, drops the exchange of /dropped and sends a second response to /twice.
 class EchoHandler final : public CallerHandler
 {
 public:
@@ -23,6 +23,14 @@
     {
         if (exchange->head().target == "/hang")
             return m_unanswered.push_back(exchange);
+        if (exchange->head().target == "/dropped")
+            return;
+        if (exchange->head().target == "/twice") {
+            exchange->start(200, {});
+            exchange->send("one");
+            exchange->respond(500, {}, "");
+            return m_unanswered.push_back(exchange);
+        }
         const std::string body = exchange->head().method + " " + exchange->body();
         const bool breaksOff = exchange->head().target == "/broken";
         if (exchange->head().target != "/stream" && !breaksOff)
@@ -281,6 +289,50 @@
     CHECK(fixture.echo.disconnectCount == 1);
 }
 
+TEST_CASE("a request that its handler forgets does not leave its caller waiting")
+{
+    ServerFixture fixture;
+    const std::string received =
+            fixture.exchange("GET /dropped HTTP/1.1\r\nHost: h\r\n\r\n", "never");
+    CHECK(received.empty());
+    CHECK(fixture.end == boost::asio::error::eof);
+    CHECK(fixture.server.stats().abandoned == 1);
+    CHECK(fixture.server.stats().open() == 0);
+    CHECK(fixture.server.connectionCount() == 0);
+}
+
+TEST_CASE("a response that begins anew in the midst of a streamed one breaks it off")
+{
+    ServerFixture fixture;
+    const std::string received =
+            fixture.exchange("GET /twice HTTP/1.1\r\nHost: h\r\n\r\n", "never");
+    CHECK(received.starts_with("HTTP/1.1 200"));
+    CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+    CHECK(fixture.end == boost::asio::error::eof);
+    CHECK(fixture.server.stats().abandoned == 1);
+    CHECK(fixture.server.stats().open() == 0);
+}
+
+TEST_CASE("each request that was read whole is counted with its end")
+{
+    ServerFixture fixture;
+    fixture.exchange("GET /a HTTP/1.1\r\nHost: h\r\n\r\n", "GET ");
+    fixture.exchange("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n", "0\r\n\r\n");
+    CHECK(fixture.server.stats().answered == 2);
+    boost::asio::write(fixture.socket,
+                       boost::asio::buffer(std::string("GET /hang HTTP/1.1\r\nHost: h\r\n\r\n")));
+    fixture.io.run_for(base::Millis(50));
+    CHECK(fixture.server.stats().open() == 1);
+    fixture.socket.close();
+    fixture.io.run_for(base::Millis(50));
+    CHECK(fixture.server.stats().disconnected == 1);
+    ServerFixture broken;
+    broken.exchange("GET /broken HTTP/1.1\r\nHost: h\r\n\r\n", "never");
+    CHECK(broken.server.stats().brokenOff == 1);
+    for (const ServerFixture *it : {&fixture, &broken})
+        CHECK(it->server.stats().open() == 0);
+}
+
 TEST_CASE("responses carry Connection: close once a close is announced")
 {
     ServerFixture fixture;
