edge, dispatch: An error instead of the rest of a stream is a failed attempt

Cause: the answers of a resumed attempt were treated like those of a first one: a 4xx was "answered", an error without an attempt left was forwarded, although the caller has the head of the stream already.

Evidence: call_ended outcome=answered status=404 with 12 of 60 events sent; the same with 500 and outcome=upstream_failure.

Now whatever is not the rest of the stream fails the attempt: it is tried elsewhere if it may be, else the stream is broken off and the books say failed. The new test failed before: ForwardUpstreamError, no FailCall. The branch for errors of relays was the same one and is shared now.

--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -277,10 +277,8 @@
         m_actions.emplace_back(RetryScheduled{event.call, event.fault});
         return enqueue(*call, now);
     }
-    if (event.fault == AttemptFault::UpstreamError) {
-        m_actions.emplace_back(ForwardUpstreamError{event.call});
-        return removeCall(event.call);
-    }
+    if (event.fault == AttemptFault::UpstreamError)
+        return forwardOrFail(*call, now);
     rejectOrFail(*call,
                  provesNotRun(event.fault) ? FailureReason::UpstreamRefused
                                            : FailureReason::UpstreamLost,
@@ -451,4 +449,12 @@
     removeCall(id);
 }
 
+void Dispatcher::Impl::forwardOrFail(ActiveCall &call, base::TimePoint now)
+{
+    if (call.hasForwardedEvents)
+        return rejectOrFail(call, FailureReason::UpstreamLost, now);
+    m_actions.emplace_back(ForwardUpstreamError{call.info.id});
+    removeCall(call.info.id);
+}
+
 } // namespace hyssop::dispatch
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -355,6 +355,8 @@
     void releasePermit(ActiveCall &call, bool isPrefilled);
     /// Ends the call with RejectCall if it cannot have run, otherwise with FailCall.
     void rejectOrFail(ActiveCall &call, FailureReason reason, base::TimePoint now);
+    /// Ends the call with the upstream's error, or fails it if its answer has begun.
+    void forwardOrFail(ActiveCall &call, base::TimePoint now);
     /// Random time after which the caller may try again.
     base::Millis drawRetryAfter(const ActiveCall &call, base::TimePoint now);
     /// Time until a rate limit is likely to admit \a call; 0 when none holds it back.
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -129,10 +129,8 @@
     if (fault != AttemptFault::UpstreamError)
         m_relayPeers.recordDeclined(*call.relay, now);
     releaseAttempt(call, now);
-    if (fault == AttemptFault::UpstreamError) {
-        m_actions.emplace_back(ForwardUpstreamError{id});
-        return removeCall(id);
-    }
+    if (fault == AttemptFault::UpstreamError)
+        return forwardOrFail(call, now);
     if (provesNotRun(fault)) {
         --call.attempts;
         if (call.triedRelays.size() < kMaxRelays && call.info.deadline - now >= kMinRelayTime) {
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -363,6 +363,21 @@
     CHECK(first<FailCall>(fixture.dispatcher.tick(call.deadline)));
 }
 
+TEST_CASE("an error instead of the rest of a stream is not forwarded in its midst")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 2);
+    const CallInfo call = fixture.promptCall(5'000);
+    fixture.sendShort(call);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
+    REQUIRE(first<SendAttempt>(fixture.dispatcher.handle(
+            AttemptFailed{call.id, AttemptFault::AnswerLost, {}}, kStart + Millis(200))));
+    const Actions failed = fixture.dispatcher.handle(
+            AttemptFailed{call.id, AttemptFault::UpstreamError, {}}, kStart + Millis(300));
+    CHECK(first<FailCall>(failed));
+    CHECK_FALSE(first<ForwardUpstreamError>(failed));
+}
+
 TEST_CASE("load sent by another host counts at once and expires when the host stops sending")
 {
     Fixture fixture;
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -480,7 +480,8 @@
 
 void Edge::Impl::finishBuffered(EdgeCall &call, base::TimePoint now)
 {
-    if (call.answerHead.status >= 500)
+    // The caller has the head of a stream already, whatever it is that cannot be resumed here.
+    if (call.answerHead.status >= 500 || call.exchange->isStarted())
         return failAttempt(call, dispatch::AttemptFault::UpstreamError, "upstream_error", now);
     call.exchange->respond(call.answerHead.status, m_protocol->forwardedFields(call.answerHead),
                            call.answerBody);
