--- a/integration/SilenceTest.cpp
+++ b/integration/SilenceTest.cpp
@@ -119,7 +119,7 @@
 
 } // namespace
 
-TEST_CASE("a stream whose resumption is answered with an error does not lose its caller", "[.]")
+TEST_CASE("a stream whose resumption is answered with an error does not lose its caller")
 {
     const int status = GENERATE(500, 404);
     CAPTURE(status);
@@ -129,7 +129,7 @@
     CHECK(isWholeStream(reply));
 }
 
-TEST_CASE("a stream is not cut when its engine falls silent and no other one takes it", "[.]")
+TEST_CASE("a stream is not cut when its engine falls silent and no other one takes it")
 {
     SilenceBed bed;
     const Reply reply = chatBesideSilence(bed, [](Replica &it) { it.turnAway(Millis(0)); });
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -280,13 +280,27 @@
     std::optional<base::Endpoint> faultyUpstream = {}; ///< Upstream at fault, if it is another one.
 };
 
+/// The stalled attempt of a call got a part of its answer.
+struct StalledAttemptProgressed
+{
+    CallId call;
+};
+
+/// The stalled attempt of a call ended without an answer for the caller.
+struct StalledAttemptFailed
+{
+    CallId call;
+    AttemptFault fault = AttemptFault::AnswerLost;
+};
+
 using Event =
         std::variant<CallArrived, CallerDisconnected, UpstreamUpdated, UpstreamRemoved,
                      ServicesChanged, UpstreamLoadReported, BackOffStated, RateLimitStated,
                      RateLimitsReceived, OrderSent, SendGrantReceived, UpstreamProbed,
                      CrashSuspectsReceived, TrialDecided, PeerLoadSumReceived, PeerLoadReceived,
                      PermitGranted, PermitDenied, ReservationDone, AnswerProgressed,
-                     AttemptSucceeded, AttemptFailed, RelayPeersChanged, RelayRejected, LinkProbed>;
+                     AttemptSucceeded, AttemptFailed, RelayPeersChanged, RelayRejected, LinkProbed,
+                     StalledAttemptProgressed, StalledAttemptFailed>;
 
 // Actions.
 
@@ -366,6 +380,24 @@
     CallId call;
 };
 
+/// Keeps the connection of the current attempt, which has stalled, open beside the next attempt.
+struct KeepStalledAttempt
+{
+    CallId call;
+};
+
+/// Makes the stalled attempt the current one again.
+struct ReinstateAttempt
+{
+    CallId call;
+};
+
+/// Closes the connection of the stalled attempt and releases its reservations.
+struct CancelStalledAttempt
+{
+    CallId call;
+};
+
 /// Ends a call that has not run and will not.
 struct RejectCall
 {
@@ -528,7 +560,8 @@
                      ForwardUpstreamError, RequestPermit, ReleasePermit, RetryScheduled,
                      UpstreamEjected, DataCentreUnreachable, RateLimitChanged, RequestSendGrant,
                      ReportRateLimit, ProbeUpstream, ReportCrash, ReportAnswered, RequestTrial,
-                     EndTrial, CrashSuspectChanged, RelayCall, ProbeLink, LinksChanged>;
+                     EndTrial, CrashSuspectChanged, RelayCall, ProbeLink, LinksChanged,
+                     KeepStalledAttempt, ReinstateAttempt, CancelStalledAttempt>;
 using Actions = std::vector<Action>;
 
 /// Settings of a Dispatcher.
--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -46,45 +46,46 @@
 {
     call.stage = CallStage::Sent;
     ++call.attempts;
-    call.upstream = placement.primary->info().id;
-    call.upstreamIncarnation = placement.primary->info().incarnation;
-    call.attemptSentAt = now;
-    call.firstEventAt = {};
-    call.isProven = false;
-    call.triedUpstreams.push_back(call.upstream);
+    call.current.upstream = placement.primary->info().id;
+    call.current.upstreamIncarnation = placement.primary->info().incarnation;
+    call.current.sentAt = now;
+    call.current.firstEventAt = {};
+    call.current.isProven = false;
+    call.triedUpstreams.push_back(call.current.upstream);
     SendAttempt action;
     action.requestsAtUpstream = placement.primary->requests();
     action.isLongPrompt = call.promptClass == PromptClass::Long;
-    call.primaryKvTokens =
+    call.current.primaryKvTokens =
             placement.helperKvTokens.empty() ? call.kvTokens : placement.primaryKvTokens;
     placement.primary->useSendGrant(now);
-    placement.primary->addRequest(call.primaryKvTokens, call.promptClass == PromptClass::Short);
-    m_changedUpstreams.insert(call.upstream);
+    placement.primary->addRequest(call.current.primaryKvTokens,
+                                  call.promptClass == PromptClass::Short);
+    m_changedUpstreams.insert(call.current.upstream);
     action.call = call.info.id;
     action.upstream = placement.primary->info();
-    call.prefillEngines = {call.upstream};
+    call.current.prefillEngines = {call.current.upstream};
     for (UpstreamState *helper : placement.helpers) {
         const auto reservation = placement.helperKvTokens.find(helper);
         const bool holdsKv = reservation != placement.helperKvTokens.end();
         action.helpers.push_back({helper->info(), holdsKv ? reservation->second : base::Tokens()});
-        call.prefillEngines.push_back(helper->info().id);
+        call.current.prefillEngines.push_back(helper->info().id);
         if (!holdsKv)
             continue;
         helper->addKvTokens(reservation->second);
-        call.reservations.emplace_back(helper->info().id, reservation->second);
+        call.current.reservations.emplace_back(helper->info().id, reservation->second);
     }
-    call.partPrefillMs = static_cast<std::int64_t>(
-            call.prefillMs / static_cast<double>(call.prefillEngines.size()));
-    call.expectedFirstEvent =
+    call.current.partPrefillMs = static_cast<std::int64_t>(
+            call.prefillMs / static_cast<double>(call.current.prefillEngines.size()));
+    call.current.expectedFirstEvent =
             base::Millis(static_cast<std::int64_t>(placement.expectedFirstEventMs));
-    for (const base::UpstreamId &id : call.prefillEngines) {
-        findUpstream(id)->addPrefill(call.partPrefillMs, now);
+    for (const base::UpstreamId &id : call.current.prefillEngines) {
+        findUpstream(id)->addPrefill(call.current.partPrefillMs, now);
         m_changedUpstreams.insert(id);
     }
     action.timeLeft = std::chrono::floor<base::Millis>(call.info.deadline - now);
     action.attempt = call.attempts;
     action.isResume = call.hasForwardedEvents;
-    if (!call.reservations.empty()) {
+    if (!call.current.reservations.empty()) {
         call.stage = CallStage::Reserving;
         call.progressDeadline = now + kReservationTimeout;
         m_actions.emplace_back(ReserveMemory{call.info.id, action.helpers});
@@ -142,10 +143,15 @@
 void Dispatcher::Impl::endPrefill(ActiveCall &call, bool isPrefilled, base::TimePoint now)
 {
     releasePermit(call, isPrefilled);
-    const std::int64_t partPrefillMs = std::exchange(call.partPrefillMs, 0);
+    releasePrefill(call.current, now);
+}
+
+void Dispatcher::Impl::releasePrefill(Attempt &attempt, base::TimePoint now)
+{
+    const std::int64_t partPrefillMs = std::exchange(attempt.partPrefillMs, 0);
     if (partPrefillMs == 0)
         return;
-    for (const base::UpstreamId &id : call.prefillEngines) {
+    for (const base::UpstreamId &id : attempt.prefillEngines) {
         if (UpstreamState *state = findUpstream(id))
             state->addPrefill(-partPrefillMs, now);
         m_changedUpstreams.insert(id);
@@ -167,37 +173,37 @@
     SendAttempt action = *std::exchange(call->pendingAttempt, std::nullopt);
     action.timeLeft = std::chrono::floor<base::Millis>(call->info.deadline - now);
     call->stage = CallStage::Sent;
-    call->attemptSentAt = now;
+    call->current.sentAt = now;
     call->progressDeadline = now + firstEventTimeout(*call);
     m_actions.emplace_back(std::move(action));
 }
 
-void Dispatcher::Impl::releaseMemory(ActiveCall &call)
+void Dispatcher::Impl::releaseLoad(Attempt &attempt, PromptClass promptClass, base::TimePoint now)
 {
-    if (call.reservations.empty())
+    if (attempt.relay)
         return;
-    for (const auto &[id, kv] : std::exchange(call.reservations, {})) {
+    releasePrefill(attempt, now);
+    for (const auto &[id, kv] : std::exchange(attempt.reservations, {})) {
         if (UpstreamState *state = findUpstream(id))
             state->addKvTokens(base::Tokens() - kv);
         m_changedUpstreams.insert(id);
     }
-    call.pendingAttempt.reset();
-    m_actions.emplace_back(ReleaseMemory{call.info.id});
+    if (UpstreamState *state = findUpstream(attempt.upstream))
+        state->removeRequest(attempt.primaryKvTokens, promptClass == PromptClass::Short);
+    m_changedUpstreams.insert(attempt.upstream);
 }
 
 void Dispatcher::Impl::releaseAttempt(ActiveCall &call, base::TimePoint now)
 {
-    if (std::exchange(call.relay, std::nullopt)) {
-        call.stage = CallStage::Queued;
-        return;
-    }
-    endPrefill(call, false, now);
-    releaseMemory(call);
-    if (UpstreamState *state = findUpstream(call.upstream))
-        state->removeRequest(call.primaryKvTokens, call.promptClass == PromptClass::Short);
-    m_changedUpstreams.insert(call.upstream);
-    call.upstream = {};
     call.stage = CallStage::Queued;
+    if (!call.current.relay) {
+        releasePermit(call, false);
+        if (!call.current.reservations.empty())
+            m_actions.emplace_back(ReleaseMemory{call.info.id});
+        call.pendingAttempt.reset();
+    }
+    releaseLoad(call.current, call.promptClass, now);
+    call.current = {};
 }
 
 base::Millis Dispatcher::Impl::firstEventTimeout(const ActiveCall &call) const
@@ -209,7 +215,7 @@
     }
     return std::max(kMinStallTimeout,
                     call.info.latencyObjective * kFirstEventStallFactor + base::Millis(400))
-           + call.expectedFirstEvent * kExpectedTimeStallFactor;
+           + call.current.expectedFirstEvent * kExpectedTimeStallFactor;
 }
 
 base::Millis Dispatcher::Impl::gapTimeout(const ActiveCall &call) const
@@ -222,17 +228,37 @@
     ActiveCall *call = findCall(event.call);
     if (!call || call->stage != CallStage::Sent)
         return;
-    if (const UpstreamState *state = findUpstream(call->upstream))
+    if (const UpstreamState *state = findUpstream(call->current.upstream))
         m_reachability.recordSuccess(state->info().dataCentre);
     recordLinkAnswer(*call, now);
     call->hasForwardedEvents = true;
     call->lastProgressAt = now;
-    if (call->firstEventAt == base::TimePoint())
-        call->firstEventAt = now;
-    if (now >= call->firstEventAt + kProofTime)
+    if (call->current.firstEventAt == base::TimePoint())
+        call->current.firstEventAt = now;
+    if (now >= call->current.firstEventAt + kProofTime)
         recordAnswered(*call, now);
     endPrefill(*call, true, now);
     call->progressDeadline = now + gapTimeout(*call);
+    if (call->stalled)
+        cancelStalledAttempt(*call, now);
+}
+
+void Dispatcher::Impl::handle(const StalledAttemptProgressed &event, base::TimePoint now)
+{
+    ActiveCall *call = findCall(event.call);
+    if (call && call->stalled)
+        reinstateStalledAttempt(*call, now);
+}
+
+void Dispatcher::Impl::handle(const StalledAttemptFailed &event, base::TimePoint now)
+{
+    ActiveCall *call = findCall(event.call);
+    if (!call || !call->stalled)
+        return;
+    if (event.fault == AttemptFault::AnswerLost)
+        recordLostAttempt(call->info, *call->stalled, std::nullopt, now);
+    releaseLoad(*call->stalled, call->promptClass, now);
+    call->stalled.reset();
 }
 
 void Dispatcher::Impl::handle(const AttemptSucceeded &event, base::TimePoint now)
@@ -240,7 +266,7 @@
     ActiveCall *call = findCall(event.call);
     if (!call)
         return;
-    if (UpstreamState *state = findUpstream(call->upstream)) {
+    if (UpstreamState *state = findUpstream(call->current.upstream)) {
         state->recordSuccess();
         m_reachability.recordSuccess(state->info().dataCentre);
     }
@@ -249,7 +275,7 @@
         recordAnswered(*call, now);
     endPrefill(*call, true, now);
     releaseAttempt(*call, now);
-    removeCall(event.call);
+    removeCall(event.call, now);
 }
 
 void Dispatcher::Impl::handle(const AttemptFailed &event, base::TimePoint now)
@@ -257,12 +283,14 @@
     ActiveCall *call = findCall(event.call);
     if (!call || call->stage != CallStage::Sent)
         return;
-    if (call->relay)
+    if (call->current.relay)
         return handleRelayFailure(*call, event.fault, now);
     recordFault(*call, event.fault, event.faultyUpstream, now);
     const bool wasTrial = call->trial == TrialState::Granted;
-    if (event.fault == AttemptFault::AnswerLost)
-        recordLostAttempt(*call, now);
+    const auto trial = wasTrial ? std::optional(event.call) : std::nullopt;
+    if (event.fault == AttemptFault::AnswerLost
+        && recordLostAttempt(call->info, call->current, trial, now) && wasTrial)
+        call->trial = TrialState::None;
     // A trial that reached no upstream is not over.
     if (event.fault != AttemptFault::NotSent)
         endTrial(*call);
@@ -287,12 +315,12 @@
 
 bool Dispatcher::Impl::isStalled(const ActiveCall &call, base::TimePoint now) const
 {
-    if (call.lastProgressAt > call.attemptSentAt)
+    if (call.lastProgressAt > call.current.sentAt)
         return now >= call.lastProgressAt + gapTimeout(call);
     const base::Millis timeout = call.info.isStream
                                          ? firstEventTimeout(call)
                                          : call.info.latencyObjective * kPlainStallFactor;
-    return now >= call.attemptSentAt + timeout;
+    return now >= call.current.sentAt + timeout;
 }
 
 void Dispatcher::Impl::handleStall(ActiveCall &call, base::TimePoint now)
@@ -300,24 +328,51 @@
     // The upstream may still continue. If the call cannot be retried elsewhere, it waits until its
     // deadline, or until another upstream has room.
     call.progressDeadline = call.info.deadline;
-    if (!call.relay && !hasRoomElsewhere(call, now)) {
+    if (!call.current.relay && !hasRoomElsewhere(call, now)) {
         call.progressDeadline = std::min(call.info.deadline, now + kStallRecheckInterval);
         return;
     }
+    // Suspect content runs at one upstream at a time.
     if (call.attempts >= call.info.maxAttempts || !call.info.isRetrySafe
-        || call.info.deadline - now < kMinAttemptTime)
+        || call.info.deadline - now < kMinAttemptTime || call.trial == TrialState::Granted)
         return;
     if (!serviceOf(call.info.service).retryBudget->tryAcquire(m_sharingHosts.current(now), now))
         return;
-    m_actions.emplace_back(CancelAttempt{call.info.id});
     m_actions.emplace_back(RetryScheduled{call.info.id, AttemptFault::Stalled});
     recordFault(call, AttemptFault::Stalled, {}, now);
-    endTrial(call);
-    releaseAttempt(call, now);
+    if (call.stalled)
+        cancelStalledAttempt(call, now);
+    m_actions.emplace_back(KeepStalledAttempt{call.info.id});
+    releasePermit(call, false);
+    call.stalled = std::exchange(call.current, {});
+    call.stage = CallStage::Queued;
     call.mayHaveRun = true;
     enqueue(call, now);
 }
 
+void Dispatcher::Impl::reinstateStalledAttempt(ActiveCall &call, base::TimePoint now)
+{
+    if (call.stage == CallStage::Sent)
+        m_actions.emplace_back(CancelAttempt{call.info.id});
+    if (call.stage != CallStage::Queued)
+        releaseAttempt(call, now);
+    m_queue.erase({call.info.priority, call.info.id});
+    releasePermit(call, false);
+    endTrial(call);
+    call.current = *std::exchange(call.stalled, std::nullopt);
+    call.stage = CallStage::Sent;
+    call.progressDeadline =
+            now + (call.hasForwardedEvents ? gapTimeout(call) : firstEventTimeout(call));
+    m_actions.emplace_back(ReinstateAttempt{call.info.id});
+}
+
+void Dispatcher::Impl::cancelStalledAttempt(ActiveCall &call, base::TimePoint now)
+{
+    releaseLoad(*call.stalled, call.promptClass, now);
+    call.stalled.reset();
+    m_actions.emplace_back(CancelStalledAttempt{call.info.id});
+}
+
 bool Dispatcher::Impl::hasRoomElsewhere(const ActiveCall &call, base::TimePoint now)
 {
     const ServiceState &service = serviceOf(call.info.service);
@@ -341,7 +396,7 @@
                                    const std::optional<base::Endpoint> &faultyUpstream,
                                    base::TimePoint now)
 {
-    UpstreamState *state = findUpstream(call.upstream);
+    UpstreamState *state = findUpstream(call.current.upstream);
     if (faultyUpstream) {
         for (const auto &[id, other] : m_upstreams) {
             if (other->info().address == *faultyUpstream && other.get() != state) {
@@ -354,13 +409,14 @@
     if (state && fault == AttemptFault::NotSent)
         recordConnectFailure(state->info(), now);
     // Any engine of a split prompt may have caused the stall.
-    const bool isUnattributable = fault == AttemptFault::Stalled && call.prefillEngines.size() > 1;
+    const bool isUnattributable =
+            fault == AttemptFault::Stalled && call.current.prefillEngines.size() > 1;
     const bool isUnanswered = fault == AttemptFault::NotSent || fault == AttemptFault::AnswerLost
                               || fault == AttemptFault::Stalled;
     if (!isUnanswered)
         recordLinkAnswer(call, now);
     else if (state && !isUnattributable)
-        recordLinkFailure(*state, call.attemptSentAt, now);
+        recordLinkFailure(*state, call.current.sentAt, now);
     if (state && !isUnattributable && state->recordFailure(fault, meanFailureRate(*state)))
         eject(*state, now);
 }
@@ -441,20 +497,22 @@
 
 void Dispatcher::Impl::rejectOrFail(ActiveCall &call, FailureReason reason, base::TimePoint now)
 {
+    if (call.stalled && now < call.info.deadline)
+        return reinstateStalledAttempt(call, now);
     const CallId id = call.info.id;
     if (call.mayHaveRun || call.hasForwardedEvents)
         m_actions.emplace_back(FailCall{id, reason});
     else
         m_actions.emplace_back(RejectCall{id, reason, drawRetryAfter(call, now), call.blocker});
-    removeCall(id);
+    removeCall(id, now);
 }
 
 void Dispatcher::Impl::forwardOrFail(ActiveCall &call, base::TimePoint now)
 {
-    if (call.hasForwardedEvents)
+    if (call.stalled || call.hasForwardedEvents)
         return rejectOrFail(call, FailureReason::UpstreamLost, now);
     m_actions.emplace_back(ForwardUpstreamError{call.info.id});
-    removeCall(call.info.id);
+    removeCall(call.info.id, now);
 }
 
 } // namespace hyssop::dispatch
--- a/libs/dispatch/src/Crashes.cpp
+++ b/libs/dispatch/src/Crashes.cpp
@@ -30,27 +30,27 @@
     return "unknown";
 }
 
-void Dispatcher::Impl::recordLostAttempt(ActiveCall &call, base::TimePoint now)
+bool Dispatcher::Impl::recordLostAttempt(const CallInfo &call, const Attempt &attempt,
+                                         std::optional<CallId> trial, base::TimePoint now)
 {
-    const UpstreamState *state = findUpstream(call.upstream);
+    const UpstreamState *state = findUpstream(attempt.upstream);
     // What a leaving upstream loses with its end says nothing about the calls.
-    if (!state || state->info().isLeaving || state->info().incarnation != call.upstreamIncarnation)
-        return;
-    LostAttempt attempt;
-    attempt.fingerprints = call.info.fingerprints;
-    attempt.sentAt = call.attemptSentAt;
-    attempt.at = now;
-    if (call.trial == TrialState::Granted) {
-        attempt.trial = call.info.id;
-        call.trial = TrialState::None;
-    }
-    const LostAttempts::Start start{call.upstream, call.upstreamIncarnation};
+    if (!state || state->info().isLeaving
+        || state->info().incarnation != attempt.upstreamIncarnation)
+        return false;
+    LostAttempt lost;
+    lost.fingerprints = call.fingerprints;
+    lost.sentAt = attempt.sentAt;
+    lost.at = now;
+    lost.trial = trial;
+    const LostAttempts::Start start{attempt.upstream, attempt.upstreamIncarnation};
     m_lostAttempts.removeExpired(now);
-    m_lostAttempts.add(state->info(), std::move(attempt));
+    m_lostAttempts.add(state->info(), std::move(lost));
     if (m_lostAttempts.isCrashed(start))
         reportCrash(start, CrashSource::Refused, now);
     else if (m_lostAttempts.beginProbe(start, now))
         m_actions.emplace_back(ProbeUpstream{state->info()});
+    return true;
 }
 
 void Dispatcher::Impl::handle(const UpstreamProbed &event, base::TimePoint now)
@@ -114,7 +114,7 @@
 
 void Dispatcher::Impl::recordAnswered(ActiveCall &call, base::TimePoint now)
 {
-    if (std::exchange(call.isProven, true))
+    if (std::exchange(call.current.isProven, true))
         return;
     for (const fleet::Fingerprint it : call.info.fingerprints)
         m_answeredContent.record(it, now);
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -172,7 +172,7 @@
         m_actions.emplace_back(CancelAttempt{event.call});
     if (call->stage != CallStage::Queued)
         releaseAttempt(*call, now);
-    removeCall(event.call);
+    removeCall(event.call, now);
 }
 
 void Dispatcher::Impl::handle(const UpstreamUpdated &event, base::TimePoint now)
@@ -204,16 +204,18 @@
 {
     const base::UpstreamId &id = state.info().id;
     for (const auto &[callId, call] : m_calls) {
-        if (call.stage == CallStage::Queued)
-            continue;
-        if (call.upstream == id)
-            state.addRequest(call.primaryKvTokens, call.promptClass == PromptClass::Short);
-        for (const auto &[helper, kv] : call.reservations) {
-            if (helper == id)
-                state.addKvTokens(kv);
+        for (const Attempt *attempt : {&call.current, call.stalled ? &*call.stalled : nullptr}) {
+            if (!attempt)
+                continue;
+            if (attempt->upstream == id)
+                state.addRequest(attempt->primaryKvTokens, call.promptClass == PromptClass::Short);
+            for (const auto &[helper, kv] : attempt->reservations) {
+                if (helper == id)
+                    state.addKvTokens(kv);
+            }
+            if (attempt->partPrefillMs > 0 && contains(attempt->prefillEngines, id))
+                state.addPrefill(attempt->partPrefillMs, now);
         }
-        if (call.partPrefillMs > 0 && contains(call.prefillEngines, id))
-            state.addPrefill(call.partPrefillMs, now);
     }
     if (state.requests() > 0 || state.prefillBacklogMs(now) > 0)
         m_changedUpstreams.insert(id);
@@ -330,9 +332,11 @@
     return report;
 }
 
-void Dispatcher::Impl::removeCall(CallId id)
+void Dispatcher::Impl::removeCall(CallId id, base::TimePoint now)
 {
     const auto it = m_calls.find(id);
+    if (it->second.stalled)
+        releaseLoad(*it->second.stalled, it->second.promptClass, now);
     releasePermit(it->second, false);
     endTrial(it->second);
     m_queue.erase({it->second.info.priority, id});
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -40,6 +40,22 @@
 /// State of the trial that a call with suspect content needs.
 enum class TrialState { None, Requested, Granted };
 
+/// An attempt at an upstream or a relay to another entry host, and the load that it adds there.
+struct Attempt
+{
+    base::UpstreamId upstream; ///< Primary engine or plain upstream; empty for a relay.
+    base::Incarnation upstreamIncarnation; ///< Start of the upstream that it was sent to.
+    std::optional<base::Endpoint> relay; ///< Entry host that it was relayed to.
+    base::Tokens primaryKvTokens; ///< Part of the prompt's KV memory on the primary engine.
+    std::vector<base::UpstreamId> prefillEngines; ///< Engines that prefill one part each.
+    std::vector<std::pair<base::UpstreamId, base::Tokens>> reservations; ///< KV memory at helpers.
+    std::int64_t partPrefillMs = 0; ///< Prefill time of one part; 0 once the prefill ended.
+    base::Millis expectedFirstEvent{0}; ///< Expected time to the first event when it was sent.
+    base::TimePoint sentAt;
+    base::TimePoint firstEventAt{};
+    bool isProven = false; ///< The content of the call is noted as answered in it.
+};
+
 /// A call that has not ended.
 struct ActiveCall
 {
@@ -55,22 +71,15 @@
     bool usesLocalEngines = false; ///< Its permit is for engines of this data centre.
     double prefillMs = 0;
     base::Tokens kvTokens;
-    base::Tokens primaryKvTokens; ///< Part of \c kvTokens on the primary engine.
-    base::UpstreamId upstream; ///< Primary engine or plain upstream while reserving or sent.
-    std::vector<base::UpstreamId> prefillEngines; ///< Engines that prefill one part each.
-    std::vector<std::pair<base::UpstreamId, base::Tokens>> reservations; ///< KV memory at helpers.
+    Attempt current; ///< While reserving or sent.
+    /// Attempt that stalled. It stays open until the one after it answers, since its upstream may
+    /// go on.
+    std::optional<Attempt> stalled;
     std::optional<SendAttempt> pendingAttempt; ///< Sent once the memory is reserved.
-    std::int64_t partPrefillMs = 0; ///< Prefill time of one part; 0 once the prefill ended.
-    base::Millis expectedFirstEvent{0}; ///< Expected time to the first event when it was sent.
-    base::TimePoint attemptSentAt; ///< Of the current attempt.
     base::TimePoint lastProgressAt{}; ///< Last event of any attempt.
-    base::TimePoint firstEventAt{}; ///< Of the current attempt.
-    bool isProven = false; ///< Its content is noted as answered in the current attempt.
     base::Millis statedRetryAfter{
             0}; ///< Of a rejection for want of a trial, or by the host it was relayed to.
-    std::optional<base::Endpoint> relay; ///< Entry host that has the current attempt.
     std::vector<base::Endpoint> triedRelays;
-    base::Incarnation upstreamIncarnation; ///< Start of the upstream that the attempt was sent to.
     std::vector<base::UpstreamId> triedUpstreams;
     int attempts = 0;
     int unsentAttempts = 0; ///< Attempts that reached no upstream.
@@ -177,6 +186,8 @@
     void handle(const AnswerProgressed &event, base::TimePoint now);
     void handle(const AttemptSucceeded &event, base::TimePoint now);
     void handle(const AttemptFailed &event, base::TimePoint now);
+    void handle(const StalledAttemptProgressed &event, base::TimePoint now);
+    void handle(const StalledAttemptFailed &event, base::TimePoint now);
     void tick(base::TimePoint now);
     base::TimePoint nextTick() const;
     DispatcherStats stats(base::TimePoint now) const;
@@ -302,8 +313,10 @@
     void updateRateLimit(UpstreamState &state, const fleet::RateLimitStatement &statement,
                          RateLimitSource source, base::TimePoint now);
     // Crashes.
-    /// Notes an attempt that ended without an answer, and probes its upstream.
-    void recordLostAttempt(ActiveCall &call, base::TimePoint now);
+    /// Notes an attempt that ended without an answer, and probes its upstream. \a trial is set if
+    /// the attempt was one. Returns false if its end says nothing about the call.
+    bool recordLostAttempt(const CallInfo &call, const Attempt &attempt,
+                           std::optional<CallId> trial, base::TimePoint now);
     /// Reports the calls that a start of an upstream lost with its crash.
     void reportCrash(const LostAttempts::Start &start, CrashSource source, base::TimePoint now);
     /// Reports crashes that a new start of an upstream shows.
@@ -329,12 +342,18 @@
 
     // Attempts.
     void sendAttempt(ActiveCall &call, const Placement &placement, base::TimePoint now);
-    /// Removes the load of an attempt and puts the call back into stage Queued.
+    /// Removes the load of the current attempt and puts the call back into stage Queued.
     void releaseAttempt(ActiveCall &call, base::TimePoint now);
-    void releaseMemory(ActiveCall &call);
+    /// Removes the load of an attempt.
+    void releaseLoad(Attempt &attempt, PromptClass promptClass, base::TimePoint now);
+    /// Removes the load of the prefill of an attempt.
+    void releasePrefill(Attempt &attempt, base::TimePoint now);
     /// Updates the load after the prefill has ended or was given up, and returns the permit.
     void endPrefill(ActiveCall &call, bool isPrefilled, base::TimePoint now);
     void handleStall(ActiveCall &call, base::TimePoint now);
+    /// Makes the stalled attempt the current one again, in place of what came after it.
+    void reinstateStalledAttempt(ActiveCall &call, base::TimePoint now);
+    void cancelStalledAttempt(ActiveCall &call, base::TimePoint now);
     /// Whether the current attempt has made no progress for too long.
     bool isStalled(const ActiveCall &call, base::TimePoint now) const;
     void recordFault(const ActiveCall &call, AttemptFault fault,
@@ -353,9 +372,10 @@
     void enqueue(ActiveCall &call, base::TimePoint now);
     void requestPermit(ActiveCall &call, base::TimePoint now);
     void releasePermit(ActiveCall &call, bool isPrefilled);
-    /// Ends the call with RejectCall if it cannot have run, otherwise with FailCall.
+    /// Goes on with the stalled attempt if there is one. Else ends the call with RejectCall if it
+    /// cannot have run, otherwise with FailCall.
     void rejectOrFail(ActiveCall &call, FailureReason reason, base::TimePoint now);
-    /// Ends the call with the upstream's error, or fails it if its answer has begun.
+    /// Ends the call with the upstream's error unless it can still be answered or has begun to be.
     void forwardOrFail(ActiveCall &call, base::TimePoint now);
     /// Random time after which the caller may try again.
     base::Millis drawRetryAfter(const ActiveCall &call, base::TimePoint now);
@@ -364,7 +384,7 @@
     base::TimePoint queueDeadline(const ActiveCall &call) const;
     /// Whether two long prompts can be prefilled on engines of their own.
     bool hasEnginesForTwo(const ActiveCall &call) const;
-    void removeCall(CallId id);
+    void removeCall(CallId id, base::TimePoint now);
     ActiveCall *findCall(CallId id);
     UpstreamState *findUpstream(const base::UpstreamId &id);
 
--- a/libs/dispatch/src/RateLimits.cpp
+++ b/libs/dispatch/src/RateLimits.cpp
@@ -24,8 +24,9 @@
     const ActiveCall *call = findCall(event.call);
     if (!call || call->stage != CallStage::Sent)
         return;
-    if (UpstreamState *state = findUpstream(call->upstream))
-        updateRateLimit(*state, {call->upstreamIncarnation, event.rate, call->attemptSentAt, now},
+    if (UpstreamState *state = findUpstream(call->current.upstream))
+        updateRateLimit(*state,
+                        {call->current.upstreamIncarnation, event.rate, call->current.sentAt, now},
                         RateLimitSource::Answer, now);
 }
 
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -33,10 +33,10 @@
 
 void Dispatcher::Impl::recordLinkAnswer(const ActiveCall &call, base::TimePoint now)
 {
-    if (call.relay)
+    if (call.current.relay)
         return;
     ServiceState &service = serviceOf(call.info.service);
-    if (service.links.recordAnswer(call.upstream, call.attemptSentAt))
+    if (service.links.recordAnswer(call.current.upstream, call.current.sentAt))
         restoreLinks(call.info.service, service, now);
 }
 
@@ -109,14 +109,14 @@
     action.isResume = call.hasForwardedEvents;
     ++call.attempts;
     call.stage = CallStage::Sent;
-    call.relay = peer;
+    call.current.relay = peer;
     call.triedRelays.push_back(peer);
-    call.upstream = {};
-    call.prefillEngines.clear();
-    call.attemptSentAt = now;
-    call.firstEventAt = {};
-    call.isProven = false;
-    call.expectedFirstEvent = base::Millis(0);
+    call.current.upstream = {};
+    call.current.prefillEngines.clear();
+    call.current.sentAt = now;
+    call.current.firstEventAt = {};
+    call.current.isProven = false;
+    call.current.expectedFirstEvent = base::Millis(0);
     call.progressDeadline = call.promptClass == PromptClass::Long
                                     ? call.info.deadline
                                     : now + firstEventTimeout(call) + kRelayQueueTime;
@@ -127,7 +127,7 @@
 {
     const CallId id = call.info.id;
     if (fault != AttemptFault::UpstreamError)
-        m_relayPeers.recordDeclined(*call.relay, now);
+        m_relayPeers.recordDeclined(*call.current.relay, now);
     releaseAttempt(call, now);
     if (fault == AttemptFault::UpstreamError)
         return forwardOrFail(call, now);
@@ -151,7 +151,7 @@
 void Dispatcher::Impl::handle(const RelayRejected &event, base::TimePoint now)
 {
     ActiveCall *call = findCall(event.call);
-    if (!call || !call->relay)
+    if (!call || !call->current.relay)
         return;
     releaseAttempt(*call, now);
     call->mayHaveRun = call->mayHaveRun || event.mayHaveRun;
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -345,22 +345,114 @@
     const auto sent = *first<SendAttempt>(fixture.dispatcher.handle(CallArrived{call}, kStart));
     fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
     const Actions due = fixture.dispatcher.tick(kStart + Millis(1'200));
-    REQUIRE(first<CancelAttempt>(due));
+    CHECK(first<KeepStalledAttempt>(due));
+    CHECK_FALSE(first<CancelAttempt>(due));
     REQUIRE(first<SendAttempt>(due));
     CHECK(first<SendAttempt>(due)->isResume);
     CHECK(first<SendAttempt>(due)->upstream.id != sent.upstream.id);
+    const Actions resumed =
+            fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(1'300));
+    CHECK(first<CancelStalledAttempt>(resumed));
+    fixture.dispatcher.handle(AttemptSucceeded{call.id}, kStart + Millis(1'400));
+    CHECK(fixture.dispatcher.ownLoad().upstreams.empty());
 }
 
-TEST_CASE("a stalled stream that cannot be resumed elsewhere is kept until its deadline")
+TEST_CASE("an engine that goes on after a silence keeps its stream")
 {
     Fixture fixture;
     fixture.addUpstreams(fixture.kModel, 4);
-    CallInfo call = fixture.promptCall(5'000);
-    call.maxAttempts = 1;
-    fixture.dispatcher.handle(CallArrived{call}, kStart);
+    const CallInfo call = fixture.promptCall(5'000);
+    const base::UpstreamId engine = fixture.sendShort(call).upstream.id;
     fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
-    CHECK(fixture.dispatcher.tick(kStart + Millis(5'000)).empty());
-    CHECK(first<FailCall>(fixture.dispatcher.tick(call.deadline)));
+    REQUIRE(first<SendAttempt>(fixture.dispatcher.tick(kStart + Millis(1'200))));
+    const Actions goesOn =
+            fixture.dispatcher.handle(StalledAttemptProgressed{call.id}, kStart + Millis(1'250));
+    CHECK(first<CancelAttempt>(goesOn));
+    CHECK(first<ReinstateAttempt>(goesOn));
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(1'250));
+    const fleet::LoadReport load = fixture.dispatcher.ownLoad();
+    REQUIRE(load.upstreams.size() == 1);
+    CHECK(load.upstreams.front().upstream == engine);
+    fixture.dispatcher.handle(AttemptSucceeded{call.id}, kStart + Millis(1'300));
+    CHECK(fixture.dispatcher.ownLoad().upstreams.empty());
+}
+
+TEST_CASE("a stream waits for its silent engine when the one that should resume it fails")
+{
+    const auto fault = GENERATE(AttemptFault::Refused, AttemptFault::UpstreamError,
+                                AttemptFault::AnswerLost, AttemptFault::Misdirected);
+    CAPTURE(attemptFaultName(fault));
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 2);
+    const CallInfo call = fixture.promptCall(5'000);
+    fixture.sendShort(call);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
+    REQUIRE(first<SendAttempt>(fixture.dispatcher.tick(kStart + Millis(1'200))));
+    const Actions failed =
+            fixture.dispatcher.handle(AttemptFailed{call.id, fault, {}}, kStart + Millis(1'210));
+    CHECK(first<ReinstateAttempt>(failed));
+    CHECK_FALSE(first<FailCall>(failed));
+    CHECK_FALSE(first<ForwardUpstreamError>(failed));
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(1'500));
+    const Actions ended =
+            fixture.dispatcher.handle(AttemptSucceeded{call.id}, kStart + Millis(1'600));
+    CHECK_FALSE(first<FailCall>(ended));
+    CHECK(fixture.dispatcher.ownLoad().upstreams.empty());
+}
+
+TEST_CASE("a long stream waits for its silent engine when it gets no permit for another one")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 8);
+    const CallInfo call = fixture.promptCall(150'000);
+    const base::UpstreamId engine = fixture.sendLong(call).upstream.id;
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(800));
+    const Actions stalled = fixture.dispatcher.tick(kStart + Millis(1'900));
+    CHECK(first<KeepStalledAttempt>(stalled));
+    REQUIRE(first<RequestPermit>(stalled));
+    const Actions denied = fixture.dispatcher.handle(PermitDenied{call.id}, kStart + Millis(2'100));
+    CHECK(first<ReinstateAttempt>(denied));
+    CHECK_FALSE(first<FailCall>(denied));
+    const fleet::LoadReport load = fixture.dispatcher.ownLoad();
+    REQUIRE(load.upstreams.size() == 1);
+    CHECK(load.upstreams.front().upstream == engine);
+}
+
+TEST_CASE("a stalled attempt that ends leaves its call to the next one")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 3);
+    const CallInfo call = fixture.promptCall(5'000);
+    fixture.sendShort(call);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
+    REQUIRE(first<SendAttempt>(fixture.dispatcher.tick(kStart + Millis(1'200))));
+    const Actions ended = fixture.dispatcher.handle(
+            StalledAttemptFailed{call.id, AttemptFault::AnswerLost}, kStart + Millis(1'250));
+    CHECK(first<ProbeUpstream>(ended));
+    CHECK_FALSE(first<FailCall>(ended));
+    CHECK(fixture.dispatcher.ownLoad().upstreams.size() == 1);
+    CHECK(first<FailCall>(fixture.dispatcher.handle(
+            AttemptFailed{call.id, AttemptFault::AnswerLost, {}}, kStart + Millis(1'300))));
+    CHECK(fixture.dispatcher.ownLoad().upstreams.empty());
+}
+
+TEST_CASE("a call with a stalled attempt adds no load once its caller has left or its time is over")
+{
+    const bool hasLeft = GENERATE(true, false);
+    CAPTURE(hasLeft);
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 3);
+    const CallInfo call = fixture.promptCall(5'000);
+    fixture.sendShort(call);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
+    REQUIRE(first<SendAttempt>(fixture.dispatcher.tick(kStart + Millis(1'200))));
+    CHECK(fixture.dispatcher.ownLoad().upstreams.size() == 2);
+    if (hasLeft)
+        fixture.dispatcher.handle(CallerDisconnected{call.id}, kStart + Millis(1'300));
+    else
+        CHECK(first<FailCall>(fixture.dispatcher.tick(call.deadline)));
+    CHECK(fixture.dispatcher.ownLoad().upstreams.empty());
+    CHECK(fixture.dispatcher.stats(call.deadline).active == 0);
 }
 
 TEST_CASE("an error instead of the rest of a stream is not forwarded in its midst")
@@ -378,6 +470,18 @@
     CHECK_FALSE(first<ForwardUpstreamError>(failed));
 }
 
+TEST_CASE("a stalled stream that cannot be resumed elsewhere is kept until its deadline")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 4);
+    CallInfo call = fixture.promptCall(5'000);
+    call.maxAttempts = 1;
+    fixture.dispatcher.handle(CallArrived{call}, kStart);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
+    CHECK(fixture.dispatcher.tick(kStart + Millis(5'000)).empty());
+    CHECK(first<FailCall>(fixture.dispatcher.tick(call.deadline)));
+}
+
 TEST_CASE("load sent by another host counts at once and expires when the host stops sending")
 {
     Fixture fixture;
@@ -775,11 +879,11 @@
     fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
     update.isSnapshot = true;
     fixture.dispatcher.handle(PeerLoadReceived{update}, kStart + Millis(1'200));
-    CHECK_FALSE(first<CancelAttempt>(fixture.dispatcher.tick(kStart + Millis(1'400))));
+    CHECK(fixture.dispatcher.tick(kStart + Millis(1'400)).empty());
     update.upstreams.clear();
     fixture.dispatcher.handle(PeerLoadReceived{update}, kStart + Millis(1'450));
     const Actions resumed = fixture.dispatcher.tick(kStart + Millis(1'600));
-    CHECK(first<CancelAttempt>(resumed));
+    CHECK(first<KeepStalledAttempt>(resumed));
     REQUIRE(first<SendAttempt>(resumed));
     CHECK(first<SendAttempt>(resumed)->upstream.id.text() == other);
     CHECK(first<SendAttempt>(resumed)->isResume);
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -56,6 +56,11 @@
     return it == m_attempts.end() ? nullptr : findCall(it->second);
 }
 
+EdgeAttempt &Edge::Impl::attemptOf(EdgeCall &call, gateway::CallId id)
+{
+    return call.stalled && call.stalled->id == id ? *call.stalled : call.current;
+}
+
 void Edge::Impl::execute(const dispatch::Actions &actions, base::TimePoint now)
 {
     for (const dispatch::Action &action : actions)
@@ -71,13 +76,14 @@
     context.timeLeft = action.timeLeft;
     for (const dispatch::Helper &it : action.helpers) {
         const auto reservation = std::find_if(
-                call.reservations.begin(), call.reservations.end(),
+                call.current.reservations.begin(), call.current.reservations.end(),
                 [&it](const Reservation &r) { return r.upstream.id == it.upstream.id; });
-        const bool isHeld = it.kvTokens > base::Tokens() && reservation != call.reservations.end();
+        const bool isHeld =
+                it.kvTokens > base::Tokens() && reservation != call.current.reservations.end();
         context.helpers.push_back({it.upstream.address, isHeld ? reservation->id : ""});
     }
     if (action.isResume)
-        context.resumeAfter = call.eventSplitter.lastEventId();
+        context.resumeAfter = call.current.eventSplitter.lastEventId();
     gateway::Call request;
     request.upstream = action.upstream.id;
     request.to = action.upstream.address;
@@ -90,15 +96,15 @@
     request.canReuseConnection = call.isStream || call.exchange->head().method == "GET";
     request.maxIdleConnections = maxIdleConnections(call.service);
     call.attemptCount = action.attempt;
-    call.upstream = action.upstream.id;
-    call.upstreamIncarnation = action.upstream.incarnation;
-    call.isRelayed = false;
+    call.current.upstream = action.upstream.id;
+    call.current.upstreamIncarnation = action.upstream.incarnation;
+    call.current.isRelayed = false;
     startAttempt(call, std::move(request));
     std::string helpers;
     for (const dispatch::Helper &it : action.helpers)
         helpers += (helpers.empty() ? "" : ",") + it.upstream.id.text();
     base::logEvent("attempt_sent", {{"request", call.requestMetadata.id},
-                                    {"upstream", call.upstream},
+                                    {"upstream", call.current.upstream},
                                     {"attempt", action.attempt},
                                     {"helpers", helpers},
                                     {"apart", action.isLongPrompt},
@@ -109,14 +115,15 @@
 
 void Edge::Impl::startAttempt(EdgeCall &call, gateway::Call request)
 {
-    call.answerHead = {};
-    call.answerMetadata = {};
-    call.answerBody.clear();
-    call.eventSplitter.dropPartialEvent();
-    call.streamedBytes = 0;
-    call.isPaused = false;
-    call.attemptId = m_client.start(std::move(request));
-    m_attempts[call.attemptId] = call.id;
+    EdgeAttempt &attempt = call.current;
+    attempt.answerHead = {};
+    attempt.answerMetadata = {};
+    attempt.answerBody.clear();
+    attempt.eventSplitter.dropPartialEvent();
+    attempt.streamedBytes = 0;
+    attempt.isPaused = false;
+    attempt.id = m_client.start(std::move(request));
+    m_attempts[attempt.id] = call.id;
 }
 
 std::size_t Edge::Impl::maxIdleConnections(const base::ServiceId &service) const
@@ -128,22 +135,56 @@
     return static_cast<std::size_t>(std::max(1, share));
 }
 
-void Edge::Impl::dropAttempt(EdgeCall &call, bool mayFinish)
+void Edge::Impl::dropAttempt(EdgeAttempt &attempt, bool mayFinish)
 {
-    if (call.attemptId == gateway::CallId())
+    if (attempt.id == gateway::CallId())
         return;
-    m_attempts.erase(call.attemptId);
+    m_attempts.erase(attempt.id);
     if (mayFinish)
-        m_client.setResponseTimeout(call.attemptId, kDiscardTimeout);
+        m_client.setResponseTimeout(attempt.id, kDiscardTimeout);
     else
-        m_client.cancel(call.attemptId);
-    call.attemptId = {};
+        m_client.cancel(attempt.id);
+    attempt.id = {};
+}
+
+void Edge::Impl::dropStalledAttempt(EdgeCall &call)
+{
+    if (!call.stalled)
+        return;
+    dropAttempt(*call.stalled, false);
+    releaseReservations(*call.stalled);
+    call.stalled.reset();
 }
 
 void Edge::Impl::executeAction(const dispatch::CancelAttempt &action, base::TimePoint)
 {
     if (EdgeCall *call = findCall(action.call))
-        dropAttempt(*call, false);
+        dropAttempt(call->current, false);
+}
+
+void Edge::Impl::executeAction(const dispatch::KeepStalledAttempt &action, base::TimePoint)
+{
+    EdgeCall &call = *findCall(action.call);
+    call.stalled = call.current;
+    call.current.id = {};
+    call.current.reservations.clear();
+}
+
+void Edge::Impl::executeAction(const dispatch::ReinstateAttempt &action, base::TimePoint now)
+{
+    EdgeCall &call = *findCall(action.call);
+    call.current = *std::exchange(call.stalled, std::nullopt);
+    m_metrics->count("hyssop_reinstated_attempts_total");
+    const auto age = std::chrono::floor<base::Millis>(now - call.exchange->arrivedAt());
+    base::logEvent("attempt_reinstated", {{"request", call.requestMetadata.id},
+                                          {"upstream", call.current.upstream},
+                                          {"ms", age.count()}});
+}
+
+void Edge::Impl::executeAction(const dispatch::CancelStalledAttempt &action, base::TimePoint)
+{
+    if (EdgeCall *call = findCall(action.call))
+        dropStalledAttempt(*call);
 }
 
 void Edge::Impl::executeAction(const dispatch::RejectCall &action, base::TimePoint now)
@@ -180,9 +221,10 @@
 void Edge::Impl::executeAction(const dispatch::ForwardUpstreamError &action, base::TimePoint now)
 {
     EdgeCall &call = *findCall(action.call);
-    call.exchange->respond(call.answerHead.status, m_protocol->forwardedFields(call.answerHead),
-                           call.answerBody);
-    endCall(call, "upstream_failure", "", call.answerHead.status, now);
+    call.exchange->respond(call.current.answerHead.status,
+                           m_protocol->forwardedFields(call.current.answerHead),
+                           call.current.answerBody);
+    endCall(call, "upstream_failure", "", call.current.answerHead.status, now);
 }
 
 void Edge::Impl::executeAction(const dispatch::RequestPermit &action, base::TimePoint now)
@@ -256,7 +298,7 @@
     const auto age = std::chrono::floor<base::Millis>(now - call.exchange->arrivedAt());
     base::logEvent("retry", {{"request", call.requestMetadata.id},
                              {"reason", fault},
-                             {"upstream", call.upstream},
+                             {"upstream", call.current.upstream},
                              {"attempt", call.attemptCount},
                              {"ms", age.count()}});
 }
@@ -301,7 +343,7 @@
                     {"service", call.service},
                     {"team", call.team},
                     {"prompt", call.requestMetadata.promptTokens.count()},
-                    {"upstream", call.upstream},
+                    {"upstream", call.current.upstream},
                     {"attempts", call.attemptCount},
                     {"first_event_ms", hasEvents ? millis(call.firstEventAt - arrivedAt) : -1},
                     {"longest_gap_ms", millis(call.longestGap)},
@@ -309,8 +351,9 @@
                     {"version", call.configurationVersion.count()},
                     {"confirmed_ms_before", call.confirmationAge.count()},
                     {"content", isQuarantined ? contentText(call.fingerprints) : ""}});
-    dropAttempt(call, true);
-    releaseReservations(call);
+    dropAttempt(call.current, true);
+    releaseReservations(call.current);
+    dropStalledAttempt(call);
     m_exchanges.erase(call.exchange.get());
     m_calls.erase(call.id);
 }
@@ -328,42 +371,59 @@
     EdgeCall *call = findCallByAttempt(id);
     if (!call)
         return;
-    call->answerHead = head;
-    call->answerMetadata = m_protocol->parseResponse(head);
-    if (call->isRelayed) {
-        onRelayHead(*call, now);
+    EdgeAttempt &attempt = attemptOf(*call, id);
+    attempt.answerHead = head;
+    attempt.answerMetadata = m_protocol->parseResponse(head);
+    if (attempt.isRelayed) {
+        onRelayHead(*call, attempt, now);
         return scheduleTick(now);
     }
-    applyStatements(call->upstream, call->upstreamIncarnation, call->answerMetadata, now);
-    if (call->answerMetadata.runningRequests)
-        execute(m_dispatcher.handle(
-                        dispatch::UpstreamLoadReported{call->upstream,
-                                                       *call->answerMetadata.runningRequests,
-                                                       call->answerMetadata.waitingRequests},
-                        now),
-                now);
-    const bool isFromUpstream =
-            !call->answerMetadata.isMisdirected
-            && (call->answerMetadata.isProvenRun || call->answerMetadata.isNotExecuted);
-    if (isFromUpstream && call->answerMetadata.acceptedRate)
-        execute(m_dispatcher.handle(
-                        dispatch::RateLimitStated{call->id, *call->answerMetadata.acceptedRate},
-                        now),
+    const ResponseMetadata metadata = attempt.answerMetadata;
+    const base::UpstreamId upstream = attempt.upstream;
+    applyStatements(upstream, attempt.upstreamIncarnation, metadata, now);
+    if (metadata.runningRequests)
+        execute(m_dispatcher.handle(dispatch::UpstreamLoadReported{upstream,
+                                                                   *metadata.runningRequests,
+                                                                   metadata.waitingRequests},
+                                    now),
                 now);
-    const bool isSuccess = head.status >= 200 && head.status < 300;
-    if (call->answerMetadata.isMisdirected) {
-        dropAttempt(*call, true);
-        failAttempt(*call, dispatch::AttemptFault::Misdirected, "misdirected", now);
-    } else if (call->answerMetadata.isNotExecuted) {
-        dropAttempt(*call, true);
-        failAttempt(*call, dispatch::AttemptFault::Refused, "not_run", now);
-    } else if (isSuccess && !call->answerMetadata.isProvenRun) {
-        dropAttempt(*call, false);
-        failAttempt(*call, dispatch::AttemptFault::AnswerLost, "not_genuine", now);
+    // These may have sent or ended queued calls, also the one whose stalled attempt this is.
+    call = findCallByAttempt(id);
+    if (call && !call->isStalled(attemptOf(*call, id)))
+        applyRateLimit(*call, now);
+    call = findCallByAttempt(id);
+    if (call) {
+        EdgeAttempt &answered = attemptOf(*call, id);
+        if (const auto failure = failureOfHead(answered))
+            failAttempt(*call, answered, *failure, now);
     }
     scheduleTick(now);
 }
 
+void Edge::Impl::applyRateLimit(EdgeCall &call, base::TimePoint now)
+{
+    const ResponseMetadata &metadata = call.current.answerMetadata;
+    const bool isFromUpstream =
+            !metadata.isMisdirected && (metadata.isProvenRun || metadata.isNotExecuted);
+    if (isFromUpstream && metadata.acceptedRate)
+        execute(m_dispatcher.handle(dispatch::RateLimitStated{call.id, *metadata.acceptedRate},
+                                    now),
+                now);
+}
+
+std::optional<Edge::Impl::AttemptFailure> Edge::Impl::failureOfHead(const EdgeAttempt &attempt)
+{
+    const ResponseMetadata &metadata = attempt.answerMetadata;
+    if (metadata.isMisdirected)
+        return AttemptFailure{dispatch::AttemptFault::Misdirected, "misdirected", {}, true};
+    if (metadata.isNotExecuted)
+        return AttemptFailure{dispatch::AttemptFault::Refused, "not_run", {}, true};
+    const int status = attempt.answerHead.status;
+    if (status >= 200 && status < 300 && !metadata.isProvenRun)
+        return AttemptFailure{dispatch::AttemptFault::AnswerLost, "not_genuine"};
+    return std::nullopt;
+}
+
 void Edge::Impl::applyStatements(const base::UpstreamId &upstream, base::Incarnation incarnation,
                                  const ResponseMetadata &metadata, base::TimePoint now)
 {
@@ -392,21 +452,30 @@
                       [](const auto &) {});
 }
 
-void Edge::Impl::failAttempt(EdgeCall &call, dispatch::AttemptFault fault, std::string_view reason,
-                             base::TimePoint now, std::string_view detail)
+void Edge::Impl::failAttempt(EdgeCall &call, EdgeAttempt &attempt, const AttemptFailure &failure,
+                             base::TimePoint now)
 {
-    m_metrics->count("hyssop_attempt_faults_total", {{"fault", std::string(reason)}});
+    const bool isStalled = call.isStalled(attempt);
+    m_metrics->count("hyssop_attempt_faults_total", {{"fault", std::string(failure.reason)}});
     base::logEvent("attempt_failed", {{"request", call.requestMetadata.id},
-                                      {"upstream", call.upstream},
-                                      {"fault", dispatch::attemptFaultName(fault)},
-                                      {"reason", reason},
-                                      {"detail", detail},
+                                      {"upstream", attempt.upstream},
+                                      {"fault", dispatch::attemptFaultName(failure.fault)},
+                                      {"reason", failure.reason},
+                                      {"detail", failure.detail},
                                       {"attempt", call.attemptCount},
-                                      {"status", call.answerHead.status},
+                                      {"stalled", isStalled},
+                                      {"status", attempt.answerHead.status},
                                       {"content", contentText(call.fingerprints)}});
-    execute(m_dispatcher.handle(
-                    dispatch::AttemptFailed{call.id, fault, call.answerMetadata.faultyUpstream},
-                    now),
+    dropAttempt(attempt, failure.mayFinish);
+    if (isStalled) {
+        dropStalledAttempt(call);
+        return execute(
+                m_dispatcher.handle(dispatch::StalledAttemptFailed{call.id, failure.fault}, now),
+                now);
+    }
+    execute(m_dispatcher.handle(dispatch::AttemptFailed{call.id, failure.fault,
+                                                        attempt.answerMetadata.faultyUpstream},
+                                now),
             now);
 }
 
@@ -416,40 +485,51 @@
     if (!call)
         return;
     const base::TimePoint now = base::monotonicNow();
-    const bool isEventStream = call->isStream && call->answerHead.status == 200;
-    if (isEventStream) {
-        forwardEvents(*call, data, now);
+    EdgeAttempt &attempt = attemptOf(*call, id);
+    if (call->isEventStream(attempt)) {
+        receiveEvents(*call, attempt, data, now);
     } else {
-        call->answerBody += data;
-        if (call->answerBody.size() > kMaxBufferedBytes) {
-            dropAttempt(*call, false);
-            failAttempt(*call, dispatch::AttemptFault::AnswerLost, "too_long", now);
-        }
+        attempt.answerBody += data;
+        if (attempt.answerBody.size() > kMaxBufferedBytes)
+            failAttempt(*call, attempt, {dispatch::AttemptFault::AnswerLost, "too_long"}, now);
     }
     scheduleTick(now);
 }
 
-void Edge::Impl::forwardEvents(EdgeCall &call, std::string_view data, base::TimePoint now)
+void Edge::Impl::receiveEvents(EdgeCall &call, EdgeAttempt &attempt, std::string_view data,
+                               base::TimePoint now)
 {
-    const std::string events = call.eventSplitter.append(data);
-    call.streamedBytes += data.size();
-    if (call.eventSplitter.isEventTooLong() || call.streamedBytes > kMaxStreamedBytes) {
-        dropAttempt(call, false);
-        return failAttempt(call, dispatch::AttemptFault::AnswerLost, "too_long", now);
-    }
+    const std::string events = attempt.eventSplitter.append(data);
+    attempt.streamedBytes += data.size();
+    if (attempt.eventSplitter.isEventTooLong() || attempt.streamedBytes > kMaxStreamedBytes)
+        return failAttempt(call, attempt, {dispatch::AttemptFault::AnswerLost, "too_long"}, now);
     if (events.empty())
         return;
+    if (call.isStalled(attempt))
+        reinstateStalledAttempt(call, now);
+    forwardEvents(call, events, now);
+}
+
+void Edge::Impl::reinstateStalledAttempt(EdgeCall &call, base::TimePoint now)
+{
+    execute(m_dispatcher.handle(dispatch::StalledAttemptProgressed{call.id}, now), now);
+    applyRateLimit(call, now);
+}
+
+void Edge::Impl::forwardEvents(EdgeCall &call, std::string_view events, base::TimePoint now)
+{
     if (call.firstEventAt == base::TimePoint())
         call.firstEventAt = now;
     else
         call.longestGap = std::max(call.longestGap, now - call.lastEventAt);
     call.lastEventAt = now;
     if (!call.exchange->isStarted())
-        call.exchange->start(call.answerHead.status, m_protocol->forwardedFields(call.answerHead));
+        call.exchange->start(call.current.answerHead.status,
+                             m_protocol->forwardedFields(call.current.answerHead));
     call.exchange->send(events);
     if (call.exchange->unsentBytes() > kMaxUnsentBytes) {
-        call.isPaused = true;
-        m_client.setPaused(call.attemptId, true);
+        call.current.isPaused = true;
+        m_client.setPaused(call.current.id, true);
     }
     execute(m_dispatcher.handle(dispatch::AnswerProgressed{call.id}, now), now);
 }
@@ -460,34 +540,44 @@
     if (!call)
         return;
     const base::TimePoint now = base::monotonicNow();
+    EdgeAttempt &attempt = attemptOf(*call, id);
     m_attempts.erase(id);
-    call->attemptId = {};
-    if (call->isStream && call->answerHead.status == 200)
-        finishStream(*call, now);
-    else
-        finishBuffered(*call, now);
+    attempt.id = {};
+    if (const auto failure = failureAtEnd(*call, attempt)) {
+        failAttempt(*call, attempt, *failure, now);
+    } else {
+        if (call->isStalled(attempt))
+            reinstateStalledAttempt(*call, now);
+        finishCall(*call, now);
+    }
     scheduleTick(now);
 }
 
-void Edge::Impl::finishStream(EdgeCall &call, base::TimePoint now)
+std::optional<Edge::Impl::AttemptFailure> Edge::Impl::failureAtEnd(const EdgeCall &call,
+                                                                   const EdgeAttempt &attempt)
 {
-    if (call.eventSplitter.hasPartialEvent() || !call.exchange->isStarted())
-        return failAttempt(call, dispatch::AttemptFault::AnswerLost, "cut_short", now);
-    call.exchange->finish();
-    execute(m_dispatcher.handle(dispatch::AttemptSucceeded{call.id}, now), now);
-    endCall(call, "answered", "", call.answerHead.status, now);
+    if (call.isEventStream(attempt)) {
+        if (attempt.eventSplitter.hasPartialEvent() || !call.exchange->isStarted())
+            return AttemptFailure{dispatch::AttemptFault::AnswerLost, "cut_short"};
+        return std::nullopt;
+    }
+    // The caller has the head of a stream already, whatever it is that cannot be resumed here.
+    if (attempt.answerHead.status >= 500 || call.exchange->isStarted())
+        return AttemptFailure{dispatch::AttemptFault::UpstreamError, "upstream_error"};
+    return std::nullopt;
 }
 
-void Edge::Impl::finishBuffered(EdgeCall &call, base::TimePoint now)
+void Edge::Impl::finishCall(EdgeCall &call, base::TimePoint now)
 {
-    // The caller has the head of a stream already, whatever it is that cannot be resumed here.
-    if (call.answerHead.status >= 500 || call.exchange->isStarted())
-        return failAttempt(call, dispatch::AttemptFault::UpstreamError, "upstream_error", now);
-    call.exchange->respond(call.answerHead.status, m_protocol->forwardedFields(call.answerHead),
-                           call.answerBody);
-    const bool isSuccess = call.answerHead.status >= 200 && call.answerHead.status < 300;
+    const int status = call.current.answerHead.status;
+    if (call.isEventStream(call.current))
+        call.exchange->finish();
+    else
+        call.exchange->respond(status, m_protocol->forwardedFields(call.current.answerHead),
+                               call.current.answerBody);
+    const bool isSuccess = status >= 200 && status < 300;
     execute(m_dispatcher.handle(dispatch::AttemptSucceeded{call.id, isSuccess}, now), now);
-    endCall(call, "answered", "", call.answerHead.status, now);
+    endCall(call, "answered", "", status, now);
 }
 
 void Edge::Impl::onFailed(gateway::CallId id, const gateway::CallError &error)
@@ -500,11 +590,13 @@
     if (!call)
         return;
     const base::TimePoint now = base::monotonicNow();
+    EdgeAttempt &attempt = attemptOf(*call, id);
     m_attempts.erase(id);
-    call->attemptId = {};
+    attempt.id = {};
     const auto fault =
             error.wasSent ? dispatch::AttemptFault::AnswerLost : dispatch::AttemptFault::NotSent;
-    failAttempt(*call, fault, gateway::callFailureName(error.failure), now, error.detail);
+    failAttempt(*call, attempt, {fault, gateway::callFailureName(error.failure), error.detail},
+                now);
     scheduleTick(now);
 }
 
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -260,8 +260,9 @@
 {
     const auto it = m_exchanges.find(&exchange);
     EdgeCall *call = it == m_exchanges.end() ? nullptr : findCall(it->second);
-    if (call && std::exchange(call->isPaused, false) && call->attemptId != gateway::CallId())
-        m_client.setPaused(call->attemptId, false);
+    if (call && std::exchange(call->current.isPaused, false)
+        && call->current.id != gateway::CallId())
+        m_client.setPaused(call->current.id, false);
 }
 
 void Edge::Impl::onRejected(int status, std::string_view reason)
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -40,6 +40,22 @@
 /// Hashes of content for logs.
 std::string contentText(const std::vector<fleet::Fingerprint> &fingerprints);
 
+/// An attempt at an upstream, or at another entry host that the call was relayed to.
+struct EdgeAttempt
+{
+    gateway::CallId id; ///< 0 when it has ended or none was made.
+    base::UpstreamId upstream;
+    base::Incarnation upstreamIncarnation;
+    bool isRelayed = false; ///< It is at another entry host.
+    gateway::ResponseHead answerHead;
+    ResponseMetadata answerMetadata;
+    std::string answerBody; ///< Answer that is buffered whole.
+    EventSplitter eventSplitter;
+    std::size_t streamedBytes = 0; ///< Received of a streamed answer.
+    bool isPaused = false;
+    std::vector<Reservation> reservations;
+};
+
 /// A caller's request that has not ended.
 struct EdgeCall
 {
@@ -60,18 +76,16 @@
     base::TimePoint firstEventAt{};
     base::TimePoint lastEventAt{};
     base::TimePoint::duration longestGap{}; ///< Longest time between two events.
-    // The current attempt.
-    gateway::CallId attemptId; ///< 0 when there is none.
-    base::UpstreamId upstream;
-    base::Incarnation upstreamIncarnation;
-    gateway::ResponseHead answerHead;
-    ResponseMetadata answerMetadata;
-    std::string answerBody; ///< Answer that is buffered whole.
-    EventSplitter eventSplitter;
-    std::size_t streamedBytes = 0; ///< Received of a streamed answer.
-    bool isPaused = false;
-    bool isRelayed = false; ///< The current attempt is at another entry host.
-    std::vector<Reservation> reservations;
+    EdgeAttempt current;
+    std::optional<EdgeAttempt> stalled; ///< See dispatch::KeepStalledAttempt.
+
+    /// Whether \a attempt, one of this call, has stalled and was followed by another one.
+    bool isStalled(const EdgeAttempt &attempt) const { return &attempt != &current; }
+    /// Whether the answer of \a attempt is forwarded event by event.
+    bool isEventStream(const EdgeAttempt &attempt) const
+    {
+        return isStream && attempt.answerHead.status == 200;
+    }
 };
 
 class Edge::Impl final : public gateway::CallerHandler, public gateway::ResponseHandler
@@ -134,7 +148,7 @@
     void takeOver(const std::shared_ptr<gateway::Exchange> &exchange);
     /// Begins an attempt with a request that is already addressed.
     void startAttempt(EdgeCall &call, gateway::Call request);
-    void onRelayHead(EdgeCall &call, base::TimePoint now);
+    void onRelayHead(EdgeCall &call, EdgeAttempt &attempt, base::TimePoint now);
     void executeAction(const dispatch::RelayCall &action, base::TimePoint now);
     void executeAction(const dispatch::ProbeLink &action, base::TimePoint now);
     /// Returns whether the request was a probe of links.
@@ -147,18 +161,40 @@
     /// Applies what an answer of a start of an upstream says of that upstream itself.
     void applyStatements(const base::UpstreamId &upstream, base::Incarnation incarnation,
                          const ResponseMetadata &metadata, base::TimePoint now);
+    /// Applies the rate limit that the answer of the current attempt states.
+    void applyRateLimit(EdgeCall &call, base::TimePoint now);
     void onEnd(gateway::CallId id) override;
     void onFailed(gateway::CallId id, const gateway::CallError &error) override;
-    void forwardEvents(EdgeCall &call, std::string_view data, base::TimePoint now);
-    void finishStream(EdgeCall &call, base::TimePoint now);
-    void finishBuffered(EdgeCall &call, base::TimePoint now);
-    void failAttempt(EdgeCall &call, dispatch::AttemptFault fault, std::string_view reason,
-                     base::TimePoint now, std::string_view detail = "");
+    /// Takes received bytes of an event stream and forwards the events that they complete.
+    void receiveEvents(EdgeCall &call, EdgeAttempt &attempt, std::string_view data,
+                       base::TimePoint now);
+    void forwardEvents(EdgeCall &call, std::string_view events, base::TimePoint now);
+    /// Makes the stalled attempt, which goes on, the current one.
+    void reinstateStalledAttempt(EdgeCall &call, base::TimePoint now);
+    /// Ends the call with the complete answer of its current attempt.
+    void finishCall(EdgeCall &call, base::TimePoint now);
+    /// What makes an attempt fail.
+    struct AttemptFailure
+    {
+        dispatch::AttemptFault fault;
+        std::string_view reason;
+        std::string_view detail = {};
+        bool mayFinish = false; ///< The rest of its answer may be read, to reuse the connection.
+    };
+    static std::optional<AttemptFailure> failureOfHead(const EdgeAttempt &attempt);
+    /// Failure that shows once an answer is complete according to its framing.
+    static std::optional<AttemptFailure> failureAtEnd(const EdgeCall &call,
+                                                      const EdgeAttempt &attempt);
+    /// Drops an attempt and lets the dispatcher decide what becomes of the call.
+    void failAttempt(EdgeCall &call, EdgeAttempt &attempt, const AttemptFailure &failure,
+                     base::TimePoint now);
     /// This host's share of the connections to an upstream that may be idle.
     std::size_t maxIdleConnections(const base::ServiceId &service) const;
     /// Discards the rest of an answer that is not needed. Closes the connection unless \a
     /// mayFinish.
-    void dropAttempt(EdgeCall &call, bool mayFinish);
+    void dropAttempt(EdgeAttempt &attempt, bool mayFinish);
+    /// Closes the connection of the stalled attempt, if there is one, and releases its memory.
+    void dropStalledAttempt(EdgeCall &call);
 
     // Actions of the dispatcher.
     void execute(const dispatch::Actions &actions, base::TimePoint now);
@@ -166,6 +202,9 @@
     void executeAction(const dispatch::ReleaseMemory &action, base::TimePoint now);
     void executeAction(const dispatch::SendAttempt &action, base::TimePoint now);
     void executeAction(const dispatch::CancelAttempt &action, base::TimePoint now);
+    void executeAction(const dispatch::KeepStalledAttempt &action, base::TimePoint now);
+    void executeAction(const dispatch::ReinstateAttempt &action, base::TimePoint now);
+    void executeAction(const dispatch::CancelStalledAttempt &action, base::TimePoint now);
     void executeAction(const dispatch::RejectCall &action, base::TimePoint now);
     void executeAction(const dispatch::FailCall &action, base::TimePoint now);
     void executeAction(const dispatch::ForwardUpstreamError &action, base::TimePoint now);
@@ -196,12 +235,14 @@
     void scheduleTick(base::TimePoint now);
     EdgeCall *findCall(dispatch::CallId id);
     EdgeCall *findCallByAttempt(gateway::CallId id);
+    /// The attempt \a id of \a call.
+    static EdgeAttempt &attemptOf(EdgeCall &call, gateway::CallId id);
 
     // Memory at engines.
     void sendReservationRequest(const Reservation &reservation, const EngineRequest &engineRequest,
                                 dispatch::CallId call);
     void onReservationAnswer(gateway::CallId id, bool isReserved);
-    void releaseReservations(EdgeCall &call);
+    void releaseReservations(EdgeAttempt &attempt);
     void renewReservations();
 
     // Fleet.
--- a/libs/edge/src/Memory.cpp
+++ b/libs/edge/src/Memory.cpp
@@ -49,12 +49,12 @@
         // Ids are never reused, so that a delayed request cannot affect another call.
         const std::string id = m_options.host.text() + "-" + std::to_string(m_startId) + "-"
                                + std::to_string(++m_lastReservationId);
-        call.reservations.push_back({id, it.upstream, it.kvTokens, false});
+        call.current.reservations.push_back({id, it.upstream, it.kvTokens, false});
         base::logEvent("memory_asked", {{"request", call.requestMetadata.id},
                                         {"upstream", it.upstream.id},
                                         {"reservation", id},
                                         {"tokens", it.kvTokens.count()}});
-        sendReservationRequest(call.reservations.back(),
+        sendReservationRequest(call.current.reservations.back(),
                                m_protocol->reserveRequest(id, it.kvTokens, kReservationHold),
                                call.id);
     }
@@ -63,12 +63,12 @@
 void Edge::Impl::executeAction(const dispatch::ReleaseMemory &action, base::TimePoint)
 {
     if (EdgeCall *call = findCall(action.call))
-        releaseReservations(*call);
+        releaseReservations(call->current);
 }
 
-void Edge::Impl::releaseReservations(EdgeCall &call)
+void Edge::Impl::releaseReservations(EdgeAttempt &attempt)
 {
-    for (const Reservation &it : std::exchange(call.reservations, {}))
+    for (const Reservation &it : std::exchange(attempt.reservations, {}))
         sendReservationRequest(it, m_protocol->releaseRequest(it.id), dispatch::CallId());
 }
 
@@ -80,9 +80,9 @@
     if (!call)
         return;
     const auto it = std::find_if(
-            call->reservations.begin(), call->reservations.end(),
+            call->current.reservations.begin(), call->current.reservations.end(),
             [&pending](const Reservation &r) { return r.id == pending.reservationId; });
-    if (it == call->reservations.end())
+    if (it == call->current.reservations.end())
         return;
     const base::TimePoint now = base::monotonicNow();
     base::logEvent("memory_answered", {{"request", call->requestMetadata.id},
@@ -90,8 +90,9 @@
                                        {"reservation", it->id},
                                        {"reserved", isReserved}});
     it->isHeld = isReserved;
-    const bool areAllHeld = std::all_of(call->reservations.begin(), call->reservations.end(),
-                                        [](const Reservation &r) { return r.isHeld; });
+    const bool areAllHeld =
+            std::all_of(call->current.reservations.begin(), call->current.reservations.end(),
+                        [](const Reservation &r) { return r.isHeld; });
     if (!isReserved || areAllHeld)
         execute(m_dispatcher.handle(dispatch::ReservationDone{pending.call, isReserved}, now), now);
     scheduleTick(now);
@@ -99,13 +100,18 @@
 
 void Edge::Impl::renewReservations()
 {
-    for (const auto &[id, call] : m_calls) {
-        for (const Reservation &it : call.reservations) {
+    const auto renew = [this](const EdgeAttempt &attempt) {
+        for (const Reservation &it : attempt.reservations) {
             if (it.isHeld)
                 sendReservationRequest(
                         it, m_protocol->reserveRequest(it.id, it.kvTokens, kReservationHold),
                         dispatch::CallId());
         }
+    };
+    for (const auto &[id, call] : m_calls) {
+        renew(call.current);
+        if (call.stalled)
+            renew(*call.stalled);
     }
 }
 
--- a/libs/edge/src/Relays.cpp
+++ b/libs/edge/src/Relays.cpp
@@ -50,7 +50,7 @@
     EdgeCall &call = *findCall(action.call);
     std::optional<std::string> resumeAfter;
     if (action.isResume)
-        resumeAfter = call.eventSplitter.lastEventId();
+        resumeAfter = call.current.eventSplitter.lastEventId();
     gateway::Call request;
     request.upstream = base::UpstreamId(action.peer.text());
     request.to = action.peer;
@@ -63,8 +63,8 @@
     // A kept-alive connection may close during a request, which then must not be sent again.
     request.canReuseConnection = call.isStream || call.exchange->head().method == "GET";
     request.maxIdleConnections = kMaxIdleRelayConnections;
-    call.upstream = request.upstream;
-    call.isRelayed = true;
+    call.current.upstream = request.upstream;
+    call.current.isRelayed = true;
     startAttempt(call, std::move(request));
     m_metrics->count("hyssop_relayed_calls_total");
     base::logEvent("call_relayed", {{"request", call.requestMetadata.id},
@@ -94,24 +94,32 @@
     scheduleTick(now);
 }
 
-void Edge::Impl::onRelayHead(EdgeCall &call, base::TimePoint now)
+void Edge::Impl::onRelayHead(EdgeCall &call, EdgeAttempt &attempt, base::TimePoint now)
 {
-    if (call.answerMetadata.isProvenRun)
+    if (attempt.answerMetadata.isProvenRun)
         return;
-    const int status = call.answerHead.status;
-    const bool isDeclined = gateway::fieldValue(call.answerHead.fields, kDeclinedField).has_value()
-                            || (status >= 400 && status < 500 && status != 429);
-    const bool isRejected = status == 429 || status == 503;
-    dropAttempt(call, isDeclined || isRejected);
+    const int status = attempt.answerHead.status;
+    const bool isDeclined =
+            gateway::fieldValue(attempt.answerHead.fields, kDeclinedField).has_value()
+            || (status >= 400 && status < 500 && status != 429);
     if (isDeclined)
-        return failAttempt(call, dispatch::AttemptFault::Refused, "declined", now);
+        return failAttempt(call, attempt, {dispatch::AttemptFault::Refused, "declined", {}, true},
+                           now);
     if (status < 400)
-        return failAttempt(call, dispatch::AttemptFault::AnswerLost, "not_genuine", now);
+        return failAttempt(call, attempt, {dispatch::AttemptFault::AnswerLost, "not_genuine"}, now);
+    const bool isRejected = status == 429 || status == 503;
+    if (call.isStalled(attempt))
+        return failAttempt(call, attempt,
+                           {isRejected ? dispatch::AttemptFault::Refused
+                                       : dispatch::AttemptFault::UpstreamError,
+                            "relay_rejected"},
+                           now);
+    dropAttempt(attempt, isRejected);
     base::logEvent(
             "relay_rejected",
-            {{"request", call.requestMetadata.id}, {"by", call.upstream}, {"status", status}});
+            {{"request", call.requestMetadata.id}, {"by", attempt.upstream}, {"status", status}});
     execute(m_dispatcher.handle(
-                    dispatch::RelayRejected{call.id, call.answerMetadata.backOff, !isRejected},
+                    dispatch::RelayRejected{call.id, attempt.answerMetadata.backOff, !isRejected},
                     now),
             now);
 }
