gateway: Exchanges may outlive their server; the stand-in replica keeps those that crash it

Seen: test-crashes failed on (13 arrivals of 3 allowed; 7 crashes): the stand-in replica forgot the exchange of a request that is to crash it, so that its connection now ended 25 ms before the crash, while it still listened, and the entry host's probe found it alive.

A handler that owns its exchanges may drop them after the server is gone, while a pending operation still holds the connection; the connection then used the destroyed server. The server closes its connections first now.

--- a/integration/platform/Replica.cpp
+++ b/integration/platform/Replica.cpp
@@ -174,13 +174,15 @@
 void Replica::crashOnRequest(const std::shared_ptr<gateway::Exchange> &exchange)
 {
     const std::string id = fieldOf(*exchange, "Request-Id");
+    m_unanswered.push_back(exchange);
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, kRunBeforeCrash);
-    timer->async_wait([this, timer, exchange, id](boost::system::error_code) { crash(id); });
+    timer->async_wait([this, timer, id](boost::system::error_code) { crash(id); });
 }
 
 void Replica::crashOnStream(const std::shared_ptr<gateway::Exchange> &exchange)
 {
     const std::string id = fieldOf(*exchange, "Request-Id");
+    m_unanswered.push_back(exchange);
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, kPrefillBeforeCrash);
     timer->async_wait([this, timer, exchange, id](boost::system::error_code) {
         exchange->start(200, withLimit({{"Request-Id", id},
--- a/integration/platform/Replica.h
+++ b/integration/platform/Replica.h
@@ -99,6 +99,8 @@
     base::Rng m_rng;
     boost::asio::io_context m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    /// Requests that crash it. Their connections end with it.
+    std::vector<std::shared_ptr<gateway::Exchange>> m_unanswered;
     gateway::Server m_server;
     mutable std::mutex m_mutex;
     std::vector<gateway::RequestHead> m_seen;
--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -182,6 +182,21 @@
     read();
 }
 
+void CallerConnection::abandonResponse(std::string_view target, std::string_view reason)
+{
+    if (m_state == State::Closed)
+        return;
+    base::logEvent("response_abandoned", {{"target", target}, {"reason", reason}});
+    endResponse(ResponseEnd::Abandoned);
+}
+
+void CallerConnection::detach()
+{
+    m_state = State::Closed;
+    boost::system::error_code ec;
+    m_socket.close(ec);
+}
+
 void CallerConnection::startClosing()
 {
     m_state = State::Closing;
--- a/libs/gateway/src/CallerConnection.h
+++ b/libs/gateway/src/CallerConnection.h
@@ -38,12 +38,16 @@
     /// Closes the connection or rejects the request if the timeout of the current state is over.
     void checkTimeouts(base::TimePoint now);
     bool isIdle() const { return m_state == State::Idle; }
+    /// Closes the connection without any event, before the server is destroyed.
+    void detach();
     void close();
 
     // For the exchange.
     void write(std::string_view data);
     /// Ends the response. Closes the connection at once if it is incomplete.
     void endResponse(ResponseEnd end);
+    /// Ends a response that cannot be completed and logs why.
+    void abandonResponse(std::string_view target, std::string_view reason);
     std::size_t unsentBytes() const { return m_output.size() + m_writeBuffer.size(); }
     bool shouldCloseAfterResponse() const;
     void beginResponse() { m_hasCloseHeader = shouldCloseAfterResponse(); }
--- a/libs/gateway/src/Exchange.cpp
+++ b/libs/gateway/src/Exchange.cpp
@@ -22,9 +22,7 @@
     const auto connection = m_connection.lock();
     if (!connection || std::exchange(m_isEnded, true))
         return;
-    base::logEvent("response_abandoned",
-                   {{"target", m_head.target}, {"reason", reason}, {"started", m_isStarted}});
-    connection->endResponse(ResponseEnd::Abandoned);
+    connection->abandonResponse(m_head.target, reason);
 }
 
 void Exchange::respond(int status, const Fields &fields, std::string_view body)
--- a/libs/gateway/src/Server.cpp
+++ b/libs/gateway/src/Server.cpp
@@ -26,6 +26,14 @@
         scheduleTimeoutCheck();
     }
 
+    ~Impl()
+    {
+        // Exchanges and pending operations may outlive the server.
+        m_listeners.clear();
+        for (const auto &connection : m_shared.connections)
+            connection->detach();
+    }
+
     tl::expected<base::Endpoint, ListenError> listen(const base::Endpoint &address)
     {
         boost::system::error_code ec;
--- a/libs/gateway/tests/GatewayTest.cpp
+++ b/libs/gateway/tests/GatewayTest.cpp
@@ -46,6 +46,8 @@
     void onDrained(Exchange &) override { }
     void onRejected(int status, std::string_view) override { rejectedStatus = status; }
 
+    std::shared_ptr<Exchange> lastUnanswered() const { return m_unanswered.back(); }
+
     int disconnectCount = 0;
     int rejectedStatus = 0;
 
@@ -301,6 +303,18 @@
     CHECK(fixture.server.connectionCount() == 0);
 }
 
+TEST_CASE("an exchange may outlive its server")
+{
+    auto fixture = std::make_unique<ServerFixture>();
+    boost::asio::write(fixture->socket,
+                       boost::asio::buffer(std::string("GET /hang HTTP/1.1\r\nHost: h\r\n\r\n")));
+    fixture->io.run_for(base::Millis(50));
+    const std::shared_ptr<Exchange> exchange = fixture->echo.lastUnanswered();
+    REQUIRE(exchange);
+    fixture.reset();
+    exchange->respond(200, {}, "late");
+}
+
 TEST_CASE("a response that begins anew in the midst of a streamed one breaks it off")
 {
     ServerFixture fixture;
