--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -260,8 +260,9 @@
 {
     const auto it = m_exchanges.find(&exchange);
     EdgeCall *call = it == m_exchanges.end() ? nullptr : findCall(it->second);
-    if (call && std::exchange(call->isPaused, false) && call->attemptId != gateway::CallId())
-        m_client.setPaused(call->attemptId, false);
+    if (call && std::exchange(call->current.isPaused, false)
+        && call->current.id != gateway::CallId())
+        m_client.setPaused(call->current.id, false);
 }
 
 void Edge::Impl::onRejected(int status, std::string_view reason)
@@ -463,7 +464,14 @@
     const bool isNoticeOver = now >= *m_stopRequestedAt + kStopNoticeTime;
     const bool isTimeUp = now >= *m_stopRequestedAt + m_options.stopTimeout - kStopMargin;
     if (isTimeUp || (isNoticeOver && m_calls.empty())) {
-        base::logEvent("stopped", {{"calls", m_calls.size()}});
+        const gateway::Server::Stats &stats = m_server.stats();
+        base::logEvent("stopped", {{"calls", m_calls.size()},
+                                   {"requests", stats.requests},
+                                   {"answered", stats.answered},
+                                   {"broken_off", stats.brokenOff},
+                                   {"abandoned", stats.abandoned},
+                                   {"caller_left", stats.disconnected},
+                                   {"open", stats.open()}});
         m_watcher->stop();
         m_server.closeIdle();
         m_relayServer.closeIdle();
@@ -493,6 +501,14 @@
                    m_routeTable ? static_cast<double>(m_routeTable->version().count()) : 0);
     m_metrics->set("hyssop_configuration_age_seconds",
                    static_cast<double>(m_freshness.confirmationAge(now).count()) / 1e3);
+    const gateway::Server::Stats &requests = m_server.stats();
+    m_metrics->set("hyssop_caller_requests", static_cast<double>(requests.requests));
+    m_metrics->set("hyssop_caller_requests_answered", static_cast<double>(requests.answered));
+    m_metrics->set("hyssop_caller_requests_broken_off", static_cast<double>(requests.brokenOff));
+    m_metrics->set("hyssop_caller_requests_abandoned",
+                   static_cast<double>(requests.abandoned + m_relayServer.stats().abandoned));
+    m_metrics->set("hyssop_caller_requests_left", static_cast<double>(requests.disconnected));
+    m_metrics->set("hyssop_caller_requests_open", static_cast<double>(requests.open()));
     const auto &client = m_client.stats();
     m_metrics->set("hyssop_upstream_connects", static_cast<double>(client.connects));
     m_metrics->set("hyssop_upstream_reuses", static_cast<double>(client.reuses));
--- a/libs/gateway/src/Server.cpp
+++ b/libs/gateway/src/Server.cpp
@@ -26,6 +26,14 @@
         scheduleTimeoutCheck();
     }
 
+    ~Impl()
+    {
+        // Exchanges and pending operations may outlive the server.
+        m_listeners.clear();
+        for (const auto &connection : m_shared.connections)
+            connection->detach();
+    }
+
     tl::expected<base::Endpoint, ListenError> listen(const base::Endpoint &address)
     {
         boost::system::error_code ec;
@@ -142,6 +150,11 @@
     m_impl->closeIdle();
 }
 
+const Server::Stats &Server::stats() const
+{
+    return m_impl->m_shared.stats;
+}
+
 std::size_t Server::connectionCount() const
 {
     return m_impl->m_shared.connections.size();
