gateway: A shorter idle timeout applies to connections that become idle after it

Callers would see: a request on a kept connection got neither an answer nor a refusal, beside a change of the configuration.

Cause: a configuration with a shorter idle timeout applied at once, also to connections that became idle under the old one. Their callers reuse them for up to four fifths of the old timeout, and the request met the close.

Evidence: the first new test failed before: a connection that was idle for 1.0 s under a timeout of 1.5 s was closed by one of 50 ms (TimeoutTest.cpp: exchange() got no response). The second one, that a longer timeout applies at once, passed before.

Now a connection keeps the longest idle timeout that was set since it became idle.

--- a/libs/gateway/include/gateway/Gateway.h
+++ b/libs/gateway/include/gateway/Gateway.h
@@ -152,7 +152,8 @@
     /// Listens on \a address, one of several. Port 0 selects a free port. Returns the address with
     /// the actual port.
     tl::expected<base::Endpoint, ListenError> listen(const base::Endpoint &address);
-    /// Sets the limits. Sizes apply from the next request on, timeouts at once.
+    /// Sets the limits. Sizes apply from the next request on, timeouts at once. A connection that is
+    /// idle keeps the longest idle timeout since it became so.
     void setLimits(const ServerLimits &limits);
     /// Sends "Connection: close" in all responses that start from now on, and closes their
     /// connections afterwards.
--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
+
 namespace hyssop::gateway {
 
 namespace {
@@ -26,10 +28,22 @@
 {
     boost::system::error_code ec;
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
-    m_stateSince = now;
+    becomeIdle(now);
     read();
 }
 
+void CallerConnection::becomeIdle(base::TimePoint now)
+{
+    m_state = State::Idle;
+    m_stateSince = now;
+    m_idleTimeout = m_server->limits.idleTimeout;
+}
+
+void CallerConnection::extendIdleTimeout()
+{
+    m_idleTimeout = std::max(m_idleTimeout, m_server->limits.idleTimeout);
+}
+
 void CallerConnection::read()
 {
     if (m_isReading || m_state == State::Closed || m_input.size() > kMaxPipelinedBytes)
@@ -170,8 +184,7 @@
     }
     if (m_hasCloseHeader)
         return startClosing();
-    m_state = State::Idle;
-    m_stateSince = base::monotonicNow();
+    becomeIdle(base::monotonicNow());
     if (!m_input.empty()) {
         // Posted, because the handler that ended the response may not expect another request yet.
         boost::asio::post(*m_server->io, [self = shared_from_this()] {
@@ -201,7 +214,7 @@
     const auto elapsed = now - m_stateSince;
     switch (m_state) {
     case State::Idle:
-        if (elapsed >= limits.idleTimeout)
+        if (elapsed >= m_idleTimeout)
             startClosing();
         break;
     case State::ReadingHeaders:
--- a/libs/gateway/src/CallerConnection.h
+++ b/libs/gateway/src/CallerConnection.h
@@ -37,6 +37,8 @@
     void open(base::TimePoint now);
     /// Closes the connection or rejects the request if the timeout of the current state is over.
     void checkTimeouts(base::TimePoint now);
+    /// Adopts the idle timeout that is set if it is longer than the one that it became idle under.
+    void extendIdleTimeout();
     bool isIdle() const { return m_state == State::Idle; }
     void close();
 
@@ -61,11 +63,14 @@
     void reject(int status, std::string_view reason);
     void flush();
     void startClosing();
+    void becomeIdle(base::TimePoint now);
 
     Server::Shared *m_server;
     boost::asio::ip::tcp::socket m_socket;
     State m_state = State::Idle;
     base::TimePoint m_stateSince; ///< Start of the current state.
+    /// Longest one that was set since the connection became idle. Its caller may know only that.
+    base::Millis m_idleTimeout{0};
     base::TimePoint m_firstByteAt;
     std::unique_ptr<Parser<true>> m_parser;
     std::weak_ptr<Exchange> m_exchange; ///< While its response has not ended.
--- a/libs/gateway/src/Server.cpp
+++ b/libs/gateway/src/Server.cpp
@@ -130,6 +130,8 @@
 void Server::setLimits(const ServerLimits &limits)
 {
     m_impl->m_shared.limits = limits;
+    for (const auto &connection : m_impl->m_shared.connections)
+        connection->extendIdleTimeout();
 }
 
 void Server::announceClose()
