gateway: A request that crosses the close of an idle connection is not read

Callers would see: a request was sent whole and accepted by the host, and the connection ended without a response a second later. A caller cannot tell that from a request that ran, so it may not repeat it.

Cause: an idle connection was closed like one whose last response is on its way: the sending side was shut down, and what arrived was read and dropped for one second.

Evidence: the new test failed before: a second write of the caller after the close still succeeded, and the server still had the connection (connectionCount() 1 == 0).

An idle connection has nothing on its way, as its last response went out long ago. It is now closed at once, so a request that crosses the close meets a reset, which tells its caller that nobody read it.

--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -214,8 +214,10 @@
     const auto elapsed = now - m_stateSince;
     switch (m_state) {
     case State::Idle:
+        // Without lingering, which would read a request that crosses the close. The reset that such
+        // a request gets instead tells its caller that nobody read it.
         if (elapsed >= m_idleTimeout)
-            startClosing();
+            close();
         break;
     case State::ReadingHeaders:
         if (elapsed >= limits.headerTimeout)
