gateway: Timeouts of callers are judged after what has arrived is read

Callers would see: after their host stood still for a while, a request that had reached it within the timeout was cut without a response, or got 408 although its headers had arrived.

Cause: after a pause the timer of the timeouts is due at once, and its check ran before the sockets were read. The loop learns of some 128 sockets in a turn, the timer among the first, so this takes many connections or a timer that was due before the requests arrived.

--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -28,15 +28,17 @@
 {
     boost::system::error_code ec;
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
-    becomeIdle(now);
+    setState(State::Idle, now);
     read();
 }
 
-void CallerConnection::becomeIdle(base::TimePoint now)
+void CallerConnection::setState(State state, base::TimePoint now)
 {
-    m_state = State::Idle;
+    m_state = state;
     m_stateSince = now;
-    m_idleTimeout = m_server->limits.idleTimeout;
+    m_isTimeoutOver = false;
+    if (state == State::Idle)
+        m_idleTimeout = m_server->limits.idleTimeout;
 }
 
 void CallerConnection::extendIdleTimeout()
@@ -76,8 +78,7 @@
         m_parser = std::make_unique<Parser<true>>();
         m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes));
         m_parser->body_limit(m_server->limits.maxBodyBytes);
-        m_state = State::ReadingHeaders;
-        m_stateSince = now;
+        setState(State::ReadingHeaders, now);
         m_firstByteAt = now;
         m_expectsContinue = false;
     }
@@ -92,8 +93,7 @@
         return reject(400, ec.message());
     }
     if (m_state == State::ReadingHeaders && m_parser->is_header_done()) {
-        m_state = State::ReadingBody;
-        m_stateSince = now;
+        setState(State::ReadingBody, now);
         const auto expect = fieldValue(m_parser->fields, "expect");
         if (!m_parser->is_done() && expect && equalsIgnoreCase(*expect, "100-continue")) {
             m_output += "HTTP/1.1 100 Continue\r\n\r\n";
@@ -106,8 +106,7 @@
 
 void CallerConnection::deliverRequest(base::TimePoint now)
 {
-    m_state = State::Responding;
-    m_stateSince = now;
+    setState(State::Responding, now);
     m_acceptsChunks = m_parser->version >= 11;
     m_isKeepAlive = m_parser->keep_alive() && m_acceptsChunks;
     RequestHead head{std::move(m_parser->method), std::move(m_parser->target),
@@ -184,7 +183,7 @@
     }
     if (m_hasCloseHeader)
         return startClosing();
-    becomeIdle(base::monotonicNow());
+    setState(State::Idle, base::monotonicNow());
     if (!m_input.empty()) {
         // Posted, because the handler that ended the response may not expect another request yet.
         boost::asio::post(*m_server->io, [self = shared_from_this()] {
@@ -197,8 +196,7 @@
 
 void CallerConnection::startClosing()
 {
-    m_state = State::Closing;
-    m_stateSince = base::monotonicNow();
+    setState(State::Closing, base::monotonicNow());
     m_input.clear();
     if (m_writeBuffer.empty() && m_output.empty()) {
         boost::system::error_code ec;
@@ -208,33 +206,48 @@
     read();
 }
 
-void CallerConnection::checkTimeouts(base::TimePoint now)
+std::optional<base::Millis> CallerConnection::timeout() const
 {
-    const ServerLimits &limits = m_server->limits;
-    const auto elapsed = now - m_stateSince;
     switch (m_state) {
     case State::Idle:
-        // Without lingering, which would read a request that crosses the close. The reset that such
-        // a request gets instead tells its caller that nobody read it.
-        if (elapsed >= m_idleTimeout)
-            close();
-        break;
+        return m_idleTimeout;
     case State::ReadingHeaders:
-        if (elapsed >= limits.headerTimeout)
-            reject(408, "headers too slow");
-        break;
+        return m_server->limits.headerTimeout;
     case State::ReadingBody:
-        if (elapsed >= limits.bodyTimeout)
-            reject(408, "body too slow");
-        break;
+        return m_server->limits.bodyTimeout;
     case State::Closing:
-        if (elapsed >= kLingerTimeout)
-            close();
-        break;
+        return kLingerTimeout;
     case State::Responding:
     case State::Closed:
         break;
     }
+    return std::nullopt;
+}
+
+bool CallerConnection::hasUnreadData() const
+{
+    boost::system::error_code ec;
+    return m_socket.available(ec) > 0;
+}
+
+void CallerConnection::checkTimeouts(base::TimePoint now)
+{
+    const auto limit = timeout();
+    const bool isOver = limit && now - m_stateSince >= *limit;
+    if (!std::exchange(m_isTimeoutOver, isOver) || !isOver)
+        return;
+    if (m_state != State::Closing && hasUnreadData())
+        return;
+    switch (m_state) {
+    case State::ReadingHeaders:
+        return reject(408, "headers too slow");
+    case State::ReadingBody:
+        return reject(408, "body too slow");
+    default:
+        // An idle connection does not linger, which would read a request that crosses the close.
+        // The reset that such a request gets instead tells its caller that nobody read it.
+        close();
+    }
 }
 
 void CallerConnection::close()
--- a/libs/gateway/src/CallerConnection.h
+++ b/libs/gateway/src/CallerConnection.h
@@ -35,7 +35,9 @@
     CallerConnection(Server::Shared *server, boost::asio::ip::tcp::socket socket);
 
     void open(base::TimePoint now);
-    /// Closes the connection or rejects the request if the timeout of the current state is over.
+    /// Closes the connection or rejects the request if the timeout of the current state was over at
+    /// the last check too and nothing has arrived since. After the host stood still, timers are due
+    /// before what arrived is read.
     void checkTimeouts(base::TimePoint now);
     /// Adopts the idle timeout that is set if it is longer than the one that it became idle under.
     void extendIdleTimeout();
@@ -63,12 +65,16 @@
     void reject(int status, std::string_view reason);
     void flush();
     void startClosing();
-    void becomeIdle(base::TimePoint now);
+    void setState(State state, base::TimePoint now);
+    /// Time after which the current state ends by itself, or nothing.
+    std::optional<base::Millis> timeout() const;
+    bool hasUnreadData() const;
 
     Server::Shared *m_server;
     boost::asio::ip::tcp::socket m_socket;
     State m_state = State::Idle;
     base::TimePoint m_stateSince; ///< Start of the current state.
+    bool m_isTimeoutOver = false; ///< At the last check.
     /// Longest one that was set since the connection became idle. Its caller may know only that.
     base::Millis m_idleTimeout{0};
     base::TimePoint m_firstByteAt;
--- a/libs/gateway/tests/TimeoutTest.cpp
+++ b/libs/gateway/tests/TimeoutTest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace hyssop;
 using namespace hyssop::gateway;
 using base::Millis;
@@ -73,3 +75,35 @@
     CHECK((end == boost::asio::error::broken_pipe || end == boost::asio::error::connection_reset));
     CHECK(fixture.server.connectionCount() == 0);
 }
+
+TEST_CASE("requests that arrived while the host stood still are served, whatever the time since")
+{
+    // More than the loop learns of in one turn.
+    constexpr int kCallers = 300;
+    const bool hasBegun = GENERATE(false, true);
+    CAPTURE(hasBegun);
+    ServerFixture fixture;
+    ServerLimits limits;
+    limits.idleTimeout = Millis(400);
+    limits.headerTimeout = Millis(400);
+    fixture.server.setLimits(limits);
+    std::vector<tcp::socket> callers;
+    for (int n = 0; n < kCallers; ++n) {
+        callers.emplace_back(fixture.io);
+        callers.back().connect(
+                {boost::asio::ip::make_address(fixture.address.address), fixture.address.port});
+    }
+    const std::size_t split = hasBegun ? 10 : 0;
+    for (tcp::socket &it : callers)
+        boost::asio::write(it, boost::asio::buffer(kRequest.substr(0, split)));
+    fixture.io.run_for(Millis(50));
+    REQUIRE(fixture.server.connectionCount() == kCallers + 1);
+    // The timer of the server is due before the requests arrive.
+    std::this_thread::sleep_for(Millis(300));
+    for (tcp::socket &it : callers)
+        boost::asio::write(it, boost::asio::buffer(kRequest.substr(split)));
+    std::this_thread::sleep_for(Millis(400));
+    fixture.io.run_for(Millis(100));
+    CHECK(fixture.server.stats().answered == kCallers);
+    CHECK(fixture.echo.rejectedStatus == 0);
+}
