gateway: A caller that is slow to take its last response is not cut

Callers would see: the end of a large or streamed response is missing when the response carries "Connection: close", as all do while a host stops, and the caller takes longer than a second to read it. A response on a kept connection was cut in the same way when reading it took longer than the idle timeout.

Cause: the time to linger counted from the end of the response in the books, although a part of it still waited to be written; the idle timeout likewise.

Now both times count from the last write that the socket took.

--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -1,6 +1,6 @@
 #include "CallerConnection.h"
 
-#include <boost/asio/write.hpp>
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
@@ -36,6 +36,7 @@
 {
     m_state = state;
     m_stateSince = now;
+    m_progressAt = now;
     m_isTimeoutOver = false;
     if (state == State::Idle)
         m_idleTimeout = m_server->limits.idleTimeout;
@@ -146,14 +147,25 @@
     if (!m_writeBuffer.empty() || m_output.empty() || m_state == State::Closed)
         return;
     m_writeBuffer.swap(m_output);
-    boost::asio::async_write(
-            m_socket, boost::asio::buffer(m_writeBuffer),
-            [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
+    m_writtenBytes = 0;
+    writeSome();
+}
+
+void CallerConnection::writeSome()
+{
+    m_socket.async_write_some(
+            boost::asio::buffer(m_writeBuffer) + m_writtenBytes,
+            [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
                 if (self->m_state == State::Closed)
                     return;
                 if (ec)
                     return self->close();
+                self->m_writtenBytes += n;
+                self->m_progressAt = base::monotonicNow();
+                if (self->m_writtenBytes < self->m_writeBuffer.size())
+                    return self->writeSome();
                 self->m_writeBuffer.clear();
+                self->m_writtenBytes = 0;
                 if (!self->m_output.empty())
                     return self->flush();
                 if (self->m_state == State::Closing) {
@@ -216,7 +228,8 @@
     case State::ReadingBody:
         return m_server->limits.bodyTimeout;
     case State::Closing:
-        return kLingerTimeout;
+        // A caller may take longer to read the response than to close the connection afterwards.
+        return unsentBytes() > 0 ? m_server->limits.idleTimeout : kLingerTimeout;
     case State::Responding:
     case State::Closed:
         break;
@@ -233,7 +246,9 @@
 void CallerConnection::checkTimeouts(base::TimePoint now)
 {
     const auto limit = timeout();
-    const bool isOver = limit && now - m_stateSince >= *limit;
+    const bool isReading = m_state == State::ReadingHeaders || m_state == State::ReadingBody;
+    const base::TimePoint since = isReading ? m_stateSince : m_progressAt;
+    const bool isOver = limit && now - since >= *limit;
     if (!std::exchange(m_isTimeoutOver, isOver) || !isOver)
         return;
     if (m_state != State::Closing && hasUnreadData())
--- a/libs/gateway/src/CallerConnection.h
+++ b/libs/gateway/src/CallerConnection.h
@@ -48,7 +48,10 @@
     void write(std::string_view data);
     /// Ends the response. Closes the connection at once if it is incomplete.
     void endResponse(ResponseEnd end);
-    std::size_t unsentBytes() const { return m_output.size() + m_writeBuffer.size(); }
+    std::size_t unsentBytes() const
+    {
+        return m_output.size() + m_writeBuffer.size() - m_writtenBytes;
+    }
     bool shouldCloseAfterResponse() const;
     void beginResponse() { m_hasCloseHeader = shouldCloseAfterResponse(); }
     bool hasCloseHeader() const { return m_hasCloseHeader; }
@@ -64,6 +67,7 @@
     void deliverRequest(base::TimePoint now);
     void reject(int status, std::string_view reason);
     void flush();
+    void writeSome();
     void startClosing();
     void setState(State state, base::TimePoint now);
     /// Time after which the current state ends by itself, or nothing.
@@ -74,6 +78,7 @@
     boost::asio::ip::tcp::socket m_socket;
     State m_state = State::Idle;
     base::TimePoint m_stateSince; ///< Start of the current state.
+    base::TimePoint m_progressAt; ///< Start of the current state, or last write in it.
     bool m_isTimeoutOver = false; ///< At the last check.
     /// Longest one that was set since the connection became idle. Its caller may know only that.
     base::Millis m_idleTimeout{0};
@@ -84,6 +89,7 @@
     std::string m_input;
     std::string m_output;
     std::string m_writeBuffer;
+    std::size_t m_writtenBytes = 0; ///< Of the write buffer.
     bool m_isReading = false;
     bool m_isKeepAlive = true;
     bool m_hasCloseHeader = false;
--- a/libs/gateway/tests/ServerFixture.h
+++ b/libs/gateway/tests/ServerFixture.h
@@ -9,6 +9,9 @@
 
 namespace hyssop::gateway {
 
+/// Length of the response to /large, more than the sockets hold.
+inline constexpr std::size_t kLargeBytes = std::size_t(24) << 20;
+
 /// Echoes method and body of each request. Streams the response to /stream, never responds to
 /// /hang, drops the exchange of /dropped and sends a second response to /twice.
 class EchoHandler final : public CallerHandler
@@ -20,6 +23,8 @@
             return m_unanswered.push_back(exchange);
         if (exchange->head().target == "/dropped")
             return;
+        if (exchange->head().target == "/large")
+            return exchange->respond(200, {}, std::string(kLargeBytes, 'x'));
         if (exchange->head().target == "/twice") {
             exchange->start(200, {});
             exchange->send("one");
--- a/libs/gateway/tests/TimeoutTest.cpp
+++ b/libs/gateway/tests/TimeoutTest.cpp
@@ -23,6 +23,14 @@
     server.setLimits(limits);
 }
 
+/// Runs the loop until the server has closed all its connections.
+bool runUntilClosed(ServerFixture &fixture)
+{
+    for (int n = 0; n < 400 && fixture.server.connectionCount() > 0; ++n)
+        fixture.io.run_for(Millis(5));
+    return fixture.server.connectionCount() == 0;
+}
+
 /// What a caller reads next without waiting.
 boost::system::error_code readEnd(tcp::socket &socket)
 {
@@ -107,3 +115,40 @@
     CHECK(fixture.server.stats().answered == kCallers);
     CHECK(fixture.echo.rejectedStatus == 0);
 }
+
+TEST_CASE("a caller that is slow to take its last response gets all of it")
+{
+    ServerFixture fixture;
+    fixture.socket.set_option(boost::asio::socket_base::receive_buffer_size(65'536));
+    boost::asio::write(fixture.socket,
+                       boost::asio::buffer(std::string(
+                               "GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+    std::size_t received = 0;
+    std::vector<char> buf(std::size_t(64) << 10);
+    boost::system::error_code ec;
+    for (const std::size_t goal : {kLargeBytes / 2, 2 * kLargeBytes}) {
+        // The server lingers for a shorter time once all is sent.
+        fixture.io.run_for(Millis(1'500));
+        const base::TimePoint until = base::monotonicNow() + Millis(10'000);
+        while (received < goal && ec != boost::asio::error::eof && base::monotonicNow() < until) {
+            received += fixture.socket.read_some(boost::asio::buffer(buf), ec);
+            if (ec == boost::asio::error::would_block)
+                fixture.io.run_for(Millis(1));
+        }
+    }
+    CHECK(ec == boost::asio::error::eof);
+    CHECK(received > kLargeBytes);
+}
+
+TEST_CASE("a caller that takes nothing of its response does not keep its connection for ever")
+{
+    ServerFixture fixture;
+    const std::string last = GENERATE("", "Connection: close\r\n");
+    CAPTURE(last);
+    setIdleTimeout(fixture.server, Millis(300));
+    boost::asio::write(fixture.socket,
+                       boost::asio::buffer("GET /large HTTP/1.1\r\nHost: h\r\n" + last + "\r\n"));
+    fixture.io.run_for(Millis(200));
+    REQUIRE(fixture.server.connectionCount() == 1);
+    CHECK(runUntilClosed(fixture));
+}
