--- a/libs/gateway/src/CallerConnection.h
+++ b/libs/gateway/src/CallerConnection.h
@@ -35,8 +35,12 @@
     CallerConnection(Server::Shared *server, boost::asio::ip::tcp::socket socket);
 
     void open(base::TimePoint now);
-    /// Closes the connection or rejects the request if the timeout of the current state is over.
+    /// Closes the connection or rejects the request if the timeout of the current state was over at
+    /// the last check too and nothing has arrived since. After the host stood still, timers are due
+    /// before what arrived is read.
     void checkTimeouts(base::TimePoint now);
+    /// Adopts the idle timeout that is set if it is longer than the one that it became idle under.
+    void extendIdleTimeout();
     bool isIdle() const { return m_state == State::Idle; }
     /// Closes the connection without any event, before the server is destroyed.
     void detach();
@@ -48,7 +52,10 @@
     void endResponse(ResponseEnd end);
     /// Ends a response that cannot be completed and logs why.
     void abandonResponse(std::string_view target, std::string_view reason);
-    std::size_t unsentBytes() const { return m_output.size() + m_writeBuffer.size(); }
+    std::size_t unsentBytes() const
+    {
+        return m_output.size() + m_writeBuffer.size() - m_writtenBytes;
+    }
     bool shouldCloseAfterResponse() const;
     void beginResponse() { m_hasCloseHeader = shouldCloseAfterResponse(); }
     bool hasCloseHeader() const { return m_hasCloseHeader; }
@@ -64,12 +71,21 @@
     void deliverRequest(base::TimePoint now);
     void reject(int status, std::string_view reason);
     void flush();
+    void writeSome();
     void startClosing();
+    void setState(State state, base::TimePoint now);
+    /// Time after which the current state ends by itself, or nothing.
+    std::optional<base::Millis> timeout() const;
+    bool hasUnreadData() const;
 
     Server::Shared *m_server;
     boost::asio::ip::tcp::socket m_socket;
     State m_state = State::Idle;
     base::TimePoint m_stateSince; ///< Start of the current state.
+    base::TimePoint m_progressAt; ///< Start of the current state, or last write in it.
+    bool m_isTimeoutOver = false; ///< At the last check.
+    /// Longest one that was set since the connection became idle. Its caller may know only that.
+    base::Millis m_idleTimeout{0};
     base::TimePoint m_firstByteAt;
     std::unique_ptr<Parser<true>> m_parser;
     std::weak_ptr<Exchange> m_exchange; ///< While its response has not ended.
@@ -77,6 +93,7 @@
     std::string m_input;
     std::string m_output;
     std::string m_writeBuffer;
+    std::size_t m_writtenBytes = 0; ///< Of the write buffer.
     bool m_isReading = false;
     bool m_isKeepAlive = true;
     bool m_hasCloseHeader = false;
