dispatch, edge, registry: A prefill permit that has run out is asked for again

What callers saw: an entry host that stood still for some seconds, or that waited long for engines, started the prefill of a long prompt with a permit that the control host had meanwhile given to another host. Both prompts then shared the same engines, and both of their first events came late.

Cause: PermitGranted had no age, and a permit once held was held for as long as the call was queued. The control host takes a permit back after permitLifetime(), which the entry host did not know of. A request that timed out counted as a fresh grant too.

Now the reply to a permit request says how long it waited at the control host, so that the entry host knows the age of the grant at most; a call whose permit ran out asks again before it is placed. A request that got no reply counts as granted at the time it was sent. The control host drops the previous permit of a call that asks again, so that a call for exclusive use is not blocked by itself.

Messages: the reply stays empty for a denial and not empty for a grant, which is all that entry hosts of earlier versions look at. The text "granted" of earlier control hosts reads as a grant without a time; its age counts as 0, as before.

--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -244,6 +244,7 @@
 struct PermitGranted
 {
     CallId call;
+    base::Millis age{0}; ///< At most this long ago it was granted.
 };
 
 /// A long prompt will get no permit in time.
--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -98,6 +98,9 @@
 
 void Dispatcher::Impl::requestPermit(ActiveCall &call, base::TimePoint now)
 {
+    // The host may have been paused, or the prompt may have waited for engines meanwhile.
+    if (call.permit == PermitState::Held && now >= call.permitExpiresAt)
+        call.permit = PermitState::None;
     if (call.promptClass != PromptClass::Long || call.permit != PermitState::None)
         return;
     call.permit = PermitState::Requested;
@@ -124,11 +127,14 @@
                                          static_cast<std::int64_t>(call.prefillMs), isPrefilled});
 }
 
-void Dispatcher::Impl::handle(const PermitGranted &event, base::TimePoint)
+void Dispatcher::Impl::handle(const PermitGranted &event, base::TimePoint now)
 {
     ActiveCall *call = findCall(event.call);
-    if (call && call->permit == PermitState::Requested)
-        call->permit = PermitState::Held;
+    if (!call || call->permit != PermitState::Requested)
+        return;
+    call->permit = PermitState::Held;
+    call->permitExpiresAt =
+            now - event.age + fleet::permitLifetime(static_cast<std::int64_t>(call->prefillMs));
 }
 
 void Dispatcher::Impl::handle(const PermitDenied &event, base::TimePoint now)
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -63,6 +63,7 @@
     CallStage stage = CallStage::Queued;
     PromptClass promptClass = PromptClass::Short;
     PermitState permit = PermitState::None;
+    base::TimePoint permitExpiresAt; ///< While it is held. Others may get the engines then.
     TrialState trial = TrialState::None;
     QueueBlocker blocker = QueueBlocker::None;
     bool isOversized = false; ///< Exceeds the memory of one engine.
@@ -370,6 +371,7 @@
     bool hasRoomElsewhere(const ActiveCall &call, base::TimePoint now);
     /// Queues the call from \a now on.
     void enqueue(ActiveCall &call, base::TimePoint now);
+    /// Asks for a permit if the prompt is long and none is held or asked for.
     void requestPermit(ActiveCall &call, base::TimePoint now);
     void releasePermit(ActiveCall &call, bool isPrefilled);
     /// Goes on with the stalled attempt if there is one. Else ends the call with RejectCall if it
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -44,7 +44,8 @@
             addUpstream(kModel, dataCentre + std::to_string(n), dataCentre);
     }
 
-    void addUpstream(const base::ServiceId &service, const std::string &id, const char *dataCentre)
+    Actions addUpstream(const base::ServiceId &service, const std::string &id,
+                        const char *dataCentre, base::TimePoint now = kStart)
     {
         fleet::Upstream it;
         it.id = base::UpstreamId(id);
@@ -52,7 +53,7 @@
         it.address = {"127.0.0.1", static_cast<std::uint16_t>(8'000 + upstreamCount++)};
         it.dataCentre = base::DataCentreId(dataCentre);
         it.slots = 6;
-        dispatcher.handle(UpstreamUpdated{it}, kStart);
+        return dispatcher.handle(UpstreamUpdated{it}, now);
     }
 
     CallInfo plainCall()
@@ -302,6 +303,39 @@
     CHECK(sent->helpers.size() >= 3);
 }
 
+TEST_CASE("a long prompt is not sent with a permit that ran out on its way to a paused host")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 8);
+    const CallInfo call = fixture.promptCall(150'000);
+    const Actions arrived = fixture.dispatcher.handle(CallArrived{call}, kStart);
+    REQUIRE(first<RequestPermit>(arrived));
+    const Millis lifetime = fleet::permitLifetime(first<RequestPermit>(arrived)->prefillMs);
+    const Actions late =
+            fixture.dispatcher.handle(PermitGranted{call.id, lifetime}, kStart + lifetime);
+    CHECK_FALSE(first<SendAttempt>(late));
+    REQUIRE(first<RequestPermit>(late));
+    CHECK(first<SendAttempt>(
+            fixture.dispatcher.handle(PermitGranted{call.id}, kStart + lifetime + Millis(10))));
+}
+
+TEST_CASE("a long prompt that waits for engines asks again when its permit has run out")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 3);
+    const CallInfo call = fixture.promptCall(150'000);
+    const Actions arrived = fixture.dispatcher.handle(CallArrived{call}, kStart);
+    REQUIRE(first<RequestPermit>(arrived));
+    const Millis lifetime = fleet::permitLifetime(first<RequestPermit>(arrived)->prefillMs);
+    for (int n = 0; n < 3; ++n)
+        fixture.dispatcher.handle(UpstreamRemoved{base::UpstreamId("model" + std::to_string(n))},
+                                  kStart);
+    REQUIRE(fixture.dispatcher.handle(PermitGranted{call.id}, kStart).empty());
+    const Actions late = fixture.addUpstream(fixture.kModel, "late", "a", kStart + lifetime);
+    CHECK_FALSE(first<SendAttempt>(late));
+    CHECK(first<RequestPermit>(late));
+}
+
 TEST_CASE("short prompts leave a slot free at each engine while other engines have room")
 {
     constexpr int kSlots = 10;
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -231,20 +231,23 @@
 {
     const dispatch::CallId call = action.call;
     // Without a control host to order the prompts, each host proceeds on its own.
-    const auto onGranted = [this, call, isOversized = action.isOversized, requestedAt = now] {
+    const auto onGranted = [this, call, isOversized = action.isOversized,
+                            requestedAt = now](std::optional<base::Millis> waitedAtControl) {
         const base::TimePoint at = base::monotonicNow();
+        const auto wait = std::chrono::floor<base::Millis>(at - requestedAt);
+        const base::Millis age = std::max(base::Millis(0), wait - waitedAtControl.value_or(wait));
         if (const EdgeCall *it = findCall(call)) {
-            const auto wait = std::chrono::floor<base::Millis>(at - requestedAt);
             base::logEvent("permit_granted", {{"request", it->requestMetadata.id},
                                               {"prompt", it->requestMetadata.promptTokens.count()},
                                               {"oversized", isOversized},
-                                              {"waited_ms", wait.count()}});
+                                              {"waited_ms", wait.count()},
+                                              {"age_ms", age.count()}});
         }
-        execute(m_dispatcher.handle(dispatch::PermitGranted{call}, at), at);
+        execute(m_dispatcher.handle(dispatch::PermitGranted{call, age}, at), at);
         scheduleTick(at);
     };
     if (!m_leader || !m_freshness.isCurrent(now)) {
-        boost::asio::post(*m_io, onGranted);
+        boost::asio::post(*m_io, [onGranted] { onGranted(std::nullopt); });
         return;
     }
     fleet::PermitRequest request;
@@ -267,9 +270,10 @@
             *m_leader, {fleet::kPermitTopic, fleet::encode(request)},
             action.maxWait + kPermitTimeout,
             [this, onGranted, onDenied](const tl::expected<std::string, peers::PeerError> &answer) {
-                // An empty answer means that no permit will be granted in time.
-                if (!answer || !answer->empty())
-                    boost::asio::post(*m_io, onGranted);
+                const fleet::PermitReply reply = answer ? fleet::decodePermitReply(*answer)
+                                                        : fleet::PermitReply{true, base::Millis(0)};
+                if (reply.isGranted)
+                    boost::asio::post(*m_io, [onGranted, reply] { onGranted(reply.waited); });
                 else
                     boost::asio::post(*m_io, onDenied);
             });
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -584,9 +584,21 @@
     /// Data centre whose engines are to prefill it; empty for all of them.
     base::DataCentreId dataCentre;
 };
+/// Lifetime of a permit that is not released, from its grant. \a prefillMs is that of its request.
+base::Millis permitLifetime(std::int64_t prefillMs);
 std::string encode(const PermitRequest &request);
 std::optional<PermitRequest> decodePermitRequest(std::string_view bytes);
 
+/// Reply to a PermitRequest.
+struct PermitReply
+{
+    bool isGranted = false;
+    /// Between the request and the reply. Control hosts of earlier versions do not send it.
+    std::optional<base::Millis> waited;
+};
+std::string encode(const PermitReply &reply);
+PermitReply decodePermitReply(std::string_view bytes);
+
 /// Report of rate limits, and request of an entry host to send requests to a limited upstream.
 struct SendGrantRequest
 {
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+/// A permit that is never released expires after this time for placement plus the prefill time on
+/// one engine. While engines are busy, even a very long prompt gets few of them.
+constexpr base::Millis kPlacementAllowance{700};
+constexpr base::Millis kMaxPermitLifetime{10'000};
+
 json toJson(const Upstream &it)
 {
     return {it.id.text(),         it.service.text(),      it.address.address, it.address.port,
@@ -439,6 +444,29 @@
     });
 }
 
+base::Millis permitLifetime(std::int64_t prefillMs)
+{
+    return std::min(kMaxPermitLifetime, kPlacementAllowance + base::Millis(prefillMs));
+}
+
+std::string encode(const PermitReply &reply)
+{
+    // Entry hosts of earlier versions only see whether it is empty.
+    return reply.isGranted ? base::toCbor({reply.waited.value_or(base::Millis(0)).count()})
+                           : std::string();
+}
+
+PermitReply decodePermitReply(std::string_view bytes)
+{
+    PermitReply reply;
+    reply.isGranted = !bytes.empty();
+    // Control hosts of earlier versions send a text.
+    const auto parsed = base::parseCbor(bytes);
+    if (parsed && parsed->is_array() && !parsed->empty() && parsed->front().is_number_integer())
+        reply.waited = base::Millis(parsed->front().get<std::int64_t>());
+    return reply;
+}
+
 std::string encode(const SendGrantRequest &request)
 {
     return base::toCbor({request.host.text(), listToJson(request.limits), request.wanted,
--- a/libs/fleet/tests/FleetViewTest.cpp
+++ b/libs/fleet/tests/FleetViewTest.cpp
@@ -203,6 +203,19 @@
     CHECK(request->factsRevision == std::numeric_limits<std::int64_t>::max());
 }
 
+TEST_CASE("a reply to a permit request says how long it waited and is read by earlier versions")
+{
+    const std::string granted = encode(PermitReply{true, base::Millis(1'250)});
+    CHECK_FALSE(granted.empty());
+    CHECK(decodePermitReply(granted).isGranted);
+    CHECK(decodePermitReply(granted).waited == base::Millis(1'250));
+    CHECK(encode(PermitReply{}).empty());
+    CHECK_FALSE(decodePermitReply("").isGranted);
+    const PermitReply earlier = decodePermitReply("granted");
+    CHECK(earlier.isGranted);
+    CHECK_FALSE(earlier.waited);
+}
+
 TEST_CASE("an oversized prompt of an earlier entry host is prefilled alone")
 {
     PermitRequest request;
--- a/libs/registry/src/PrefillPermits.cpp
+++ b/libs/registry/src/PrefillPermits.cpp
@@ -10,10 +10,6 @@
 constexpr std::size_t kMaxPermitsPerService = 2;
 /// Minimum time between grants, so that hosts learn which engine the previous one was placed on.
 constexpr base::Millis kGrantInterval{30};
-/// A permit that is never released expires after this time for placement plus the prefill time on
-/// one engine. While engines are busy, even a very long prompt gets few of them.
-constexpr base::Millis kPlacementAllowance{700};
-constexpr base::Millis kMaxPermitLifetime{10'000};
 /// A host that began to use another control host a moment ago has not reported to this one yet.
 constexpr base::Millis kFirstReportTime{2'000};
 /// A request that has waited this long is granted before shorter ones.
@@ -34,11 +30,6 @@
 
 } // namespace
 
-base::Millis PrefillPermits::permitLifetime(const fleet::PermitRequest &request)
-{
-    return std::min(kMaxPermitLifetime, kPlacementAllowance + base::Millis(request.prefillMs));
-}
-
 void PrefillPermits::dropEarlierIncarnations(const fleet::PermitKey &key)
 {
     const auto isEarlier = [&key](const fleet::PermitKey &other) {
@@ -59,6 +50,8 @@
                              base::TimePoint now)
 {
     dropEarlierIncarnations(request.key);
+    // The host knows that the previous permit of the call has run out before this one does.
+    m_held.erase(request.key);
     m_waiting.push_back({request, std::move(answer), now});
     tick(now);
 }
@@ -200,7 +193,7 @@
                                it->request.route,
                                it->request.prefillMs,
                                now,
-                               now + permitLifetime(it->request)};
+                               now + fleet::permitLifetime(it->request.prefillMs)};
     const Answer answer = std::move(it->answer);
     m_waiting.erase(it);
     answer(true);
--- a/libs/registry/src/PrefillPermits.h
+++ b/libs/registry/src/PrefillPermits.h
@@ -63,8 +63,6 @@
         base::TimePoint expiresAt;
     };
     using Shares = std::map<PromptKind, KindShares>;
-    /// Lifetime of a permit that is never released.
-    static base::Millis permitLifetime(const fleet::PermitRequest &request);
     /// A restarted host has lost its earlier calls, so their permits and requests are dropped.
     void dropEarlierIncarnations(const fleet::PermitKey &key);
     /// Permits held that count against the limit for \a request.
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr auto kGroupName = "global";
-constexpr auto kGranted = "granted";
 constexpr auto kAccepted = "accepted";
 constexpr auto kReadConfigurationTopic = "configuration";
 const std::string kNoDelta;
@@ -445,7 +444,7 @@
                         {"waited_ms", wait.count()},
                         {"held", m_prefillPermits.heldCount()},
                         {"waiting", m_prefillPermits.waitingCount()}});
-        answer(isGranted ? kGranted : "");
+        answer(fleet::encode(fleet::PermitReply{isGranted, wait}));
     };
     m_prefillPermits.acquire(*request, onDecided, now);
 }
--- a/libs/registry/tests/PrefillPermitsTest.cpp
+++ b/libs/registry/tests/PrefillPermitsTest.cpp
@@ -72,6 +72,19 @@
     CHECK(granted == std::vector{1, 2, 4});
 }
 
+TEST_CASE("a call whose host knows that its permit ran out is not blocked by that permit")
+{
+    PrefillPermits permits;
+    fleet::PermitRequest exclusive = permitRequest(1, 900);
+    exclusive.isExclusive = true;
+    int granted = 0;
+    const auto count = [&granted](bool isGranted) { granted += isGranted ? 1 : 0; };
+    permits.acquire(exclusive, count, kStart);
+    permits.acquire(exclusive, count, kStart + Millis(1'000));
+    CHECK(granted == 2);
+    CHECK(permits.heldCount() == 1);
+}
+
 TEST_CASE("a request that has waited long is granted before shorter ones")
 {
     PrefillPermits permits;
