fleet, registry: A departure at a control host that does not know the upstream is passed on

What callers would see: a control host that had just restarted answered 200 to the leave of an upstream that stated no start time, and forgot it. Entry hosts went on sending requests there, until the announcements that the other control hosts had of it timed out, and a late announcement put it in use again.

Cause: Directory::leave() kept and passed on the departure of an unknown upstream only when the leave stated the start time. After a restart a control host knows no upstreams for up to a heartbeat interval.

Now such a departure counts for the start that was known last, or for those without a start time, and is passed on like others. It does not touch an upstream that announces a start time, as the earlier start may have ended.

The new test failed before: test-fleet "a departure without*" printed CHECK( restarted.leave(a.id, std::nullopt, kStart) == AnnounceResult::Changed ) with 3 == 1, and the announcement that came later was accepted (0 == 3). After: test-fleet 41 of 41.

--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -366,7 +366,7 @@
     /// Notes that a start of an upstream leaves, whatever its announcements still say.
     AnnounceResult markLeaving(const LeavingUpstream &leaving);
     /// Removes an upstream. Returns \c Stale if \a incarnation is an earlier start than the known
-    /// one.
+    /// one. The departure of an upstream that is not known, as after a restart, is kept too.
     AnnounceResult leave(const base::UpstreamId &id, std::optional<base::Incarnation> incarnation,
                          base::TimePoint now);
     void removeExpired(base::TimePoint now);
@@ -376,6 +376,8 @@
     DirectoryChanges changesSince(std::int64_t incarnation, std::int64_t revision) const;
     std::size_t size() const { return m_entries.size(); }
     const Upstream *find(const base::UpstreamId &id) const;
+    /// Departure of an upstream that is no longer listed; null when none is remembered.
+    const DepartedUpstream *findDeparted(const base::UpstreamId &id) const;
 
 private:
     struct Entry
--- a/libs/fleet/src/Directory.cpp
+++ b/libs/fleet/src/Directory.cpp
@@ -37,11 +37,17 @@
     return it == m_entries.end() ? nullptr : &it->second.upstream;
 }
 
+const DepartedUpstream *Directory::findDeparted(const base::UpstreamId &id) const
+{
+    const auto it = m_tombstones.find(id);
+    return it == m_tombstones.end() ? nullptr : &it->second.departed;
+}
+
 bool Directory::isSuperseded(const Upstream &upstream) const
 {
-    const auto tombstone = m_tombstones.find(upstream.id);
-    if (tombstone != m_tombstones.end() && tombstone->second.departed.kind == DepartureKind::Left
-        && tombstone->second.departed.incarnation >= upstream.incarnation)
+    const DepartedUpstream *departed = findDeparted(upstream.id);
+    if (departed && departed->kind == DepartureKind::Left
+        && departed->incarnation >= upstream.incarnation)
         return true;
     const auto &ids = m_addresses.at(upstream.address);
     return std::any_of(ids.begin(), ids.end(), [&](const base::UpstreamId &id) {
@@ -113,23 +119,22 @@
 {
     const auto it = m_entries.find(id);
     if (it == m_entries.end()) {
-        const auto tombstone = m_tombstones.find(id);
-        const bool isKnown =
-                tombstone != m_tombstones.end()
-                && tombstone->second.departed.kind == DepartureKind::Left
-                && (!incarnation || tombstone->second.departed.incarnation >= *incarnation);
-        if (isKnown)
+        const DepartedUpstream *departed = findDeparted(id);
+        const base::Incarnation known = departed ? departed->incarnation : base::Incarnation();
+        if (departed && departed->kind == DepartureKind::Left
+            && known >= incarnation.value_or(known))
             return AnnounceResult::Unchanged;
         // Other control hosts may know it from its announcements, so its departure is passed
         // on.
-        if (!incarnation)
-            return AnnounceResult::Stale;
-        m_tombstones[id] = {{id, *incarnation, DepartureKind::Left}, ++m_revision, now};
+        m_tombstones[id] = {
+                {id, incarnation.value_or(known), DepartureKind::Left}, ++m_revision, now};
         return AnnounceResult::Changed;
     }
     if (incarnation && *incarnation < it->second.upstream.incarnation)
         return AnnounceResult::Stale;
+    const base::Incarnation departed = incarnation.value_or(it->second.upstream.incarnation);
     remove(id, DepartureKind::Left, now);
+    m_tombstones.at(id).departed.incarnation = departed;
     return AnnounceResult::Changed;
 }
 
--- a/libs/fleet/tests/DirectoryTest.cpp
+++ b/libs/fleet/tests/DirectoryTest.cpp
@@ -121,3 +121,16 @@
     CHECK(directory.changesSince(4, seen).isSnapshot);
     CHECK(directory.changesSince(4, seen).upstreams.size() == 1);
 }
+
+TEST_CASE("a departure without a start time that reaches a restarted control host first is kept")
+{
+    Directory restarted(1, kAnnounceTimeout);
+    const Upstream a = upstream("a", 0, 7);
+    CHECK(restarted.leave(a.id, std::nullopt, kStart) == AnnounceResult::Changed);
+    CHECK(restarted.leave(a.id, std::nullopt, kStart) == AnnounceResult::Unchanged);
+    CHECK(restarted.announce(a, kStart) == AnnounceResult::Stale);
+    const DirectoryChanges changes = restarted.changesSince(1, 0);
+    REQUIRE(changes.departed.size() == 1);
+    CHECK(changes.departed.front().kind == DepartureKind::Left);
+    CHECK(restarted.announce(upstream("a", 10, 1), kStart) == AnnounceResult::New);
+}
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -588,18 +588,13 @@
                                          std::optional<base::Incarnation> incarnation,
                                          std::function<void()> done, base::TimePoint now)
 {
-    const fleet::Upstream *known = m_impl->m_directory.find(id);
-    const base::Incarnation departedIncarnation = incarnation ? *incarnation
-                                                  : known     ? known->incarnation
-                                                              : base::Incarnation();
     const auto result = m_impl->m_directory.leave(id, incarnation, now);
     if (result != fleet::AnnounceResult::Changed) {
         done();
         return result;
     }
     m_impl->answerWatches(now);
-    m_impl->relayLater({{}, {{id, departedIncarnation, fleet::DepartureKind::Left}}},
-                       std::move(done));
+    m_impl->relayLater({{}, {*m_impl->m_directory.findDeparted(id)}}, std::move(done));
     return result;
 }
 
