--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -366,7 +366,7 @@
     /// Notes that a start of an upstream leaves, whatever its announcements still say.
     AnnounceResult markLeaving(const LeavingUpstream &leaving);
     /// Removes an upstream. Returns \c Stale if \a incarnation is an earlier start than the known
-    /// one.
+    /// one. The departure of an upstream that is not known, as after a restart, is kept too.
     AnnounceResult leave(const base::UpstreamId &id, std::optional<base::Incarnation> incarnation,
                          base::TimePoint now);
     void removeExpired(base::TimePoint now);
@@ -376,6 +376,8 @@
     DirectoryChanges changesSince(std::int64_t incarnation, std::int64_t revision) const;
     std::size_t size() const { return m_entries.size(); }
     const Upstream *find(const base::UpstreamId &id) const;
+    /// Departure of an upstream that is no longer listed; null when none is remembered.
+    const DepartedUpstream *findDeparted(const base::UpstreamId &id) const;
 
 private:
     struct Entry
@@ -584,9 +586,21 @@
     /// Data centre whose engines are to prefill it; empty for all of them.
     base::DataCentreId dataCentre;
 };
+/// Lifetime of a permit that is not released, from its grant. \a prefillMs is that of its request.
+base::Millis permitLifetime(std::int64_t prefillMs);
 std::string encode(const PermitRequest &request);
 std::optional<PermitRequest> decodePermitRequest(std::string_view bytes);
 
+/// Reply to a PermitRequest.
+struct PermitReply
+{
+    bool isGranted = false;
+    /// Between the request and the reply. Control hosts of earlier versions do not send it.
+    std::optional<base::Millis> waited;
+};
+std::string encode(const PermitReply &reply);
+PermitReply decodePermitReply(std::string_view bytes);
+
 /// Report of rate limits, and request of an entry host to send requests to a limited upstream.
 struct SendGrantRequest
 {
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr auto kGroupName = "global";
-constexpr auto kGranted = "granted";
 constexpr auto kAccepted = "accepted";
 constexpr auto kReadConfigurationTopic = "configuration";
 const std::string kNoDelta;
@@ -445,7 +444,7 @@
                         {"waited_ms", wait.count()},
                         {"held", m_prefillPermits.heldCount()},
                         {"waiting", m_prefillPermits.waitingCount()}});
-        answer(isGranted ? kGranted : "");
+        answer(fleet::encode(fleet::PermitReply{isGranted, wait}));
     };
     m_prefillPermits.acquire(*request, onDecided, now);
 }
@@ -589,18 +588,13 @@
                                          std::optional<base::Incarnation> incarnation,
                                          std::function<void()> done, base::TimePoint now)
 {
-    const fleet::Upstream *known = m_impl->m_directory.find(id);
-    const base::Incarnation departedIncarnation = incarnation ? *incarnation
-                                                  : known     ? known->incarnation
-                                                              : base::Incarnation();
     const auto result = m_impl->m_directory.leave(id, incarnation, now);
     if (result != fleet::AnnounceResult::Changed) {
         done();
         return result;
     }
     m_impl->answerWatches(now);
-    m_impl->relayLater({{}, {{id, departedIncarnation, fleet::DepartureKind::Left}}},
-                       std::move(done));
+    m_impl->relayLater({{}, {*m_impl->m_directory.findDeparted(id)}}, std::move(done));
     return result;
 }
 
