fleet, registry: Entry hosts that read no packed directories get plain ones

An entry host of a build before knew no upstream once the control hosts were replaced by the present build: all its calls were refused or failed for the rest of the upgrade.

Cause: the directory went only in its packed form, in a field that such a build does not read, with the lists that it reads empty and the revision advanced.

Now an entry host says in its watch request that it reads packed directories, and every other one gets the plain lists.

--- a/libs/edge/src/FleetWatcher.cpp
+++ b/libs/edge/src/FleetWatcher.cpp
@@ -87,6 +87,7 @@
     request.address = m_address;
     request.configurationVersion = local.configurationVersion;
     request.acceptsDelta = local.acceptsDelta;
+    request.acceptsPackedDirectory = true;
     request.directoryIncarnation = it->second.directoryIncarnation;
     request.directoryRevision = it->second.directoryRevision;
     request.factsRevision = it->second.factsRevision;
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -490,6 +490,7 @@
     base::Endpoint address; ///< Where other entry hosts connect to it.
     ConfigurationVersion configurationVersion; ///< Held by the requesting host.
     bool acceptsDelta = false; ///< It also holds the text of that version.
+    bool acceptsPackedDirectory = false; ///< It reads WatchReply::packedDirectory.
     std::int64_t directoryIncarnation = 0;
     std::int64_t directoryRevision = 0;
     base::Millis maxWait{0}; ///< How long the reply may be delayed while nothing is newer.
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -245,11 +245,11 @@
 
 std::string encode(const WatchRequest &request)
 {
-    return base::toCbor({request.host.text(), request.dataCentre.text(),
-                         request.configurationVersion.count(), request.directoryIncarnation,
-                         request.directoryRevision, request.maxWait.count(),
-                         listToJson(request.load.upstreams), request.address.text(),
-                         request.factsRevision, request.loadPeersRevision, request.acceptsDelta});
+    return base::toCbor(
+            {request.host.text(), request.dataCentre.text(), request.configurationVersion.count(),
+             request.directoryIncarnation, request.directoryRevision, request.maxWait.count(),
+             listToJson(request.load.upstreams), request.address.text(), request.factsRevision,
+             request.loadPeersRevision, request.acceptsDelta, request.acceptsPackedDirectory});
 }
 
 std::optional<WatchRequest> decodeWatchRequest(std::string_view bytes)
@@ -272,6 +272,8 @@
             request.loadPeersRevision = j.at(9);
         if (j.size() > 10)
             request.acceptsDelta = j.at(10);
+        if (j.size() > 11)
+            request.acceptsPackedDirectory = j.at(11);
         return request;
     });
 }
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -314,10 +314,15 @@
         }
     }
     reply.isConfirmed = hasLease(now);
-    const PackedDirectory::Changes &changes = m_packedDirectory.changesSince(
-            m_directory, request.directoryIncarnation, request.directoryRevision);
-    reply.directory = changes.header;
-    reply.packedDirectory = changes.packed;
+    if (request.acceptsPackedDirectory) {
+        const PackedDirectory::Changes &changes = m_packedDirectory.changesSince(
+                m_directory, request.directoryIncarnation, request.directoryRevision);
+        reply.directory = changes.header;
+        reply.packedDirectory = changes.packed;
+    } else {
+        reply.directory =
+                m_directory.changesSince(request.directoryIncarnation, request.directoryRevision);
+    }
     reply.controlHosts = otherControlHosts();
     reply.controlHosts.push_back(m_options.listenPeers);
     reply.entryHostCount =
