registry, dispatch, edge: Loads add up at every mix of builds

Beside hosts of builds before, which send their loads by RPC and take the larger of these and of the leader's sum, entry hosts placed calls at engines that others had filled: a new leader left the loads of peers out of the sum that it sent to such hosts, and named them as peers to new ones, which never heard their load. Under an old leader a new host counted every peer's load twice (once by datagram, once in the sum) and saw engines as full that had room.

Cause: the sum of loads and the list of peers kept their places in the watch reply, but not their meaning.

Now hosts whose watch requests show that they exchange no loads by datagrams are peers of each other only, get the sum of all others, and are part of the sum that new hosts get. A new host knows by the length of a reply that its sum includes peers, and takes the larger of both instead of adding them.

The new tests failed before: 'the load of hosts that exchange none directly...' (58 == 63 and peers of the other kind), 'peers are told anew...', 'a sum of loads that includes those of peers...' ("plain1" == "plain0"). All of test-registry's tests of peers and distant loads pass as before.

--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -232,6 +232,8 @@
 {
     fleet::LoadReport load;
     int entryHostCount = 1; ///< All entry hosts, this one included.
+    /// The load is that of all other hosts, not only of those that send theirs to no host.
+    bool includesPeers = false;
 };
 
 /// Outstanding load that another entry host sent of itself.
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -149,7 +149,7 @@
     call.info = event.call;
     call.queuedAt = now;
     if (!m_distantLoads.empty() && now >= m_distantLoadsAt + kDistantLoadLifetime)
-        setDistantLoads({}, now);
+        setDistantLoads({}, false, now);
     ServiceState &service = serviceOf(call.info.service);
     service.retryBudget->recordCall(now);
     classifyPrompt(call, service, now);
@@ -254,8 +254,17 @@
 fleet::UpstreamLoad Dispatcher::Impl::peerLoadAt(const base::UpstreamId &upstream) const
 {
     fleet::UpstreamLoad load = m_peerLoads.totalAt(upstream);
-    if (const auto distant = m_distantLoads.find(upstream); distant != m_distantLoads.end())
-        load += distant->second;
+    const auto distant = m_distantLoads.find(upstream);
+    if (distant == m_distantLoads.end())
+        return load;
+    if (!m_distantLoadsIncludePeers)
+        return load += distant->second;
+    // The sum may be older or newer than what the peers sent.
+    const fleet::UpstreamLoad &sum = distant->second;
+    load.requests = std::max(load.requests, sum.requests);
+    load.kvTokens = std::max(load.kvTokens, sum.kvTokens);
+    load.shortRequests = std::max(load.shortRequests, sum.shortRequests);
+    load.prefillMs = std::max(load.prefillMs, sum.prefillMs);
     return load;
 }
 
@@ -305,13 +314,18 @@
     m_entryHostCount = event.entryHostCount;
     m_sharingHosts.record(std::max(1, event.entryHostCount), now);
     applyPeerLoads(m_peerLoads.removeExpired(now), now);
-    setDistantLoads(event.load, now);
+    setDistantLoads(event.load, event.includesPeers, now);
 }
 
-void Dispatcher::Impl::setDistantLoads(const fleet::LoadReport &load, base::TimePoint now)
+void Dispatcher::Impl::setDistantLoads(const fleet::LoadReport &load, bool includesPeers,
+                                       base::TimePoint now)
 {
     m_distantLoadsAt = now;
     std::set<base::UpstreamId> changed;
+    if (std::exchange(m_distantLoadsIncludePeers, includesPeers) != includesPeers) {
+        for (const auto &[id, state] : m_upstreams)
+            changed.insert(id);
+    }
     for (const auto &[id, previous] : std::exchange(m_distantLoads, {}))
         changed.insert(id);
     for (const fleet::UpstreamLoad &it : load.upstreams) {
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -337,7 +337,7 @@
     void restoreLoad(UpstreamState &state, base::TimePoint now);
     /// Updates what other hosts have outstanding at \a upstreams.
     void applyPeerLoads(const std::set<base::UpstreamId> &upstreams, base::TimePoint now);
-    void setDistantLoads(const fleet::LoadReport &load, base::TimePoint now);
+    void setDistantLoads(const fleet::LoadReport &load, bool includesPeers, base::TimePoint now);
     fleet::UpstreamLoad peerLoadAt(const base::UpstreamId &upstream) const;
 
     // Attempts.
@@ -399,6 +399,7 @@
     RelayPeers m_relayPeers;
     PeerLoads m_peerLoads;
     std::map<base::UpstreamId, fleet::UpstreamLoad> m_distantLoads; ///< Of hosts that are no peers.
+    bool m_distantLoadsIncludePeers = false;
     base::TimePoint m_distantLoadsAt{};
     std::set<base::UpstreamId> m_changedUpstreams; ///< Since the last takeLoadUpdate().
     int m_entryHostCount = 0; ///< As reported last; 0 when unknown.
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -504,6 +504,23 @@
             fixture.dispatcher.handle(CallArrived{fixture.plainCall()}, kStart + Millis(2'000))));
 }
 
+TEST_CASE("a sum of loads that includes those of peers does not count these twice")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kPlain, 2);
+    fleet::LoadUpdate update;
+    update.host = base::HostId("peer");
+    update.upstreams = {{base::UpstreamId("plain0"), 2, {}, 2, 0}};
+    fixture.dispatcher.handle(PeerLoadReceived{update}, kStart);
+    fleet::LoadReport sum;
+    sum.upstreams = {{base::UpstreamId("plain0"), 2, {}, 2, 0},
+                     {base::UpstreamId("plain1"), 3, {}, 3, 0}};
+    fixture.dispatcher.handle(PeerLoadSumReceived{sum, 3, true}, kStart);
+    CHECK(first<SendAttempt>(fixture.dispatcher.handle(CallArrived{fixture.plainCall()}, kStart))
+                  ->upstream.id.text()
+          == "plain0");
+}
+
 TEST_CASE("a leaving upstream gets no new calls")
 {
     Fixture fixture;
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -304,9 +304,10 @@
         applyCrashSuspects(update, now);
     }
     if (reply.isConfirmed || !reply.distantLoad.upstreams.empty())
-        execute(m_dispatcher.handle(
-                        dispatch::PeerLoadSumReceived{reply.distantLoad, reply.entryHostCount},
-                        now),
+        execute(m_dispatcher.handle(dispatch::PeerLoadSumReceived{reply.distantLoad,
+                                                                  reply.entryHostCount,
+                                                                  reply.includesPeers},
+                                    now),
                 now);
     scheduleTick(now);
 }
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -495,6 +495,9 @@
     std::int64_t directoryRevision = 0;
     base::Millis maxWait{0}; ///< How long the reply may be delayed while nothing is newer.
     LoadReport load;
+    /// The host exchanges its load with its peers by datagrams. Not sent: hosts of builds that do
+    /// not are known by what their requests lack.
+    bool exchangesLoad = true;
     /// Of the last reply of the same control host.
     std::int64_t factsRevision = 0;
     std::int64_t loadPeersRevision = 0; ///< Of the peers that the requesting host uses; 0 for none.
@@ -524,6 +527,9 @@
     std::optional<std::vector<base::Endpoint>> loadPeers;
     std::int64_t loadPeersRevision = 0; ///< 0 when this control host does not know them.
     LoadReport distantLoad; ///< Load of the entry hosts that are not among these peers.
+    /// \c distantLoad is that of all other entry hosts. Not sent: control hosts of builds that
+    /// include peers are known by what their replies lack.
+    bool includesPeers = false;
     std::vector<RateLimitReport> rateLimits; ///< Limits that are in force or ended lately.
     /// Of what entry hosts share through the leader: \c rateLimits and \c crashSuspects. It grows
     /// with each change.
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -268,6 +268,7 @@
         // Entry hosts of earlier versions do not wait for rate limits.
         request.factsRevision = j.size() > 8 ? j.at(8).get<std::int64_t>()
                                              : std::numeric_limits<std::int64_t>::max();
+        request.exchangesLoad = j.size() > 9;
         if (j.size() > 9)
             request.loadPeersRevision = j.at(9);
         if (j.size() > 10)
@@ -370,6 +371,7 @@
         }
         if (j.size() > 15)
             reply.crashSuspects = crashSuspectsFrom(j.at(15));
+        reply.includesPeers = j.size() <= 16;
         if (j.size() > 16)
             reply.loadPeersRevision = j.at(16);
         if (j.size() > 18) {
--- a/libs/registry/src/LoadAggregator.cpp
+++ b/libs/registry/src/LoadAggregator.cpp
@@ -18,30 +18,41 @@
 {
     const auto [it, isNew] = m_reports.try_emplace(request.host);
     Report &report = it->second;
-    const bool hasMoved =
-            report.address != request.address || report.dataCentre != request.dataCentre;
-    if (isNew || hasMoved) {
-        if (!isNew)
-            --m_hostsByDataCentre[report.dataCentre];
-        ++m_hostsByDataCentre[request.dataCentre];
-        ++m_membersRevision;
-    }
-    report = {request.address, request.dataCentre, request.load, now};
+    const Report previous = std::exchange(report, {request.address, request.dataCentre,
+                                                   request.load, request.exchangesLoad, now});
+    if (!isNew && previous.address == report.address && groupOf(previous) == groupOf(report))
+        return;
+    if (!isNew)
+        --m_hostsByGroup[groupOf(previous)];
+    ++m_hostsByGroup[groupOf(report)];
+    ++m_membersRevision;
 }
 
-std::size_t LoadAggregator::hostsIn(const base::DataCentreId &dataCentre) const
+std::size_t LoadAggregator::hostsIn(const Group &group) const
 {
-    const auto it = m_hostsByDataCentre.find(dataCentre);
-    return it == m_hostsByDataCentre.end() ? 0 : it->second;
+    const auto it = m_hostsByGroup.find(group);
+    return it == m_hostsByGroup.end() ? 0 : it->second;
+}
+
+std::size_t LoadAggregator::hostsLike(const Report &report) const
+{
+    std::size_t count = 0;
+    for (const auto &[group, hosts] : m_hostsByGroup)
+        count += group.first == report.exchangesLoad ? hosts : 0;
+    return count;
 }
 
 std::vector<LoadAggregator::Reports::const_iterator> LoadAggregator::peersOf(
         Reports::const_iterator host) const
 {
-    const bool areAllPeers = m_reports.size() <= m_limit + 1;
-    const base::DataCentreId &dataCentre = host->second.dataCentre;
+    const Group group = groupOf(host->second);
+    const bool areAllPeers = hostsLike(host->second) <= m_limit + 1;
     const std::size_t count =
-            areAllPeers ? m_reports.size() - 1 : std::min(m_limit, hostsIn(dataCentre) - 1);
+            areAllPeers ? hostsLike(host->second) - 1 : std::min(m_limit, hostsIn(group) - 1);
+    const auto mayBePeer = [&group, areAllPeers](const Report &report) {
+        return report.exchangesLoad == group.first
+               && (areAllPeers || report.dataCentre == group.second);
+    };
     std::vector<Reports::const_iterator> peers;
     peers.reserve(count);
     auto after = host;
@@ -53,11 +64,11 @@
                 it = std::next(it) == m_reports.end() ? m_reports.begin() : std::next(it);
             else
                 it = std::prev(it == m_reports.begin() ? m_reports.end() : it);
-        } while (!areAllPeers && it->second.dataCentre != dataCentre);
+        } while (!mayBePeer(it->second));
         peers.push_back(it);
     }
-    std::stable_partition(peers.begin(), peers.end(), [&dataCentre](const auto &it) {
-        return it->second.dataCentre == dataCentre;
+    std::stable_partition(peers.begin(), peers.end(), [&group](const auto &it) {
+        return it->second.dataCentre == group.second;
     });
     return peers;
 }
@@ -81,7 +92,7 @@
     const auto removed = std::erase_if(m_reports, [&](const auto &it) {
         if (now < it.second.receivedAt + kReportLifetime)
             return false;
-        --m_hostsByDataCentre[it.second.dataCentre];
+        --m_hostsByGroup[groupOf(it.second)];
         return true;
     });
     if (removed > 0)
@@ -108,7 +119,7 @@
     m_totalsAt = now;
     m_totals.clear();
     for (const auto &[name, report] : m_reports) {
-        Loads &totals = m_totals[report.dataCentre];
+        Loads &totals = m_totals[groupOf(report)];
         for (const fleet::UpstreamLoad &it : report.load.upstreams) {
             fleet::UpstreamLoad &total = totals[it.upstream];
             total.upstream = it.upstream;
@@ -121,13 +132,14 @@
 {
     updateTotals(now);
     const auto own = m_reports.find(host);
-    const bool hasPeers = own != m_reports.end();
-    if (hasPeers && m_reports.size() <= m_limit + 1)
-        return {};
+    // A host that does not exchange its load takes the sum for that of all others.
+    const bool hasPeers = own != m_reports.end() && own->second.exchangesLoad;
+    const bool knowsOwnKind = hasPeers && hostsLike(own->second) <= m_limit + 1;
+    const bool knowsOwnGroup =
+            knowsOwnKind || (hasPeers && hostsIn(groupOf(own->second)) <= m_limit + 1);
     Loads loads;
-    for (const auto &[dataCentre, totals] : m_totals) {
-        const bool isOwn = hasPeers && dataCentre == own->second.dataCentre;
-        if (isOwn && hostsIn(dataCentre) <= m_limit + 1)
+    for (const auto &[group, totals] : m_totals) {
+        if ((knowsOwnKind && group.first) || (knowsOwnGroup && group == groupOf(own->second)))
             continue;
         for (const auto &[id, total] : totals) {
             fleet::UpstreamLoad &load = loads[id];
@@ -135,8 +147,8 @@
             load += total;
         }
     }
-    if (hasPeers && hostsIn(own->second.dataCentre) > m_limit + 1) {
-        auto known = peersOf(own);
+    if (own != m_reports.end() && !knowsOwnGroup) {
+        auto known = hasPeers ? peersOf(own) : std::vector<Reports::const_iterator>();
         known.emplace_back(own);
         for (const auto &it : known) {
             for (const fleet::UpstreamLoad &load : it->second.load.upstreams) {
--- a/libs/registry/tests/LoadAggregatorTest.cpp
+++ b/libs/registry/tests/LoadAggregatorTest.cpp
@@ -93,6 +93,47 @@
     }
 }
 
+TEST_CASE("the load of hosts that exchange none directly is neither lost nor counted twice")
+{
+    for (const std::size_t limit : {std::size_t(0), std::size_t(2), std::size_t(8)}) {
+        LoadAggregator aggregator(limit);
+        std::map<std::string, int> requests;
+        const auto isEarlier = [](const std::string &host) { return host == "b" || host > "d"; };
+        for (const char *host : {"a", "b", "c", "d", "e", "f"}) {
+            requests[host] = 1 << requests.size();
+            fleet::WatchRequest request =
+                    report(host, *host < 'd' ? "near" : "far", requests[host]);
+            request.exchangesLoad = !isEarlier(host);
+            aggregator.report(request, kStart);
+        }
+        for (const auto &[host, own] : requests) {
+            CAPTURE(limit, host);
+            int known = own;
+            for (const base::Endpoint &peer : aggregator.peers(base::HostId(host))) {
+                CHECK(isEarlier(peer.address) == isEarlier(host));
+                known += isEarlier(host) ? 0 : requests.at(peer.address);
+            }
+            const auto distant = aggregator.distantLoad(base::HostId(host), kStart);
+            CHECK(known + (distant.upstreams.empty() ? 0 : distant.upstreams.front().requests)
+                  == 63);
+        }
+    }
+}
+
+TEST_CASE("peers are told anew when a host begins to exchange its load")
+{
+    LoadAggregator aggregator(8);
+    fleet::WatchRequest earlier = report("a", "d", 1);
+    earlier.exchangesLoad = false;
+    aggregator.report(earlier, kStart);
+    aggregator.report(report("b", "d", 1), kStart);
+    CHECK(aggregator.peers(base::HostId("b")).empty());
+    const std::int64_t revision = aggregator.membersRevision();
+    aggregator.report(report("a", "d", 1), kStart + Millis(500));
+    CHECK(aggregator.membersRevision() > revision);
+    CHECK(aggregator.peers(base::HostId("b")) == std::vector{at("a")});
+}
+
 TEST_CASE("a host gets at most the requested number of peers and never itself")
 {
     LoadAggregator one(1);
