--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -250,11 +250,11 @@
 
 std::string encode(const WatchRequest &request)
 {
-    return base::toCbor({request.host.text(), request.dataCentre.text(),
-                         request.configurationVersion.count(), request.directoryIncarnation,
-                         request.directoryRevision, request.maxWait.count(),
-                         listToJson(request.load.upstreams), request.address.text(),
-                         request.factsRevision, request.loadPeersRevision, request.acceptsDelta});
+    return base::toCbor(
+            {request.host.text(), request.dataCentre.text(), request.configurationVersion.count(),
+             request.directoryIncarnation, request.directoryRevision, request.maxWait.count(),
+             listToJson(request.load.upstreams), request.address.text(), request.factsRevision,
+             request.loadPeersRevision, request.acceptsDelta, request.acceptsPackedDirectory});
 }
 
 std::optional<WatchRequest> decodeWatchRequest(std::string_view bytes)
@@ -273,10 +273,13 @@
         // Entry hosts of earlier versions do not wait for rate limits.
         request.factsRevision = j.size() > 8 ? j.at(8).get<std::int64_t>()
                                              : std::numeric_limits<std::int64_t>::max();
+        request.exchangesLoad = j.size() > 9;
         if (j.size() > 9)
             request.loadPeersRevision = j.at(9);
         if (j.size() > 10)
             request.acceptsDelta = j.at(10);
+        if (j.size() > 11)
+            request.acceptsPackedDirectory = j.at(11);
         return request;
     });
 }
@@ -373,6 +376,7 @@
         }
         if (j.size() > 15)
             reply.crashSuspects = crashSuspectsFrom(j.at(15));
+        reply.includesPeers = j.size() <= 16;
         if (j.size() > 16)
             reply.loadPeersRevision = j.at(16);
         if (j.size() > 18) {
