gateway: A request that its handler forgets is answered with 502

Found in the review of: a request of which nothing had been sent got a closed connection. That is an end without an answer all the same. Unless its response has started, it gets 502 and Connection: close now, which does not claim that it has not run. The test of a forgotten request asks for that status; it failed before (no bytes).

--- a/libs/gateway/include/gateway/Gateway.h
+++ b/libs/gateway/include/gateway/Gateway.h
@@ -57,7 +57,7 @@
 
 /// A request of a caller and its response. After the response has ended or the caller has
 /// disconnected, functions that send have no effect. An exchange that is destroyed before its
-/// response has ended closes its connection, so that its caller does not wait in vain.
+/// response has ended gets status 502, or closes its connection if the response has started.
 class Exchange
 {
 public:
--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -206,12 +206,19 @@
     read();
 }
 
-void CallerConnection::abandonResponse(std::string_view target, std::string_view reason)
+void CallerConnection::abandonResponse(bool isStarted, std::string_view target,
+                                       std::string_view reason)
 {
     if (m_state == State::Closed)
         return;
     base::logEvent("response_abandoned", {{"target", target}, {"reason", reason}});
-    endResponse(ResponseEnd::Abandoned);
+    if (isStarted)
+        return endResponse(ResponseEnd::Abandoned);
+    m_exchange.reset();
+    ++m_server->stats.abandoned;
+    m_output += statusLine(502);
+    m_output += "Content-Length: 0\r\nConnection: close\r\n\r\n";
+    startClosing();
 }
 
 void CallerConnection::detach()
--- a/libs/gateway/src/CallerConnection.h
+++ b/libs/gateway/src/CallerConnection.h
@@ -50,8 +50,9 @@
     void write(std::string_view data);
     /// Ends the response. Closes the connection at once if it is incomplete.
     void endResponse(ResponseEnd end);
-    /// Ends a response that cannot be completed and logs why.
-    void abandonResponse(std::string_view target, std::string_view reason);
+    /// Ends a response that cannot be completed, with status 502 unless it has started, and logs
+    /// why.
+    void abandonResponse(bool isStarted, std::string_view target, std::string_view reason);
     std::size_t unsentBytes() const
     {
         return m_output.size() + m_writeBuffer.size() - m_writtenBytes;
--- a/libs/gateway/src/Exchange.cpp
+++ b/libs/gateway/src/Exchange.cpp
@@ -22,7 +22,7 @@
     const auto connection = m_connection.lock();
     if (!connection || std::exchange(m_isEnded, true))
         return;
-    connection->abandonResponse(m_head.target, reason);
+    connection->abandonResponse(m_isStarted, m_head.target, reason);
 }
 
 void Exchange::respond(int status, const Fields &fields, std::string_view body)
