edge: Counters and lines of stalled attempts say which attempt they mean

Abandoned requests of other entry hosts were added to those of callers, so that the sum that docs/OPERATIONS.md promises did not hold; attempt_failed printed the number of the newer attempt for a stalled one; a cancelled stalled attempt left no line. A connection whose reading is paused for a slow caller is resumed when the caller has caught up also if its attempt has stalled meanwhile; before, only the current attempt was, and a reinstated one stayed silent until its deadline (found by reading, no test of its own).

--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -96,6 +96,7 @@
     request.canReuseConnection = call.isStream || call.exchange->head().method == "GET";
     request.maxIdleConnections = maxIdleConnections(call.service);
     call.attemptCount = action.attempt;
+    call.current.number = action.attempt;
     call.current.upstream = action.upstream.id;
     call.current.upstreamIncarnation = action.upstream.incarnation;
     call.current.isRelayed = false;
@@ -183,8 +184,13 @@
 
 void Edge::Impl::executeAction(const dispatch::CancelStalledAttempt &action, base::TimePoint)
 {
-    if (EdgeCall *call = findCall(action.call))
-        dropStalledAttempt(*call);
+    EdgeCall *call = findCall(action.call);
+    if (!call || !call->stalled)
+        return;
+    base::logEvent("stalled_attempt_cancelled", {{"request", call->requestMetadata.id},
+                                                 {"upstream", call->stalled->upstream},
+                                                 {"attempt", call->stalled->number}});
+    dropStalledAttempt(*call);
 }
 
 void Edge::Impl::executeAction(const dispatch::RejectCall &action, base::TimePoint now)
@@ -466,7 +472,7 @@
                                       {"fault", dispatch::attemptFaultName(failure.fault)},
                                       {"reason", failure.reason},
                                       {"detail", failure.detail},
-                                      {"attempt", call.attemptCount},
+                                      {"attempt", attempt.number},
                                       {"stalled", isStalled},
                                       {"status", attempt.answerHead.status},
                                       {"content", contentText(call.fingerprints)}});
@@ -565,7 +571,7 @@
             return AttemptFailure{dispatch::AttemptFault::AnswerLost, "cut_short"};
         return std::nullopt;
     }
-    // The caller has the head of a stream already, whatever it is that cannot be resumed here.
+    // Nothing but the rest of its events can follow a stream that has begun.
     if (attempt.answerHead.status >= 500 || call.exchange->isStarted())
         return AttemptFailure{dispatch::AttemptFault::UpstreamError, "upstream_error"};
     return std::nullopt;
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -260,9 +260,15 @@
 {
     const auto it = m_exchanges.find(&exchange);
     EdgeCall *call = it == m_exchanges.end() ? nullptr : findCall(it->second);
-    if (call && std::exchange(call->current.isPaused, false)
-        && call->current.id != gateway::CallId())
-        m_client.setPaused(call->current.id, false);
+    if (!call)
+        return;
+    const auto resume = [this](EdgeAttempt &attempt) {
+        if (std::exchange(attempt.isPaused, false) && attempt.id != gateway::CallId())
+            m_client.setPaused(attempt.id, false);
+    };
+    resume(call->current);
+    if (call->stalled)
+        resume(*call->stalled);
 }
 
 void Edge::Impl::onRejected(int status, std::string_view reason)
@@ -506,8 +512,9 @@
     m_metrics->set("hyssop_caller_requests", static_cast<double>(requests.requests));
     m_metrics->set("hyssop_caller_requests_answered", static_cast<double>(requests.answered));
     m_metrics->set("hyssop_caller_requests_broken_off", static_cast<double>(requests.brokenOff));
-    m_metrics->set("hyssop_caller_requests_abandoned",
-                   static_cast<double>(requests.abandoned + m_relayServer.stats().abandoned));
+    m_metrics->set("hyssop_caller_requests_abandoned", static_cast<double>(requests.abandoned));
+    m_metrics->set("hyssop_relayed_requests_abandoned",
+                   static_cast<double>(m_relayServer.stats().abandoned));
     m_metrics->set("hyssop_caller_requests_left", static_cast<double>(requests.disconnected));
     m_metrics->set("hyssop_caller_requests_open", static_cast<double>(requests.open()));
     const auto &client = m_client.stats();
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -47,6 +47,7 @@
     base::UpstreamId upstream;
     base::Incarnation upstreamIncarnation;
     bool isRelayed = false; ///< It is at another entry host.
+    int number = 0; ///< Of the attempts of its call, from 1.
     gateway::ResponseHead answerHead;
     ResponseMetadata answerMetadata;
     std::string answerBody; ///< Answer that is buffered whole.
@@ -80,7 +81,7 @@
     std::optional<EdgeAttempt> stalled; ///< See dispatch::KeepStalledAttempt.
 
     /// Whether \a attempt, one of this call, has stalled and was followed by another one.
-    bool isStalled(const EdgeAttempt &attempt) const { return &attempt != &current; }
+    bool isStalled(const EdgeAttempt &attempt) const { return stalled && &attempt == &*stalled; }
     /// Whether the answer of \a attempt is forwarded event by event.
     bool isEventStream(const EdgeAttempt &attempt) const
     {
