dispatch: A stalled attempt costs no retry that is not sent, and is given up for nothing that has not answered

The retry is taken when the next attempt is sent now, one silence is one fault, and a permit that is of no use any more is withdrawn without a report. - With three attempts allowed the first one, which had written events, was cancelled when the second one stalled. The second one is now. - Content that became suspect after it was sent got a trial beside the stalled attempt, so it ran at two upstreams. It is not doubled now. SilenceTest checks that the other engine was asked.

--- a/integration/SilenceTest.cpp
+++ b/integration/SilenceTest.cpp
@@ -114,7 +114,9 @@
     std::this_thread::sleep_for(Millis(200));
     prepare(*bed.engines[1 - used]);
     bed.engines[used]->fallSilent(kSilence);
-    return chat.get();
+    Reply reply = chat.get();
+    CHECK_FALSE(bed.engines[1 - used]->traffic().arrivals.empty());
+    return reply;
 }
 
 } // namespace
--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -127,6 +127,13 @@
                                          static_cast<std::int64_t>(call.prefillMs), isPrefilled});
 }
 
+void Dispatcher::Impl::withdrawPermit(ActiveCall &call)
+{
+    call.isPrefillReported = true;
+    if (std::exchange(call.permit, PermitState::None) != PermitState::None)
+        m_actions.emplace_back(ReleasePermit{call.info.id, call.info.service, call.info.route});
+}
+
 void Dispatcher::Impl::handle(const PermitGranted &event, base::TimePoint now)
 {
     ActiveCall *call = findCall(event.call);
@@ -244,7 +251,10 @@
     if (now >= call->current.firstEventAt + kProofTime)
         recordAnswered(*call, now);
     endPrefill(*call, true, now);
-    call->progressDeadline = now + gapTimeout(*call);
+    call->current.isStallRecorded = false;
+    // The entry host that a call was relayed to looks for another upstream first.
+    call->progressDeadline =
+            now + gapTimeout(*call) + (call->current.relay ? kRelayQueueTime : base::Millis(0));
     if (call->stalled)
         cancelStalledAttempt(*call, now);
 }
@@ -338,33 +348,52 @@
         call.progressDeadline = std::min(call.info.deadline, now + kStallRecheckInterval);
         return;
     }
-    // Suspect content runs at one upstream at a time.
+    // Suspect content must not run at two upstreams at once.
     if (call.attempts >= call.info.maxAttempts || !call.info.isRetrySafe
-        || call.info.deadline - now < kMinAttemptTime || call.trial == TrialState::Granted)
-        return;
-    if (!serviceOf(call.info.service).retryBudget->tryAcquire(m_sharingHosts.current(now), now))
+        || call.info.deadline - now < kMinAttemptTime || call.trial == TrialState::Granted
+        || !suspectsIn(call).empty())
         return;
-    m_actions.emplace_back(RetryScheduled{call.info.id, AttemptFault::Stalled});
-    recordFault(call, AttemptFault::Stalled, {}, now);
-    if (call.stalled)
-        cancelStalledAttempt(call, now);
+    if (!std::exchange(call.current.isStallRecorded, true))
+        recordFault(call, AttemptFault::Stalled, {}, now);
+    call.mayHaveRun = true;
+    call.needsRetry = true;
+    if (call.stalled) {
+        // Neither has answered since the first one stalled, and that one may have begun to.
+        m_actions.emplace_back(CancelAttempt{call.info.id});
+        withdrawPermit(call);
+        releaseAttempt(call, now);
+        return enqueue(call, now);
+    }
     m_actions.emplace_back(KeepStalledAttempt{call.info.id});
-    releasePermit(call, false);
+    withdrawPermit(call);
     call.stalled = std::exchange(call.current, {});
     call.stage = CallStage::Queued;
-    call.mayHaveRun = true;
     enqueue(call, now);
 }
 
+bool Dispatcher::Impl::acquireStallRetry(ActiveCall &call, base::TimePoint now)
+{
+    if (!std::exchange(call.needsRetry, false))
+        return true;
+    if (!serviceOf(call.info.service).retryBudget->tryAcquire(m_sharingHosts.current(now), now)) {
+        rejectOrFail(call, FailureReason::UpstreamLost, now);
+        return false;
+    }
+    m_actions.emplace_back(RetryScheduled{call.info.id, AttemptFault::Stalled});
+    return true;
+}
+
 void Dispatcher::Impl::reinstateStalledAttempt(ActiveCall &call, base::TimePoint now)
 {
     if (call.stage == CallStage::Sent)
         m_actions.emplace_back(CancelAttempt{call.info.id});
+    withdrawPermit(call);
     if (call.stage != CallStage::Queued)
         releaseAttempt(call, now);
     m_queue.erase({call.info.priority, call.info.id});
-    releasePermit(call, false);
     endTrial(call);
+    call.needsRetry = false;
+    call.isPrefillReported = !call.mayNeedPermit || call.hasForwardedEvents;
     call.current = *std::exchange(call.stalled, std::nullopt);
     call.stage = CallStage::Sent;
     call.progressDeadline =
--- a/libs/dispatch/src/Crashes.cpp
+++ b/libs/dispatch/src/Crashes.cpp
@@ -200,6 +200,11 @@
     if (suspects.empty())
         return true;
     call.blocker = QueueBlocker::Trial;
+    if (call.stalled) {
+        // It must not run at two upstreams at once.
+        reinstateStalledAttempt(call, now);
+        return false;
+    }
     // The leader may have granted the last trial for a long time to this call.
     if (call.trial == TrialState::Requested)
         return false;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -376,6 +376,8 @@
         if (!mayRun(call, now))
             continue;
         if (const auto placement = place(call, service, now)) {
+            if (!acquireStallRetry(call, now))
+                continue;
             m_queue.erase({call.info.priority, id});
             sendAttempt(call, *placement, now);
         } else if (call.blocker == QueueBlocker::RateLimit) {
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -54,6 +54,7 @@
     base::TimePoint sentAt;
     base::TimePoint firstEventAt{};
     bool isProven = false; ///< The content of the call is noted as answered in it.
+    bool isStallRecorded = false; ///< Its silence counts as a fault of its upstream already.
 };
 
 /// A call that has not ended.
@@ -86,6 +87,7 @@
     int unsentAttempts = 0; ///< Attempts that reached no upstream.
     bool mayHaveRun = false;
     bool hasForwardedEvents = false; ///< The caller has some events of the answer.
+    bool needsRetry = false; ///< The next attempt takes a retry from the budget when it is sent.
     base::TimePoint queuedAt;
     base::TimePoint progressDeadline; ///< End of the stall or reservation timeout.
 };
@@ -148,6 +150,8 @@
     bool isInTime = false; ///< The first event is expected within the objective.
 };
 
+/// Time that a relayed call may be queued at the other entry host, beside its stall timeouts.
+constexpr base::Millis kRelayQueueTime{1'500};
 /// Limit of engines on the helpers that one request names.
 constexpr std::size_t kMaxHelpers = 16;
 
@@ -359,6 +363,9 @@
     bool isStalled(const ActiveCall &call, base::TimePoint now) const;
     void recordFault(const ActiveCall &call, AttemptFault fault,
                      const std::optional<base::Endpoint> &faultyUpstream, base::TimePoint now);
+    /// Takes the retry that a call needs before its next attempt is sent, or goes on with its
+    /// stalled attempt and returns false if there is none left.
+    bool acquireStallRetry(ActiveCall &call, base::TimePoint now);
     /// Whether the call may be retried. Takes the retry from the budget of its service.
     bool acquireRetry(ActiveCall &call, AttemptFault fault, base::TimePoint now);
     /// Mean over all upstreams of the service except \a excluded.
@@ -374,6 +381,8 @@
     /// Asks for a permit if the prompt is long and none is held or asked for.
     void requestPermit(ActiveCall &call, base::TimePoint now);
     void releasePermit(ActiveCall &call, bool isPrefilled);
+    /// Returns the permit, or ends the wait for one, without a report on the prefill.
+    void withdrawPermit(ActiveCall &call);
     /// Goes on with the stalled attempt if there is one. Else ends the call with RejectCall if it
     /// cannot have run, otherwise with FailCall.
     void rejectOrFail(ActiveCall &call, FailureReason reason, base::TimePoint now);
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -15,8 +15,6 @@
 constexpr base::Millis kRelayPause{500};
 /// No relay is made with less time than this left.
 constexpr base::Millis kMinRelayTime{30};
-/// Time that a relayed call may be queued at the other host, beside the time for its first event.
-constexpr base::Millis kRelayQueueTime{1'500};
 
 } // namespace
 
@@ -86,9 +84,11 @@
         || call.info.deadline - now < kMinRelayTime)
         return false;
     const auto peer = m_relayPeers.choose(call.triedRelays, m_rng, now);
-    if (peer)
+    if (!peer)
+        return false;
+    if (acquireStallRetry(call, now))
         sendRelay(call, *peer, isLost ? RelayReason::LinksLost : RelayReason::NotSent, now);
-    return peer.has_value();
+    return true;
 }
 
 void Dispatcher::Impl::sendRelay(ActiveCall &call, const base::Endpoint &peer, RelayReason reason,
@@ -97,9 +97,7 @@
     m_queue.erase({call.info.priority, call.info.id});
     endTrial(call);
     // The other host reports its prefill.
-    call.isPrefillReported = true;
-    if (std::exchange(call.permit, PermitState::None) != PermitState::None)
-        m_actions.emplace_back(ReleasePermit{call.info.id, call.info.service, call.info.route});
+    withdrawPermit(call);
     RelayCall action;
     action.call = call.info.id;
     action.peer = peer;
--- a/libs/dispatch/tests/CrashTest.cpp
+++ b/libs/dispatch/tests/CrashTest.cpp
@@ -289,6 +289,17 @@
     CHECK(it.dispatcher.crashSuspects(kStart + Millis(950)).empty());
 }
 
+TEST_CASE("suspect content gets no trial beside an attempt that has stalled with it")
+{
+    Fixture it;
+    REQUIRE(first<SendAttempt>(it.arrive({kPart}, kStart, true)));
+    it.suspect(fleet::Quarantine::Full, Millis(0), kStart + Millis(400));
+    const Actions due = it.dispatcher.tick(kStart + Millis(950));
+    CHECK_FALSE(first<KeepStalledAttempt>(due));
+    CHECK_FALSE(first<RequestTrial>(due));
+    CHECK_FALSE(first<SendAttempt>(due));
+}
+
 TEST_CASE("the memory of answered content is bounded and forgets the oldest first")
 {
     AnsweredContent answered;
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -489,6 +489,51 @@
     CHECK(fixture.dispatcher.stats(call.deadline).active == 0);
 }
 
+TEST_CASE("a silence during which no other engine takes a stream uses no retries")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 8);
+    const CallInfo call = fixture.promptCall(150'000);
+    fixture.sendLong(call);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(800));
+    int rounds = 0;
+    for (Millis at(800); at < Millis(9'900); at += Millis(50)) {
+        const Actions due = fixture.dispatcher.tick(kStart + at);
+        CHECK_FALSE(first<RetryScheduled>(due));
+        CHECK_FALSE(first<UpstreamEjected>(due));
+        if (!first<RequestPermit>(due))
+            continue;
+        ++rounds;
+        const Actions denied =
+                fixture.dispatcher.handle(PermitDenied{call.id}, kStart + at + Millis(10));
+        REQUIRE(first<ReinstateAttempt>(denied));
+        REQUIRE(first<ReleasePermit>(denied));
+        CHECK(first<ReleasePermit>(denied)->prefillMs == 0);
+    }
+    CHECK(rounds > 1);
+}
+
+TEST_CASE("a stream keeps the engine that wrote to it while two others are silent")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 3);
+    CallInfo call = fixture.promptCall(5'000);
+    call.maxAttempts = 3;
+    fixture.dispatcher.handle(PeerLoadSumReceived{{}, 1}, kStart);
+    fixture.sendShort(call);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
+    REQUIRE(first<SendAttempt>(fixture.dispatcher.tick(kStart + Millis(1'200))));
+    const Actions due = fixture.dispatcher.tick(kStart + Millis(3'500));
+    CHECK(first<CancelAttempt>(due));
+    CHECK_FALSE(first<CancelStalledAttempt>(due));
+    REQUIRE(first<SendAttempt>(due));
+    CHECK(fixture.dispatcher.ownLoad().upstreams.size() == 2);
+    const Actions failed = fixture.dispatcher.handle(
+            AttemptFailed{call.id, AttemptFault::Refused, {}}, kStart + Millis(3'600));
+    CHECK(first<ReinstateAttempt>(failed));
+    CHECK_FALSE(first<FailCall>(failed));
+}
+
 TEST_CASE("an error instead of the rest of a stream is not forwarded in its midst")
 {
     Fixture fixture;
--- a/libs/dispatch/tests/RelayTest.cpp
+++ b/libs/dispatch/tests/RelayTest.cpp
@@ -288,3 +288,17 @@
     fixture.dispatcher.tick(kStart + Millis(20));
     CHECK(fixture.dispatcher.nextTick() == base::TimePoint::max());
 }
+
+TEST_CASE("a relayed stream is not relayed again while its host may look for another upstream")
+{
+    Fixture fixture;
+    fixture.loseLinks();
+    CallInfo info = fixture.call(true);
+    info.isStream = true;
+    info.gapObjective = Millis(250);
+    info.deadline = kStart + Millis(8'000);
+    REQUIRE(first<RelayCall>(fixture.arrive(info)));
+    fixture.dispatcher.handle(AnswerProgressed{info.id}, kStart + Millis(100));
+    CHECK_FALSE(first<RelayCall>(fixture.dispatcher.tick(kStart + Millis(1'101))));
+    CHECK(first<RelayCall>(fixture.dispatcher.tick(kStart + Millis(2'700))));
+}
