fleet: A draining upstream that timed out is not made ready by a delayed announcement

What callers would see: an upstream said that it drains, and its announcements then reached a control host no more. After its timeout an older announcement arrived, which still said ready, and the upstream got requests again: refused ones, or ones that ran beyond its last moment.

Cause: once an upstream timed out, Directory forgot the sequence number of its last announcement and that it was draining, so that any announcement counted as new.

Now both are remembered as long as its departure is. A start that is known returns only with a later announcement, and goes on draining. Without a start time an earlier number counts as late for 10 s only, and only of one that was draining, as it may be that of the next start.

The new test failed before: test-fleet "a draining upstream that timed out*" printed, with and without a start time, CHECK( directory.announce(upstream("a", born, 4), ...) == AnnounceResult::Stale ) with 0 == 3 and CHECK( directory.find(a.id)->isLeaving ) with false. After: test-fleet 42 of 42.

--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -391,10 +391,14 @@
         DepartedUpstream departed;
         std::int64_t revision = 0;
         base::TimePoint departedAt;
+        std::int64_t lastSequence = 0;
+        bool wasLeaving = false;
     };
 
     void remove(const base::UpstreamId &id, DepartureKind departure, base::TimePoint now);
-    bool isSuperseded(const Upstream &upstream) const;
+    /// Tombstone of the same start of \a upstream if that timed out; null otherwise.
+    const Tombstone *timedOutStart(const Upstream &upstream) const;
+    bool isSuperseded(const Upstream &upstream, base::TimePoint now) const;
     /// Whether an upstream with a recent announcement has the address of \a upstream and start
     /// times do not show which of the two is newer.
     bool isAddressInUse(const Upstream &upstream, base::TimePoint now) const;
--- a/libs/fleet/src/Directory.cpp
+++ b/libs/fleet/src/Directory.cpp
@@ -8,6 +8,9 @@
 
 /// Hosts that poll by revision get departures for this long. After that they get a snapshot.
 constexpr base::Millis kTombstoneRetention{60'000};
+/// Announcements arrive at most this late. Later ones of upstreams without a start time may come
+/// from their next start.
+constexpr base::Millis kMaxAnnouncementDelay{10'000};
 
 } // namespace
 
@@ -43,12 +46,28 @@
     return it == m_tombstones.end() ? nullptr : &it->second.departed;
 }
 
-bool Directory::isSuperseded(const Upstream &upstream) const
+const Directory::Tombstone *Directory::timedOutStart(const Upstream &upstream) const
+{
+    const auto it = m_tombstones.find(upstream.id);
+    const bool isSameStart = it != m_tombstones.end()
+                             && it->second.departed.kind == DepartureKind::TimedOut
+                             && it->second.departed.incarnation == upstream.incarnation;
+    return isSameStart ? &it->second : nullptr;
+}
+
+bool Directory::isSuperseded(const Upstream &upstream, base::TimePoint now) const
 {
     const DepartedUpstream *departed = findDeparted(upstream.id);
     if (departed && departed->kind == DepartureKind::Left
         && departed->incarnation >= upstream.incarnation)
         return true;
+    const Tombstone *timedOut = timedOutStart(upstream);
+    if (timedOut && upstream.sequence <= timedOut->lastSequence) {
+        const bool hasStartTime = upstream.incarnation > base::Incarnation();
+        if (hasStartTime
+            || (timedOut->wasLeaving && now < timedOut->departedAt + kMaxAnnouncementDelay))
+            return true;
+    }
     const auto &ids = m_addresses.at(upstream.address);
     return std::any_of(ids.begin(), ids.end(), [&](const base::UpstreamId &id) {
         return m_entries.at(id).upstream.replacesAddressOf(upstream);
@@ -67,7 +86,7 @@
 
 AnnounceResult Directory::announce(const Upstream &upstream, base::TimePoint now)
 {
-    if (isSuperseded(upstream))
+    if (isSuperseded(upstream, now))
         return AnnounceResult::Stale;
     const auto it = m_entries.find(upstream.id);
     if (it != m_entries.end()) {
@@ -97,8 +116,12 @@
         const bool isCertain = upstream.replacesAddressOf(m_entries.at(id).upstream);
         remove(id, isCertain ? DepartureKind::Left : DepartureKind::TimedOut, now);
     }
+    const Tombstone *timedOut = timedOutStart(upstream);
+    const bool wasLeaving =
+            timedOut && timedOut->wasLeaving && upstream.sequence > timedOut->lastSequence;
     m_tombstones.erase(upstream.id);
-    m_entries[upstream.id] = {upstream, ++m_revision, now};
+    Entry &entry = m_entries[upstream.id] = {upstream, ++m_revision, now};
+    entry.upstream.isLeaving = upstream.isLeaving || wasLeaving;
     m_addresses.add(upstream);
     return AnnounceResult::New;
 }
@@ -141,7 +164,12 @@
 void Directory::remove(const base::UpstreamId &id, DepartureKind departure, base::TimePoint now)
 {
     const auto it = m_entries.find(id);
-    m_tombstones[id] = {{id, it->second.upstream.incarnation, departure}, ++m_revision, now};
+    const Upstream &upstream = it->second.upstream;
+    m_tombstones[id] = {{id, upstream.incarnation, departure},
+                        ++m_revision,
+                        now,
+                        upstream.sequence,
+                        upstream.isLeaving};
     m_addresses.remove(it->second.upstream);
     m_entries.erase(it);
 }
--- a/libs/fleet/tests/DirectoryTest.cpp
+++ b/libs/fleet/tests/DirectoryTest.cpp
@@ -122,6 +122,23 @@
     CHECK(directory.changesSince(4, seen).upstreams.size() == 1);
 }
 
+TEST_CASE("a draining upstream that timed out is not made ready by a delayed announcement")
+{
+    Directory directory(1, kAnnounceTimeout);
+    for (const std::int64_t born : {0, 10}) {
+        Upstream a = upstream("a", born, 5);
+        a.isLeaving = true;
+        directory.announce(a, kStart);
+        directory.removeExpired(kStart + kAnnounceTimeout);
+        REQUIRE_FALSE(directory.find(a.id));
+        CHECK(directory.announce(upstream("a", born, 4), kStart + kAnnounceTimeout)
+              == AnnounceResult::Stale);
+        CHECK(directory.announce(upstream("a", born, 6), kStart + kAnnounceTimeout)
+              == AnnounceResult::New);
+        CHECK(directory.find(a.id)->isLeaving);
+    }
+}
+
 TEST_CASE("a departure without a start time that reaches a restarted control host first is kept")
 {
     Directory restarted(1, kAnnounceTimeout);
