dispatch: A declined call that has no time left does not end the relays of its service

What callers would see: at an entry host that reaches no upstream, all calls of a service were refused for 0.5 s because one call, which another host declined, had less than 30 ms left.

Cause: handleRelayFailure() paused the relays whenever it could not relay the call again, also when just the time of that call was up. The pause is meant for upstreams that kMaxRelays hosts do not reach either.

The new test failed before: test-dispatch "a call that one host declines just before its deadline*" printed CHECK( first<RelayCall>(fixture.arrive(fixture.call(), kStart + Millis(16))) ) with nullptr.

--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -137,7 +137,8 @@
             m_actions.emplace_back(RetryScheduled{id, fault});
             return enqueue(call, now);
         }
-        serviceOf(call.info.service).relaysPausedUntil = now + kRelayPause;
+        if (call.triedRelays.size() >= kMaxRelays)
+            serviceOf(call.info.service).relaysPausedUntil = now + kRelayPause;
         return rejectOrFail(call, FailureReason::Unreachable, now);
     }
     call.mayHaveRun = true;
--- a/libs/dispatch/tests/RelayTest.cpp
+++ b/libs/dispatch/tests/RelayTest.cpp
@@ -217,6 +217,19 @@
     CHECK_FALSE(first<FailCall>(declined));
 }
 
+TEST_CASE(
+        "a call that one host declines just before its deadline does not end the relays of others")
+{
+    Fixture fixture;
+    fixture.loseLinks();
+    CallInfo ending = fixture.call();
+    ending.deadline = kStart + Millis(40);
+    REQUIRE(first<RelayCall>(fixture.arrive(ending)));
+    const Actions declined = fixture.fail(ending.id, AttemptFault::Refused, kStart + Millis(15));
+    CHECK(first<RejectCall>(declined));
+    CHECK(first<RelayCall>(fixture.arrive(fixture.call(), kStart + Millis(16))));
+}
+
 TEST_CASE("a relayed call that may have run is not sent again unless it may be repeated")
 {
     Fixture fixture;
