dispatch: A prompt is not sent with reservations that are older than their time to answer

What callers would see: an entry host that stood still while engines answered its reservations sent the prompt seconds later. The engines give the memory back after 3.5 s, so the prompt failed there, or took memory that was promised to another one.

Cause: ReservationDone was taken whatever its age; only tick() looked at the time limit of a reservation, and after a pause the answers may be handled before the tick.

Now an answer that comes after the limit counts as a failed reservation, as it does in tick(). The call, which was not sent, is rejected and its memory released.

--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -169,7 +169,8 @@
     ActiveCall *call = findCall(event.call);
     if (!call || call->stage != CallStage::Reserving)
         return;
-    if (!event.isReserved) {
+    // After a pause of this host the first reservations may have expired.
+    if (!event.isReserved || now >= call->progressDeadline) {
         // The call itself was not sent.
         releaseAttempt(*call, now);
         --call->attempts;
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -213,6 +213,20 @@
     CHECK(first<RejectCall>(due));
 }
 
+TEST_CASE("a host that was paused does not send a prompt with reservations that may have expired")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 8);
+    const CallInfo call = fixture.promptCall(400'000);
+    fixture.dispatcher.handle(CallArrived{call}, kStart);
+    REQUIRE(first<ReserveMemory>(fixture.dispatcher.handle(PermitGranted{call.id}, kStart)));
+    const Actions late =
+            fixture.dispatcher.handle(ReservationDone{call.id, true}, kStart + Millis(4'000));
+    CHECK_FALSE(first<SendAttempt>(late));
+    CHECK(first<ReleaseMemory>(late));
+    CHECK(first<RejectCall>(late));
+}
+
 TEST_CASE("a rejected call names what it lacked while it was queued")
 {
     Fixture fixture;
