gateway, edge: A late answer to a prompt is not taken for that of a memory order

What callers would see: an engine sent a second copy of an answer, late, on a connection that had gone to a memory order meanwhile. Its status 200 counted as memory reserved, and the prompt was sent to engines that held none for it; likewise the late status of a prompt could end a reservation that was held.

Cause: orders for memory share kept-alive connections with prompts, but were sent without a field to compare, and Client took any response to a request without an id for its own.

Now orders name the field too, and a response that echoes an id is dropped when its request had none. Orders are answered without the field, as it is copied from the request; such responses pass as before.

The new test failed before: test-gateway "a late response to a request with an id*" printed CHECK( recorder.status == 409 ) with 200 == 409. After: test-gateway 30 of 30.

--- a/libs/edge/src/Memory.cpp
+++ b/libs/edge/src/Memory.cpp
@@ -29,6 +29,8 @@
     request.to = reservation.upstream.address;
     request.head = engineRequest.head;
     request.body = std::make_shared<const std::string>(engineRequest.body);
+    // It has no id itself, and shares its connection with requests that do.
+    request.echoFieldName = m_protocol->echoFieldName();
     request.connectTimeout = kReservationConnectTimeout;
     request.responseTimeout = kReservationTimeout;
     m_reservationRequests[m_client.start(std::move(request))] = {
--- a/libs/gateway/include/gateway/Gateway.h
+++ b/libs/gateway/include/gateway/Gateway.h
@@ -227,7 +227,8 @@
     RequestHead head; ///< Without the fields that frame the body.
     std::shared_ptr<const std::string> body; ///< May be null or empty.
     /// Name of a field that responses copy from their request. A response with another value
-    /// belongs to an earlier request and is dropped. Nothing is compared if this is empty.
+    /// belongs to an earlier request and is dropped, also if this request lacks the field. Nothing
+    /// is compared if this is empty.
     std::string echoFieldName;
     base::Millis connectTimeout{500};
     base::Millis responseTimeout{0}; ///< From start() to the end of the response. 0 means no limit.
--- a/libs/gateway/src/Client.cpp
+++ b/libs/gateway/src/Client.cpp
@@ -160,7 +160,7 @@
         return true;
     const auto echoed = fieldValue(m_parser->fields, m_call.echoFieldName);
     const auto sent = fieldValue(m_call.head.fields, m_call.echoFieldName);
-    return !echoed || !sent || *echoed == *sent;
+    return !echoed || (sent && *echoed == *sent);
 }
 
 void UpstreamConnection::process()
--- a/libs/gateway/tests/GatewayTest.cpp
+++ b/libs/gateway/tests/GatewayTest.cpp
@@ -372,6 +372,24 @@
     CHECK(client.stats().strayResponses == 1);
 }
 
+TEST_CASE("a late response to a request with an id is not taken for that of one without")
+{
+    boost::asio::io_context io;
+    Upstream upstream(
+            &io,
+            {responseText("0", "stray") + "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"},
+            false);
+    ResponseRecorder recorder;
+    Client client(&io, &recorder);
+    Call order = callTo(upstream, "");
+    std::erase_if(order.head.fields, [](const Field &it) { return it.name == "Request-Id"; });
+    client.start(order);
+    runUntilEnded(io, recorder);
+    CHECK(recorder.status == 409);
+    CHECK(recorder.body.empty());
+    CHECK(client.stats().strayResponses == 1);
+}
+
 TEST_CASE("a truncated response is a failure, one framed by the end of the connection is complete")
 {
     boost::asio::io_context io;
