fleet, registry: A restarted control host that accepts a delayed announcement learns of the departure

What callers would see: a control host restarted after an upstream had left. A delayed announcement of that upstream reached it, and it listed the upstream as ready until the announce timeout was over. Entry hosts that had started after the departure sent it requests; older ones remember the departure themselves.

Cause: departures are passed on once, when they happen. The restarted host relayed the announcement to the other control hosts, which knew better and dropped it without a word.

Now a control host that gets a relayed announcement of an upstream that has left passes the departure on again. Departures are not relayed on by their receivers, so this ends after one message.

The new test failed with departuresOf() answering nothing, as the control hosts did: test-fleet "a restarted control host*" printed REQUIRE( departures.size() == 1 ) with 0 == 1. After: test-fleet 43 of 43. That Registry sends them is shown by no test, as it opens sockets.

--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -376,6 +376,8 @@
     DirectoryChanges changesSince(std::int64_t incarnation, std::int64_t revision) const;
     std::size_t size() const { return m_entries.size(); }
     const Upstream *find(const base::UpstreamId &id) const;
+    /// Departures that the sender of announcements does not know of, as after a restart.
+    std::vector<DepartedUpstream> departuresOf(const std::vector<Upstream> &announced) const;
     /// Departure of an upstream that is no longer listed; null when none is remembered.
     const DepartedUpstream *findDeparted(const base::UpstreamId &id) const;
 
--- a/libs/fleet/src/Directory.cpp
+++ b/libs/fleet/src/Directory.cpp
@@ -46,6 +46,18 @@
     return it == m_tombstones.end() ? nullptr : &it->second.departed;
 }
 
+std::vector<DepartedUpstream> Directory::departuresOf(const std::vector<Upstream> &announced) const
+{
+    std::vector<DepartedUpstream> departures;
+    for (const Upstream &it : announced) {
+        const DepartedUpstream *departed = findDeparted(it.id);
+        if (departed && departed->kind == DepartureKind::Left
+            && departed->incarnation >= it.incarnation)
+            departures.push_back(*departed);
+    }
+    return departures;
+}
+
 const Directory::Tombstone *Directory::timedOutStart(const Upstream &upstream) const
 {
     const auto it = m_tombstones.find(upstream.id);
--- a/libs/fleet/tests/DirectoryTest.cpp
+++ b/libs/fleet/tests/DirectoryTest.cpp
@@ -139,6 +139,21 @@
     }
 }
 
+TEST_CASE("a restarted control host that accepts a delayed announcement learns of the departure")
+{
+    Directory running(1, kAnnounceTimeout);
+    Directory restarted(2, kAnnounceTimeout);
+    running.announce(upstream("a", 10, 5), kStart);
+    running.leave(base::UpstreamId("a"), base::Incarnation(10), kStart);
+    const Upstream late = upstream("a", 10, 4);
+    REQUIRE(restarted.announce(late, kStart) == AnnounceResult::New);
+    REQUIRE(running.announce(late, kStart) == AnnounceResult::Stale);
+    const auto departures = running.departuresOf({late, upstream("a", 20, 1)});
+    REQUIRE(departures.size() == 1);
+    restarted.leave(departures.front().id, departures.front().incarnation, kStart);
+    CHECK_FALSE(restarted.find(late.id));
+}
+
 TEST_CASE("a departure without a start time that reaches a restarted control host first is kept")
 {
     Directory restarted(1, kAnnounceTimeout);
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -403,6 +403,10 @@
 {
     for (const fleet::Upstream &upstream : relay.upstreams)
         m_directory.announce(upstream, now);
+    // The sender, or a host that it relays to, may have started after these departures.
+    auto departures = m_directory.departuresOf(relay.upstreams);
+    if (!departures.empty())
+        relayLater({{}, std::move(departures)}, [] {});
     for (const fleet::DepartedUpstream &it : relay.departed)
         m_directory.leave(it.id, it.incarnation, now);
     for (const fleet::LeavingUpstream &it : relay.leaving) {
