edge, fleet: A leader of an earlier build clears no crash suspects

While the leader was of a build before, which keeps no account of crash suspects, present entry hosts dropped all that they knew with its second reply, and requests that crash engines ran again everywhere.

Cause: a reply without the list of suspects was read as one with an empty list, and an empty list clears.

Now a reply that lacks the field clears nothing.

--- a/libs/edge/src/Crashes.cpp
+++ b/libs/edge/src/Crashes.cpp
@@ -168,8 +168,8 @@
         m_informedLeader = reply.directory.incarnation;
     }
     // Until a new leader has heard of them, its reply lacks suspects that still are.
-    const bool isComplete = known.suspects.empty();
-    if (!isComplete)
+    const bool isComplete = known.suspects.empty() && reply.knowsCrashSuspects;
+    if (!known.suspects.empty())
         sendEvidence(std::move(known), now, now);
     execute(m_dispatcher.handle(dispatch::CrashSuspectsReceived{reply.crashSuspects,
                                                                 update.requestedAt + reply.heldFor,
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -536,6 +536,9 @@
     std::int64_t factsRevision = 0;
     base::Millis heldFor{0}; ///< From the request to this reply, at the control host.
     std::vector<CrashSuspect> crashSuspects;
+    /// The control host keeps account of crash suspects. Not sent: those of builds that do not are
+    /// known by what their replies lack.
+    bool knowsCrashSuspects = true;
 };
 
 /// CBOR encoding and decoding. Decoding returns nothing for bytes that are not a valid message.
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -369,6 +369,7 @@
             reply.factsRevision = j.at(13);
             reply.heldFor = base::Millis(j.at(14));
         }
+        reply.knowsCrashSuspects = j.size() > 15;
         if (j.size() > 15)
             reply.crashSuspects = crashSuspectsFrom(j.at(15));
         reply.includesPeers = j.size() <= 16;
