--- a/integration/harness/Process.cpp
+++ b/integration/harness/Process.cpp
@@ -62,7 +62,7 @@
 Process::Process(ProcessOptions options)
 {
     Image image;
-    image.path = std::string(HYSSOP_BIN_DIR) + "/" + options.program;
+    image.path = std::filesystem::path(HYSSOP_BIN_DIR) / options.program;
     image.arguments.push_back(image.path.data());
     for (std::string &argument : options.arguments)
         image.arguments.push_back(argument.data());
--- a/integration/platform/PlatformBed.cpp
+++ b/integration/platform/PlatformBed.cpp
@@ -31,11 +31,12 @@
             (std::filesystem::temp_directory_path() / "hyssop-platform-XXXXXX").string();
     REQUIRE(::mkdtemp(folder.data()));
     m_folder = folder;
-    const auto add = [this](std::vector<PlatformHost> &to, const std::string &program,
-                            const std::string &name) {
+    const auto add = [this, &plan](std::vector<PlatformHost> &to, const std::string &program,
+                                   const std::string &name) {
         PlatformHost host;
         host.name = name;
         host.program = program;
+        host.folder = plan.folder;
         host.settings = m_folder / (name + ".yaml");
         host.log = m_folder / (name + ".log");
         host.ip = m_addresses.nextHost();
@@ -115,8 +116,8 @@
     host.process.reset();
     rewriteSettings(host, "");
     ::setenv("HYSSOPSPAN_SETTINGS", host.settings.c_str(), 1);
-    host.process =
-            std::make_unique<Process>(ProcessOptions{host.program, {}, host.log, maxFileBytes});
+    host.process = std::make_unique<Process>(
+            ProcessOptions{(host.folder / host.program).string(), {}, host.log, maxFileBytes});
     if (m_uplinkGate && host.data.empty())
         setUplinks(host, Uplinks::Open);
 }
--- a/integration/platform/PlatformBed.h
+++ b/integration/platform/PlatformBed.h
@@ -17,6 +17,7 @@
     std::size_t replicas = 1; ///< Addresses for them; the test starts what stands there.
     bool hasFaultLinks = false; ///< What comes from and goes to the outside passes the fault proxy.
     bool hasUplinkGate = false; ///< Entry hosts can be cut off from all replicas.
+    std::filesystem::path folder = {}; ///< Of the programs at first; empty for that of this build.
 };
 
 /// A host of the platform and the program on it.
@@ -24,6 +25,7 @@
 {
     std::string name;
     std::string program;
+    std::filesystem::path folder; ///< Of the program; empty for that of this build.
     std::string settings; ///< Path of its settings file.
     std::filesystem::path log;
     std::filesystem::path data; ///< Empty without a disk.
