edge, gateway: A planned stop answers what has arrived before the process ends

Callers would see: during a planned stop under load, requests that had just been accepted were cut off without an answer.

Cause: 2.5 s after the stop request the process ended at the first check that found no call. Connections with an unread request, with half of a request, or waiting to be accepted were closed then, and so were those whose last response the caller had not taken yet. Calls that were left when the time was up got nothing.

Now the host accepts what waits, stops listening, and closes connections that it finds idle twice in a row with nothing unread; it ends when no connection is left. Connections of other entry hosts follow last. Requests that come late are refused as before. When the time is up, what is left is answered 503 (not sent to an upstream) or 504, or broken off if its answer has begun, and has 250 ms to be written.

--- a/integration/PlatformTest.cpp
+++ b/integration/PlatformTest.cpp
@@ -1,12 +1,16 @@
 // The programs of the users' platform, as real processes on loopback addresses.
 
 #include "PlatformBed.h"
+#include "RawConnection.h"
 #include "Replica.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <atomic>
 #include <csignal>
+#include <fstream>
+#include <regex>
 
 using namespace hyssop;
 using namespace hyssop::harness;
@@ -67,6 +71,107 @@
     int m_lastRequest = 0;
 };
 
+/// Callers that send one request after the other to an entry host until it is gone.
+class StopLoad
+{
+public:
+    explicit StopLoad(const base::Endpoint &to)
+    {
+        constexpr int kThreads = 6; // Of each kind.
+        for (int n = 0; n < kThreads; ++n) {
+            m_threads.emplace_back([this, to] { useKept(to); });
+            m_threads.emplace_back([this, to] { useNew(to); });
+            m_threads.emplace_back([this, to] { sendSlowly(to); });
+        }
+    }
+    ~StopLoad() { wait(); }
+    StopLoad(const StopLoad &) = delete;
+    StopLoad &operator=(const StopLoad &) = delete;
+
+    void wait()
+    {
+        for (std::thread &it : m_threads) {
+            if (it.joinable())
+                it.join();
+        }
+    }
+
+    std::atomic<int> sent = 0; ///< Requests.
+    std::atomic<int> answered = 0; ///< Completely.
+    std::atomic<int> cutMidway = 0; ///< Only a part of the answer came.
+    std::atomic<int> unanswered = 0; ///< No byte of an answer came.
+    std::atomic<int> unansweredSlow = 0; ///< Those of them whose head came before their body.
+
+private:
+    std::string nextId() { return "load" + std::to_string(++sent); }
+    void count(bool isWhole, bool hasBegun)
+    {
+        ++(isWhole ? answered : hasBegun ? cutMidway : unanswered);
+    }
+    void callOn(Caller &caller, bool closes)
+    {
+        CallOptions options;
+        options.body = "ferry";
+        options.closes = closes;
+        options.fields = "Request-Id: " + nextId() + "\r\nApi-Key: k1\r\nDeadline-Ms: 1500\r\n";
+        const Reply reply = caller.call("POST", "/book/1", options);
+        count(reply.isWhole, reply.status != 0);
+    }
+    void useKept(const base::Endpoint &to)
+    {
+        for (;;) {
+            Caller caller(to);
+            if (!caller.isOpen())
+                return;
+            while (caller.isOpen()) {
+                callOn(caller, false);
+                std::this_thread::sleep_for(Millis(10));
+            }
+        }
+    }
+    void useNew(const base::Endpoint &to)
+    {
+        for (;;) {
+            Caller caller(to);
+            if (!caller.isOpen())
+                return;
+            callOn(caller, true);
+            std::this_thread::sleep_for(Millis(5));
+        }
+    }
+    void sendSlowly(const base::Endpoint &to)
+    {
+        while (Caller(to).isOpen()) {
+            RawConnection connection(to);
+            connection.send("POST /book/1 HTTP/1.1\r\nHost: site.example\r\nApi-Key: k1\r\n"
+                            "Connection: close\r\nContent-Length: 5\r\nDeadline-Ms: 1500\r\n"
+                            "Request-Id: "
+                            + nextId() + "\r\n\r\nfe");
+            std::this_thread::sleep_for(Millis(100));
+            connection.send("rry");
+            const std::string answer = connection.receiveAll();
+            unansweredSlow += answer.empty() ? 1 : 0;
+            count(answer.ends_with("ferry") || answer.ends_with("\r\n\r\n"), !answer.empty());
+        }
+    }
+
+    std::vector<std::thread> m_threads;
+};
+
+/// The number after \a name in the last line of \a log with event=stopped; -1 without one.
+int stoppedCount(const std::filesystem::path &log, const std::string &name)
+{
+    std::ifstream file(log);
+    int count = -1;
+    for (std::string line; std::getline(file, line);) {
+        std::smatch match;
+        if (line.find("event=stopped ") != std::string::npos
+            && std::regex_search(line, match, std::regex(" " + name + "=(\\d+)")))
+            count = std::stoi(match[1]);
+    }
+    return count;
+}
+
 } // namespace
 
 TEST_CASE("calls are forwarded by an accepted manifest, also after a control host died")
@@ -130,6 +235,40 @@
     CHECK(exit->code == 0);
 }
 
+TEST_CASE("each request that a stopping entry host reads gets a complete answer")
+{
+    // The pause ends when the host may close what is idle, so that much waits to be read.
+    const bool isPaused = GENERATE(false, true);
+    CAPTURE(isPaused);
+    Bed bed;
+    Replica replica("i-1", bed.replicaListen.front());
+    REQUIRE(bed.put(0, manifest(1, R"("k1")")));
+    REQUIRE(bed.beat(2, 1, "ready") == 200);
+    REQUIRE(eventually(kSoon, [&] { return bed.isReady(); }));
+    PlatformHost &entry = bed.entries.front();
+    StopLoad load(entry.listen);
+    std::this_thread::sleep_for(Millis(500));
+    entry.process->signal(SIGTERM);
+    if (isPaused) {
+        std::this_thread::sleep_for(Millis(2'200));
+        entry.process->signal(SIGSTOP);
+        std::this_thread::sleep_for(Millis(600));
+        entry.process->signal(SIGCONT);
+    }
+    const auto exit = entry.process->wait(Millis(8'000));
+    REQUIRE(exit);
+    CHECK(exit->code == 0);
+    load.wait();
+    CAPTURE(load.sent, load.answered, load.cutMidway, load.unanswered, load.unansweredSlow);
+    CHECK(load.answered > 100);
+    CHECK(load.cutMidway == 0);
+    CHECK(stoppedCount(entry.log, "requests") == load.answered);
+    CHECK(stoppedCount(entry.log, "open") == 0);
+    CHECK(load.unansweredSlow == 0);
+    // Each kept connection may meet its close once.
+    CHECK(load.unanswered <= 6);
+}
+
 TEST_CASE("a control host that lost its disk joins as a new voter, and the accepted manifest stays")
 {
     Bed bed;
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -22,8 +22,10 @@
 constexpr base::Millis kStopNoticeTime{2'500};
 /// Calls that arrive later than this after the stop request might not end in time.
 constexpr base::Millis kStopAdmissionTime{3'000};
-/// Time left before the stop limit when remaining calls are aborted.
+/// Time left before the stop limit when remaining calls are ended.
 constexpr base::Millis kStopMargin{500};
+/// Time for the responses of these calls to be written.
+constexpr base::Millis kStopFlushTime{250};
 constexpr base::Millis kStopCheckInterval{50};
 
 /// Load changes are collected for this long before they are sent. Engine passes take several times
@@ -455,36 +457,79 @@
     m_onStopped = std::move(done);
     m_server.announceClose();
     m_relayServer.announceClose();
-    stopWhenIdle();
+    checkStop();
 }
 
-void Edge::Impl::stopWhenIdle()
+void Edge::Impl::checkStop()
 {
     const base::TimePoint now = base::monotonicNow();
+    const base::TimePoint timeUpAt = *m_stopRequestedAt + m_options.stopTimeout - kStopMargin;
     const bool isNoticeOver = now >= *m_stopRequestedAt + kStopNoticeTime;
-    const bool isTimeUp = now >= *m_stopRequestedAt + m_options.stopTimeout - kStopMargin;
-    if (isTimeUp || (isNoticeOver && m_calls.empty())) {
-        const gateway::Server::Stats &stats = m_server.stats();
-        base::logEvent("stopped", {{"calls", m_calls.size()},
-                                   {"requests", stats.requests},
-                                   {"answered", stats.answered},
-                                   {"broken_off", stats.brokenOff},
-                                   {"abandoned", stats.abandoned},
-                                   {"caller_left", stats.disconnected},
-                                   {"open", stats.open()}});
-        m_watcher->stop();
-        m_server.closeIdle();
-        m_relayServer.closeIdle();
-        m_onStopped();
-        return;
-    }
+    if (now >= timeUpAt)
+        endRemainingCalls(now);
+    if (now >= timeUpAt + kStopFlushTime || (isNoticeOver && finishServing()))
+        return finishStop();
     m_stopTimer.expires_after(kStopCheckInterval);
     m_stopTimer.async_wait([this](boost::system::error_code ec) {
         if (!ec)
-            stopWhenIdle();
+            checkStop();
     });
 }
 
+bool Edge::Impl::finishServing()
+{
+    m_server.stopListening();
+    m_server.closeIdle();
+    if (!m_calls.empty() || m_server.connectionCount() > 0)
+        return false;
+    // Other entry hosts may send a call on an idle connection as it closes, so these close last.
+    m_relayServer.stopListening();
+    m_relayServer.closeIdle();
+    return m_relayServer.connectionCount() == 0;
+}
+
+void Edge::Impl::endRemainingCalls(base::TimePoint now)
+{
+    const auto mayHaveRun = [](const EdgeCall &call) {
+        return call.attemptCount > 0 || call.current.isRelayed;
+    };
+    // Those that wait come first, as the end of the others would make room for them.
+    std::vector<dispatch::CallId> ids;
+    for (const auto &[id, call] : m_calls)
+        ids.push_back(id);
+    std::stable_partition(ids.begin(), ids.end(),
+                          [&](dispatch::CallId id) { return !mayHaveRun(*findCall(id)); });
+    for (const dispatch::CallId id : ids) {
+        execute(m_dispatcher.handle(dispatch::CallerDisconnected{id}, now), now);
+        EdgeCall *call = findCall(id);
+        if (!call)
+            continue;
+        const int status = mayHaveRun(*call) ? 504 : 503;
+        const base::Millis retryAfter = mayHaveRun(*call) ? base::Millis(0) : kStoppingRetryAfter;
+        if (call->exchange->isStarted())
+            call->exchange->abort();
+        else
+            call->exchange->respond(
+                    status, m_protocol->localResponseFields(call->exchange->head(), retryAfter),
+                    "");
+        endCall(*call, mayHaveRun(*call) ? "failed" : "not_run", "stopping", status, now);
+    }
+}
+
+void Edge::Impl::finishStop()
+{
+    const gateway::Server::Stats &stats = m_server.stats();
+    base::logEvent("stopped", {{"connections", m_server.connectionCount()},
+                               {"requests", stats.requests},
+                               {"answered", stats.answered},
+                               {"broken_off", stats.brokenOff},
+                               {"abandoned", stats.abandoned},
+                               {"caller_left", stats.disconnected},
+                               {"open", stats.open()}});
+    m_watcher->stop();
+    m_onStopped();
+}
+
 void Edge::Impl::updateGauges()
 {
     const base::TimePoint now = base::monotonicNow();
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -258,7 +258,13 @@
     void sendLoadUpdate(bool isSnapshot);
     void onLoadUpdate(const fleet::LoadUpdate &update);
 
-    void stopWhenIdle();
+    void checkStop();
+    /// Takes no further connections of callers and closes those without a request. Returns whether
+    /// all that have come are served; then the same for other entry hosts.
+    bool finishServing();
+    /// Ends the calls that last longer than the stop may.
+    void endRemainingCalls(base::TimePoint now);
+    void finishStop();
 
     EdgeOptions m_options;
     boost::asio::io_context *m_io;
--- a/libs/gateway/include/gateway/Gateway.h
+++ b/libs/gateway/include/gateway/Gateway.h
@@ -152,13 +152,16 @@
     /// Listens on \a address, one of several. Port 0 selects a free port. Returns the address with
     /// the actual port.
     tl::expected<base::Endpoint, ListenError> listen(const base::Endpoint &address);
-    /// Sets the limits. Sizes apply from the next request on, timeouts at once. A connection that is
-    /// idle keeps the longest idle timeout since it became so.
+    /// Sets the limits. Sizes apply from the next request on, timeouts at once. A connection that
+    /// is idle keeps the longest idle timeout since it became so.
     void setLimits(const ServerLimits &limits);
     /// Sends "Connection: close" in all responses that start from now on, and closes their
     /// connections afterwards.
     void announceClose();
-    /// Closes idle connections and stops listening.
+    /// Accepts the connections that wait for it and stops listening.
+    void stopListening();
+    /// Closes the connections that this function found idle at the call before, too, and from which
+    /// nothing has arrived since. To be called again and again while the server stops.
     void closeIdle();
     /// Number of open connections.
     std::size_t connectionCount() const;
--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -38,6 +38,7 @@
     m_stateSince = now;
     m_progressAt = now;
     m_isTimeoutOver = false;
+    m_wasFoundIdle = false;
     if (state == State::Idle)
         m_idleTimeout = m_server->limits.idleTimeout;
 }
@@ -265,6 +266,14 @@
     }
 }
 
+void CallerConnection::closeIfIdle()
+{
+    if (m_state != State::Idle || unsentBytes() > 0 || hasUnreadData())
+        return;
+    if (std::exchange(m_wasFoundIdle, true))
+        close();
+}
+
 void CallerConnection::close()
 {
     if (m_state == State::Closed)
--- a/libs/gateway/src/CallerConnection.h
+++ b/libs/gateway/src/CallerConnection.h
@@ -41,7 +41,8 @@
     void checkTimeouts(base::TimePoint now);
     /// Adopts the idle timeout that is set if it is longer than the one that it became idle under.
     void extendIdleTimeout();
-    bool isIdle() const { return m_state == State::Idle; }
+    /// Closes the connection if it was idle at the last call too and nothing has arrived since.
+    void closeIfIdle();
     void close();
 
     // For the exchange.
@@ -80,6 +81,7 @@
     base::TimePoint m_stateSince; ///< Start of the current state.
     base::TimePoint m_progressAt; ///< Start of the current state, or last write in it.
     bool m_isTimeoutOver = false; ///< At the last check.
+    bool m_wasFoundIdle = false; ///< By closeIfIdle() in the current state.
     /// Longest one that was set since the connection became idle. Its caller may know only that.
     base::Millis m_idleTimeout{0};
     base::TimePoint m_firstByteAt;
--- a/libs/gateway/src/Server.cpp
+++ b/libs/gateway/src/Server.cpp
@@ -49,17 +49,31 @@
         return base::Endpoint{address.address, bound.port()};
     }
 
-    void closeIdle()
+    void stopListening()
     {
         for (const auto &listener : m_listeners) {
+            if (!listener->acceptor.is_open())
+                continue;
             boost::system::error_code ec;
+            listener->retryTimer.cancel();
+            listener->acceptor.non_blocking(true, ec);
+            while (!ec) {
+                tcp::socket socket(*m_shared.io);
+                listener->acceptor.accept(socket, ec);
+                if (!ec)
+                    open(std::move(socket));
+            }
+            if (ec != boost::asio::error::would_block)
+                base::logEvent("accept_failed", {{"message", ec.message()}});
             listener->acceptor.close(ec);
         }
+    }
+
+    void closeIdle()
+    {
         const auto connections = m_shared.connections;
-        for (const auto &connection : connections) {
-            if (connection->isIdle())
-                connection->close();
-        }
+        for (const auto &connection : connections)
+            connection->closeIfIdle();
     }
 
     Shared m_shared;
@@ -75,10 +89,20 @@
         boost::asio::steady_timer retryTimer;
     };
 
+    void open(tcp::socket socket)
+    {
+        const auto connection = std::make_shared<CallerConnection>(&m_shared, std::move(socket));
+        m_shared.connections.insert(connection);
+        connection->open(base::monotonicNow());
+    }
+
     void accept(Listener *listener)
     {
         listener->acceptor.async_accept([this, listener](boost::system::error_code ec,
                                                          tcp::socket socket) {
+            // A connection may have been accepted just before the listener was closed.
+            if (!ec)
+                open(std::move(socket));
             if (ec == boost::asio::error::operation_aborted || !listener->acceptor.is_open())
                 return;
             if (ec) {
@@ -90,10 +114,6 @@
                 });
                 return;
             }
-            const auto connection =
-                    std::make_shared<CallerConnection>(&m_shared, std::move(socket));
-            m_shared.connections.insert(connection);
-            connection->open(base::monotonicNow());
             accept(listener);
         });
     }
@@ -139,6 +159,11 @@
     m_impl->m_shared.isCloseAnnounced = true;
 }
 
+void Server::stopListening()
+{
+    m_impl->stopListening();
+}
+
 void Server::closeIdle()
 {
     m_impl->closeIdle();
