platform soak: Sound replicas fall silent, and resumed streams meet errors

Now each replica falls silent for 0.9 to 1.3 s each 4 to 9 s, now and then all of them at once, and beside some silences a replica answers resumed streams with 404, 500 or 503 for 1 to 4 s. The draws have a generator of their own, so that the other draws of a seed stay as they are.

HYSSOP_PROGRAMS names a folder whose programs the harness starts instead of those of the build, so that a check can be shown to fail on older code. The silence of a stand-in no longer holds up whoever ends it. Runs that a replica lost or broke off are noted as such, and replies that a caller gave up waiting for.

--- a/integration/harness/Process.cpp
+++ b/integration/harness/Process.cpp
@@ -3,6 +3,7 @@
 #include <cassert>
 #include <cerrno>
 #include <csignal>
+#include <cstdlib>
 #include <thread>
 
 #include <fcntl.h>
@@ -52,6 +53,16 @@
     ::_exit(kExecFailed);
 }
 
+/// Path of a program: in the folder HYSSOP_PROGRAMS if it has it, else of this build.
+std::string programPath(const std::string &program)
+{
+    const char *folder = std::getenv("HYSSOP_PROGRAMS");
+    const auto path = std::filesystem::path(folder ? folder : "") / program;
+    if (folder && std::filesystem::exists(path))
+        return path;
+    return std::string(HYSSOP_BIN_DIR) + "/" + program;
+}
+
 } // namespace
 
 void pollPause()
@@ -62,7 +73,7 @@
 Process::Process(ProcessOptions options)
 {
     Image image;
-    image.path = std::string(HYSSOP_BIN_DIR) + "/" + options.program;
+    image.path = programPath(options.program);
     image.arguments.push_back(image.path.data());
     for (std::string &argument : options.arguments)
         image.arguments.push_back(argument.data());
--- a/integration/harness/Process.h
+++ b/integration/harness/Process.h
@@ -13,7 +13,7 @@
 
 struct ProcessOptions
 {
-    std::string program; ///< Name of a binary of this build.
+    std::string program; ///< Name of a binary, of this build or in the folder HYSSOP_PROGRAMS.
     std::vector<std::string> arguments;
     std::filesystem::path log; ///< Standard output and error are appended here.
     std::int64_t maxFileBytes = 0; ///< Bound on each file it writes; 0: none.
--- a/integration/platform-soak/ReplicaPool.cpp
+++ b/integration/platform-soak/ReplicaPool.cpp
@@ -22,6 +22,18 @@
 constexpr int kDrops = 15;
 /// Crashes after which a replica starts again under its id, in percent.
 constexpr int kSameIds = 50;
+/// Silences of a sound replica, and the time from one to the next.
+constexpr std::int64_t kLeastSilenceMs = 900;
+constexpr std::int64_t kMostSilenceMs = 1'300;
+constexpr std::int64_t kLeastSilencePauseMs = 4'000;
+constexpr std::int64_t kMostSilencePauseMs = 9'000;
+/// Silences that meet all replicas at once, and those beside which another replica answers resumed
+/// streams with errors; in percent.
+constexpr int kCommonSilences = 15;
+constexpr int kResumeErrors = 40;
+constexpr std::array kResumeStatuses{404, 500, 503};
+constexpr std::int64_t kLeastResumeErrorsMs = 1'000;
+constexpr std::int64_t kMostResumeErrorsMs = 4'000;
 
 } // namespace
 
@@ -31,9 +43,13 @@
     , m_rng(seed)
     , m_places(bed->replicaListen.size())
     , m_limitRng(seed)
+    , m_silenceRng(seed + 8)
 {
-    for (std::size_t n = 0; n < m_places.size(); ++n)
+    std::uniform_int_distribution<std::int64_t> pause(0, kLeastSilencePauseMs);
+    for (std::size_t n = 0; n < m_places.size(); ++n) {
         startAt(n);
+        m_places[n].nextSilenceAt = base::monotonicNow() + base::Millis(pause(m_silenceRng));
+    }
     m_thread = std::thread([this] { work(); });
 }
 
@@ -187,6 +203,7 @@
             tick(n, base::monotonicNow());
         while (!m_isStopping && base::monotonicNow() < next) {
             changeLimit(base::monotonicNow());
+            beginSilences(base::monotonicNow());
             takeDownCrashed(base::monotonicNow());
             std::this_thread::sleep_for(base::Millis(5));
         }
@@ -210,6 +227,39 @@
         place.replica->limitRequests(isDropped ? std::nullopt : std::optional(limit));
 }
 
+void ReplicaPool::beginSilences(base::TimePoint now)
+{
+    const std::lock_guard guard(m_mutex);
+    const auto draw = [this](std::int64_t least, std::int64_t most) {
+        return std::uniform_int_distribution<std::int64_t>(least, most)(m_silenceRng);
+    };
+    for (Place &place : m_places) {
+        if (place.replica && place.resumesFrom <= now)
+            place.replica->answerResumes(std::nullopt);
+        if (now < place.nextSilenceAt)
+            continue;
+        const bool isCommon = draw(0, 99) < kCommonSilences;
+        for (Place &it : m_places) {
+            const bool hasRested = now >= it.silentFrom + base::Millis(kLeastSilencePauseMs);
+            if (&it != &place && (!isCommon || !hasRested))
+                continue;
+            const base::Millis silence(draw(kLeastSilenceMs, kMostSilenceMs));
+            it.silentFrom = now;
+            it.nextSilenceAt = now + base::Millis(draw(kLeastSilencePauseMs, kMostSilencePauseMs));
+            if (it.replica)
+                it.replica->fallSilent(silence);
+        }
+        if (draw(0, 99) >= kResumeErrors)
+            continue;
+        Place &other = m_places[static_cast<std::size_t>(
+                draw(0, static_cast<std::int64_t>(m_places.size()) - 1))];
+        const auto status = static_cast<std::size_t>(draw(0, kResumeStatuses.size() - 1));
+        other.resumesFrom = now + base::Millis(draw(kLeastResumeErrorsMs, kMostResumeErrorsMs));
+        if (other.replica)
+            other.replica->answerResumes(kResumeStatuses.at(status));
+    }
+}
+
 void ReplicaPool::dropLimits()
 {
     const std::lock_guard guard(m_mutex);
--- a/integration/platform-soak/ReplicaPool.h
+++ b/integration/platform-soak/ReplicaPool.h
@@ -10,7 +10,8 @@
 
 /// Replicas of both services at fixed addresses, which announce themselves, crash, come back under
 /// their id or as others, leave, and state request rate limits that they change and drop. Requests
-/// with deadlyTriggers() crash them.
+/// with deadlyTriggers() crash them. Sound ones fall silent for a second or so, alone or several
+/// together, and some answer resumed streams with errors for a while.
 class ReplicaPool
 {
 public:
@@ -53,6 +54,9 @@
         State state = State::Serving;
         bool isHeard = false; ///< That it leaves.
         base::TimePoint until; ///< End of leaving or of being down.
+        base::TimePoint silentFrom{}; ///< Of its last silence.
+        base::TimePoint nextSilenceAt{};
+        base::TimePoint resumesFrom{}; ///< Until then resumed streams get errors.
     };
 
     void work();
@@ -65,6 +69,8 @@
     void takeDownCrashed(base::TimePoint now);
     /// States another limit, or none, at one of the places.
     void changeLimit(base::TimePoint now);
+    /// Lets replicas fall silent, and others answer resumed streams with errors.
+    void beginSilences(base::TimePoint now);
     static harness::ReplicaTraffic trafficOf(const Place &place, std::size_t n);
     std::string serviceOf(std::size_t n) const { return n % 2 == 0 ? "booking" : "model"; }
 
@@ -78,6 +84,7 @@
     std::vector<harness::ReplicaCrash> m_deadlyCrashes;
     base::Rng m_limitRng; ///< Apart, so that the other draws of a seed stay as they are.
     base::TimePoint m_nextLimitAt{};
+    base::Rng m_silenceRng; ///< Apart as well.
     bool m_areLimitsOver = false;
     int m_lastId = 0;
     std::atomic<bool> m_isStopping{false};
--- a/integration/platform/Caller.cpp
+++ b/integration/platform/Caller.cpp
@@ -69,6 +69,7 @@
         if (!ec)
             read(parser, until);
         reply.isWhole = parser.is_done();
+        reply.isTimedOut = m_isTimedOut;
         m_isOpen = reply.isWhole && parser.get().keep_alive() && !options.closes;
         if (parser.is_header_done()) {
             reply.status = static_cast<int>(parser.get().result_int());
@@ -89,6 +90,7 @@
         if (ec != boost::asio::error::would_block)
             return;
         close();
+        m_isTimedOut = true;
         m_io.restart();
         m_io.run();
     }
@@ -113,6 +115,7 @@
     tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
     bool m_isOpen = false;
+    bool m_isTimedOut = false;
 };
 
 Caller::Caller(const base::Endpoint &to, base::Millis connectLimit)
--- a/integration/platform/Caller.h
+++ b/integration/platform/Caller.h
@@ -13,6 +13,7 @@
     std::string head;
     std::string body; ///< As far as it came, without framing.
     bool isWhole = false; ///< The framing says that the body is complete.
+    bool isTimedOut = false; ///< The caller closed the connection, as its limit had passed.
 };
 
 struct CallOptions
--- a/integration/platform/Replica.cpp
+++ b/integration/platform/Replica.cpp
@@ -6,12 +6,15 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <cassert>
+
 namespace hyssop::harness {
 
 namespace {
 
 /// Between two events of a stream.
 constexpr base::Millis kStep{20};
+constexpr base::Millis kSleep{5};
 /// From a request that crashes the replica to the head of its answer, and from there to the crash.
 constexpr base::Millis kPrefillBeforeCrash{60};
 constexpr base::Millis kHeadBeforeCrash{25};
@@ -126,7 +129,12 @@
 
 void Replica::fallSilent(base::Millis duration)
 {
-    boost::asio::post(m_io, [duration] { std::this_thread::sleep_for(duration); });
+    // In short sleeps, so that its owner need not wait for the end.
+    boost::asio::post(m_io, [this, duration] {
+        const base::TimePoint until = base::monotonicNow() + duration;
+        while (!m_io.stopped() && base::monotonicNow() < until)
+            std::this_thread::sleep_for(kSleep);
+    });
 }
 
 void Replica::answerResumes(std::optional<int> status)
@@ -200,6 +208,15 @@
         m_crashedBy = request;
 }
 
+void Replica::noteBreak(const std::string &request)
+{
+    const std::lock_guard guard(m_mutex);
+    const auto run = std::find_if(m_runs.rbegin(), m_runs.rend(),
+                                  [&request](const Run &it) { return it.request == request; });
+    assert(run != m_runs.rend() && "only a request that runs is broken off");
+    run->isBrokenOff = true;
+}
+
 bool Replica::draws(int percent)
 {
     return std::uniform_int_distribution<int>(0, 99)(m_rng) < percent;
@@ -235,8 +252,10 @@
         m_seen.push_back(exchange->head());
         m_runs.push_back({id, m_id, fieldOf(*exchange, "Tenant"), base::monotonicNow()});
     }
-    if (draws(m_faults.lose))
+    if (draws(m_faults.lose)) {
+        noteBreak(id);
         return exchange->abort();
+    }
     if (const auto status = statusOfResumes();
         status && gateway::fieldValue(exchange->head().fields, "Last-Event-Id"))
         return exchange->respond(*status, {{"Request-Id", id}, {"Response-Seal", m_id}}, "");
@@ -296,6 +315,7 @@
     }
     const std::string event = fmt::format("id: {}\ndata: {}\n\n", stream->next, stream->next);
     if (stream->next == stream->breaksAt) {
+        noteBreak(stream->request);
         exchange->send(event.substr(0, event.size() / 2));
         exchange->abort();
         m_streams.erase(exchange);
--- a/integration/platform/Replica.h
+++ b/integration/platform/Replica.h
@@ -19,6 +19,7 @@
     std::string replica;
     std::string team;
     base::TimePoint at;
+    bool isBrokenOff = false; ///< The replica lost the answer or closed in its midst.
 };
 
 /// How a replica misbehaves, in percent of the requests.
@@ -93,6 +94,8 @@
     void startStream(const std::shared_ptr<gateway::Exchange> &exchange);
     void writeEvent(const std::shared_ptr<Stream> &stream);
     bool draws(int percent);
+    /// Notes that it breaks off the answer of its last run of a request.
+    void noteBreak(const std::string &request);
 
     const std::string m_id;
     const ReplicaFaults m_faults;
