--- a/integration/platform-soak/History.h
+++ b/integration/platform-soak/History.h
@@ -24,6 +24,7 @@
     std::string team;
     base::TimePoint sentAt;
     base::TimePoint endedAt;
+    bool isTimedOut = false; ///< Nothing had ended it when its caller lost patience.
     base::Millis deadline{0};
     bool isConnected = false;
     int status = 0; ///< 0 without an answer.
@@ -39,6 +40,7 @@
     bool isPlanned = false; ///< A stop or reload that may cut nothing.
     base::TimePoint from;
     base::TimePoint to;
+    bool reachesCallers = false; ///< Only links to replicas are met, the host can still answer.
 };
 
 /// A manifest that was acknowledged.
--- a/integration/platform-soak/Load.h
+++ b/integration/platform-soak/Load.h
@@ -24,6 +24,8 @@
 
 private:
     void work(std::size_t number, std::uint64_t seed);
+    /// Pauses for as long as the connection may be used again, or drops it.
+    void pause(base::Rng &rng, std::unique_ptr<harness::Caller> &caller);
 
     const harness::PlatformBed *m_bed;
     const Operator *m_manifests;
