platform soak: Each whole request ends, and what was passed on ends whole

A check from the callers' side could not see a lost request. A caller whose patience ended was looked at only while no unplanned fault was near its host, links to replicas included, which was hardly ever so; and a request that had run could be cut at any time, as a replica might have broken it off.

Now: - a caller that gives up after waiting three seconds past its deadline is a broken promise, unless its host could not reach it for a time during the call (killed, frozen, cut off). A cut from replicas excuses nothing; - a request that was passed on ends with a complete answer. Excused are only the fault of the replica that ran it (noted for each run: broken off, lost, crashed, cut off), its time limit, and, beside a manifest alone, seven tenths of its time; - one that was not passed on ends with an answer or with a close within 200 ms (`LossSlackMs`), and beside a stop or reload with an answer, as before. Faults of replicas no longer excuse it; - after the faults, stops and reloads go on for 7 s beside silences, manifests and load, where nothing unplanned excuses anything; - in the quiet moment at the end, the counters of requests at each entry host add up, none is open or abandoned, they agree with what callers saw since the last stop, and no log has a `response_abandoned`.

Beside silences a replica may now turn all requests away, too.

--- a/integration/platform-soak/Checks.cpp
+++ b/integration/platform-soak/Checks.cpp
@@ -1,5 +1,7 @@
 #include "Checks.h"
 
+#include "Manifests.h"
+
 #include <fmt/format.h>
 
 namespace hyssop::platformsoak {
@@ -23,6 +25,11 @@
 constexpr std::size_t kPartCrashes = 5;
 constexpr std::size_t kRequestCrashes = 3;
 constexpr int kDeadlyArrivals = 3;
+/// A connection may close that soon after a request was sent on it, if the request is not passed
+/// on.
+constexpr base::Millis kLossSlack{200};
+/// Part of its time after which a request may end beside a manifest, in percent.
+constexpr int kLatePart = 70;
 /// Requests that come later than this into a stop may be refused or cut.
 constexpr base::Millis kStopNotice{1'000};
 
@@ -43,15 +50,22 @@
 } // namespace
 
 Checks::Checks(const History *history, std::vector<harness::Run> runs,
-               harness::Scorecard *scorecard)
+               std::vector<harness::ReplicaTraffic> traffic,
+               std::vector<harness::ReplicaCrash> crashes, harness::Scorecard *scorecard)
     : m_history(history)
     , m_runs(std::move(runs))
+    , m_traffic(std::move(traffic))
+    , m_crashes(std::move(crashes))
     , m_scorecard(scorecard)
 {
     for (const harness::Run &it : m_runs)
         m_byRequest.emplace(it.request, &it);
     for (const CallRecord &it : m_history->calls())
         m_calls[it.id] = &it;
+    for (const harness::ReplicaTraffic &it : m_traffic) {
+        const std::size_t slash = it.replica.find('/');
+        m_placeOf[it.replica.substr(slash + 1)] = it.replica.substr(0, slash);
+    }
 }
 
 bool Checks::isDisturbed(const std::string &target, base::TimePoint from, base::TimePoint to) const
@@ -72,15 +86,44 @@
                        });
 }
 
-bool Checks::isDisturbedReplica(base::TimePoint from, base::TimePoint to) const
+bool Checks::isCutFromCaller(const CallRecord &call) const
 {
     return std::any_of(m_history->faults().begin(), m_history->faults().end(),
-                       [&](const FaultRecord &it) {
-                           return it.target.starts_with("replica") && it.from <= to
-                                  && it.to + kContact >= from;
+                       [&call](const FaultRecord &it) {
+                           return it.target == call.entry && !it.isPlanned && !it.reachesCallers
+                                  && it.from <= call.endedAt && it.to >= call.sentAt;
                        });
 }
 
+bool Checks::isFaultOfReplica(const harness::Run &run, const CallRecord &call) const
+{
+    const auto isCrash = [&](const harness::ReplicaCrash &it) {
+        return it.replica == run.replica && it.at + kContact >= call.sentAt
+               && it.at <= call.endedAt + kContact;
+    };
+    const auto place = m_placeOf.find(run.replica);
+    return run.isBrokenOff || std::any_of(m_crashes.begin(), m_crashes.end(), isCrash)
+           || place == m_placeOf.end() || isDisturbed(place->second, call.sentAt, call.endedAt);
+}
+
+bool Checks::hasAllowedEnd(const CallRecord &call) const
+{
+    const auto runs = runsOf(call.id);
+    const auto elapsed = call.endedAt - call.sentAt;
+    const bool isAtStop = isAtPlannedWork(call);
+    if (call.isWhole)
+        return true;
+    if (runs.empty())
+        return !isAtStop && elapsed <= kLossSlack;
+    const base::Millis limit = std::min(call.deadline, leastTimeout(call.kind));
+    const bool isOutOfTime = elapsed >= limit - kLossSlack;
+    // Manifests come all the time. Beside them, a request that has used most of its time may end.
+    const bool isLate = !isAtStop && elapsed >= limit * kLatePart / 100;
+    return isOutOfTime || isLate
+           || std::any_of(runs.begin(), runs.end(),
+                          [&](const harness::Run *it) { return isFaultOfReplica(*it, call); });
+}
+
 bool Checks::isAtPlannedWork(const CallRecord &call) const
 {
     return std::any_of(
@@ -109,28 +152,30 @@
             m_scorecard->check(Promise::NotRunIsTrue, runs.empty(), text(it));
         if (it.kind == Kind::Booking)
             m_scorecard->check(Promise::AtMostOnce, runs.size() <= 1, text(it));
-        if (!it.isConnected || isDisturbed(it.entry, it.sentAt, it.endedAt))
+        if (!it.isConnected)
+            continue;
+        if (!isCutFromCaller(it))
+            m_scorecard->check(Promise::EndsInTime, !it.isTimedOut, "no end: " + text(it));
+        if (isDisturbed(it.entry, it.sentAt, it.endedAt))
             continue;
         // The connection closes too, when a stream that began cannot go on.
         m_scorecard->check(Promise::EndsInTime, it.endedAt <= it.sentAt + it.deadline + kLateness,
                            text(it));
-        if (!isAtPlannedWork(it) || isDisturbedReplica(it.sentAt, it.endedAt))
-            continue;
-        // A replica that broke off or lost its answer is no work of the stop.
-        const bool isAnswered = it.status == 502 || it.status == 504 || it.isWhole || !runs.empty();
-        m_scorecard->check(Promise::GracefulStop, isAnswered, text(it));
+        std::string at;
+        for (const harness::Run *run : runs)
+            at += (at.empty() ? ", ran at " : ", ") + run->replica;
+        m_scorecard->check(Promise::GracefulStop, hasAllowedEnd(it), text(it) + at);
     }
 }
 
-std::vector<std::string> Checks::rateLimitExcesses(
-        const std::vector<harness::ReplicaTraffic> &traffic, int &windows) const
+std::vector<std::string> Checks::rateLimitExcesses(int &windows) const
 {
     const auto hostOf = [this](const std::string &request) {
         const auto call = m_calls.find(request);
         return call == m_calls.end() ? std::string() : call->second->entry;
     };
     std::vector<std::string> lines;
-    for (const harness::ReplicaTraffic &it : traffic) {
+    for (const harness::ReplicaTraffic &it : m_traffic) {
         const std::string place = it.replica.substr(0, it.replica.find('/'));
         // Delayed links bring requests of some time at once. Reloads excuse nobody.
         const auto isExcused = [&](const std::string &host, base::TimePoint at) {
@@ -149,9 +194,7 @@
     return lines;
 }
 
-std::vector<std::string> Checks::deadlyExcesses(
-        const std::vector<harness::ReplicaTraffic> &traffic,
-        const std::vector<harness::ReplicaCrash> &crashes) const
+std::vector<std::string> Checks::deadlyExcesses() const
 {
     std::vector<std::string> lines;
     for (const auto &[kind, counted] :
@@ -161,7 +204,7 @@
             return call != m_calls.end() && call->second->isDeadly && call->second->kind == kind;
         };
         std::vector<base::TimePoint> times;
-        for (const harness::ReplicaCrash &it : crashes) {
+        for (const harness::ReplicaCrash &it : m_crashes) {
             if (isOfKind(it.request))
                 times.push_back(it.at);
         }
@@ -169,7 +212,7 @@
             continue;
         const base::TimePoint from = times[counted - 1] + kContact + kCrashKnown;
         int arrived = 0;
-        for (const harness::ReplicaTraffic &replica : traffic) {
+        for (const harness::ReplicaTraffic &replica : m_traffic) {
             for (const auto &it : replica.arrivals) {
                 if (it.at > from && isOfKind(it.request)
                     && !isAnyHostDisturbed(it.at - kContact - kCrashKnown, it.at))
--- a/integration/platform-soak/Faults.cpp
+++ b/integration/platform-soak/Faults.cpp
@@ -75,6 +75,12 @@
     begin(now);
 }
 
+void FaultDriver::goOnAsPlanned()
+{
+    m_isPlannedOnly = true;
+    m_isStopping = false;
+}
+
 void FaultDriver::tickUplinks(base::TimePoint now)
 {
     std::erase_if(m_uplinkCuts, [&](const UplinkCut &it) {
@@ -82,10 +88,10 @@
             return false;
         if (it.entry->process)
             m_bed->setUplinks(*it.entry, harness::Uplinks::Open);
-        m_history->add(FaultRecord{it.entry->name, false, it.from, now});
+        m_history->add(FaultRecord{it.entry->name, false, it.from, now, true});
         return true;
     });
-    if (m_isStopping || now < m_nextUplinkCutAt)
+    if (m_isStopping || m_isPlannedOnly || now < m_nextUplinkCutAt)
         return;
     const auto drawMs = [this](std::int64_t least, std::int64_t most) {
         return base::Millis(std::uniform_int_distribution<std::int64_t>(least, most)(m_uplinkRng));
@@ -105,7 +111,14 @@
 
 void FaultDriver::begin(base::TimePoint now)
 {
-    const auto fault = static_cast<Fault>(draw(0, static_cast<int>(Fault::Last)));
+    constexpr std::array kPlanned{Fault::StopEntry, Fault::StopControl, Fault::Reload};
+    const auto fault = m_isPlannedOnly ? kPlanned.at(draw<std::size_t>(0, kPlanned.size() - 1))
+                                       : static_cast<Fault>(draw(0, static_cast<int>(Fault::Last)));
+    const bool isControlStopped =
+            std::any_of(m_active.begin(), m_active.end(),
+                        [](const Active &it) { return it.fault == Fault::StopControl; });
+    if (m_isPlannedOnly && fault == Fault::StopControl && isControlStopped)
+        return;
     switch (fault) {
     case Fault::KillEntry:
     case Fault::StopEntry:
--- a/integration/platform-soak/Faults.h
+++ b/integration/platform-soak/Faults.h
@@ -39,6 +39,8 @@
     void tick(base::TimePoint now);
     /// Begins no further fault.
     void stop() { m_isStopping = true; }
+    /// Goes on with stops and reloads only; of the control hosts, at most one is stopped at a time.
+    void goOnAsPlanned();
     bool isWhole() const { return m_active.empty() && m_uplinkCuts.empty(); }
     /// Control host processes that ended by themselves, but for a full disk; entries likewise.
     const std::vector<std::string> &unexpectedEnds() const { return m_unexpectedEnds; }
@@ -95,6 +97,7 @@
     base::TimePoint m_diskLossFrom{}; ///< The next disk may be lost from then on.
     int m_marks = 0;
     bool m_isStopping = false;
+    bool m_isPlannedOnly = false;
     std::int64_t m_stops = 0;
     std::vector<std::string> m_unexpectedEnds;
     std::vector<std::string> m_badStops;
--- a/integration/platform-soak/PlatformSoakTest.cpp
+++ b/integration/platform-soak/PlatformSoakTest.cpp
@@ -5,9 +5,12 @@
 #include "Load.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/ranges.h>
 
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 using namespace hyssop;
 using namespace hyssop::harness;
@@ -23,6 +26,8 @@
 /// Memory that no call uses is given back within this.
 constexpr base::Millis kFreeLimit{4'000};
 constexpr base::Millis kTick{20};
+/// Stops, reloads and silences at the end, without unplanned faults that would excuse anything.
+constexpr base::Millis kPlanned{7'000};
 /// Load without faults at the end, of which at least half is to be served.
 constexpr base::Millis kCalm{2'500};
 
@@ -52,6 +57,59 @@
     return callOnce(bed.entries.front().listen, "GET", "/look/1", options).status == 200;
 }
 
+/// How an entry host's requests ended, by the names of its counters.
+struct Counters
+{
+    base::TimePoint askedAt;
+    base::TimePoint answeredAt;
+    std::map<std::string, std::int64_t> values; ///< Empty when it did not answer.
+};
+
+Counters readCounters(const PlatformHost &entry)
+{
+    const std::string prefix = "hyssop_caller_";
+    Counters counters;
+    counters.askedAt = base::monotonicNow();
+    std::istringstream lines(callOnce(entry.ready, "GET", "/metrics").body);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(prefix))
+            counters.values[line.substr(prefix.size(), line.find(' ') - prefix.size())] =
+                    std::atoll(line.c_str() + line.find(' '));
+    }
+    counters.answeredAt = base::monotonicNow();
+    return counters;
+}
+
+/// Holds the counters of a host that nothing asks any more against each other and against what
+/// callers saw since \a before.
+void checkCounters(const PlatformHost &entry, Counters before, const std::vector<CallRecord> &calls)
+{
+    std::map<std::string, std::int64_t> now;
+    CHECK(eventually(kFreeLimit, [&] {
+        now = readCounters(entry).values;
+        return now.contains("requests") && now["requests_open"] == 0;
+    }));
+    INFO(entry.name << ": " << fmt::format("{}, before {}", now, before.values));
+    CHECK(now["requests"]
+          == now["requests_answered"] + now["requests_broken_off"] + now["requests_abandoned"]
+                     + now["requests_left"] + now["requests_open"]);
+    CHECK(now["requests_abandoned"] == 0);
+    std::int64_t answered = 0;
+    std::int64_t ended = 0;
+    for (const CallRecord &it : calls) {
+        if (it.entry != entry.name || !it.isConnected)
+            continue;
+        answered += it.sentAt >= before.answeredAt && it.isWhole ? 1 : 0;
+        ended += it.endedAt >= before.askedAt ? 1 : 0;
+    }
+    CHECK(now["requests_answered"] - before.values["requests_answered"] >= answered);
+    CHECK(now["requests"] - before.values["requests"] <= ended);
+    // Also of processes that were killed.
+    std::ifstream log(entry.log);
+    const std::string text(std::istreambuf_iterator<char>(log), {});
+    CHECK(text.find("event=response_abandoned") == std::string::npos);
+}
+
 void soak(std::uint64_t seed, base::Millis length)
 {
     std::cout << "seed " << seed << ", " << length.count() << " ms" << std::endl;
@@ -67,32 +125,43 @@
     const auto callers = static_cast<std::size_t>(numberFrom("HYSSOP_SOAK_CALLERS", 12));
     Load load(&bed, &manifests, &history, seed + 3, callers);
     FaultDriver faults(&bed, &replicas, &history, seed);
-    const base::TimePoint end = base::monotonicNow() + length;
-    while (base::monotonicNow() < end) {
-        faults.tick(base::monotonicNow());
-        std::this_thread::sleep_for(kTick);
-    }
-    faults.stop();
+    const auto runFaults = [&faults](base::Millis duration) {
+        const base::TimePoint end = base::monotonicNow() + duration;
+        while (base::monotonicNow() < end) {
+            faults.tick(base::monotonicNow());
+            std::this_thread::sleep_for(kTick);
+        }
+        faults.stop();
+    };
+    const auto recover = [&] {
+        REQUIRE(eventually(kHealLimit, [&] {
+            faults.tick(base::monotonicNow());
+            return faults.isWhole() && replicas.isWhole();
+        }));
+        bed.faults().healAll();
+        CHECK(eventually(kRecoverLimit, [&] {
+            return std::all_of(bed.entries.begin(), bed.entries.end(),
+                               [&](const PlatformHost &it) { return bed.isReady(it); })
+                   && isAnyServed(bed);
+        }));
+    };
+    runFaults(length);
     load.stopCrashes();
     replicas.dropLimits();
-    REQUIRE(eventually(kHealLimit, [&] {
-        faults.tick(base::monotonicNow());
-        return faults.isWhole() && replicas.isWhole();
-    }));
-    bed.faults().healAll();
-    CHECK(eventually(kRecoverLimit, [&] {
-        return std::all_of(bed.entries.begin(), bed.entries.end(),
-                           [&](const PlatformHost &it) { return bed.isReady(it); })
-               && isAnyServed(bed);
-    }));
+    recover();
+    faults.goOnAsPlanned();
+    runFaults(kPlanned);
+    recover();
     const base::TimePoint calmFrom = base::monotonicNow();
+    std::vector<Counters> before;
+    for (const PlatformHost &it : bed.entries)
+        before.push_back(readCounters(it));
     std::this_thread::sleep_for(kCalm);
     load.stop();
     manifests.stop();
     Scorecard scorecard;
     const bool isFree = eventually(kFreeLimit, [&] { return replicas.reservations() == 0; });
     scorecard.check(Promise::MemoryReturns, isFree, "reservations are left");
-    const std::string last = Operator::textOf(manifests.acknowledged());
     std::int64_t read = 0;
     CHECK(eventually(kRecoverLimit, [&] {
         read = versionIn(callOnce(bed.controls[0].listen, "GET", "/api/config/get").body);
@@ -100,15 +169,18 @@
     }));
     scorecard.check(Promise::ConfigurationHolds, read >= manifests.acknowledged(),
                     "the last acknowledged manifest is gone");
+    for (std::size_t n = 0; n < bed.entries.size(); ++n)
+        checkCounters(bed.entries[n], before[n], history.calls());
     replicas.stop();
-    Checks checks(&history, replicas.runs(), &scorecard);
+    Checks checks(&history, replicas.runs(), replicas.traffic(), replicas.deadlyCrashes(),
+                  &scorecard);
     checks.checkCalls();
     checks.checkLeaving();
     checks.checkReads();
     checks.checkKeys();
     int limitWindows = 0;
-    const auto excesses = checks.rateLimitExcesses(replicas.traffic(), limitWindows);
-    const auto deadly = checks.deadlyExcesses(replicas.traffic(), replicas.deadlyCrashes());
+    const auto excesses = checks.rateLimitExcesses(limitWindows);
+    const auto deadly = checks.deadlyExcesses();
     for (const std::string &it : faults.badStops())
         scorecard.check(Promise::GracefulStop, false, it);
     const auto served = std::count_if(history.calls().begin(), history.calls().end(),
--- a/integration/platform-soak/ReplicaPool.cpp
+++ b/integration/platform-soak/ReplicaPool.cpp
@@ -30,7 +30,9 @@
 /// Silences that meet all replicas at once, and those beside which another replica answers resumed
 /// streams with errors; in percent.
 constexpr int kCommonSilences = 15;
-constexpr int kResumeErrors = 40;
+constexpr int kResumeErrors = 60;
+/// Of these, those beside which it turns away all that comes, in percent.
+constexpr int kTurnsAway = 30;
 constexpr std::array kResumeStatuses{404, 500, 503};
 constexpr std::int64_t kLeastResumeErrorsMs = 1'000;
 constexpr std::int64_t kMostResumeErrorsMs = 4'000;
@@ -234,8 +236,10 @@
         return std::uniform_int_distribution<std::int64_t>(least, most)(m_silenceRng);
     };
     for (Place &place : m_places) {
-        if (place.replica && place.resumesFrom <= now)
+        if (place.replica && place.resumesFrom <= now) {
             place.replica->answerResumes(std::nullopt);
+            place.replica->turnAway(std::nullopt);
+        }
         if (now < place.nextSilenceAt)
             continue;
         const bool isCommon = draw(0, 99) < kCommonSilences;
@@ -251,11 +255,14 @@
         }
         if (draw(0, 99) >= kResumeErrors)
             continue;
-        Place &other = m_places[static_cast<std::size_t>(
-                draw(0, static_cast<std::int64_t>(m_places.size()) - 1))];
+        // Those at odd places have streams.
+        const std::int64_t engine = draw(0, static_cast<std::int64_t>(m_places.size()) / 2 - 1);
+        Place &other = m_places[static_cast<std::size_t>(2 * engine + 1)];
         const auto status = static_cast<std::size_t>(draw(0, kResumeStatuses.size() - 1));
         other.resumesFrom = now + base::Millis(draw(kLeastResumeErrorsMs, kMostResumeErrorsMs));
-        if (other.replica)
+        if (other.replica && draw(0, 99) < kTurnsAway)
+            other.replica->turnAway(base::Millis(0));
+        else if (other.replica)
             other.replica->answerResumes(kResumeStatuses.at(status));
     }
 }
--- a/integration/platform-soak/ReplicaPool.h
+++ b/integration/platform-soak/ReplicaPool.h
@@ -11,7 +11,7 @@
 /// Replicas of both services at fixed addresses, which announce themselves, crash, come back under
 /// their id or as others, leave, and state request rate limits that they change and drop. Requests
 /// with deadlyTriggers() crash them. Sound ones fall silent for a second or so, alone or several
-/// together, and some answer resumed streams with errors for a while.
+/// together, and some answer resumed streams with errors or turn all away for a while.
 class ReplicaPool
 {
 public:
@@ -56,7 +56,7 @@
         base::TimePoint until; ///< End of leaving or of being down.
         base::TimePoint silentFrom{}; ///< Of its last silence.
         base::TimePoint nextSilenceAt{};
-        base::TimePoint resumesFrom{}; ///< Until then resumed streams get errors.
+        base::TimePoint resumesFrom{}; ///< Until then it refuses to resume streams.
     };
 
     void work();
@@ -69,7 +69,7 @@
     void takeDownCrashed(base::TimePoint now);
     /// States another limit, or none, at one of the places.
     void changeLimit(base::TimePoint now);
-    /// Lets replicas fall silent, and others answer resumed streams with errors.
+    /// Lets replicas fall silent, and others refuse to resume streams.
     void beginSilences(base::TimePoint now);
     static harness::ReplicaTraffic trafficOf(const Place &place, std::size_t n);
     std::string serviceOf(std::size_t n) const { return n % 2 == 0 ? "booking" : "model"; }
