harness: A stand-in's exchanges end before its server does

Since an exchange ends its response when it is dropped, so its server must still be there. The stand-in kept exchanges only in handlers of its loop, which is destroyed after its server. Besides, a stand-in that was to crash in a stream dropped the exchange with the head of its answer, so that the connection closed 25 ms before the crash (response_abandoned, 3 to 4 times a run).

Now it keeps them itself until it is destroyed, and handlers hold none.

--- a/integration/platform/Replica.cpp
+++ b/integration/platform/Replica.cpp
@@ -183,18 +183,20 @@
 {
     const std::string id = fieldOf(*exchange, "Request-Id");
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, kRunBeforeCrash);
-    timer->async_wait([this, timer, exchange, id](boost::system::error_code) { crash(id); });
+    m_crashing.push_back(exchange);
+    timer->async_wait([this, timer, id](boost::system::error_code) { crash(id); });
 }
 
 void Replica::crashOnStream(const std::shared_ptr<gateway::Exchange> &exchange)
 {
     const std::string id = fieldOf(*exchange, "Request-Id");
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, kPrefillBeforeCrash);
-    timer->async_wait([this, timer, exchange, id](boost::system::error_code) {
-        exchange->start(200, withLimit({{"Request-Id", id},
-                                        {"Response-Seal", m_id},
-                                        {"Content-Type", "text/event-stream"}},
-                                       id));
+    m_crashing.push_back(exchange);
+    timer->async_wait([this, timer, it = exchange.get(), id](boost::system::error_code) {
+        it->start(200, withLimit({{"Request-Id", id},
+                                  {"Response-Seal", m_id},
+                                  {"Content-Type", "text/event-stream"}},
+                                 id));
         timer->expires_after(kHeadBeforeCrash);
         timer->async_wait([this, timer, id](boost::system::error_code) { crash(id); });
     });
@@ -324,9 +326,10 @@
     exchange->send(event);
     ++stream->next;
     stream->timer.expires_after(kStep);
-    stream->timer.async_wait([this, stream](boost::system::error_code ec) {
-        if (!ec)
-            writeEvent(stream);
+    stream->timer.async_wait([this, weak = std::weak_ptr(stream)](boost::system::error_code ec) {
+        const auto it = weak.lock();
+        if (!ec && it)
+            writeEvent(it);
     });
 }
 
--- a/integration/platform/Replica.h
+++ b/integration/platform/Replica.h
@@ -113,6 +113,8 @@
     CrashTriggers m_crashTriggers;
     std::string m_crashedBy;
     std::map<std::string, base::TimePoint> m_reservations; ///< End of each.
+    // Exchanges end before their server does; handlers that are left in the loop hold none.
+    std::vector<std::shared_ptr<gateway::Exchange>> m_crashing;
     std::map<gateway::Exchange *, std::shared_ptr<Stream>> m_streams;
     std::thread m_thread;
 };
