platform soak: Rounds of faults and of planned work; refusals end before the calm

A long run had one time of planned work, at its end. Now it has rounds: 30 s of faults of all kinds, then 7 s of planned work alone. A run of 12 s is as before.

--- a/integration/platform-soak/Faults.cpp
+++ b/integration/platform-soak/Faults.cpp
@@ -75,9 +75,9 @@
     begin(now);
 }
 
-void FaultDriver::goOnAsPlanned()
+void FaultDriver::goOn(FaultChoice choice)
 {
-    m_isPlannedOnly = true;
+    m_choice = choice;
     m_isStopping = false;
 }
 
@@ -91,7 +91,7 @@
         m_history->add(FaultRecord{it.entry->name, false, it.from, now, true});
         return true;
     });
-    if (m_isStopping || m_isPlannedOnly || now < m_nextUplinkCutAt)
+    if (m_isStopping || m_choice == FaultChoice::Planned || now < m_nextUplinkCutAt)
         return;
     const auto drawMs = [this](std::int64_t least, std::int64_t most) {
         return base::Millis(std::uniform_int_distribution<std::int64_t>(least, most)(m_uplinkRng));
@@ -112,12 +112,13 @@
 void FaultDriver::begin(base::TimePoint now)
 {
     constexpr std::array kPlanned{Fault::StopEntry, Fault::StopControl, Fault::Reload};
-    const auto fault = m_isPlannedOnly ? kPlanned.at(draw<std::size_t>(0, kPlanned.size() - 1))
-                                       : static_cast<Fault>(draw(0, static_cast<int>(Fault::Last)));
+    const bool isPlannedOnly = m_choice == FaultChoice::Planned;
+    const auto fault = isPlannedOnly ? kPlanned.at(draw<std::size_t>(0, kPlanned.size() - 1))
+                                     : static_cast<Fault>(draw(0, static_cast<int>(Fault::Last)));
     const bool isControlStopped =
             std::any_of(m_active.begin(), m_active.end(),
                         [](const Active &it) { return it.fault == Fault::StopControl; });
-    if (m_isPlannedOnly && fault == Fault::StopControl && isControlStopped)
+    if (isPlannedOnly && fault == Fault::StopControl && isControlStopped)
         return;
     switch (fault) {
     case Fault::KillEntry:
--- a/integration/platform-soak/Faults.h
+++ b/integration/platform-soak/Faults.h
@@ -24,6 +24,12 @@
     Last = Reload,
 };
 
+/// Which faults are drawn.
+enum class FaultChoice {
+    All,
+    Planned, ///< Stops and reloads; of the control hosts, at most one is stopped at a time.
+};
+
 std::string_view faultName(Fault fault);
 
 /// Draws faults in series that overlap, carries them out and brings back what they took away.
@@ -39,8 +45,7 @@
     void tick(base::TimePoint now);
     /// Begins no further fault.
     void stop() { m_isStopping = true; }
-    /// Goes on with stops and reloads only; of the control hosts, at most one is stopped at a time.
-    void goOnAsPlanned();
+    void goOn(FaultChoice choice);
     bool isWhole() const { return m_active.empty() && m_uplinkCuts.empty(); }
     /// Control host processes that ended by themselves, but for a full disk; entries likewise.
     const std::vector<std::string> &unexpectedEnds() const { return m_unexpectedEnds; }
@@ -97,7 +102,7 @@
     base::TimePoint m_diskLossFrom{}; ///< The next disk may be lost from then on.
     int m_marks = 0;
     bool m_isStopping = false;
-    bool m_isPlannedOnly = false;
+    FaultChoice m_choice = FaultChoice::All;
     std::int64_t m_stops = 0;
     std::vector<std::string> m_unexpectedEnds;
     std::vector<std::string> m_badStops;
--- a/integration/platform-soak/PlatformSoakTest.cpp
+++ b/integration/platform-soak/PlatformSoakTest.cpp
@@ -26,7 +26,9 @@
 /// Memory that no call uses is given back within this.
 constexpr base::Millis kFreeLimit{4'000};
 constexpr base::Millis kTick{20};
-/// Stops, reloads and silences at the end, without unplanned faults that would excuse anything.
+/// Faults of all kinds, before a time of planned work.
+constexpr base::Millis kRound{30'000};
+/// Stops, reloads and silences after them, without unplanned faults that would excuse anything.
 constexpr base::Millis kPlanned{7'000};
 /// Load without faults at the end, of which at least half is to be served.
 constexpr base::Millis kCalm{2'500};
@@ -145,13 +147,23 @@
                    && isAnyServed(bed);
         }));
     };
-    runFaults(length);
-    load.stopCrashes();
-    replicas.dropLimits();
-    recover();
-    faults.goOnAsPlanned();
-    runFaults(kPlanned);
-    recover();
+    const base::TimePoint end = base::monotonicNow() + length;
+    for (bool isLast = false; !isLast;) {
+        faults.goOn(FaultChoice::All);
+        const auto left = std::chrono::floor<base::Millis>(end - base::monotonicNow());
+        isLast = left <= kRound;
+        runFaults(std::min(left, kRound));
+        if (isLast) {
+            load.stopCrashes();
+            replicas.dropLimits();
+        }
+        recover();
+        faults.goOn(FaultChoice::Planned);
+        runFaults(kPlanned);
+        if (isLast)
+            replicas.stopRefusals();
+        recover();
+    }
     const base::TimePoint calmFrom = base::monotonicNow();
     std::vector<Counters> before;
     for (const PlatformHost &it : bed.entries)
--- a/integration/platform-soak/ReplicaPool.cpp
+++ b/integration/platform-soak/ReplicaPool.cpp
@@ -253,7 +253,7 @@
             if (it.replica)
                 it.replica->fallSilent(silence);
         }
-        if (draw(0, 99) >= kResumeErrors)
+        if (draw(0, 99) >= kResumeErrors || m_areRefusalsOver)
             continue;
         // Those at odd places have streams.
         const std::int64_t engine = draw(0, static_cast<std::int64_t>(m_places.size()) / 2 - 1);
@@ -277,6 +277,14 @@
     }
 }
 
+void ReplicaPool::stopRefusals()
+{
+    const std::lock_guard guard(m_mutex);
+    m_areRefusalsOver = true;
+    for (Place &it : m_places)
+        it.resumesFrom = {};
+}
+
 std::vector<harness::ReplicaTraffic> ReplicaPool::traffic() const
 {
     std::vector<harness::ReplicaTraffic> all = m_formerTraffic;
--- a/integration/platform-soak/ReplicaPool.h
+++ b/integration/platform-soak/ReplicaPool.h
@@ -30,6 +30,8 @@
     void leave(std::size_t place);
     /// States no limits any more.
     void dropLimits();
+    /// Refuses nothing any more. Silences go on.
+    void stopRefusals();
     /// Whether no replica is down.
     bool isWhole() const;
     void stop();
@@ -86,6 +88,7 @@
     base::TimePoint m_nextLimitAt{};
     base::Rng m_silenceRng; ///< Apart as well.
     bool m_areLimitsOver = false;
+    bool m_areRefusalsOver = false;
     int m_lastId = 0;
     std::atomic<bool> m_isStopping{false};
     std::thread m_thread;
