--- a/integration/platform/Replica.cpp
+++ b/integration/platform/Replica.cpp
@@ -6,12 +6,15 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <cassert>
+
 namespace hyssop::harness {
 
 namespace {
 
 /// Between two events of a stream.
 constexpr base::Millis kStep{20};
+constexpr base::Millis kSleep{5};
 /// From a request that crashes the replica to the head of its answer, and from there to the crash.
 constexpr base::Millis kPrefillBeforeCrash{60};
 constexpr base::Millis kHeadBeforeCrash{25};
@@ -126,7 +129,12 @@
 
 void Replica::fallSilent(base::Millis duration)
 {
-    boost::asio::post(m_io, [duration] { std::this_thread::sleep_for(duration); });
+    // In short sleeps, so that its owner need not wait for the end.
+    boost::asio::post(m_io, [this, duration] {
+        const base::TimePoint until = base::monotonicNow() + duration;
+        while (!m_io.stopped() && base::monotonicNow() < until)
+            std::this_thread::sleep_for(kSleep);
+    });
 }
 
 void Replica::answerResumes(std::optional<int> status)
@@ -184,11 +192,11 @@
     const std::string id = fieldOf(*exchange, "Request-Id");
     m_unanswered.push_back(exchange);
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, kPrefillBeforeCrash);
-    timer->async_wait([this, timer, exchange, id](boost::system::error_code) {
-        exchange->start(200, withLimit({{"Request-Id", id},
-                                        {"Response-Seal", m_id},
-                                        {"Content-Type", "text/event-stream"}},
-                                       id));
+    timer->async_wait([this, timer, it = exchange.get(), id](boost::system::error_code) {
+        it->start(200, withLimit({{"Request-Id", id},
+                                  {"Response-Seal", m_id},
+                                  {"Content-Type", "text/event-stream"}},
+                                 id));
         timer->expires_after(kHeadBeforeCrash);
         timer->async_wait([this, timer, id](boost::system::error_code) { crash(id); });
     });
@@ -202,6 +210,15 @@
         m_crashedBy = request;
 }
 
+void Replica::noteBreak(const std::string &request)
+{
+    const std::lock_guard guard(m_mutex);
+    const auto run = std::find_if(m_runs.rbegin(), m_runs.rend(),
+                                  [&request](const Run &it) { return it.request == request; });
+    assert(run != m_runs.rend() && "only a request that runs is broken off");
+    run->isBrokenOff = true;
+}
+
 bool Replica::draws(int percent)
 {
     return std::uniform_int_distribution<int>(0, 99)(m_rng) < percent;
@@ -237,8 +254,10 @@
         m_seen.push_back(exchange->head());
         m_runs.push_back({id, m_id, fieldOf(*exchange, "Tenant"), base::monotonicNow()});
     }
-    if (draws(m_faults.lose))
+    if (draws(m_faults.lose)) {
+        noteBreak(id);
         return exchange->abort();
+    }
     if (const auto status = statusOfResumes();
         status && gateway::fieldValue(exchange->head().fields, "Last-Event-Id"))
         return exchange->respond(*status, {{"Request-Id", id}, {"Response-Seal", m_id}}, "");
@@ -298,6 +317,7 @@
     }
     const std::string event = fmt::format("id: {}\ndata: {}\n\n", stream->next, stream->next);
     if (stream->next == stream->breaksAt) {
+        noteBreak(stream->request);
         exchange->send(event.substr(0, event.size() / 2));
         exchange->abort();
         m_streams.erase(exchange);
@@ -306,9 +326,10 @@
     exchange->send(event);
     ++stream->next;
     stream->timer.expires_after(kStep);
-    stream->timer.async_wait([this, stream](boost::system::error_code ec) {
-        if (!ec)
-            writeEvent(stream);
+    stream->timer.async_wait([this, weak = std::weak_ptr(stream)](boost::system::error_code ec) {
+        const auto it = weak.lock();
+        if (!ec && it)
+            writeEvent(it);
     });
 }
 
