dispatch, edge: A slow caller's stream does not count as stalled

Callers would see: slow but sound streams were resumed elsewhere, or cut, for want of an event from an upstream that was sound.

Cause: reading from an upstream pauses while its caller does not take the bytes (256 KB). No event arrives then, and the dispatcher took the attempt for stalled after its usual time, counted a fault of the upstream and sent the call again.

Evidence: with an event AnswerPaused that the dispatcher ignores, as before, the first new test fails: the tick at 1.2 s after a pause at 0.1 s keeps the attempt as stalled and sends another one. The effect with a real caller that does not read was not played.

Now the edge tells the dispatcher when reading pauses and goes on. In between the attempt is not judged; its deadline holds, without a fault of its upstream, and the stall timeout begins anew when reading goes on.

--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -265,6 +265,14 @@
     CallId call;
 };
 
+/// Reading the answer of the current attempt pauses, as the caller does not take what has arrived,
+/// or goes on.
+struct AnswerPaused
+{
+    CallId call;
+    bool isPaused = true;
+};
+
 /// The whole answer arrived.
 struct AttemptSucceeded
 {
@@ -300,7 +308,7 @@
                      CrashSuspectsReceived, TrialDecided, PeerLoadSumReceived, PeerLoadReceived,
                      PermitGranted, PermitDenied, ReservationDone, AnswerProgressed,
                      AttemptSucceeded, AttemptFailed, RelayPeersChanged, RelayRejected, LinkProbed,
-                     StalledAttemptProgressed, StalledAttemptFailed>;
+                     StalledAttemptProgressed, StalledAttemptFailed, AnswerPaused>;
 
 // Actions.
 
--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -243,6 +243,16 @@
         cancelStalledAttempt(*call, now);
 }
 
+void Dispatcher::Impl::handle(const AnswerPaused &event, base::TimePoint now)
+{
+    ActiveCall *call = findCall(event.call);
+    if (!call || call->stage != CallStage::Sent)
+        return;
+    call->current.isPaused = event.isPaused;
+    call->lastProgressAt = now;
+    call->progressDeadline = event.isPaused ? call->info.deadline : now + gapTimeout(*call);
+}
+
 void Dispatcher::Impl::handle(const StalledAttemptProgressed &event, base::TimePoint now)
 {
     ActiveCall *call = findCall(event.call);
@@ -315,6 +325,8 @@
 
 bool Dispatcher::Impl::isStalled(const ActiveCall &call, base::TimePoint now) const
 {
+    if (call.current.isPaused)
+        return false;
     if (call.lastProgressAt > call.current.sentAt)
         return now >= call.lastProgressAt + gapTimeout(call);
     const base::Millis timeout = call.info.isStream
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -53,6 +53,7 @@
     base::Millis expectedFirstEvent{0}; ///< Expected time to the first event when it was sent.
     base::TimePoint sentAt;
     base::TimePoint firstEventAt{};
+    bool isPaused = false; ///< Its caller is slow; its upstream is not judged by its silence.
     bool isProven = false; ///< The content of the call is noted as answered in it.
 };
 
@@ -184,6 +185,7 @@
     void handle(const PermitDenied &event, base::TimePoint now);
     void handle(const ReservationDone &event, base::TimePoint now);
     void handle(const AnswerProgressed &event, base::TimePoint now);
+    void handle(const AnswerPaused &event, base::TimePoint now);
     void handle(const AttemptSucceeded &event, base::TimePoint now);
     void handle(const AttemptFailed &event, base::TimePoint now);
     void handle(const StalledAttemptProgressed &event, base::TimePoint now);
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -482,6 +482,36 @@
     CHECK(first<FailCall>(fixture.dispatcher.tick(call.deadline)));
 }
 
+TEST_CASE("a stream whose caller is slow is not resumed elsewhere while the caller is the reason")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 4);
+    const CallInfo call = fixture.promptCall(5'000);
+    fixture.sendShort(call);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
+    fixture.dispatcher.handle(AnswerPaused{call.id, true}, kStart + Millis(100));
+    CHECK(fixture.dispatcher.tick(kStart + Millis(1'200)).empty());
+    CHECK(fixture.dispatcher.tick(kStart + Millis(5'000)).empty());
+    fixture.dispatcher.handle(AnswerPaused{call.id, false}, kStart + Millis(5'000));
+    CHECK(fixture.dispatcher.tick(kStart + Millis(5'900)).empty());
+    CHECK(first<KeepStalledAttempt>(fixture.dispatcher.tick(kStart + Millis(6'100))));
+}
+
+TEST_CASE("a stream whose caller takes nothing ends at its deadline and is no fault of its engine")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 4);
+    const CallInfo call = fixture.promptCall(5'000);
+    fixture.sendShort(call);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
+    fixture.dispatcher.handle(AnswerPaused{call.id, true}, kStart + Millis(100));
+    const Actions ended = fixture.dispatcher.tick(call.deadline);
+    CHECK(first<CancelAttempt>(ended));
+    CHECK(first<FailCall>(ended));
+    CHECK_FALSE(first<RetryScheduled>(ended));
+    CHECK(fixture.dispatcher.ownLoad().upstreams.empty());
+}
+
 TEST_CASE("load sent by another host counts at once and expires when the host stops sending")
 {
     Fixture fixture;
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -527,11 +527,12 @@
         call.exchange->start(call.current.answerHead.status,
                              m_protocol->forwardedFields(call.current.answerHead));
     call.exchange->send(events);
-    if (call.exchange->unsentBytes() > kMaxUnsentBytes) {
+    execute(m_dispatcher.handle(dispatch::AnswerProgressed{call.id}, now), now);
+    if (call.exchange->unsentBytes() > kMaxUnsentBytes && call.current.id != gateway::CallId()) {
         call.current.isPaused = true;
         m_client.setPaused(call.current.id, true);
+        execute(m_dispatcher.handle(dispatch::AnswerPaused{call.id, true}, now), now);
     }
-    execute(m_dispatcher.handle(dispatch::AnswerProgressed{call.id}, now), now);
 }
 
 void Edge::Impl::onEnd(gateway::CallId id)
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -262,9 +262,13 @@
 {
     const auto it = m_exchanges.find(&exchange);
     EdgeCall *call = it == m_exchanges.end() ? nullptr : findCall(it->second);
-    if (call && std::exchange(call->current.isPaused, false)
-        && call->current.id != gateway::CallId())
-        m_client.setPaused(call->current.id, false);
+    if (!call || !std::exchange(call->current.isPaused, false)
+        || call->current.id == gateway::CallId())
+        return;
+    m_client.setPaused(call->current.id, false);
+    const base::TimePoint now = base::monotonicNow();
+    execute(m_dispatcher.handle(dispatch::AnswerPaused{call->id, false}, now), now);
+    scheduleTick(now);
 }
 
 void Edge::Impl::onRejected(int status, std::string_view reason)
