--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -262,15 +262,13 @@
 {
     const auto it = m_exchanges.find(&exchange);
     EdgeCall *call = it == m_exchanges.end() ? nullptr : findCall(it->second);
-    if (!call)
+    if (!call || !std::exchange(call->current.isPaused, false)
+        || call->current.id == gateway::CallId())
         return;
-    const auto resume = [this](EdgeAttempt &attempt) {
-        if (std::exchange(attempt.isPaused, false) && attempt.id != gateway::CallId())
-            m_client.setPaused(attempt.id, false);
-    };
-    resume(call->current);
-    if (call->stalled)
-        resume(*call->stalled);
+    m_client.setPaused(call->current.id, false);
+    const base::TimePoint now = base::monotonicNow();
+    execute(m_dispatcher.handle(dispatch::AnswerPaused{call->id, false}, now), now);
+    scheduleTick(now);
 }
 
 void Edge::Impl::onRejected(int status, std::string_view reason)
