integration: A host that goes back learns of upstreams from the other build alone

test-upgrades now ends with an entry host on the earlier build while all control hosts run the present one, and waits for its calls to be served; calls count once both routes are served, so that those of the start do not.

--- a/integration/UpgradeTest.cpp
+++ b/integration/UpgradeTest.cpp
@@ -116,7 +116,7 @@
         m_threads.emplace_back([this] { sendHeartbeats(); });
         REQUIRE(eventually(kSoon, [this] {
             return std::all_of(entries.begin(), entries.end(),
-                               [this](const PlatformHost &it) { return isReady(it); });
+                               [this](const PlatformHost &it) { return serves(it); });
         }));
         for (auto &it : m_isServing)
             it = true;
@@ -143,7 +143,7 @@
     void replace(PlatformHost &host, const std::filesystem::path &folder)
     {
         const bool isEntry = host.data.empty();
-        const std::size_t number = static_cast<std::size_t>(host.name.back() - '0');
+        const std::size_t number = numberOf(host);
         host.process->signal(SIGTERM);
         if (isEntry) {
             std::this_thread::sleep_for(kBalancerDelay);
@@ -156,6 +156,7 @@
         start(host);
         if (isEntry) {
             REQUIRE(eventually(kSoon, [&] { return isReady(host); }));
+            CHECK(serves(host));
             m_isServing[number] = true;
         } else {
             REQUIRE(eventually(kSoon, [&] { return readVersion(host) > 0; }));
@@ -163,6 +164,13 @@
         std::this_thread::sleep_for(kMix);
     }
 
+    /// Whether calls of both kinds are served.
+    bool serves(const PlatformHost &entry)
+    {
+        return isReady(entry) && sendCall(entry, true, false).status == 200
+               && sendCall(entry, false, false).status == 200;
+    }
+
     /// The control host that took the lead last.
     PlatformHost &leader()
     {
@@ -273,25 +281,36 @@
         base::Rng rng(static_cast<std::uint64_t>(++m_lastCaller));
         while (!m_isStopping) {
             const base::TimePoint next = base::monotonicNow() + kCallInterval;
-            const int number = ++m_lastCall;
-            const std::string id = fmt::format("{}-{}", isStream ? "chat" : "book", number);
-            const std::size_t entry = pickEntry(rng);
-            CallOptions options;
-            options.body = "of " + id;
-            options.limit = kCallLimit;
-            options.fields = fmt::format("Request-Id: {}\r\nApi-Key: key\r\nDeadline-Ms: {}\r\n",
-                                         id, isStream ? 5'000 : 3'000);
-            if (isStream)
-                options.fields += fmt::format("Model: m\r\nToken-Counts: 1000,{}\r\nPrompt-Prefix: "
-                                              "aa:40,c{:x}:960\r\n",
-                                              kEvents, number);
-            const Reply reply = callOnce(entries[entry].listen, "POST",
-                                         isStream ? "/chat/1" : "/book/1", options);
-            note(id, isStream, reply, id + " " + options.body);
+            sendCall(entries[pickEntry(rng)], isStream, true);
             std::this_thread::sleep_until(next);
         }
     }
 
+    Reply sendCall(const PlatformHost &entry, bool isStream, bool isNoted)
+    {
+        const int number = ++m_lastCall;
+        const std::string id = fmt::format("{}-{}", isStream ? "chat" : "book", number);
+        CallOptions options;
+        options.body = "of " + id;
+        options.limit = kCallLimit;
+        options.fields = fmt::format("Request-Id: {}\r\nApi-Key: key\r\nDeadline-Ms: {}\r\n", id,
+                                     isStream ? 5'000 : 3'000);
+        if (isStream)
+            options.fields += fmt::format("Model: m\r\nToken-Counts: 1000,{}\r\nPrompt-Prefix: "
+                                          "aa:40,c{:x}:960\r\n",
+                                          kEvents, number);
+        const Reply reply =
+                callOnce(entry.listen, "POST", isStream ? "/chat/1" : "/book/1", options);
+        if (isNoted)
+            note(id, isStream, reply, id + " " + options.body);
+        return reply;
+    }
+
+    static std::size_t numberOf(const PlatformHost &host)
+    {
+        return static_cast<std::size_t>(host.name.back() - '0');
+    }
+
     void note(const std::string &id, bool isStream, const Reply &reply, const std::string &expected)
     {
         const std::lock_guard guard(m_mutex);
@@ -419,6 +438,8 @@
     bed.replace(bed.entries[3], "");
     bed.replace(bed.entries[0], "");
     bed.replace(bed.controls[0], "");
+    // What it knows now comes from control hosts of the other build only.
+    bed.replace(bed.entries[1], production());
     bed.check();
 }
 
