--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -232,6 +232,8 @@
 {
     fleet::LoadReport load;
     int entryHostCount = 1; ///< All entry hosts, this one included.
+    /// The load is that of all other hosts, not only of those that send theirs to no host.
+    bool includesPeers = false;
 };
 
 /// Outstanding load that another entry host sent of itself.
@@ -244,6 +246,7 @@
 struct PermitGranted
 {
     CallId call;
+    base::Millis age{0}; ///< At most this long ago it was granted.
 };
 
 /// A long prompt will get no permit in time.
@@ -265,6 +268,14 @@
     CallId call;
 };
 
+/// Reading the answer of the current attempt pauses, as the caller does not take what has arrived,
+/// or goes on.
+struct AnswerPaused
+{
+    CallId call;
+    bool isPaused = true;
+};
+
 /// The whole answer arrived.
 struct AttemptSucceeded
 {
@@ -300,7 +311,7 @@
                      CrashSuspectsReceived, TrialDecided, PeerLoadSumReceived, PeerLoadReceived,
                      PermitGranted, PermitDenied, ReservationDone, AnswerProgressed,
                      AttemptSucceeded, AttemptFailed, RelayPeersChanged, RelayRejected, LinkProbed,
-                     StalledAttemptProgressed, StalledAttemptFailed>;
+                     StalledAttemptProgressed, StalledAttemptFailed, AnswerPaused>;
 
 // Actions.
 
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -53,7 +53,9 @@
     base::Millis expectedFirstEvent{0}; ///< Expected time to the first event when it was sent.
     base::TimePoint sentAt;
     base::TimePoint firstEventAt{};
+    bool isPaused = false; ///< Its caller is slow; its upstream is not judged by its silence.
     bool isProven = false; ///< The content of the call is noted as answered in it.
+    bool isStallRecorded = false; ///< Its silence counts as a fault of its upstream already.
 };
 
 /// A call that has not ended.
@@ -63,6 +65,7 @@
     CallStage stage = CallStage::Queued;
     PromptClass promptClass = PromptClass::Short;
     PermitState permit = PermitState::None;
+    base::TimePoint permitExpiresAt; ///< While it is held. Others may get the engines then.
     TrialState trial = TrialState::None;
     QueueBlocker blocker = QueueBlocker::None;
     bool isOversized = false; ///< Exceeds the memory of one engine.
@@ -85,6 +88,7 @@
     int unsentAttempts = 0; ///< Attempts that reached no upstream.
     bool mayHaveRun = false;
     bool hasForwardedEvents = false; ///< The caller has some events of the answer.
+    bool needsRetry = false; ///< The next attempt takes a retry from the budget when it is sent.
     base::TimePoint queuedAt;
     base::TimePoint progressDeadline; ///< End of the stall or reservation timeout.
 };
@@ -147,6 +151,8 @@
     bool isInTime = false; ///< The first event is expected within the objective.
 };
 
+/// Time that a relayed call may be queued at the other entry host, beside its stall timeouts.
+constexpr base::Millis kRelayQueueTime{1'500};
 /// Limit of engines on the helpers that one request names.
 constexpr std::size_t kMaxHelpers = 16;
 
@@ -184,6 +190,7 @@
     void handle(const PermitDenied &event, base::TimePoint now);
     void handle(const ReservationDone &event, base::TimePoint now);
     void handle(const AnswerProgressed &event, base::TimePoint now);
+    void handle(const AnswerPaused &event, base::TimePoint now);
     void handle(const AttemptSucceeded &event, base::TimePoint now);
     void handle(const AttemptFailed &event, base::TimePoint now);
     void handle(const StalledAttemptProgressed &event, base::TimePoint now);
@@ -337,7 +344,7 @@
     void restoreLoad(UpstreamState &state, base::TimePoint now);
     /// Updates what other hosts have outstanding at \a upstreams.
     void applyPeerLoads(const std::set<base::UpstreamId> &upstreams, base::TimePoint now);
-    void setDistantLoads(const fleet::LoadReport &load, base::TimePoint now);
+    void setDistantLoads(const fleet::LoadReport &load, bool includesPeers, base::TimePoint now);
     fleet::UpstreamLoad peerLoadAt(const base::UpstreamId &upstream) const;
 
     // Attempts.
@@ -358,6 +365,9 @@
     bool isStalled(const ActiveCall &call, base::TimePoint now) const;
     void recordFault(const ActiveCall &call, AttemptFault fault,
                      const std::optional<base::Endpoint> &faultyUpstream, base::TimePoint now);
+    /// Takes the retry that a call needs before its next attempt is sent, or goes on with its
+    /// stalled attempt and returns false if there is none left.
+    bool acquireStallRetry(ActiveCall &call, base::TimePoint now);
     /// Whether the call may be retried. Takes the retry from the budget of its service.
     bool acquireRetry(ActiveCall &call, AttemptFault fault, base::TimePoint now);
     /// Mean over all upstreams of the service except \a excluded.
@@ -370,8 +380,11 @@
     bool hasRoomElsewhere(const ActiveCall &call, base::TimePoint now);
     /// Queues the call from \a now on.
     void enqueue(ActiveCall &call, base::TimePoint now);
+    /// Asks for a permit if the prompt is long and none is held or asked for.
     void requestPermit(ActiveCall &call, base::TimePoint now);
     void releasePermit(ActiveCall &call, bool isPrefilled);
+    /// Returns the permit, or ends the wait for one, without a report on the prefill.
+    void withdrawPermit(ActiveCall &call);
     /// Goes on with the stalled attempt if there is one. Else ends the call with RejectCall if it
     /// cannot have run, otherwise with FailCall.
     void rejectOrFail(ActiveCall &call, FailureReason reason, base::TimePoint now);
@@ -399,6 +412,7 @@
     RelayPeers m_relayPeers;
     PeerLoads m_peerLoads;
     std::map<base::UpstreamId, fleet::UpstreamLoad> m_distantLoads; ///< Of hosts that are no peers.
+    bool m_distantLoadsIncludePeers = false;
     base::TimePoint m_distantLoadsAt{};
     std::set<base::UpstreamId> m_changedUpstreams; ///< Since the last takeLoadUpdate().
     int m_entryHostCount = 0; ///< As reported last; 0 when unknown.
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -44,7 +44,8 @@
             addUpstream(kModel, dataCentre + std::to_string(n), dataCentre);
     }
 
-    void addUpstream(const base::ServiceId &service, const std::string &id, const char *dataCentre)
+    Actions addUpstream(const base::ServiceId &service, const std::string &id,
+                        const char *dataCentre, base::TimePoint now = kStart)
     {
         fleet::Upstream it;
         it.id = base::UpstreamId(id);
@@ -52,7 +53,7 @@
         it.address = {"127.0.0.1", static_cast<std::uint16_t>(8'000 + upstreamCount++)};
         it.dataCentre = base::DataCentreId(dataCentre);
         it.slots = 6;
-        dispatcher.handle(UpstreamUpdated{it}, kStart);
+        return dispatcher.handle(UpstreamUpdated{it}, now);
     }
 
     CallInfo plainCall()
@@ -212,6 +213,20 @@
     CHECK(first<RejectCall>(due));
 }
 
+TEST_CASE("a host that was paused does not send a prompt with reservations that may have expired")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 8);
+    const CallInfo call = fixture.promptCall(400'000);
+    fixture.dispatcher.handle(CallArrived{call}, kStart);
+    REQUIRE(first<ReserveMemory>(fixture.dispatcher.handle(PermitGranted{call.id}, kStart)));
+    const Actions late =
+            fixture.dispatcher.handle(ReservationDone{call.id, true}, kStart + Millis(4'000));
+    CHECK_FALSE(first<SendAttempt>(late));
+    CHECK(first<ReleaseMemory>(late));
+    CHECK(first<RejectCall>(late));
+}
+
 TEST_CASE("a rejected call names what it lacked while it was queued")
 {
     Fixture fixture;
@@ -302,6 +317,39 @@
     CHECK(sent->helpers.size() >= 3);
 }
 
+TEST_CASE("a long prompt is not sent with a permit that ran out on its way to a paused host")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 8);
+    const CallInfo call = fixture.promptCall(150'000);
+    const Actions arrived = fixture.dispatcher.handle(CallArrived{call}, kStart);
+    REQUIRE(first<RequestPermit>(arrived));
+    const Millis lifetime = fleet::permitLifetime(first<RequestPermit>(arrived)->prefillMs);
+    const Actions late =
+            fixture.dispatcher.handle(PermitGranted{call.id, lifetime}, kStart + lifetime);
+    CHECK_FALSE(first<SendAttempt>(late));
+    REQUIRE(first<RequestPermit>(late));
+    CHECK(first<SendAttempt>(
+            fixture.dispatcher.handle(PermitGranted{call.id}, kStart + lifetime + Millis(10))));
+}
+
+TEST_CASE("a long prompt that waits for engines asks again when its permit has run out")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 3);
+    const CallInfo call = fixture.promptCall(150'000);
+    const Actions arrived = fixture.dispatcher.handle(CallArrived{call}, kStart);
+    REQUIRE(first<RequestPermit>(arrived));
+    const Millis lifetime = fleet::permitLifetime(first<RequestPermit>(arrived)->prefillMs);
+    for (int n = 0; n < 3; ++n)
+        fixture.dispatcher.handle(UpstreamRemoved{base::UpstreamId("model" + std::to_string(n))},
+                                  kStart);
+    REQUIRE(fixture.dispatcher.handle(PermitGranted{call.id}, kStart).empty());
+    const Actions late = fixture.addUpstream(fixture.kModel, "late", "a", kStart + lifetime);
+    CHECK_FALSE(first<SendAttempt>(late));
+    CHECK(first<RequestPermit>(late));
+}
+
 TEST_CASE("short prompts leave a slot free at each engine while other engines have room")
 {
     constexpr int kSlots = 10;
@@ -455,6 +503,51 @@
     CHECK(fixture.dispatcher.stats(call.deadline).active == 0);
 }
 
+TEST_CASE("a silence during which no other engine takes a stream uses no retries")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 8);
+    const CallInfo call = fixture.promptCall(150'000);
+    fixture.sendLong(call);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(800));
+    int rounds = 0;
+    for (Millis at(800); at < Millis(9'900); at += Millis(50)) {
+        const Actions due = fixture.dispatcher.tick(kStart + at);
+        CHECK_FALSE(first<RetryScheduled>(due));
+        CHECK_FALSE(first<UpstreamEjected>(due));
+        if (!first<RequestPermit>(due))
+            continue;
+        ++rounds;
+        const Actions denied =
+                fixture.dispatcher.handle(PermitDenied{call.id}, kStart + at + Millis(10));
+        REQUIRE(first<ReinstateAttempt>(denied));
+        REQUIRE(first<ReleasePermit>(denied));
+        CHECK(first<ReleasePermit>(denied)->prefillMs == 0);
+    }
+    CHECK(rounds > 1);
+}
+
+TEST_CASE("a stream keeps the engine that wrote to it while two others are silent")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 3);
+    CallInfo call = fixture.promptCall(5'000);
+    call.maxAttempts = 3;
+    fixture.dispatcher.handle(PeerLoadSumReceived{{}, 1}, kStart);
+    fixture.sendShort(call);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
+    REQUIRE(first<SendAttempt>(fixture.dispatcher.tick(kStart + Millis(1'200))));
+    const Actions due = fixture.dispatcher.tick(kStart + Millis(3'500));
+    CHECK(first<CancelAttempt>(due));
+    CHECK_FALSE(first<CancelStalledAttempt>(due));
+    REQUIRE(first<SendAttempt>(due));
+    CHECK(fixture.dispatcher.ownLoad().upstreams.size() == 2);
+    const Actions failed = fixture.dispatcher.handle(
+            AttemptFailed{call.id, AttemptFault::Refused, {}}, kStart + Millis(3'600));
+    CHECK(first<ReinstateAttempt>(failed));
+    CHECK_FALSE(first<FailCall>(failed));
+}
+
 TEST_CASE("an error instead of the rest of a stream is not forwarded in its midst")
 {
     Fixture fixture;
@@ -482,6 +575,36 @@
     CHECK(first<FailCall>(fixture.dispatcher.tick(call.deadline)));
 }
 
+TEST_CASE("a stream whose caller is slow is not resumed elsewhere while the caller is the reason")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 4);
+    const CallInfo call = fixture.promptCall(5'000);
+    fixture.sendShort(call);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
+    fixture.dispatcher.handle(AnswerPaused{call.id, true}, kStart + Millis(100));
+    CHECK(fixture.dispatcher.tick(kStart + Millis(1'200)).empty());
+    CHECK(fixture.dispatcher.tick(kStart + Millis(5'000)).empty());
+    fixture.dispatcher.handle(AnswerPaused{call.id, false}, kStart + Millis(5'000));
+    CHECK(fixture.dispatcher.tick(kStart + Millis(5'900)).empty());
+    CHECK(first<KeepStalledAttempt>(fixture.dispatcher.tick(kStart + Millis(6'100))));
+}
+
+TEST_CASE("a stream whose caller takes nothing ends at its deadline and is no fault of its engine")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kModel, 4);
+    const CallInfo call = fixture.promptCall(5'000);
+    fixture.sendShort(call);
+    fixture.dispatcher.handle(AnswerProgressed{call.id}, kStart + Millis(100));
+    fixture.dispatcher.handle(AnswerPaused{call.id, true}, kStart + Millis(100));
+    const Actions ended = fixture.dispatcher.tick(call.deadline);
+    CHECK(first<CancelAttempt>(ended));
+    CHECK(first<FailCall>(ended));
+    CHECK_FALSE(first<RetryScheduled>(ended));
+    CHECK(fixture.dispatcher.ownLoad().upstreams.empty());
+}
+
 TEST_CASE("load sent by another host counts at once and expires when the host stops sending")
 {
     Fixture fixture;
@@ -504,6 +627,23 @@
             fixture.dispatcher.handle(CallArrived{fixture.plainCall()}, kStart + Millis(2'000))));
 }
 
+TEST_CASE("a sum of loads that includes those of peers does not count these twice")
+{
+    Fixture fixture;
+    fixture.addUpstreams(fixture.kPlain, 2);
+    fleet::LoadUpdate update;
+    update.host = base::HostId("peer");
+    update.upstreams = {{base::UpstreamId("plain0"), 2, {}, 2, 0}};
+    fixture.dispatcher.handle(PeerLoadReceived{update}, kStart);
+    fleet::LoadReport sum;
+    sum.upstreams = {{base::UpstreamId("plain0"), 2, {}, 2, 0},
+                     {base::UpstreamId("plain1"), 3, {}, 3, 0}};
+    fixture.dispatcher.handle(PeerLoadSumReceived{sum, 3, true}, kStart);
+    CHECK(first<SendAttempt>(fixture.dispatcher.handle(CallArrived{fixture.plainCall()}, kStart))
+                  ->upstream.id.text()
+          == "plain0");
+}
+
 TEST_CASE("a leaving upstream gets no new calls")
 {
     Fixture fixture;
--- a/libs/dispatch/tests/RelayTest.cpp
+++ b/libs/dispatch/tests/RelayTest.cpp
@@ -217,6 +217,19 @@
     CHECK_FALSE(first<FailCall>(declined));
 }
 
+TEST_CASE(
+        "a call that one host declines just before its deadline does not end the relays of others")
+{
+    Fixture fixture;
+    fixture.loseLinks();
+    CallInfo ending = fixture.call();
+    ending.deadline = kStart + Millis(40);
+    REQUIRE(first<RelayCall>(fixture.arrive(ending)));
+    const Actions declined = fixture.fail(ending.id, AttemptFault::Refused, kStart + Millis(15));
+    CHECK(first<RejectCall>(declined));
+    CHECK(first<RelayCall>(fixture.arrive(fixture.call(), kStart + Millis(16))));
+}
+
 TEST_CASE("a relayed call that may have run is not sent again unless it may be repeated")
 {
     Fixture fixture;
@@ -288,3 +301,17 @@
     fixture.dispatcher.tick(kStart + Millis(20));
     CHECK(fixture.dispatcher.nextTick() == base::TimePoint::max());
 }
+
+TEST_CASE("a relayed stream is not relayed again while its host may look for another upstream")
+{
+    Fixture fixture;
+    fixture.loseLinks();
+    CallInfo info = fixture.call(true);
+    info.isStream = true;
+    info.gapObjective = Millis(250);
+    info.deadline = kStart + Millis(8'000);
+    REQUIRE(first<RelayCall>(fixture.arrive(info)));
+    fixture.dispatcher.handle(AnswerProgressed{info.id}, kStart + Millis(100));
+    CHECK_FALSE(first<RelayCall>(fixture.dispatcher.tick(kStart + Millis(1'101))));
+    CHECK(first<RelayCall>(fixture.dispatcher.tick(kStart + Millis(2'700))));
+}
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -96,6 +96,7 @@
     request.canReuseConnection = call.isStream || call.exchange->head().method == "GET";
     request.maxIdleConnections = maxIdleConnections(call.service);
     call.attemptCount = action.attempt;
+    call.current.number = action.attempt;
     call.current.upstream = action.upstream.id;
     call.current.upstreamIncarnation = action.upstream.incarnation;
     call.current.isRelayed = false;
@@ -183,8 +184,13 @@
 
 void Edge::Impl::executeAction(const dispatch::CancelStalledAttempt &action, base::TimePoint)
 {
-    if (EdgeCall *call = findCall(action.call))
-        dropStalledAttempt(*call);
+    EdgeCall *call = findCall(action.call);
+    if (!call || !call->stalled)
+        return;
+    base::logEvent("stalled_attempt_cancelled", {{"request", call->requestMetadata.id},
+                                                 {"upstream", call->stalled->upstream},
+                                                 {"attempt", call->stalled->number}});
+    dropStalledAttempt(*call);
 }
 
 void Edge::Impl::executeAction(const dispatch::RejectCall &action, base::TimePoint now)
@@ -231,20 +237,23 @@
 {
     const dispatch::CallId call = action.call;
     // Without a control host to order the prompts, each host proceeds on its own.
-    const auto onGranted = [this, call, isOversized = action.isOversized, requestedAt = now] {
+    const auto onGranted = [this, call, isOversized = action.isOversized,
+                            requestedAt = now](std::optional<base::Millis> waitedAtControl) {
         const base::TimePoint at = base::monotonicNow();
+        const auto wait = std::chrono::floor<base::Millis>(at - requestedAt);
+        const base::Millis age = std::max(base::Millis(0), wait - waitedAtControl.value_or(wait));
         if (const EdgeCall *it = findCall(call)) {
-            const auto wait = std::chrono::floor<base::Millis>(at - requestedAt);
             base::logEvent("permit_granted", {{"request", it->requestMetadata.id},
                                               {"prompt", it->requestMetadata.promptTokens.count()},
                                               {"oversized", isOversized},
-                                              {"waited_ms", wait.count()}});
+                                              {"waited_ms", wait.count()},
+                                              {"age_ms", age.count()}});
         }
-        execute(m_dispatcher.handle(dispatch::PermitGranted{call}, at), at);
+        execute(m_dispatcher.handle(dispatch::PermitGranted{call, age}, at), at);
         scheduleTick(at);
     };
     if (!m_leader || !m_freshness.isCurrent(now)) {
-        boost::asio::post(*m_io, onGranted);
+        boost::asio::post(*m_io, [onGranted] { onGranted(std::nullopt); });
         return;
     }
     fleet::PermitRequest request;
@@ -267,9 +276,10 @@
             *m_leader, {fleet::kPermitTopic, fleet::encode(request)},
             action.maxWait + kPermitTimeout,
             [this, onGranted, onDenied](const tl::expected<std::string, peers::PeerError> &answer) {
-                // An empty answer means that no permit will be granted in time.
-                if (!answer || !answer->empty())
-                    boost::asio::post(*m_io, onGranted);
+                const fleet::PermitReply reply = answer ? fleet::decodePermitReply(*answer)
+                                                        : fleet::PermitReply{true, base::Millis(0)};
+                if (reply.isGranted)
+                    boost::asio::post(*m_io, [onGranted, reply] { onGranted(reply.waited); });
                 else
                     boost::asio::post(*m_io, onDenied);
             });
@@ -462,7 +472,7 @@
                                       {"fault", dispatch::attemptFaultName(failure.fault)},
                                       {"reason", failure.reason},
                                       {"detail", failure.detail},
-                                      {"attempt", call.attemptCount},
+                                      {"attempt", attempt.number},
                                       {"stalled", isStalled},
                                       {"status", attempt.answerHead.status},
                                       {"content", contentText(call.fingerprints)}});
@@ -527,11 +537,12 @@
         call.exchange->start(call.current.answerHead.status,
                              m_protocol->forwardedFields(call.current.answerHead));
     call.exchange->send(events);
-    if (call.exchange->unsentBytes() > kMaxUnsentBytes) {
+    execute(m_dispatcher.handle(dispatch::AnswerProgressed{call.id}, now), now);
+    if (call.exchange->unsentBytes() > kMaxUnsentBytes && call.current.id != gateway::CallId()) {
         call.current.isPaused = true;
         m_client.setPaused(call.current.id, true);
+        execute(m_dispatcher.handle(dispatch::AnswerPaused{call.id, true}, now), now);
     }
-    execute(m_dispatcher.handle(dispatch::AnswerProgressed{call.id}, now), now);
 }
 
 void Edge::Impl::onEnd(gateway::CallId id)
@@ -561,7 +572,7 @@
             return AttemptFailure{dispatch::AttemptFault::AnswerLost, "cut_short"};
         return std::nullopt;
     }
-    // The caller has the head of a stream already, whatever it is that cannot be resumed here.
+    // Nothing but the rest of its events can follow a stream that has begun.
     if (attempt.answerHead.status >= 500 || call.exchange->isStarted())
         return AttemptFailure{dispatch::AttemptFault::UpstreamError, "upstream_error"};
     return std::nullopt;
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -366,7 +366,7 @@
     /// Notes that a start of an upstream leaves, whatever its announcements still say.
     AnnounceResult markLeaving(const LeavingUpstream &leaving);
     /// Removes an upstream. Returns \c Stale if \a incarnation is an earlier start than the known
-    /// one.
+    /// one. The departure of an upstream that is not known, as after a restart, is kept too.
     AnnounceResult leave(const base::UpstreamId &id, std::optional<base::Incarnation> incarnation,
                          base::TimePoint now);
     void removeExpired(base::TimePoint now);
@@ -376,6 +376,10 @@
     DirectoryChanges changesSince(std::int64_t incarnation, std::int64_t revision) const;
     std::size_t size() const { return m_entries.size(); }
     const Upstream *find(const base::UpstreamId &id) const;
+    /// Departures that the sender of announcements does not know of, as after a restart.
+    std::vector<DepartedUpstream> departuresOf(const std::vector<Upstream> &announced) const;
+    /// Departure of an upstream that is no longer listed; null when none is remembered.
+    const DepartedUpstream *findDeparted(const base::UpstreamId &id) const;
 
 private:
     struct Entry
@@ -389,10 +393,14 @@
         DepartedUpstream departed;
         std::int64_t revision = 0;
         base::TimePoint departedAt;
+        std::int64_t lastSequence = 0;
+        bool wasLeaving = false;
     };
 
     void remove(const base::UpstreamId &id, DepartureKind departure, base::TimePoint now);
-    bool isSuperseded(const Upstream &upstream) const;
+    /// Tombstone of the same start of \a upstream if that timed out; null otherwise.
+    const Tombstone *timedOutStart(const Upstream &upstream) const;
+    bool isSuperseded(const Upstream &upstream, base::TimePoint now) const;
     /// Whether an upstream with a recent announcement has the address of \a upstream and start
     /// times do not show which of the two is newer.
     bool isAddressInUse(const Upstream &upstream, base::TimePoint now) const;
@@ -490,10 +498,14 @@
     base::Endpoint address; ///< Where other entry hosts connect to it.
     ConfigurationVersion configurationVersion; ///< Held by the requesting host.
     bool acceptsDelta = false; ///< It also holds the text of that version.
+    bool acceptsPackedDirectory = false; ///< It reads WatchReply::packedDirectory.
     std::int64_t directoryIncarnation = 0;
     std::int64_t directoryRevision = 0;
     base::Millis maxWait{0}; ///< How long the reply may be delayed while nothing is newer.
     LoadReport load;
+    /// The host exchanges its load with its peers by datagrams. Not sent: hosts of builds that do
+    /// not are known by what their requests lack.
+    bool exchangesLoad = true;
     /// Of the last reply of the same control host.
     std::int64_t factsRevision = 0;
     std::int64_t loadPeersRevision = 0; ///< Of the peers that the requesting host uses; 0 for none.
@@ -523,12 +535,18 @@
     std::optional<std::vector<base::Endpoint>> loadPeers;
     std::int64_t loadPeersRevision = 0; ///< 0 when this control host does not know them.
     LoadReport distantLoad; ///< Load of the entry hosts that are not among these peers.
+    /// \c distantLoad is that of all other entry hosts. Not sent: control hosts of builds that
+    /// include peers are known by what their replies lack.
+    bool includesPeers = false;
     std::vector<RateLimitReport> rateLimits; ///< Limits that are in force or ended lately.
     /// Of what entry hosts share through the leader: \c rateLimits and \c crashSuspects. It grows
     /// with each change.
     std::int64_t factsRevision = 0;
     base::Millis heldFor{0}; ///< From the request to this reply, at the control host.
     std::vector<CrashSuspect> crashSuspects;
+    /// The control host keeps account of crash suspects. Not sent: those of builds that do not are
+    /// known by what their replies lack.
+    bool knowsCrashSuspects = true;
 };
 
 /// CBOR encoding and decoding. Decoding returns nothing for bytes that are not a valid message.
@@ -584,9 +602,21 @@
     /// Data centre whose engines are to prefill it; empty for all of them.
     base::DataCentreId dataCentre;
 };
+/// Lifetime of a permit that is not released, from its grant. \a prefillMs is that of its request.
+base::Millis permitLifetime(std::int64_t prefillMs);
 std::string encode(const PermitRequest &request);
 std::optional<PermitRequest> decodePermitRequest(std::string_view bytes);
 
+/// Reply to a PermitRequest.
+struct PermitReply
+{
+    bool isGranted = false;
+    /// Between the request and the reply. Control hosts of earlier versions do not send it.
+    std::optional<base::Millis> waited;
+};
+std::string encode(const PermitReply &reply);
+PermitReply decodePermitReply(std::string_view bytes);
+
 /// Report of rate limits, and request of an entry host to send requests to a limited upstream.
 struct SendGrantRequest
 {
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+/// A permit that is never released expires after this time for placement plus the prefill time on
+/// one engine. While engines are busy, even a very long prompt gets few of them.
+constexpr base::Millis kPlacementAllowance{700};
+constexpr base::Millis kMaxPermitLifetime{10'000};
+
 json toJson(const Upstream &it)
 {
     return {it.id.text(),         it.service.text(),      it.address.address, it.address.port,
@@ -245,11 +250,11 @@
 
 std::string encode(const WatchRequest &request)
 {
-    return base::toCbor({request.host.text(), request.dataCentre.text(),
-                         request.configurationVersion.count(), request.directoryIncarnation,
-                         request.directoryRevision, request.maxWait.count(),
-                         listToJson(request.load.upstreams), request.address.text(),
-                         request.factsRevision, request.loadPeersRevision, request.acceptsDelta});
+    return base::toCbor(
+            {request.host.text(), request.dataCentre.text(), request.configurationVersion.count(),
+             request.directoryIncarnation, request.directoryRevision, request.maxWait.count(),
+             listToJson(request.load.upstreams), request.address.text(), request.factsRevision,
+             request.loadPeersRevision, request.acceptsDelta, request.acceptsPackedDirectory});
 }
 
 std::optional<WatchRequest> decodeWatchRequest(std::string_view bytes)
@@ -268,10 +273,13 @@
         // Entry hosts of earlier versions do not wait for rate limits.
         request.factsRevision = j.size() > 8 ? j.at(8).get<std::int64_t>()
                                              : std::numeric_limits<std::int64_t>::max();
+        request.exchangesLoad = j.size() > 9;
         if (j.size() > 9)
             request.loadPeersRevision = j.at(9);
         if (j.size() > 10)
             request.acceptsDelta = j.at(10);
+        if (j.size() > 11)
+            request.acceptsPackedDirectory = j.at(11);
         return request;
     });
 }
@@ -366,8 +374,10 @@
             reply.factsRevision = j.at(13);
             reply.heldFor = base::Millis(j.at(14));
         }
+        reply.knowsCrashSuspects = j.size() > 15;
         if (j.size() > 15)
             reply.crashSuspects = crashSuspectsFrom(j.at(15));
+        reply.includesPeers = j.size() <= 16;
         if (j.size() > 16)
             reply.loadPeersRevision = j.at(16);
         if (j.size() > 18) {
@@ -439,6 +449,29 @@
     });
 }
 
+base::Millis permitLifetime(std::int64_t prefillMs)
+{
+    return std::min(kMaxPermitLifetime, kPlacementAllowance + base::Millis(prefillMs));
+}
+
+std::string encode(const PermitReply &reply)
+{
+    // Entry hosts of earlier versions only see whether it is empty.
+    return reply.isGranted ? base::toCbor({reply.waited.value_or(base::Millis(0)).count()})
+                           : std::string();
+}
+
+PermitReply decodePermitReply(std::string_view bytes)
+{
+    PermitReply reply;
+    reply.isGranted = !bytes.empty();
+    // Control hosts of earlier versions send a text.
+    const auto parsed = base::parseCbor(bytes);
+    if (parsed && parsed->is_array() && !parsed->empty() && parsed->front().is_number_integer())
+        reply.waited = base::Millis(parsed->front().get<std::int64_t>());
+    return reply;
+}
+
 std::string encode(const SendGrantRequest &request)
 {
     return base::toCbor({request.host.text(), listToJson(request.limits), request.wanted,
--- a/libs/fleet/tests/DirectoryTest.cpp
+++ b/libs/fleet/tests/DirectoryTest.cpp
@@ -121,3 +121,48 @@
     CHECK(directory.changesSince(4, seen).isSnapshot);
     CHECK(directory.changesSince(4, seen).upstreams.size() == 1);
 }
+
+TEST_CASE("a draining upstream that timed out is not made ready by a delayed announcement")
+{
+    Directory directory(1, kAnnounceTimeout);
+    for (const std::int64_t born : {0, 10}) {
+        Upstream a = upstream("a", born, 5);
+        a.isLeaving = true;
+        directory.announce(a, kStart);
+        directory.removeExpired(kStart + kAnnounceTimeout);
+        REQUIRE_FALSE(directory.find(a.id));
+        CHECK(directory.announce(upstream("a", born, 4), kStart + kAnnounceTimeout)
+              == AnnounceResult::Stale);
+        CHECK(directory.announce(upstream("a", born, 6), kStart + kAnnounceTimeout)
+              == AnnounceResult::New);
+        CHECK(directory.find(a.id)->isLeaving);
+    }
+}
+
+TEST_CASE("a restarted control host that accepts a delayed announcement learns of the departure")
+{
+    Directory running(1, kAnnounceTimeout);
+    Directory restarted(2, kAnnounceTimeout);
+    running.announce(upstream("a", 10, 5), kStart);
+    running.leave(base::UpstreamId("a"), base::Incarnation(10), kStart);
+    const Upstream late = upstream("a", 10, 4);
+    REQUIRE(restarted.announce(late, kStart) == AnnounceResult::New);
+    REQUIRE(running.announce(late, kStart) == AnnounceResult::Stale);
+    const auto departures = running.departuresOf({late, upstream("a", 20, 1)});
+    REQUIRE(departures.size() == 1);
+    restarted.leave(departures.front().id, departures.front().incarnation, kStart);
+    CHECK_FALSE(restarted.find(late.id));
+}
+
+TEST_CASE("a departure without a start time that reaches a restarted control host first is kept")
+{
+    Directory restarted(1, kAnnounceTimeout);
+    const Upstream a = upstream("a", 0, 7);
+    CHECK(restarted.leave(a.id, std::nullopt, kStart) == AnnounceResult::Changed);
+    CHECK(restarted.leave(a.id, std::nullopt, kStart) == AnnounceResult::Unchanged);
+    CHECK(restarted.announce(a, kStart) == AnnounceResult::Stale);
+    const DirectoryChanges changes = restarted.changesSince(1, 0);
+    REQUIRE(changes.departed.size() == 1);
+    CHECK(changes.departed.front().kind == DepartureKind::Left);
+    CHECK(restarted.announce(upstream("a", 10, 1), kStart) == AnnounceResult::New);
+}
--- a/libs/gateway/include/gateway/Gateway.h
+++ b/libs/gateway/include/gateway/Gateway.h
@@ -57,7 +57,7 @@
 
 /// A request of a caller and its response. After the response has ended or the caller has
 /// disconnected, functions that send have no effect. An exchange that is destroyed before its
-/// response has ended closes its connection, so that its caller does not wait in vain.
+/// response has ended gets status 502, or closes its connection if the response has started.
 class Exchange
 {
 public:
@@ -152,12 +152,16 @@
     /// Listens on \a address, one of several. Port 0 selects a free port. Returns the address with
     /// the actual port.
     tl::expected<base::Endpoint, ListenError> listen(const base::Endpoint &address);
-    /// Sets the limits. Sizes apply from the next request on, timeouts at once.
+    /// Sets the limits. Sizes apply from the next request on, timeouts at once. A connection that
+    /// is idle keeps the longest idle timeout since it became so.
     void setLimits(const ServerLimits &limits);
     /// Sends "Connection: close" in all responses that start from now on, and closes their
     /// connections afterwards.
     void announceClose();
-    /// Closes idle connections and stops listening.
+    /// Accepts the connections that wait for it and stops listening.
+    void stopListening();
+    /// Closes the connections that this function found idle at the call before, too, and from which
+    /// nothing has arrived since. To be called again and again while the server stops.
     void closeIdle();
     /// Number of open connections.
     std::size_t connectionCount() const;
@@ -227,7 +231,8 @@
     RequestHead head; ///< Without the fields that frame the body.
     std::shared_ptr<const std::string> body; ///< May be null or empty.
     /// Name of a field that responses copy from their request. A response with another value
-    /// belongs to an earlier request and is dropped. Nothing is compared if this is empty.
+    /// belongs to an earlier request and is dropped, also if this request lacks the field. Nothing
+    /// is compared if this is empty.
     std::string echoFieldName;
     base::Millis connectTimeout{500};
     base::Millis responseTimeout{0}; ///< From start() to the end of the response. 0 means no limit.
--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -1,8 +1,10 @@
 #include "CallerConnection.h"
 
-#include <boost/asio/write.hpp>
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
+
 namespace hyssop::gateway {
 
 namespace {
@@ -26,10 +28,26 @@
 {
     boost::system::error_code ec;
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
-    m_stateSince = now;
+    setState(State::Idle, now);
     read();
 }
 
+void CallerConnection::setState(State state, base::TimePoint now)
+{
+    m_state = state;
+    m_stateSince = now;
+    m_progressAt = now;
+    m_isTimeoutOver = false;
+    m_wasFoundIdle = false;
+    if (state == State::Idle)
+        m_idleTimeout = m_server->limits.idleTimeout;
+}
+
+void CallerConnection::extendIdleTimeout()
+{
+    m_idleTimeout = std::max(m_idleTimeout, m_server->limits.idleTimeout);
+}
+
 void CallerConnection::read()
 {
     if (m_isReading || m_state == State::Closed || m_input.size() > kMaxPipelinedBytes)
@@ -62,8 +80,7 @@
         m_parser = std::make_unique<Parser<true>>();
         m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes));
         m_parser->body_limit(m_server->limits.maxBodyBytes);
-        m_state = State::ReadingHeaders;
-        m_stateSince = now;
+        setState(State::ReadingHeaders, now);
         m_firstByteAt = now;
         m_expectsContinue = false;
     }
@@ -78,8 +95,7 @@
         return reject(400, ec.message());
     }
     if (m_state == State::ReadingHeaders && m_parser->is_header_done()) {
-        m_state = State::ReadingBody;
-        m_stateSince = now;
+        setState(State::ReadingBody, now);
         const auto expect = fieldValue(m_parser->fields, "expect");
         if (!m_parser->is_done() && expect && equalsIgnoreCase(*expect, "100-continue")) {
             m_output += "HTTP/1.1 100 Continue\r\n\r\n";
@@ -92,8 +108,7 @@
 
 void CallerConnection::deliverRequest(base::TimePoint now)
 {
-    m_state = State::Responding;
-    m_stateSince = now;
+    setState(State::Responding, now);
     m_acceptsChunks = m_parser->version >= 11;
     m_isKeepAlive = m_parser->keep_alive() && m_acceptsChunks;
     RequestHead head{std::move(m_parser->method), std::move(m_parser->target),
@@ -133,14 +148,25 @@
     if (!m_writeBuffer.empty() || m_output.empty() || m_state == State::Closed)
         return;
     m_writeBuffer.swap(m_output);
-    boost::asio::async_write(
-            m_socket, boost::asio::buffer(m_writeBuffer),
-            [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
+    m_writtenBytes = 0;
+    writeSome();
+}
+
+void CallerConnection::writeSome()
+{
+    m_socket.async_write_some(
+            boost::asio::buffer(m_writeBuffer) + m_writtenBytes,
+            [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
                 if (self->m_state == State::Closed)
                     return;
                 if (ec)
                     return self->close();
+                self->m_writtenBytes += n;
+                self->m_progressAt = base::monotonicNow();
+                if (self->m_writtenBytes < self->m_writeBuffer.size())
+                    return self->writeSome();
                 self->m_writeBuffer.clear();
+                self->m_writtenBytes = 0;
                 if (!self->m_output.empty())
                     return self->flush();
                 if (self->m_state == State::Closing) {
@@ -170,8 +196,7 @@
     }
     if (m_hasCloseHeader)
         return startClosing();
-    m_state = State::Idle;
-    m_stateSince = base::monotonicNow();
+    setState(State::Idle, base::monotonicNow());
     if (!m_input.empty()) {
         // Posted, because the handler that ended the response may not expect another request yet.
         boost::asio::post(*m_server->io, [self = shared_from_this()] {
@@ -182,12 +207,19 @@
     read();
 }
 
-void CallerConnection::abandonResponse(std::string_view target, std::string_view reason)
+void CallerConnection::abandonResponse(bool isStarted, std::string_view target,
+                                       std::string_view reason)
 {
     if (m_state == State::Closed)
         return;
     base::logEvent("response_abandoned", {{"target", target}, {"reason", reason}});
-    endResponse(ResponseEnd::Abandoned);
+    if (isStarted)
+        return endResponse(ResponseEnd::Abandoned);
+    m_exchange.reset();
+    ++m_server->stats.abandoned;
+    m_output += statusLine(502);
+    m_output += "Content-Length: 0\r\nConnection: close\r\n\r\n";
+    startClosing();
 }
 
 void CallerConnection::detach()
@@ -199,8 +231,7 @@
 
 void CallerConnection::startClosing()
 {
-    m_state = State::Closing;
-    m_stateSince = base::monotonicNow();
+    setState(State::Closing, base::monotonicNow());
     m_input.clear();
     if (m_writeBuffer.empty() && m_output.empty()) {
         boost::system::error_code ec;
@@ -210,31 +241,59 @@
     read();
 }
 
-void CallerConnection::checkTimeouts(base::TimePoint now)
+std::optional<base::Millis> CallerConnection::timeout() const
 {
-    const ServerLimits &limits = m_server->limits;
-    const auto elapsed = now - m_stateSince;
     switch (m_state) {
     case State::Idle:
-        if (elapsed >= limits.idleTimeout)
-            startClosing();
-        break;
+        return m_idleTimeout;
     case State::ReadingHeaders:
-        if (elapsed >= limits.headerTimeout)
-            reject(408, "headers too slow");
-        break;
+        return m_server->limits.headerTimeout;
     case State::ReadingBody:
-        if (elapsed >= limits.bodyTimeout)
-            reject(408, "body too slow");
-        break;
+        return m_server->limits.bodyTimeout;
     case State::Closing:
-        if (elapsed >= kLingerTimeout)
-            close();
-        break;
+        // A caller may take longer to read the response than to close the connection afterwards.
+        return unsentBytes() > 0 ? m_server->limits.idleTimeout : kLingerTimeout;
     case State::Responding:
     case State::Closed:
         break;
     }
+    return std::nullopt;
+}
+
+bool CallerConnection::hasUnreadData() const
+{
+    boost::system::error_code ec;
+    return m_socket.available(ec) > 0;
+}
+
+void CallerConnection::checkTimeouts(base::TimePoint now)
+{
+    const auto limit = timeout();
+    const bool isReading = m_state == State::ReadingHeaders || m_state == State::ReadingBody;
+    const base::TimePoint since = isReading ? m_stateSince : m_progressAt;
+    const bool isOver = limit && now - since >= *limit;
+    if (!std::exchange(m_isTimeoutOver, isOver) || !isOver)
+        return;
+    if (m_state != State::Closing && hasUnreadData())
+        return;
+    switch (m_state) {
+    case State::ReadingHeaders:
+        return reject(408, "headers too slow");
+    case State::ReadingBody:
+        return reject(408, "body too slow");
+    default:
+        // An idle connection does not linger, which would read a request that crosses the close.
+        // The reset that such a request gets instead tells its caller that nobody read it.
+        close();
+    }
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (m_state != State::Idle || unsentBytes() > 0 || hasUnreadData())
+        return;
+    if (std::exchange(m_wasFoundIdle, true))
+        close();
 }
 
 void CallerConnection::close()
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr auto kGroupName = "global";
-constexpr auto kGranted = "granted";
 constexpr auto kAccepted = "accepted";
 constexpr auto kReadConfigurationTopic = "configuration";
 const std::string kNoDelta;
@@ -314,10 +313,15 @@
         }
     }
     reply.isConfirmed = hasLease(now);
-    const PackedDirectory::Changes &changes = m_packedDirectory.changesSince(
-            m_directory, request.directoryIncarnation, request.directoryRevision);
-    reply.directory = changes.header;
-    reply.packedDirectory = changes.packed;
+    if (request.acceptsPackedDirectory) {
+        const PackedDirectory::Changes &changes = m_packedDirectory.changesSince(
+                m_directory, request.directoryIncarnation, request.directoryRevision);
+        reply.directory = changes.header;
+        reply.packedDirectory = changes.packed;
+    } else {
+        reply.directory =
+                m_directory.changesSince(request.directoryIncarnation, request.directoryRevision);
+    }
     reply.controlHosts = otherControlHosts();
     reply.controlHosts.push_back(m_options.listenPeers);
     reply.entryHostCount =
@@ -404,6 +408,10 @@
 {
     for (const fleet::Upstream &upstream : relay.upstreams)
         m_directory.announce(upstream, now);
+    // The sender, or a host that it relays to, may have started after these departures.
+    auto departures = m_directory.departuresOf(relay.upstreams);
+    if (!departures.empty())
+        relayLater({{}, std::move(departures)}, [] {});
     for (const fleet::DepartedUpstream &it : relay.departed)
         m_directory.leave(it.id, it.incarnation, now);
     for (const fleet::LeavingUpstream &it : relay.leaving) {
@@ -445,7 +453,7 @@
                         {"waited_ms", wait.count()},
                         {"held", m_prefillPermits.heldCount()},
                         {"waiting", m_prefillPermits.waitingCount()}});
-        answer(isGranted ? kGranted : "");
+        answer(fleet::encode(fleet::PermitReply{isGranted, wait}));
     };
     m_prefillPermits.acquire(*request, onDecided, now);
 }
@@ -589,18 +597,13 @@
                                          std::optional<base::Incarnation> incarnation,
                                          std::function<void()> done, base::TimePoint now)
 {
-    const fleet::Upstream *known = m_impl->m_directory.find(id);
-    const base::Incarnation departedIncarnation = incarnation ? *incarnation
-                                                  : known     ? known->incarnation
-                                                              : base::Incarnation();
     const auto result = m_impl->m_directory.leave(id, incarnation, now);
     if (result != fleet::AnnounceResult::Changed) {
         done();
         return result;
     }
     m_impl->answerWatches(now);
-    m_impl->relayLater({{}, {{id, departedIncarnation, fleet::DepartureKind::Left}}},
-                       std::move(done));
+    m_impl->relayLater({{}, {*m_impl->m_directory.findDeparted(id)}}, std::move(done));
     return result;
 }
 
