--- a/integration/platform-soak/Faults.cpp
+++ b/integration/platform-soak/Faults.cpp
@@ -244,13 +244,15 @@
     }
     const bool isFrozen = it.fault == Fault::FreezeEntry || it.fault == Fault::FreezeControl;
     for (PlatformHost *host : it.hosts) {
+        const bool isPlanned = it.fault == Fault::StopEntry || it.fault == Fault::StopControl;
         if (isFrozen) {
             host->process->signal(SIGCONT);
         } else {
             host->process.reset();
+            if (isPlanned)
+                m_bed->changeBuild(*host);
             m_bed->start(*host);
         }
-        const bool isPlanned = it.fault == Fault::StopEntry || it.fault == Fault::StopControl;
         m_history->add(FaultRecord{host->name, isPlanned, it.from, now});
     }
     return true;
--- a/integration/platform-soak/PlatformSoakTest.cpp
+++ b/integration/platform-soak/PlatformSoakTest.cpp
@@ -41,6 +41,8 @@
     plan.replicas = static_cast<std::size_t>(numberFrom("HYSSOP_SOAK_REPLICAS", 6));
     plan.hasFaultLinks = true;
     plan.hasUplinkGate = true;
+    if (const char *folder = std::getenv("HYSSOP_PRODUCTION"))
+        plan.folder = folder;
     return plan;
 }
 
--- a/integration/platform/PlatformBed.cpp
+++ b/integration/platform/PlatformBed.cpp
@@ -24,7 +24,8 @@
 } // namespace
 
 PlatformBed::PlatformBed(const PlatformPlan &plan)
-    : m_hasFaultLinks(plan.hasFaultLinks)
+    : m_plannedFolder(plan.folder)
+    , m_hasFaultLinks(plan.hasFaultLinks)
     , m_uplinkGate(plan.hasUplinkGate ? std::make_unique<UplinkGate>() : nullptr)
 {
     std::string folder =
--- a/integration/platform/PlatformBed.h
+++ b/integration/platform/PlatformBed.h
@@ -54,6 +54,12 @@
 
     /// Starts a host's program, \a maxFileBytes is a bound on each file it writes; 0: none.
     void start(PlatformHost &host, std::int64_t maxFileBytes = 0);
+    /// The next start of a host's program is from the plan's folder if the last one was from this
+    /// build, and the other way round.
+    void changeBuild(PlatformHost &host) const
+    {
+        host.folder = host.folder.empty() ? m_plannedFolder : std::filesystem::path();
+    }
     /// Kills a host and empties its disk.
     void wipe(PlatformHost &host);
     /// Writes the settings file anew, with a field that no program knows set to \a mark.
@@ -72,6 +78,7 @@
 
     Addresses m_addresses;
     std::filesystem::path m_folder;
+    std::filesystem::path m_plannedFolder; ///< Of the plan's programs.
     std::uint16_t m_peerPort = 0;
     bool m_isFirstStart = true;
     bool m_hasFaultLinks;
