--- a/integration/UpgradeTest.cpp
+++ b/integration/UpgradeTest.cpp
@@ -215,12 +215,13 @@
                                 << m_outcomes.unanswered.size() << "; changes " << m_acked.size()
                                 << "; keys tried " << m_keysTried << ", withdrawn ones "
                                 << m_withdrawnTried << "; reads " << m_reads);
-        CHECK(m_outcomes.unanswered == std::vector<std::string>());
-        CHECK(m_outcomes.failed == std::vector<std::string>());
+        CAPTURE(m_outcomes.unanswered, m_outcomes.failed, m_keyFaults);
+        CHECK(m_outcomes.unanswered.empty());
+        CHECK(m_outcomes.failed.empty());
         CHECK(m_outcomes.served >= m_outcomes.sent * 99 / 100);
         CHECK(repeated == 0);
         CHECK(falselyRefused == 0);
-        CHECK(m_keyFaults == std::vector<std::string>());
+        CHECK(m_keyFaults.empty());
         CHECK(m_reverted == 0);
         CHECK(m_withdrawnTried > 0);
         CHECK(m_acked.size() > 10);
