routing: A stream that goes on while its resume waits loses no tokens

Callers would see (the project's own interface): a stream that ended as complete with tokens missing.

Its engine, which was only silent, went on; the tokens were dropped since the stream was not active, and the end that followed completed the request.

Now tokens that arrive while a resume waits are forwarded and end the wait. The new test failed before: no ForwardTokens, and the attempt was started again.

--- a/libs/routing/src/RouterAttempts.cpp
+++ b/libs/routing/src/RouterAttempts.cpp
@@ -25,8 +25,11 @@
 void Router::Impl::on(const AttemptTokens &event, base::TimePoint now)
 {
     ActiveRequest *request = findByAttempt(event.attempt);
-    if (!request || request->stage != Stage::Active)
+    if (!request)
         return;
+    // Its connection stays open until the stream is resumed, and its engine goes on.
+    if (request->stage == Stage::BackingOff)
+        endBackOff(*request, now);
     request->isAccepted = true;
     if (event.offset > request->deliveredTokens) {
         // The tokens in between were lost on this connection.
@@ -193,6 +196,14 @@
     m_timers.add(*request.retryTimer);
 }
 
+void Router::Impl::endBackOff(ActiveRequest &request, base::TimePoint now)
+{
+    m_timers.remove(*request.retryTimer);
+    request.retryTimer.reset();
+    request.stage = Stage::Active;
+    armProgressTimer(request, now + request.progressTimeout);
+}
+
 void Router::Impl::onRetryTimer(ActiveRequest &request, base::TimePoint now)
 {
     request.retryTimer.reset();
--- a/libs/routing/src/RouterImpl.h
+++ b/libs/routing/src/RouterImpl.h
@@ -116,6 +116,8 @@
     void armProgressTimer(ActiveRequest &request, base::TimePoint at);
     void onProgressTimer(ActiveRequest &request, base::TimePoint now);
     void onRetryTimer(ActiveRequest &request, base::TimePoint now);
+    /// Goes on with the attempt that was to be resumed.
+    void endBackOff(ActiveRequest &request, base::TimePoint now);
     void backOff(ActiveRequest &request, base::TimePoint until);
 
     // Completion and lookup.
--- a/libs/routing/tests/AttemptTest.cpp
+++ b/libs/routing/tests/AttemptTest.cpp
@@ -212,3 +212,25 @@
     CHECK(cancels[0].attempt == start.attempt);
     CHECK(fixture.router.stats().activeRequests == 0);
 }
+
+TEST_CASE("a stream that goes on while its resume backs off loses no tokens")
+{
+    RouterFixture fixture;
+    fixture.addEngine("e");
+    const auto start = startStreaming(fixture, 3);
+    bool hasStalled = false;
+    while (!hasStalled) {
+        fixture.now = std::max(fixture.now, fixture.router.nextTick());
+        hasStalled = !actionsOf<StreamStalled>(fixture.router.tick(fixture.now)).empty();
+    }
+    CHECK(actionsOf<ForwardTokens>(
+                  fixture.router.handle(AttemptTokens{start.attempt, 3, 2}, fixture.now))
+                  .size()
+          == 1);
+    fixture.now += base::Millis(1'000);
+    CHECK(actionsOf<StartAttempt>(fixture.router.tick(fixture.now)).empty());
+    CHECK(actionsOf<CompleteRequest>(
+                  fixture.router.handle(AttemptFinished{start.attempt}, fixture.now))
+                  .size()
+          == 1);
+}
