--- a/review/common/Bed.h
+++ b/review/common/Bed.h
@@ -183,6 +183,10 @@
     bool isUp() const { return m_isUp; }
     const std::string &id() const { return m_id; }
     const Address &address() const { return m_address; }
+    const std::string &service() const { return m_service; }
+    const std::string &zone() const { return m_zone; }
+    /// Start in Unix milliseconds.
+    std::int64_t born() const { return m_born; }
     std::vector<Arrival> arrivals() const;
     /// The usual answer, as it would be without a hook.
     void serve(Socket &socket, const Request &request);
