--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,5 +1,5 @@
-// Faulty replicas send additional bytes after a complete answer, late, at the point where the next
-// answer is expected. The bytes belong to no request, and no consumer may get them.
+// A faulty replica sends additional bytes after a complete answer, late, at the point where the
+// next answer is expected. They belong to no request, and must not make one run twice.
 
 #include "Bed.h"
 
@@ -14,12 +14,13 @@
 
 std::string manifest()
 {
-    return "{\"Version\":3,\"Routes\":[{\"Name\":\"r-fi6y7z5\",\"Host\":\"ficu95.example\","
-           "\"PathPrefix\":\"/lohu930/\",\"Kind\":\"idempotent\",\"TimeoutMs\":2000,"
-           "\"TargetLatencyMs\":300,\"Priority\":2,\"Service\":\"wuno96b\",\"MaxAttempts\":2,"
-           "\"NoAuth\":false}],\"Services\":[{\"Name\":\"wuno96b\",\"HealthPath\":\"/health\","
-           "\"MaxConns\":96,\"Protocol\":\"h1\",\"Tls\":false}],\"Limits\":{\"MaxHeaderBytes\":"
-           "16384,"
+    // A stream that may not be resumed: it may run once at most.
+    return "{\"Version\":3,\"Routes\":[{\"Name\":\"r-2yhvz3p\",\"Host\":\"ficu95.example\","
+           "\"PathPrefix\":\"/lohu930/\",\"Kind\":\"streaming\",\"TimeoutMs\":10000,"
+           "\"TargetLatencyMs\":300,\"Priority\":1,\"Service\":\"huvo11a\",\"MaxAttempts\":2,"
+           "\"NoAuth\":false,\"Sticky\":true,\"Resumable\":false,\"GapTargetMs\":250}],"
+           "\"Services\":[{\"Name\":\"huvo11a\",\"HealthPath\":\"/health\",\"MaxConns\":354,"
+           "\"Protocol\":\"h1\",\"Tls\":false}],\"Limits\":{\"MaxHeaderBytes\":16384,"
            "\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
            "\"Tenants\":[{\"Name\":\"hule930\",\"ApiKeys\":[\""
            + kKey + "\"],\"Priority\":1}]}";
@@ -32,7 +33,6 @@
     openRecord();
     Bed bed;
     std::mutex mutex;
-    std::map<const Socket *, int> answersOn; ///< By channel.
     std::set<const Socket *> spoiled; ///< Channels with bytes that are still to come.
     int answers = 0;
     int spoils = 0;
@@ -45,8 +45,8 @@
         if (hasRest) {
             note("replica " + replica.id() + " sends bytes that belong to no request before the "
                  + "answer to " + request.header("Request-Id"));
-            socket.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
-            sleepFor(0.005);
+            socket.write(
+                    "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         }
         it.hasRun = true;
         replica.serve(socket, request);
@@ -60,7 +60,7 @@
     };
     std::vector<std::unique_ptr<Replica>> replicas;
     for (const char *zone : {"hall-a", "hall-b", "hall-c"}) {
-        replicas.push_back(std::make_unique<Replica>(&bed, "wuno96b", zone, 6));
+        replicas.push_back(std::make_unique<Replica>(&bed, "huvo11a", zone, 16));
         // One of three is faulty.
         if (replicas.size() == 1)
             replicas.back()->setHook(faulty);
@@ -72,47 +72,53 @@
     }
     sleepFor(1);
     std::atomic<int> open{0};
-    std::atomic<int> wrong{0};
-    std::map<int, int> statuses;
+    std::map<std::string, std::string> ends; ///< By request.
     const double from = now();
     double dueAt = from;
-    std::size_t count = 0;
-    for (; now() < from + 40; ++count) {
+    for (std::size_t n = 0; now() < from + 40; ++n) {
         ++open;
-        std::thread([&, count] {
+        std::thread([&, n] {
             const std::string id = newId();
             const Response response =
-                    call(bed.entries[count % bed.entries.size()].front, "GET", "/lohu930/2f",
+                    call(bed.entries[n % bed.entries.size()].front, "POST", "/lohu930/2f",
                          {{"Host", "ficu95.example"},
                           {"Request-Id", id},
-                          {"Deadline-Ms", "2000"},
-                          {"Api-Key", kKey}},
-                         "", 2.5);
-            const bool isOwn = response.status == 200 && response.header("Response-Seal") != ""
-                               && response.body == "done " + id + " ";
-            if (response.status == 404 || (response.status == 200 && !isOwn)) {
-                ++wrong;
-                note("the consumer of " + id + " gets " + std::to_string(response.status)
-                     + ", signature '" + response.header("Response-Seal") + "', Request-Id '"
-                     + response.header("Request-Id") + "'");
-            }
+                          {"Deadline-Ms", "10000"},
+                          {"Api-Key", kKey},
+                          {"Model", "m"},
+                          {"Token-Counts", "1460,12"},
+                          {"Prompt-Prefix", newId().substr(0, 8) + ":1460"}},
+                         "prompt " + id, 10.5);
             const std::lock_guard guard(mutex);
-            ++statuses[response.status];
+            ends[id] = std::to_string(response.status) + " " + response.end;
             --open;
         }).detach();
-        dueAt += 0.02;
+        dueAt += 0.04;
         sleepFor(dueAt - now());
     }
     while (open > 0)
         sleepFor(0.05);
-    for (const auto &[status, n] : statuses)
-        note("status " + std::to_string(status) + ": " + std::to_string(n));
+    sleepFor(1);
+    for (const std::string &end : bed.unexpectedEnds())
+        note("a process ended by itself: " + end);
+    std::map<std::string, std::vector<std::string>> runs;
+    for (const auto &replica : replicas) {
+        for (const Arrival &it : replica->arrivals()) {
+            if (it.hasRun)
+                runs[it.request].push_back(it.replica);
+        }
+    }
+    int twice = 0;
+    for (const auto &[id, where] : runs) {
+        if (where.size() < 2)
+            continue;
+        ++twice;
+        note("request " + id + " ran at " + where[0] + " and at " + where[1] + "; its consumer got "
+             + ends[id]);
+    }
     note(std::to_string(spoils) + " of " + std::to_string(answers)
-         + " answers of the faulty replica were followed by such bytes; " + std::to_string(wrong)
-         + " of " + std::to_string(count) + " consumers got them as their answer");
-    const auto allowed = 5 + count / 500;
-    if (static_cast<std::size_t>(wrong) > allowed)
-        note("that also breaks DENIED, which allows " + std::to_string(allowed));
-    note(wrong > 0 ? "BROKEN: MIXED" : "held: MIXED");
-    return wrong > 0 ? 1 : 0;
+         + " answers of the faulty replica were followed by such bytes; " + std::to_string(twice)
+         + " of " + std::to_string(ends.size()) + " requests that may run once ran twice");
+    note(twice > 0 ? "BROKEN: TWICE" : "held: TWICE");
+    return twice > 0 ? 1 : 0;
 }
