--- a/libs/gateway/tests/GatewayTest.cpp
+++ b/libs/gateway/tests/GatewayTest.cpp
@@ -23,6 +23,7 @@
     void onEnd(CallId) override { ++completedCount; }
     void onFailed(CallId, const CallError &callError) override { error = callError; }
     bool hasEnded() const { return completedCount > 0 || error; }
+    void reset() { *this = ResponseRecorder(); }
 
     int status = 0;
     std::string body;
@@ -301,6 +302,81 @@
     CHECK(client.stats().strayResponses == 1);
 }
 
+TEST_CASE("a response without an id on a kept connection is not taken for that of the next call")
+{
+    // A faulty upstream sends additional bytes after a complete response. Their Not-Executed does
+    // not belong to the next request, which runs; taken for its answer, it would run twice.
+    const std::string unidentified =
+            "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string emptyId =
+            "HTTP/1.1 400 Bad Request\r\nRequest-Id:\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string &extra : {unidentified, emptyId}) {
+        boost::asio::io_context io;
+        Upstream upstream(&io, {responseText("1", "first"), extra + responseText("2", "own")},
+                          false);
+        ResponseRecorder recorder;
+        Client client(&io, &recorder);
+        client.start(callTo(upstream, "1"));
+        runUntilEnded(io, recorder);
+        REQUIRE(recorder.completedCount == 1);
+        recorder.reset();
+        client.start(callTo(upstream, "2"));
+        runUntilEnded(io, recorder);
+        CHECK(client.stats().reuses == 1);
+        CHECK(recorder.status == 0);
+        CHECK(recorder.completedCount == 0);
+        REQUIRE(recorder.error);
+        CHECK(recorder.error->wasSent);
+        CHECK(client.stats().strayResponses == 1);
+    }
+}
+
+TEST_CASE("a response without an id on a new connection is not taken for that of its call")
+{
+    boost::asio::io_context io;
+    Upstream upstream(&io, {"HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+                      false);
+    ResponseRecorder recorder;
+    Client client(&io, &recorder);
+    client.start(callTo(upstream, "1"));
+    runUntilEnded(io, recorder);
+    CHECK(recorder.status == 0);
+    CHECK(recorder.error);
+}
+
+TEST_CASE("responses need no id where the protocol echoes none")
+{
+    boost::asio::io_context io;
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+    Upstream upstream(&io, {response, response}, false);
+    ResponseRecorder recorder;
+    Client client(&io, &recorder);
+    for (int n = 1; n <= 2; ++n) {
+        Call call = callTo(upstream, "1");
+        call.echoFieldName.clear();
+        client.start(call);
+        for (int k = 0; k < 400 && recorder.completedCount < n; ++k) {
+            io.restart();
+            io.run_for(base::Millis(5));
+        }
+    }
+    CHECK(recorder.body == "ownown");
+    CHECK(client.stats().reuses == 1);
+}
+
+TEST_CASE("a connection that carried a response to another request is not used again")
+{
+    boost::asio::io_context io;
+    Upstream upstream(&io, {responseText("0", "stray") + responseText("1", "own")}, false);
+    ResponseRecorder recorder;
+    Client client(&io, &recorder);
+    client.start(callTo(upstream, "1"));
+    runUntilEnded(io, recorder);
+    REQUIRE(recorder.body == "own");
+    client.start(callTo(upstream, "2"));
+    CHECK(client.stats().reuses == 0);
+}
+
 TEST_CASE("a late response to a request with an id is not taken for that of one without")
 {
     boost::asio::io_context io;
