gateway: A response without the id of its request fails the call

Cause: a response head without an id was taken for the answer, so that bytes which a faulty upstream sent after an earlier response ended the next request on that connection. Change: where the protocol echoes an id and the request has one, a response without it fails the call (unidentified), closes the connection and is counted; a response to another request is dropped as before, but its connection is not used again. A response to a request without an id is marked, so that nothing is concluded from it.

--- a/libs/gateway/include/gateway/Gateway.h
+++ b/libs/gateway/include/gateway/Gateway.h
@@ -185,6 +185,8 @@
     ResponseTruncated, ///< The connection ended or failed in the middle of the response.
     InvalidResponse, ///< The received bytes are not a valid HTTP/1.1 response.
     ResponseTimeout, ///< The response did not end within the timeout of the call.
+    /// The request has an id and the response has none, so it may belong to no request.
+    UnidentifiedResponse,
 };
 
 /// Returns the name of a failure as used in logs and metrics.
@@ -205,6 +207,9 @@
     int status = 0;
     Fields fields;
     std::optional<std::uint64_t> contentLength; ///< Empty if the response states no length.
+    /// The id of the request stands in the response, or the protocol echoes none. If false, the
+    /// request has no id, and the response may belong to no request.
+    bool isIdentified = true;
 };
 
 /// Receives the responses of calls. onEnd() or onFailed() is the last event of a call.
@@ -231,8 +236,10 @@
     RequestHead head; ///< Without the fields that frame the body.
     std::shared_ptr<const std::string> body; ///< May be null or empty.
     /// Name of a field that responses copy from their request. A response with another value
-    /// belongs to an earlier request and is dropped, also if this request lacks the field. Nothing
-    /// is compared if this is empty.
+    /// belongs to an earlier request and is dropped, also if this request lacks the field. If the
+    /// request has the field and a response doesn't, the call fails: additional bytes after an
+    /// earlier response would otherwise be taken for the answer. Nothing is compared if this is
+    /// empty.
     std::string echoFieldName;
     base::Millis connectTimeout{500};
     base::Millis responseTimeout{0}; ///< From start() to the end of the response. 0 means no limit.
@@ -266,6 +273,7 @@
     std::int64_t reuses = 0; ///< Calls on a reused connection.
     std::int64_t strayResponses =
             0; ///< Responses, or data between responses, that match no request.
+    std::int64_t unidentifiedResponses = 0; ///< Those of them that carry no id.
 };
 
 /// HTTP/1.1 client for upstreams with a connection pool for each upstream. \a io and \a handler
--- a/libs/gateway/src/Client.cpp
+++ b/libs/gateway/src/Client.cpp
@@ -154,13 +154,15 @@
     read();
 }
 
-bool UpstreamConnection::isExpectedResponse() const
+UpstreamConnection::ResponseOrigin UpstreamConnection::responseOrigin() const
 {
     if (m_call.echoFieldName.empty())
-        return true;
-    const auto echoed = fieldValue(m_parser->fields, m_call.echoFieldName);
-    const auto sent = fieldValue(m_call.head.fields, m_call.echoFieldName);
-    return !echoed || (sent && *echoed == *sent);
+        return ResponseOrigin::Expected;
+    const std::string_view echoed = fieldValue(m_parser->fields, m_call.echoFieldName).value_or("");
+    const std::string_view sent = fieldValue(m_call.head.fields, m_call.echoFieldName).value_or("");
+    if (echoed != sent)
+        return echoed.empty() ? ResponseOrigin::Unidentified : ResponseOrigin::OtherRequest;
+    return sent.empty() ? ResponseOrigin::UnidentifiedRequest : ResponseOrigin::Expected;
 }
 
 void UpstreamConnection::process()
@@ -173,12 +175,21 @@
             return;
         const bool isInterim = m_parser->status < 200;
         if (!m_isHeadDelivered && !m_isStrayResponse && !isInterim) {
-            m_isStrayResponse = !isExpectedResponse();
+            const ResponseOrigin origin = responseOrigin();
+            if (origin == ResponseOrigin::Unidentified) {
+                ++m_client->stats.strayResponses;
+                ++m_client->stats.unidentifiedResponses;
+                return fail(CallFailure::UnidentifiedResponse,
+                            "status " + std::to_string(m_parser->status) + " without an id");
+            }
+            m_isStrayResponse = origin == ResponseOrigin::OtherRequest;
+            m_hasStrayResponse = m_hasStrayResponse || m_isStrayResponse;
             if (!m_isStrayResponse) {
                 m_isHeadDelivered = true;
                 m_undeliveredBytes = 0;
                 m_client->handler->onHead(m_callId,
-                                          {m_parser->status, m_parser->fields, m_parser->length});
+                                          {m_parser->status, m_parser->fields, m_parser->length,
+                                           origin == ResponseOrigin::Expected});
             }
         }
         if (m_isClosed)
@@ -206,7 +217,9 @@
     const CallId id = std::exchange(m_callId, CallId());
     m_responseTimer.cancel();
     m_client->calls.erase(id);
-    const bool isReusable = m_parser->keep_alive() && !m_isWriting && m_input.empty();
+    // An upstream that sent one response too many may send more.
+    const bool isReusable =
+            m_parser->keep_alive() && !m_isWriting && m_input.empty() && !m_hasStrayResponse;
     if (!m_input.empty())
         ++m_client->stats.strayResponses;
     const Fields fields = std::move(m_parser->fields);
--- a/libs/gateway/src/Fields.cpp
+++ b/libs/gateway/src/Fields.cpp
@@ -80,6 +80,8 @@
         return "malformed";
     case CallFailure::ResponseTimeout:
         return "answer_timeout";
+    case CallFailure::UnidentifiedResponse:
+        return "unidentified";
     }
     return "unknown";
 }
--- a/libs/gateway/src/UpstreamConnection.h
+++ b/libs/gateway/src/UpstreamConnection.h
@@ -46,8 +46,14 @@
     void read();
     void onRead(boost::system::error_code ec, std::size_t n);
     void process();
-    /// Returns false if the response belongs to an earlier request.
-    bool isExpectedResponse() const;
+    /// Whether the current response belongs to the request.
+    enum class ResponseOrigin {
+        Expected, ///< It carries the id of the request, or the protocol echoes none.
+        OtherRequest, ///< It carries another id.
+        Unidentified, ///< It lacks the id of the request.
+        UnidentifiedRequest, ///< Neither of them carries an id.
+    };
+    ResponseOrigin responseOrigin() const;
     void onResponseEnd();
     /// Adds the connection to the pool, or closes it if it can't be reused.
     void keepIdle(const Fields &fields, std::size_t maxIdleConnections);
@@ -72,6 +78,7 @@
     bool m_isReused = false;
     bool m_isHeadDelivered = false;
     bool m_isStrayResponse = false; ///< The current response is dropped.
+    bool m_hasStrayResponse = false; ///< One was dropped on this connection.
     std::size_t m_undeliveredBytes = 0; ///< Received since the last part of the response.
     base::TimePoint m_usableUntil;
 };
