edge: Conclude nothing from a response without an id; a mark alone means that a call was declined

Cause: a host that relays a call took any unsigned 4xx of the other host as declined, also one that an upstream had sent after it ran the request; and the statuses 408, 429 and 503 of an upstream without Not-Executed went to callers, whom they promise that the request has not run. Change: Answers.h decides what a response means: without the id of its request, only its seal counts (for requests without an id, which get connections of their own); only Hyssop-Declined with the call's id means declined, and it is removed from what upstreams send; 408, 421, 429 and 503 of an upstream that did not state that it has not run become 502. A host that relays states in Hyssop-Attempts-Left, after the number, that it needs the mark; for an earlier build, which does not, an unsigned 4xx of an upstream becomes 502. Memory reservations, which have no id, no longer share connections with calls.

--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -93,7 +93,9 @@
     request.echoFieldName = m_protocol->echoFieldName();
     request.connectTimeout = std::min(kConnectTimeout, action.timeLeft);
     // A kept-alive connection may close during a request, which then must not be sent again.
-    request.canReuseConnection = call.isStream || call.exchange->head().method == "GET";
+    // Without an id, its answer can't be told from additional bytes after an earlier response.
+    request.canReuseConnection = (call.isStream || call.exchange->head().method == "GET")
+                                 && !call.requestMetadata.id.isEmpty();
     request.maxIdleConnections = maxIdleConnections(call.service);
     call.attemptCount = action.attempt;
     call.current.number = action.attempt;
@@ -202,7 +204,7 @@
         m_metrics->count("hyssop_rate_limit_rejections_total");
     gateway::Fields fields =
             m_protocol->localResponseFields(call.exchange->head(), action.retryAfter);
-    if (call.isTakenOver && isLimitedToHost(action.reason))
+    if (call.relayTerms && isLimitedToHost(action.reason))
         fields.push_back({kDeclinedField, "1"});
     call.exchange->respond(503, fields, "");
     call.blocker = action.blocker;
@@ -227,10 +229,8 @@
 void Edge::Impl::executeAction(const dispatch::ForwardUpstreamError &action, base::TimePoint now)
 {
     EdgeCall &call = *findCall(action.call);
-    call.exchange->respond(call.current.answerHead.status,
-                           m_protocol->forwardedFields(call.current.answerHead),
-                           call.current.answerBody);
-    endCall(call, "upstream_failure", "", call.current.answerHead.status, now);
+    const int status = respondWithAnswer(call);
+    endCall(call, "upstream_failure", "", status, now);
 }
 
 void Edge::Impl::executeAction(const dispatch::RequestPermit &action, base::TimePoint now)
@@ -383,7 +383,7 @@
         return;
     EdgeAttempt &attempt = attemptOf(*call, id);
     attempt.answerHead = head;
-    attempt.answerMetadata = m_protocol->parseResponse(head);
+    attempt.answerMetadata = trustedMetadata(m_protocol->parseResponse(head), head);
     if (attempt.isRelayed) {
         onRelayHead(*call, attempt, now);
         return scheduleTick(now);
@@ -429,6 +429,8 @@
     if (metadata.isNotExecuted)
         return AttemptFailure{dispatch::AttemptFault::Refused, "not_run", {}, true};
     const int status = attempt.answerHead.status;
+    if (!attempt.answerHead.isIdentified && promisesNotRun(status))
+        return AttemptFailure{dispatch::AttemptFault::AnswerLost, "unidentified"};
     if (status >= 200 && status < 300 && !metadata.isProvenRun)
         return AttemptFailure{dispatch::AttemptFault::AnswerLost, "not_genuine"};
     return std::nullopt;
@@ -535,7 +537,7 @@
     call.lastEventAt = now;
     if (!call.exchange->isStarted())
         call.exchange->start(call.current.answerHead.status,
-                             m_protocol->forwardedFields(call.current.answerHead));
+                             forwardedFields(call.current.answerHead));
     call.exchange->send(events);
     execute(m_dispatcher.handle(dispatch::AnswerProgressed{call.id}, now), now);
     if (call.exchange->unsentBytes() > kMaxUnsentBytes && call.current.id != gateway::CallId()) {
@@ -578,14 +580,39 @@
     return std::nullopt;
 }
 
+gateway::Fields Edge::Impl::forwardedFields(const gateway::ResponseHead &head) const
+{
+    gateway::Fields fields = m_protocol->forwardedFields(head);
+    removeRelayFields(fields);
+    return fields;
+}
+
+int Edge::Impl::respondWithAnswer(EdgeCall &call)
+{
+    const EdgeAttempt &attempt = call.current;
+    const int answered = attempt.answerHead.status;
+    const int status =
+            call.relayTerms
+                    ? statusForRelay(answered, attempt.answerMetadata.isProvenRun, *call.relayTerms)
+                    : statusForCaller(answered);
+    if (status != answered) {
+        m_metrics->count("hyssop_replaced_statuses_total", {{"status", std::to_string(answered)}});
+        base::logEvent("status_replaced", {{"request", call.requestMetadata.id},
+                                           {"upstream", attempt.upstream},
+                                           {"status", answered},
+                                           {"by", status}});
+    }
+    call.exchange->respond(status, forwardedFields(attempt.answerHead), attempt.answerBody);
+    return status;
+}
+
 void Edge::Impl::finishCall(EdgeCall &call, base::TimePoint now)
 {
-    const int status = call.current.answerHead.status;
+    int status = call.current.answerHead.status;
     if (call.isEventStream(call.current))
         call.exchange->finish();
     else
-        call.exchange->respond(status, m_protocol->forwardedFields(call.current.answerHead),
-                               call.current.answerBody);
+        status = respondWithAnswer(call);
     const bool isSuccess = status >= 200 && status < 300;
     execute(m_dispatcher.handle(dispatch::AttemptSucceeded{call.id, isSuccess}, now), now);
     endCall(call, "answered", "", status, now);
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -155,7 +155,7 @@
 
 std::optional<Edge::Impl::Refusal> Edge::Impl::admit(
         const std::shared_ptr<gateway::Exchange> &exchange, CallMetadata metadata,
-        std::optional<int> maxAttempts, base::TimePoint now)
+        std::optional<RelayTerms> relayTerms, base::TimePoint now)
 {
     if (!m_routeTable || !m_freshness.wasConfirmed())
         return Refusal{503, "no_configuration"};
@@ -188,8 +188,9 @@
     info.priority = team && team->priority ? *team->priority : route->priority;
     info.isStream = route->isStream;
     info.isRetrySafe = route->isRetrySafe();
-    info.maxAttempts = std::min(route->maxAttempts, maxAttempts.value_or(route->maxAttempts));
-    info.isRelayed = maxAttempts.has_value();
+    info.maxAttempts = relayTerms ? std::min(route->maxAttempts, relayTerms->attemptsLeft)
+                                  : route->maxAttempts;
+    info.isRelayed = relayTerms.has_value();
     info.promptTokens = metadata.promptTokens;
     info.maxOutputTokens = metadata.maxOutputTokens;
     info.arrivedAt = exchange->arrivedAt();
@@ -213,7 +214,7 @@
     call.route = route->name;
     call.service = info.service;
     call.isStream = route->isStream;
-    call.isTakenOver = info.isRelayed;
+    call.relayTerms = relayTerms;
     call.configurationVersion = m_routeTable->version();
     call.confirmationAge = m_freshness.confirmationAge(now);
     m_exchanges[exchange.get()] = info.id;
@@ -376,6 +377,7 @@
     for (const base::UpstreamId &id : changes.removed) {
         base::logEvent("upstream_gone", {{"upstream", id}});
         m_client.closeIdle(id);
+        m_client.closeIdle(reservationPool(id));
         execute(m_dispatcher.handle(dispatch::UpstreamRemoved{id}, now), now);
     }
     for (const fleet::Upstream &it : changes.upstreams) {
@@ -564,6 +566,8 @@
     m_metrics->set("hyssop_upstream_connects", static_cast<double>(client.connects));
     m_metrics->set("hyssop_upstream_reuses", static_cast<double>(client.reuses));
     m_metrics->set("hyssop_stray_answers", static_cast<double>(client.strayResponses));
+    m_metrics->set("hyssop_unidentified_answers",
+                   static_cast<double>(client.unidentifiedResponses));
 }
 
 Edge::Edge(std::unique_ptr<Impl> impl)
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -2,6 +2,7 @@
 
 #include "edge/Edge.h"
 
+#include "Answers.h"
 #include "EventSplitter.h"
 #include "FleetWatcher.h"
 #include "Freshness.h"
@@ -31,12 +32,13 @@
     std::string reservationId;
 };
 
-/// In responses to relayed calls: this host did not run the call, and another one might.
-inline constexpr auto kDeclinedField = "Hyssop-Declined";
-
 /// Removes what only requests between entry hosts carry.
 void removeRelayFields(gateway::Fields &fields);
 
+/// Pool of the connections for reservation requests to an upstream. These have no id, so that an
+/// additional response to a call on the same connection could be taken for theirs.
+base::UpstreamId reservationPool(const base::UpstreamId &upstream);
+
 /// Hashes of content for logs.
 std::string contentText(const std::vector<fleet::Fingerprint> &fingerprints);
 
@@ -68,7 +70,7 @@
     std::string route;
     base::ServiceId service;
     bool isStream = false;
-    bool isTakenOver = false; ///< Another entry host relayed it here.
+    std::optional<RelayTerms> relayTerms; ///< Set when another entry host relayed it here.
     std::vector<fleet::Fingerprint> fingerprints; ///< Of what other requests may have in common.
     fleet::ConfigurationVersion configurationVersion; ///< Configuration that it was admitted under.
     base::Millis confirmationAge{0}; ///< Of that configuration, when the call was admitted.
@@ -113,9 +115,9 @@
         int status;
         std::string_view reason;
     };
-    /// \a maxAttempts is set for calls that another entry host relayed.
+    /// \a relayTerms is set for calls that another entry host relayed.
     std::optional<Refusal> admit(const std::shared_ptr<gateway::Exchange> &exchange,
-                                 CallMetadata metadata, std::optional<int> maxAttempts,
+                                 CallMetadata metadata, std::optional<RelayTerms> relayTerms,
                                  base::TimePoint now);
     void refuse(gateway::Exchange &exchange, const base::RequestId &id, const Refusal &refusal,
                 bool isTakenOver, base::TimePoint now);
@@ -172,6 +174,10 @@
     void forwardEvents(EdgeCall &call, std::string_view events, base::TimePoint now);
     /// Makes the stalled attempt, which goes on, the current one.
     void reinstateStalledAttempt(EdgeCall &call, base::TimePoint now);
+    /// Answers the caller with the complete answer of the current attempt. Returns the status.
+    int respondWithAnswer(EdgeCall &call);
+    /// Fields of an answer for the caller, without what only entry hosts tell each other.
+    gateway::Fields forwardedFields(const gateway::ResponseHead &head) const;
     /// Ends the call with the complete answer of its current attempt.
     void finishCall(EdgeCall &call, base::TimePoint now);
     /// What makes an attempt fail.
--- a/libs/edge/src/Memory.cpp
+++ b/libs/edge/src/Memory.cpp
@@ -21,15 +21,20 @@
 
 } // namespace
 
+base::UpstreamId reservationPool(const base::UpstreamId &upstream)
+{
+    return base::UpstreamId(upstream.text() + "/reservations");
+}
+
 void Edge::Impl::sendReservationRequest(const Reservation &reservation,
                                         const EngineRequest &engineRequest, dispatch::CallId call)
 {
     gateway::Call request;
-    request.upstream = reservation.upstream.id;
+    request.upstream = reservationPool(reservation.upstream.id);
     request.to = reservation.upstream.address;
     request.head = engineRequest.head;
     request.body = std::make_shared<const std::string>(engineRequest.body);
-    // It has no id itself, and shares its connection with requests that do.
+    // It has no id itself, so that a response with one is not its answer.
     request.echoFieldName = m_protocol->echoFieldName();
     request.connectTimeout = kReservationConnectTimeout;
     request.responseTimeout = kReservationTimeout;
--- a/libs/edge/src/Relays.cpp
+++ b/libs/edge/src/Relays.cpp
@@ -3,35 +3,25 @@
 #include "EdgeImpl.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace hyssop::edge {
 
 namespace {
 
-/// In relayed calls: upstreams that the call may still be sent to.
-constexpr auto kAttemptsLeftField = "Hyssop-Attempts-Left";
+/// In relayed calls: the terms of the relay.
+constexpr auto kTermsField = "Hyssop-Attempts-Left";
 constexpr base::Millis kRelayConnectTimeout{200};
 constexpr base::Millis kLinkProbeTimeout{600};
 /// Idle connections kept to each of the other entry hosts.
 constexpr std::size_t kMaxIdleRelayConnections = 16;
 
-/// Attempts that a relayed call may still make; 1 if the field is missing or unreadable.
-int attemptsLeft(const gateway::RequestHead &head)
-{
-    const std::string_view text =
-            gateway::fieldValue(head.fields, kAttemptsLeftField).value_or("1");
-    int n = 1;
-    std::from_chars(text.data(), text.data() + text.size(), n);
-    return std::max(1, n);
-}
-
 } // namespace
 
 void removeRelayFields(gateway::Fields &fields)
 {
     std::erase_if(fields, [](const gateway::Field &it) {
-        return gateway::equalsIgnoreCase(it.name, kAttemptsLeftField);
+        return gateway::equalsIgnoreCase(it.name, kTermsField)
+               || gateway::equalsIgnoreCase(it.name, kDeclinedField);
     });
 }
 
@@ -56,12 +46,14 @@
     request.to = action.peer;
     request.head = m_protocol->relayRequest(call.exchange->head(), action.timeLeft, resumeAfter);
     removeRelayFields(request.head.fields);
-    request.head.fields.push_back({kAttemptsLeftField, std::to_string(action.attemptsLeft)});
+    request.head.fields.push_back({kTermsField, encodeRelayTerms({action.attemptsLeft, true})});
     request.body = call.body;
     request.echoFieldName = m_protocol->echoFieldName();
     request.connectTimeout = std::min(kRelayConnectTimeout, action.timeLeft);
     // A kept-alive connection may close during a request, which then must not be sent again.
-    request.canReuseConnection = call.isStream || call.exchange->head().method == "GET";
+    // Without an id, its answer can't be told from that to another call.
+    request.canReuseConnection = (call.isStream || call.exchange->head().method == "GET")
+                                 && !call.requestMetadata.id.isEmpty();
     request.maxIdleConnections = kMaxIdleRelayConnections;
     call.current.upstream = request.upstream;
     call.current.isRelayed = true;
@@ -86,28 +78,31 @@
         return;
     }
     const base::RequestId id = metadata->id;
-    const int maxAttempts = attemptsLeft(exchange->head());
+    const RelayTerms terms = decodeRelayTerms(
+            gateway::fieldValue(exchange->head().fields, kTermsField).value_or(""));
     m_metrics->count("hyssop_taken_over_calls_total");
-    base::logEvent("call_taken_over", {{"request", id}, {"attempts_left", maxAttempts}});
-    if (const auto refusal = admit(exchange, *std::move(metadata), maxAttempts, now))
+    base::logEvent("call_taken_over", {{"request", id}, {"attempts_left", terms.attemptsLeft}});
+    if (const auto refusal = admit(exchange, *std::move(metadata), terms, now))
         refuse(*exchange, id, *refusal, true, now);
     scheduleTick(now);
 }
 
 void Edge::Impl::onRelayHead(EdgeCall &call, EdgeAttempt &attempt, base::TimePoint now)
 {
-    if (attempt.answerMetadata.isProvenRun)
+    const RelayAnswer answer = classifyRelayAnswer(attempt.answerHead, attempt.answerMetadata);
+    switch (answer) {
+    case RelayAnswer::Answer:
         return;
-    const int status = attempt.answerHead.status;
-    const bool isDeclined =
-            gateway::fieldValue(attempt.answerHead.fields, kDeclinedField).has_value()
-            || (status >= 400 && status < 500 && status != 429);
-    if (isDeclined)
+    case RelayAnswer::Declined:
         return failAttempt(call, attempt, {dispatch::AttemptFault::Refused, "declined", {}, true},
                            now);
-    if (status < 400)
+    case RelayAnswer::NotGenuine:
         return failAttempt(call, attempt, {dispatch::AttemptFault::AnswerLost, "not_genuine"}, now);
-    const bool isRejected = status == 429 || status == 503;
+    case RelayAnswer::Rejected:
+    case RelayAnswer::Failed:
+        break;
+    }
+    const bool isRejected = answer == RelayAnswer::Rejected;
     if (call.isStalled(attempt))
         return failAttempt(call, attempt,
                            {isRejected ? dispatch::AttemptFault::Refused
@@ -115,9 +110,9 @@
                             "relay_rejected"},
                            now);
     dropAttempt(attempt, isRejected);
-    base::logEvent(
-            "relay_rejected",
-            {{"request", call.requestMetadata.id}, {"by", attempt.upstream}, {"status", status}});
+    base::logEvent("relay_rejected", {{"request", call.requestMetadata.id},
+                                      {"by", attempt.upstream},
+                                      {"status", attempt.answerHead.status}});
     execute(m_dispatcher.handle(
                     dispatch::RelayRejected{call.id, attempt.answerMetadata.backOff, !isRejected},
                     now),
