dispatch: Tests for attempts and retries of relayed calls, which fail

A lost relay lets both hosts use the route's MaxAttempts (7 attempts where 4 are allowed), and both count the call in their retry budgets: 5 of 115 test cases of test-dispatch fail.

--- a/libs/dispatch/tests/RelayTest.cpp
+++ b/libs/dispatch/tests/RelayTest.cpp
@@ -15,8 +15,16 @@
 class Fixture
 {
 public:
-    explicit Fixture(int upstreams = 6)
-        : dispatcher({base::HostId("e"), base::DataCentreId("a")})
+    static DispatcherOptions defaultOptions()
+    {
+        DispatcherOptions options;
+        options.host = base::HostId("e");
+        options.dataCentre = base::DataCentreId("a");
+        return options;
+    }
+
+    explicit Fixture(int upstreams = 6, DispatcherOptions options = defaultOptions())
+        : dispatcher(std::move(options))
     {
         dispatcher.handle(ServicesChanged{{{kService, {}, {}, {}}}}, kStart);
         for (int n = 0; n < upstreams; ++n) {
@@ -315,3 +323,107 @@
     CHECK_FALSE(first<RelayCall>(fixture.dispatcher.tick(kStart + Millis(1'101))));
     CHECK(first<RelayCall>(fixture.dispatcher.tick(kStart + Millis(2'700))));
 }
+
+TEST_CASE("a relayed call reaches no more upstreams than its route allows, also after a lost relay")
+{
+    // The other host may have used every attempt that it was given before its answer was lost.
+    for (const int maxAttempts : {1, 2, 3, 4}) {
+        Fixture fixture;
+        fixture.loseLinks();
+        CallInfo info = fixture.call(true);
+        info.maxAttempts = maxAttempts;
+        int granted = 0;
+        Actions actions = fixture.arrive(info);
+        for (const auto *relay = first<RelayCall>(actions); relay;
+             relay = first<RelayCall>(actions)) {
+            granted += relay->attemptsLeft;
+            actions = fixture.fail(info.id, AttemptFault::AnswerLost);
+        }
+        INFO("at most " << maxAttempts);
+        CHECK(granted == maxAttempts);
+        CHECK(first<FailCall>(actions));
+    }
+}
+
+TEST_CASE("attempts given to a host that declined a call or was not reached are given to another")
+{
+    Fixture fixture;
+    fixture.loseLinks();
+    CallInfo info = fixture.call(true);
+    info.maxAttempts = 3;
+    const Actions actions = fixture.arrive(info);
+    REQUIRE(first<RelayCall>(actions));
+    CHECK(first<RelayCall>(actions)->attemptsLeft == 2);
+    const Actions again = fixture.fail(info.id, AttemptFault::Refused);
+    REQUIRE(first<RelayCall>(again));
+    CHECK(first<RelayCall>(again)->attemptsLeft == 2);
+}
+
+TEST_CASE("a call that failed at the host it was relayed to is repeated where it may be")
+{
+    // That host gets one attempt less than the call has, so it may fail with one left.
+    for (const bool isRetrySafe : {true, false}) {
+        Fixture fixture;
+        fixture.loseLinks();
+        const CallInfo rejected = fixture.call(isRetrySafe);
+        REQUIRE(first<RelayCall>(fixture.arrive(rejected)));
+        const Actions actions =
+                fixture.dispatcher.handle(RelayRejected{rejected.id, Millis(0), true}, kStart);
+        CHECK((first<RelayCall>(actions) != nullptr) == isRetrySafe);
+        CHECK((first<FailCall>(actions) != nullptr) == !isRetrySafe);
+        const CallInfo failed = fixture.call(isRetrySafe);
+        REQUIRE(first<RelayCall>(fixture.arrive(failed)));
+        const Actions after = fixture.fail(failed.id, AttemptFault::UpstreamError);
+        CHECK((first<RelayCall>(after) != nullptr) == isRetrySafe);
+        CHECK((first<ForwardUpstreamError>(after) != nullptr) == !isRetrySafe);
+    }
+}
+
+TEST_CASE("a call counts for retries at the host that sends it to an upstream only")
+{
+    // Counted at both hosts, it would allow twice the retries.
+    const auto isRetried = [](AttemptFault endOfRelays) {
+        DispatcherOptions options = Fixture::defaultOptions();
+        options.retryRatio = 0.1;
+        options.retryAllowance = 0;
+        options.retryWindow = Millis(1'000);
+        Fixture fixture(6, options);
+        fixture.loseLinks();
+        // Calls made before no longer count then.
+        const base::TimePoint now = kStart + Millis(1'500);
+        for (int n = 0; n < 20; ++n) {
+            CallInfo info = fixture.call(false);
+            info.deadline = now + Millis(4'000);
+            REQUIRE(first<RelayCall>(fixture.arrive(info, now)));
+            fixture.fail(info.id, endOfRelays, now);
+        }
+        fixture.dispatcher.handle(LinkProbed{fixture.kService, true}, now);
+        CallInfo info = fixture.call(true);
+        info.deadline = now + Millis(4'000);
+        REQUIRE(first<SendAttempt>(fixture.arrive(info, now)));
+        return first<SendAttempt>(fixture.fail(info.id, AttemptFault::AnswerLost, now)) != nullptr;
+    };
+    CHECK_FALSE(isRetried(AttemptFault::UpstreamError));
+    CHECK_FALSE(isRetried(AttemptFault::AnswerLost));
+}
+
+TEST_CASE("a call that reached no upstream here and was relayed does not count for retries here")
+{
+    DispatcherOptions options = Fixture::defaultOptions();
+    options.retryRatio = 0.1;
+    options.retryAllowance = 0;
+    Fixture fixture(6, options);
+    for (int n = 0; n < 20; ++n) {
+        const CallInfo info = fixture.call();
+        REQUIRE(first<SendAttempt>(fixture.arrive(info)));
+        Actions actions = fixture.fail(info.id, AttemptFault::NotSent);
+        while (first<SendAttempt>(actions))
+            actions = fixture.fail(info.id, AttemptFault::NotSent);
+        REQUIRE(first<RelayCall>(actions));
+        fixture.fail(info.id, AttemptFault::UpstreamError);
+        fixture.dispatcher.handle(LinkProbed{fixture.kService, true}, kStart);
+    }
+    const CallInfo info = fixture.call(true);
+    REQUIRE(first<SendAttempt>(fixture.arrive(info)));
+    CHECK_FALSE(first<SendAttempt>(fixture.fail(info.id, AttemptFault::AnswerLost)));
+}
