dispatch: A relayed call counts once and keeps to the route's MaxAttempts

Cause: both hosts recorded a relayed call in their retry budgets, and a relay took one attempt of the call although the other host was given all that were left, so that after a lost relay up to 7 attempts were made where 4 are allowed. Change: a call is recorded when it is sent to an upstream, and withdrawn when it is relayed. A relay takes as many attempts as it gives away, and one is kept back while there is more than one, which the relaying host uses when the relay is lost or the other host fails; attempts given to a host that did not run the call come back.

--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -46,6 +46,10 @@
 {
     call.stage = CallStage::Sent;
     ++call.attempts;
+    if (!call.countedAt && !call.isCountedElsewhere) {
+        serviceOf(call.info.service).retryBudget->recordCall(now);
+        call.countedAt = now;
+    }
     call.current.upstream = placement.primary->info().id;
     call.current.upstreamIncarnation = placement.primary->info().incarnation;
     call.current.sentAt = now;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -151,7 +151,6 @@
     if (!m_distantLoads.empty() && now >= m_distantLoadsAt + kDistantLoadLifetime)
         setDistantLoads({}, false, now);
     ServiceState &service = serviceOf(call.info.service);
-    service.retryBudget->recordCall(now);
     classifyPrompt(call, service, now);
     if (service.upstreams.empty())
         return rejectOrFail(call, FailureReason::NoUpstream, now);
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -46,6 +46,7 @@
     base::UpstreamId upstream; ///< Primary engine or plain upstream; empty for a relay.
     base::Incarnation upstreamIncarnation; ///< Start of the upstream that it was sent to.
     std::optional<base::Endpoint> relay; ///< Entry host that it was relayed to.
+    int relayedAttempts = 0; ///< Attempts that the host it was relayed to may make.
     base::Tokens primaryKvTokens; ///< Part of the prompt's KV memory on the primary engine.
     std::vector<base::UpstreamId> prefillEngines; ///< Engines that prefill one part each.
     std::vector<std::pair<base::UpstreamId, base::Tokens>> reservations; ///< KV memory at helpers.
@@ -86,6 +87,9 @@
     std::vector<base::UpstreamId> triedUpstreams;
     int attempts = 0;
     int unsentAttempts = 0; ///< Attempts that reached no upstream.
+    /// When it was counted in the retry budget, which is at the host that sends it to upstreams.
+    std::optional<base::TimePoint> countedAt;
+    bool isCountedElsewhere = false; ///< At a host that it was relayed to.
     bool mayHaveRun = false;
     bool hasForwardedEvents = false; ///< The caller has some events of the answer.
     bool needsRetry = false; ///< The next attempt takes a retry from the budget when it is sent.
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -103,9 +103,16 @@
     action.peer = peer;
     action.reason = reason;
     action.timeLeft = std::chrono::floor<base::Millis>(call.info.deadline - now);
-    action.attemptsLeft = std::max(1, call.info.maxAttempts - call.attempts);
+    // If the answer of the other host gets lost, it may have used all that it was given, so one
+    // attempt is kept back for this host.
+    action.attemptsLeft = std::max(1, call.info.maxAttempts - call.attempts - 1);
     action.isResume = call.hasForwardedEvents;
-    ++call.attempts;
+    call.attempts += action.attemptsLeft;
+    if (call.countedAt)
+        serviceOf(call.info.service).retryBudget->withdrawCall(*call.countedAt);
+    call.countedAt.reset();
+    call.isCountedElsewhere = true;
+    call.current.relayedAttempts = action.attemptsLeft;
     call.stage = CallStage::Sent;
     call.current.relay = peer;
     call.triedRelays.push_back(peer);
@@ -126,11 +133,11 @@
     const CallId id = call.info.id;
     if (fault != AttemptFault::UpstreamError)
         m_relayPeers.recordDeclined(*call.current.relay, now);
+    const int relayedAttempts = call.current.relayedAttempts;
     releaseAttempt(call, now);
-    if (fault == AttemptFault::UpstreamError)
-        return forwardOrFail(call, now);
     if (provesNotRun(fault)) {
-        --call.attempts;
+        call.attempts -= relayedAttempts;
+        call.isCountedElsewhere = false;
         if (call.triedRelays.size() < kMaxRelays && call.info.deadline - now >= kMinRelayTime) {
             m_actions.emplace_back(RetryScheduled{id, fault});
             return enqueue(call, now);
@@ -144,6 +151,8 @@
         m_actions.emplace_back(RetryScheduled{id, fault});
         return enqueue(call, now);
     }
+    if (fault == AttemptFault::UpstreamError)
+        return forwardOrFail(call, now);
     rejectOrFail(call, FailureReason::UpstreamLost, now);
 }
 
@@ -155,6 +164,11 @@
     releaseAttempt(*call, now);
     call->mayHaveRun = call->mayHaveRun || event.mayHaveRun;
     call->statedRetryAfter = event.retryAfter;
+    // The other host may have been given fewer attempts than the call has left.
+    if (event.mayHaveRun && acquireRetry(*call, AttemptFault::AnswerLost, now)) {
+        m_actions.emplace_back(RetryScheduled{event.call, AttemptFault::AnswerLost});
+        return enqueue(*call, now);
+    }
     rejectOrFail(*call, event.mayHaveRun ? FailureReason::UpstreamLost : FailureReason::Overloaded,
                  now);
 }
--- a/libs/dispatch/src/RetryBudget.cpp
+++ b/libs/dispatch/src/RetryBudget.cpp
@@ -1,5 +1,7 @@
 #include "RetryBudget.h"
 
+#include <algorithm>
+
 namespace hyssop::dispatch {
 
 namespace {
@@ -29,6 +31,13 @@
     m_callTimes.push_back(now);
 }
 
+void RetryBudget::withdrawCall(base::TimePoint time)
+{
+    const auto it = std::lower_bound(m_callTimes.begin(), m_callTimes.end(), time);
+    if (it != m_callTimes.end() && *it == time)
+        m_callTimes.erase(it);
+}
+
 bool RetryBudget::tryAcquire(int hostCount, base::TimePoint now)
 {
     removeExpired(now);
--- a/libs/dispatch/src/RetryBudget.h
+++ b/libs/dispatch/src/RetryBudget.h
@@ -14,6 +14,8 @@
     RetryBudget(double ratio, int allowance, base::Millis window);
 
     void recordCall(base::TimePoint now);
+    /// Forgets a call that was recorded at \a time, because another host counts it.
+    void withdrawCall(base::TimePoint time);
     /// Takes one retry from the budget, of whose allowance \a hostCount hosts have a share each.
     /// Returns false if none is left.
     bool tryAcquire(int hostCount, base::TimePoint now);
