edge: A replaced status does not carry the fields of the upstream's response

Cause: where a status that promises 'not run' becomes 502, the response still carried the upstream's seal, which vouches for another status. Change: such a response is this host's own.

--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -601,6 +601,11 @@
                                            {"upstream", attempt.upstream},
                                            {"status", answered},
                                            {"by", status}});
+        // The seal of the upstream vouches for its own status, so the answer is this host's.
+        call.exchange->respond(
+                status, m_protocol->localResponseFields(call.exchange->head(), base::Millis(0)),
+                "");
+        return status;
     }
     call.exchange->respond(status, forwardedFields(attempt.answerHead), attempt.answerBody);
     return status;
