--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/Base.h"
+#include "fleet/Upstream.h"
 
 #include <limits>
 #include <map>
@@ -167,33 +168,6 @@
     std::map<std::string, const Team *> m_teamByKey;
 };
 
-/// An upstream as it announced itself.
-struct Upstream
-{
-    base::UpstreamId id;
-    base::ServiceId service;
-    base::Endpoint address;
-    base::DataCentreId dataCentre;
-    base::Incarnation incarnation; ///< Start of the process in Unix milliseconds; 0 when unknown.
-    std::int64_t sequence = 0; ///< Increases with each announcement of one start.
-    int slots = 1;
-    bool isLeaving = false; ///< Gets no new requests.
-
-    bool operator==(const Upstream &other) const = default;
-    /// Whether \a other was announced before this one.
-    bool isNewerThan(const Upstream &other) const
-    {
-        return incarnation != other.incarnation ? incarnation > other.incarnation
-                                                : sequence > other.sequence;
-    }
-    /// Whether it took over the address of \a other, as far as their start times show.
-    bool replacesAddressOf(const Upstream &other) const
-    {
-        return id != other.id && address == other.address && other.incarnation > base::Incarnation()
-               && incarnation > other.incarnation;
-    }
-};
-
 /// Identifies content that several requests to one service may have in common, such as a part of
 /// their prompts. A hash; 0 identifies none.
 using Fingerprint = base::Quantity<struct FingerprintTag>;
@@ -203,22 +177,6 @@
 /// Hexadecimal text for logs.
 std::string fingerprintText(Fingerprint fingerprint);
 
-/// How an upstream departed.
-enum class DepartureKind {
-    Left, ///< It announced its departure, or a later start took its address.
-    TimedOut, ///< Its announcements stopped for too long.
-};
-
-/// An upstream that left the directory.
-struct DepartedUpstream
-{
-    base::UpstreamId id;
-    base::Incarnation incarnation;
-    DepartureKind kind = DepartureKind::TimedOut;
-
-    bool operator==(const DepartedUpstream &other) const = default;
-};
-
 /// Rate of requests, in thousandths of a request per second.
 using RequestRate = base::Quantity<struct RequestRateTag>;
 /// Rate of an upstream that states no limit.
