platform: Removing the last team no longer opens the routes

Change: Configuration::requiresKeys is set where the configuration has Tenants, also as an empty list; null is refused, since it could mean either. A later version without the field needs no keys, as before. The source text is what is stored and sent, so this holds for deltas, the packed form and data of earlier builds too; one with null that an earlier build accepted cannot be read by entry hosts any more. 'removing the last team does not open the routes' of test-platform passes.

--- a/integration/PlatformTest.cpp
+++ b/integration/PlatformTest.cpp
@@ -212,6 +212,32 @@
     REQUIRE(eventually(kSoon, [&] { return bed.read(2) == second; }));
 }
 
+TEST_CASE("removing the last team does not open the routes")
+{
+    Bed bed;
+    Replica replica("i-1", bed.replicaListen.front());
+    REQUIRE(bed.put(0, manifest(1, R"("k1")")));
+    REQUIRE(bed.beat(0, 1, "ready") == 200);
+    REQUIRE(eventually(kSoon, [&] { return bed.isReady(); }));
+    REQUIRE(bed.book("k1").status == 200);
+    std::string withoutTeams = manifest(2, "");
+    const std::size_t from = withoutTeams.find(R"([{"Name":"team")");
+    withoutTeams.replace(from, withoutTeams.size() - from, "[]}");
+    REQUIRE(bed.put(0, withoutTeams));
+    std::this_thread::sleep_for(Millis(2'000));
+    const std::size_t before = replica.seen().size();
+    for (const char *key : {"k1", "never-assigned", ""})
+        CHECK(bed.book(key).status == 401);
+    CHECK(callOnce(bed.entries.front().listen, "POST", "/book/1").status == 401);
+    CHECK(replica.seen().size() == before);
+    // It cannot be told whether null stands for an empty list or for an absent one.
+    std::string nullTeams = withoutTeams;
+    nullTeams.replace(nullTeams.size() - 3, 2, "null");
+    nullTeams.replace(nullTeams.find("\"Version\":2"), 11, "\"Version\":3");
+    CHECK(bed.putOnce(0, nullTeams) == 400);
+    CHECK(bed.book("k1").status == 401);
+}
+
 TEST_CASE("a leaving replica gets no new calls, and a stopping entry host ends by itself")
 {
     Bed bed;
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -169,7 +169,7 @@
     if (!route)
         return m_freshness.isCurrent(now) ? Refusal{404, "no_route"}
                                           : Refusal{503, "configuration_not_confirmed"};
-    const bool needsKey = route->needsKey && m_routeTable->hasTeams();
+    const bool needsKey = route->needsKey && m_routeTable->requiresKeys();
     const fleet::Team *team = nullptr;
     if (needsKey) {
         team = metadata.apiKey ? m_routeTable->findTeamByKey(*metadata.apiKey) : nullptr;
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -99,6 +99,7 @@
     ConfigurationVersion version;
     std::vector<Route> routes;
     std::vector<Service> services;
+    bool requiresKeys = false; ///< Routes need a key unless they say otherwise, also without teams.
     std::vector<Team> teams;
     CallerLimits limits;
 };
@@ -150,7 +151,7 @@
     const Route *findRoute(std::string_view host, std::string_view path) const;
     const Service *findService(const base::ServiceId &id) const;
     const Team *findTeamByKey(const std::string &key) const;
-    bool hasTeams() const { return !m_configuration.teams.empty(); }
+    bool requiresKeys() const { return m_configuration.requiresKeys; }
     /// Chooses a service by the weights of the route. \a draw is a random number from 0 to 1.
     static const base::ServiceId &pickService(const Route &route, double draw);
     /// Shortest gap objective of the routes to \a service; 0 when none has one.
--- a/libs/fleet/tests/ConfigurationDeltaTest.cpp
+++ b/libs/fleet/tests/ConfigurationDeltaTest.cpp
@@ -55,6 +55,19 @@
     CHECK_FALSE(applyDelta(base, base::toCbor(json::array({0, json::array({outside})}))));
 }
 
+TEST_CASE("a delta and the packed form keep absent, empty and null lists apart")
+{
+    const std::string start = R"({"Version":2,"Routes":[])";
+    const std::vector<std::string> texts = {start + "}", start + R"(,"Tenants":[]})",
+                                            start + R"(,"Tenants":null})",
+                                            start + R"(,"Tenants":[{"Name":"t"}]})"};
+    for (const std::string &target : texts) {
+        CHECK(decompressText(compressText(target)) == target);
+        for (const std::string &base : texts)
+            CHECK(applyDelta(base, makeDelta(base, target)) == target);
+    }
+}
+
 TEST_CASE("a delta restores any text")
 {
     rc::prop("applyDelta() undoes makeDelta()", [] {
