platform: Announcements of another writer neither move nor remove an upstream

A leave with an unreadable body removed the upstream. Change: a missing or mistyped field voids the message (400), also a born of null, an empty Service or Zone, and numbers out of range; a leave with a body that is no JSON object, or with a born of another type, is refused. Directory and FleetView keep the service and data centre of a start (new result 'conflicting', acknowledged as stale ones are). Control hosts read the services of the configuration in force: upstreams of others are kept but not published, and take over neither id nor address of the rest. Upstream::coldRemaining is decoded; it is not sent between hosts. The stand-in replica of the integration tests sends ColdRemainingMs, as upstreams do.

--- a/fuzz/PlatformTargets.cpp
+++ b/fuzz/PlatformTargets.cpp
@@ -15,8 +15,9 @@
         R"("TimeoutMs":10,"Split":[{"Service":"s","Weight":1}],"MaxAttempts":2}],)"
         R"("Services":[{"Name":"s","HealthPath":"/h","MaxConns":3,"Engine":{"Slots":16}}],)"
         R"("Tenants":[{"Name":"t","ApiKeys":["k"]}],"Limits":{"MaxBodyBytes":9}})";
-constexpr auto kHeartbeat = R"({"Service":"s","Address":"127.0.0.9:80","Zone":"z","Slots":16,)"
-                            R"("State":"ready","Seq":4,"born":1700000000000})";
+constexpr auto kHeartbeat =
+        R"({"Service":"s","Address":"127.0.0.9:80","Zone":"z","Version":"v",)"
+        R"("Slots":16,"State":"ready","ColdRemainingMs":0,"Seq":4,"born":1700000000000})";
 constexpr auto kSettings = "Node: a\nZone: z\nIp: 127.0.0.1\nInternalPorts: [7, 9]\nSeeds:\n"
                            "  - 127.0.0.1:8\nBounds: {RevokeMs: 5}\n";
 
--- a/integration/PlatformTest.cpp
+++ b/integration/PlatformTest.cpp
@@ -238,6 +238,43 @@
     CHECK(bed.book("k1").status == 401);
 }
 
+TEST_CASE("messages of another writer neither move nor remove a replica")
+{
+    Bed bed;
+    Replica replica("i-1", bed.replicaListen.front());
+    REQUIRE(bed.put(0, manifest(1, R"("k1")")));
+    REQUIRE(bed.beat(0, 1, "ready") == 200);
+    REQUIRE(eventually(kSoon, [&] { return bed.isReady(); }));
+    REQUIRE(bed.book("k1").status == 200);
+    const base::Endpoint control = bed.controls[0].listen;
+    const auto post = [&](const char *call, const std::string &body) {
+        CallOptions options;
+        options.body = body;
+        return callOnce(control, "POST", std::string("/api/instances/i-1/") + call, options).status;
+    };
+    const std::string address = bed.replicaListen.front().text();
+    CHECK(post("heartbeat", fmt::format(R"({{"Service":"other","Address":"{}","Zone":"floro-sal",)"
+                                        R"("Slots":6,"State":"ready","Seq":1000}})",
+                                        address))
+          == 400);
+    // Complete, but of a service that the manifest does not name.
+    CHECK(announce(control, "i-1", "other", bed.replicaListen.front(), 1'000, false, 0) == 200);
+    CHECK(announce(control, "i-2", "other", bed.replicaListen.front(), 1'000, false, 5) == 200);
+    for (const char *body : {"bye", R"({"born":"5"})", R"({"born":null})", "[]"})
+        CHECK(post("leave", body) == 400);
+    CHECK(bed.book("k1").status == 200);
+    // The replica's own announcements, with lower numbers, still keep it listed.
+    constexpr Millis kAnnounceTimeout(4'100); // 3.5 s with the stated interval, and some time.
+    const auto until = base::monotonicNow() + kAnnounceTimeout;
+    for (int sequence = 2; base::monotonicNow() < until; ++sequence) {
+        CHECK(bed.beat(0, sequence, "ready") == 200);
+        std::this_thread::sleep_for(Millis(300));
+    }
+    CHECK(bed.book("k1").status == 200);
+    CHECK(post("leave", "") == 200);
+    CHECK(eventually(kSoon, [&] { return bed.book("k1").status == 503; }));
+}
+
 TEST_CASE("a leaving replica gets no new calls, and a stopping entry host ends by itself")
 {
     Bed bed;
--- a/integration/platform/PlatformBed.cpp
+++ b/integration/platform/PlatformBed.cpp
@@ -160,7 +160,7 @@
     options.limit = base::Millis(1'000);
     options.body = fmt::format(
             R"({{"Service":"{}","Address":"{}","Zone":"floro-sal","Version":"v1","Slots":{},)"
-            R"("State":"{}","Seq":{}{}}})",
+            R"("State":"{}","ColdRemainingMs":0,"Seq":{}{}}})",
             service, address.text(), kSlots, isLeaving ? "draining" : "ready", sequence,
             incarnation > 0 ? fmt::format(R"(,"born":{})", incarnation) : "");
     return callOnce(control, "POST", "/api/instances/" + id + "/heartbeat", options).status;
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -287,6 +287,7 @@
     Changed, ///< It began to drain, or other properties changed.
     Unchanged, ///< Nothing changed.
     Stale, ///< Older than the known state and ignored.
+    Conflicting, ///< Contradicts what is known of the upstream or its address, and ignored.
 };
 
 /// Name in metrics and logs.
@@ -322,6 +323,10 @@
     Directory(std::int64_t incarnation, base::Millis announceTimeout);
 
     AnnounceResult announce(const Upstream &upstream, base::TimePoint now);
+    /// Sets the services that the configuration in force names. Until the first call all count as
+    /// named. Upstreams of others are kept, as a later configuration may name their service, but
+    /// changes do not hold them, and they take over neither an id nor an address of the rest.
+    void setServices(std::set<base::ServiceId> services);
     /// Notes that a start of an upstream leaves, whatever its announcements still say.
     AnnounceResult markLeaving(const LeavingUpstream &leaving);
     /// Removes an upstream. Returns \c Stale if \a incarnation is an earlier start than the known
@@ -346,6 +351,7 @@
         Upstream upstream;
         std::int64_t revision = 0;
         base::TimePoint lastAnnouncedAt;
+        bool isRepeated = false; ///< Announced more than once by the same start.
     };
     struct Tombstone
     {
@@ -354,12 +360,15 @@
         base::TimePoint departedAt;
         std::int64_t lastSequence = 0;
         bool wasLeaving = false;
+        std::optional<Upstream> lastAnnounced = {}; ///< Set if it was announced more than once.
     };
 
     void remove(const base::UpstreamId &id, DepartureKind departure, base::TimePoint now);
     /// Tombstone of the same start of \a upstream if that timed out; null otherwise.
     const Tombstone *timedOutStart(const Upstream &upstream) const;
     bool isSuperseded(const Upstream &upstream, base::TimePoint now) const;
+    bool isNamed(const Upstream &upstream) const;
+    bool isConflicting(const Upstream &upstream) const;
     /// Whether an upstream with a recent announcement has the address of \a upstream and start
     /// times do not show which of the two is newer.
     bool isAddressInUse(const Upstream &upstream, base::TimePoint now) const;
@@ -371,6 +380,7 @@
     std::map<base::UpstreamId, Entry> m_entries;
     AddressIndex m_addresses; ///< Of the entries.
     std::map<base::UpstreamId, Tombstone> m_tombstones;
+    std::optional<std::set<base::ServiceId>> m_services; ///< Of the configuration in force.
 };
 
 /// Upstreams known to an entry host, merged from the directories of several control hosts.
--- a/libs/fleet/include/fleet/Upstream.h
+++ b/libs/fleet/include/fleet/Upstream.h
@@ -16,6 +16,8 @@
     std::int64_t sequence = 0; ///< Increases with each announcement of one start.
     int slots = 1;
     bool isLeaving = false; ///< Gets no new requests.
+    /// How long it stays cold, counted from the announcement. Not sent between hosts.
+    base::Millis coldRemaining{0};
 
     bool operator==(const Upstream &other) const = default;
     /// Whether \a other was announced before this one.
@@ -24,6 +26,19 @@
         return incarnation != other.incarnation ? incarnation > other.incarnation
                                                 : sequence > other.sequence;
     }
+    /// Whether it differs from \a other in what a start of an upstream never changes.
+    bool contradicts(const Upstream &other) const
+    {
+        return id == other.id && incarnation == other.incarnation
+               && (service != other.service || dataCentre != other.dataCentre);
+    }
+    /// Whether \a other, of the same start, differs in more than what each announcement changes.
+    bool isUpdatedBy(Upstream other) const
+    {
+        other.sequence = sequence;
+        other.coldRemaining = coldRemaining;
+        return other != *this;
+    }
     /// Whether it took over the address of \a other, as far as their start times show.
     bool replacesAddressOf(const Upstream &other) const
     {
--- a/libs/fleet/src/Directory.cpp
+++ b/libs/fleet/src/Directory.cpp
@@ -25,6 +25,8 @@
         return "refreshed";
     case AnnounceResult::Stale:
         return "stale";
+    case AnnounceResult::Conflicting:
+        return "conflicting";
     }
     return "unknown";
 }
@@ -96,8 +98,45 @@
     });
 }
 
+bool Directory::isNamed(const Upstream &upstream) const
+{
+    return !m_services || m_services->contains(upstream.service);
+}
+
+bool Directory::isConflicting(const Upstream &upstream) const
+{
+    const auto it = m_entries.find(upstream.id);
+    if (it != m_entries.end() && upstream.contradicts(it->second.upstream))
+        return true;
+    // Without start times, an upstream that timed out may since have been started anew.
+    const Tombstone *timedOut =
+            upstream.incarnation > base::Incarnation() ? timedOutStart(upstream) : nullptr;
+    if (timedOut && timedOut->lastAnnounced && upstream.contradicts(*timedOut->lastAnnounced))
+        return true;
+    if (isNamed(upstream))
+        return false;
+    if (it != m_entries.end() && isNamed(it->second.upstream))
+        return true;
+    const auto &ids = m_addresses.at(upstream.address);
+    return std::any_of(ids.begin(), ids.end(), [&](const base::UpstreamId &id) {
+        return id != upstream.id && isNamed(m_entries.at(id).upstream);
+    });
+}
+
+void Directory::setServices(std::set<base::ServiceId> services)
+{
+    for (auto &[id, entry] : m_entries) {
+        // Hosts that poll by revision do not know it yet.
+        if (!isNamed(entry.upstream) && services.contains(entry.upstream.service))
+            entry.revision = ++m_revision;
+    }
+    m_services = std::move(services);
+}
+
 AnnounceResult Directory::announce(const Upstream &upstream, base::TimePoint now)
 {
+    if (isConflicting(upstream))
+        return AnnounceResult::Conflicting;
     if (isSuperseded(upstream, now))
         return AnnounceResult::Stale;
     const auto it = m_entries.find(upstream.id);
@@ -111,12 +150,12 @@
         Upstream next = upstream;
         // Draining ends only with the next start.
         next.isLeaving = next.isLeaving || wasLeaving;
-        Upstream before = entry.upstream;
-        before.sequence = next.sequence;
+        const bool isChange = entry.upstream.isUpdatedBy(next);
+        entry.isRepeated = isSameStart;
         m_addresses.remove(entry.upstream);
         entry.upstream = next;
         m_addresses.add(next);
-        if (before == next)
+        if (!isChange)
             return AnnounceResult::Unchanged;
         entry.revision = ++m_revision;
         return isSameStart ? AnnounceResult::Changed : AnnounceResult::New;
@@ -181,7 +220,8 @@
                         ++m_revision,
                         now,
                         upstream.sequence,
-                        upstream.isLeaving};
+                        upstream.isLeaving,
+                        it->second.isRepeated ? std::optional(upstream) : std::nullopt};
     m_addresses.remove(it->second.upstream);
     m_entries.erase(it);
 }
@@ -212,7 +252,7 @@
     if (!changes.isSnapshot && revision == m_revision)
         return changes;
     for (const auto &[id, entry] : m_entries) {
-        if (changes.isSnapshot || entry.revision > revision)
+        if (isNamed(entry.upstream) && (changes.isSnapshot || entry.revision > revision))
             changes.upstreams.push_back(entry.upstream);
     }
     for (const auto &[id, tombstone] : m_tombstones) {
--- a/libs/fleet/src/FleetView.cpp
+++ b/libs/fleet/src/FleetView.cpp
@@ -52,7 +52,8 @@
         return;
     }
     Entry &entry = it->second;
-    if (upstream.incarnation < entry.upstream.incarnation)
+    // Directories may disagree for a moment on the service of a start; the first one holds.
+    if (upstream.incarnation < entry.upstream.incarnation || upstream.contradicts(entry.upstream))
         return;
     entry.listedBy.insert(control);
     entry.lastListedAt = now;
@@ -60,12 +61,11 @@
     Upstream next = upstream.isNewerThan(entry.upstream) ? upstream : entry.upstream;
     if (isSameStart)
         next.isLeaving = entry.upstream.isLeaving || upstream.isLeaving;
-    Upstream before = entry.upstream;
-    before.sequence = next.sequence;
+    const bool isChange = entry.upstream.isUpdatedBy(next);
     m_addresses.remove(entry.upstream);
     entry.upstream = next;
     m_addresses.add(next);
-    if (before != next)
+    if (isChange)
         changes.upstreams.push_back(next);
 }
 
--- a/libs/fleet/tests/DirectoryTest.cpp
+++ b/libs/fleet/tests/DirectoryTest.cpp
@@ -166,3 +166,102 @@
     CHECK(changes.departed.front().kind == DepartureKind::Left);
     CHECK(restarted.announce(upstream("a", 10, 1), kStart) == AnnounceResult::New);
 }
+
+TEST_CASE("a start of an upstream does not change its service or data centre")
+{
+    for (const std::int64_t born : {0, 10}) {
+        Directory directory(1, kAnnounceTimeout);
+        Upstream real = upstream("a", born, 1);
+        real.dataCentre = base::DataCentreId("dc");
+        REQUIRE(directory.announce(real, kStart) == AnnounceResult::New);
+        Upstream otherService = real;
+        otherService.service = base::ServiceId("summary");
+        otherService.sequence = 1'000;
+        Upstream otherDataCentre = real;
+        otherDataCentre.dataCentre = base::DataCentreId("other");
+        otherDataCentre.sequence = 1'000;
+        const std::int64_t before = directory.revision();
+        CHECK(directory.announce(otherService, kStart) == AnnounceResult::Conflicting);
+        CHECK(directory.announce(otherDataCentre, kStart) == AnnounceResult::Conflicting);
+        CHECK(directory.revision() == before);
+        CHECK(*directory.find(real.id) == real);
+        // The sequence of the ignored announcements does not make later ones of the upstream old.
+        real.sequence = 2;
+        CHECK(directory.announce(real, kStart + kAnnounceTimeout / 2) == AnnounceResult::Unchanged);
+        directory.removeExpired(kStart + kAnnounceTimeout);
+        REQUIRE(directory.find(real.id));
+        // After its announcements stopped, the start is still of that service.
+        directory.removeExpired(kStart + kAnnounceTimeout * 2);
+        REQUIRE_FALSE(directory.find(real.id));
+        const auto expected = born > 0 ? AnnounceResult::Conflicting : AnnounceResult::New;
+        CHECK(directory.announce(otherService, kStart + kAnnounceTimeout * 2) == expected);
+        Upstream next = otherService;
+        next.incarnation = base::Incarnation(20);
+        CHECK(directory.announce(next, kStart + kAnnounceTimeout * 2) == AnnounceResult::New);
+    }
+}
+
+TEST_CASE("one announcement of another service before the first real one does not last")
+{
+    Directory directory(1, kAnnounceTimeout);
+    Upstream foreign = upstream("a", 10, 1'000);
+    foreign.service = base::ServiceId("summary");
+    REQUIRE(directory.announce(foreign, kStart) == AnnounceResult::New);
+    const Upstream real = upstream("a", 10, 1);
+    CHECK(directory.announce(real, kStart) == AnnounceResult::Conflicting);
+    directory.removeExpired(kStart + kAnnounceTimeout);
+    Upstream next = real;
+    next.sequence = 1'001;
+    CHECK(directory.announce(next, kStart + kAnnounceTimeout) == AnnounceResult::New);
+}
+
+TEST_CASE("an upstream of a service that the configuration does not name replaces no other one")
+{
+    Directory directory(1, kAnnounceTimeout);
+    directory.setServices({base::ServiceId("chat")});
+    REQUIRE(directory.announce(upstream("a", 10, 1), kStart) == AnnounceResult::New);
+    const auto foreign = [](const char *id, std::int64_t born) {
+        Upstream it = upstream(id, born, 1'000);
+        it.service = base::ServiceId("unknown");
+        return it;
+    };
+    // A later start, under its id or at its address.
+    CHECK(directory.announce(foreign("a", 20), kStart) == AnnounceResult::Conflicting);
+    CHECK(directory.announce(foreign("b", 20), kStart) == AnnounceResult::Conflicting);
+    CHECK(directory.announce(foreign("b", 20), kStart + kAnnounceTimeout / 2)
+          == AnnounceResult::Conflicting);
+    CHECK(directory.announce(upstream("a", 10, 2), kStart) == AnnounceResult::Unchanged);
+}
+
+TEST_CASE("changes hold upstreams of named services only, and others once they are named")
+{
+    Directory directory(1, kAnnounceTimeout);
+    const Upstream a = upstream("a", 10, 1);
+    // No configuration is known yet.
+    REQUIRE(directory.announce(a, kStart) == AnnounceResult::New);
+    CHECK(directory.changesSince(0, 0).upstreams.size() == 1);
+    directory.setServices({base::ServiceId("summary")});
+    CHECK(directory.changesSince(0, 0).upstreams.empty());
+    CHECK(directory.announce(upstream("a", 10, 2), kStart) == AnnounceResult::Unchanged);
+    const std::int64_t seen = directory.revision();
+    directory.setServices({base::ServiceId("summary"), a.service});
+    REQUIRE(directory.changesSince(1, seen).upstreams.size() == 1);
+    const std::int64_t later = directory.revision();
+    directory.setServices({a.service});
+    CHECK(directory.revision() == later);
+    CHECK(directory.changesSince(0, 0).upstreams.front().id == a.id);
+}
+
+TEST_CASE("a remaining cold time that counts down is no change")
+{
+    Directory directory(1, kAnnounceTimeout);
+    Upstream a = upstream("a", 10, 1);
+    a.coldRemaining = Millis(5'000);
+    directory.announce(a, kStart);
+    const std::int64_t seen = directory.revision();
+    a.sequence = 2;
+    a.coldRemaining = Millis(3'800);
+    CHECK(directory.announce(a, kStart) == AnnounceResult::Unchanged);
+    CHECK(directory.revision() == seen);
+    CHECK(directory.find(a.id)->coldRemaining == Millis(3'800));
+}
--- a/libs/fleet/tests/FleetViewTest.cpp
+++ b/libs/fleet/tests/FleetViewTest.cpp
@@ -238,3 +238,16 @@
     CHECK(earlier->idleWait == earlier->maxWait);
     CHECK(earlier->dataCentre.text().empty());
 }
+
+TEST_CASE("a directory that lists a start of an upstream under another service changes nothing")
+{
+    FleetView view(kRetention);
+    const Upstream real = upstream("a", 10, 1);
+    view.apply(kFirst, snapshot({real}), kStart);
+    Upstream foreign = real;
+    foreign.service = base::ServiceId("other");
+    foreign.sequence = 1'000;
+    CHECK(view.apply(kSecond, snapshot({foreign}), kStart).upstreams.empty());
+    CHECK(view.apply(kSecond, departure("a", 10, DepartureKind::TimedOut), kStart).removed.empty());
+    CHECK(view.size() == 1);
+}
--- a/libs/registry/include/registry/Registry.h
+++ b/libs/registry/include/registry/Registry.h
@@ -27,6 +27,8 @@
     base::Millis upstreamTimeout{4'000}; ///< Removes an upstream that sends nothing for this long.
     base::Millis heartbeatInterval{100};
     base::Millis electionTimeout{600};
+    /// Reads which services a configuration names; not owned. Without it all count as named.
+    const fleet::ConfigurationReader *configurationReader = nullptr;
     std::uint64_t seed =
             1; ///< Source of directory and replica incarnations; should differ at each start.
 };
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -115,6 +115,7 @@
     void pumpGroup(base::TimePoint now);
     void schedulePump();
     void answerWatches(base::TimePoint now);
+    void useServicesOf(const std::string &configurationText);
     fleet::WatchReply makeWatchReply(const fleet::WatchRequest &request, base::TimePoint now);
     void handlePermitRequest(const std::string &body, const peers::Answer<std::string> &answer,
                              base::TimePoint now);
@@ -264,8 +265,10 @@
     const auto &configuration = groupHost().ledger().configuration();
     if (configuration && configuration->version != m_appliedVersion) {
         m_appliedVersion = configuration->version;
-        if (const auto unpacked = withUnpackedText(configuration))
+        if (const auto unpacked = withUnpackedText(configuration)) {
             m_history.add(fleet::ConfigurationVersion(m_appliedVersion), unpacked->text);
+            useServicesOf(unpacked->text);
+        }
         base::logEvent("configuration_applied", {{"version", m_appliedVersion},
                                                  {"term", configuration->position.term.count()},
                                                  {"index", configuration->position.index.count()}});
@@ -391,6 +394,22 @@
                         });
 }
 
+void Registry::Impl::useServicesOf(const std::string &configurationText)
+{
+    if (!m_options.configurationReader)
+        return;
+    const auto configuration = m_options.configurationReader->parse(configurationText);
+    if (!configuration) {
+        base::logEvent("configuration_unreadable", {{"where", configuration.error().subject},
+                                                    {"reason", configuration.error().message}});
+        return;
+    }
+    std::set<base::ServiceId> services;
+    for (const fleet::Service &it : configuration->services)
+        services.insert(it.id);
+    m_directory.setServices(std::move(services));
+}
+
 void Registry::Impl::relayRefreshedUpstreams(base::TimePoint now)
 {
     if (m_refreshedUpstreams.empty() || now < m_nextRelayAt)
