--- a/integration/PlatformTest.cpp
+++ b/integration/PlatformTest.cpp
@@ -212,6 +212,69 @@
     REQUIRE(eventually(kSoon, [&] { return bed.read(2) == second; }));
 }
 
+TEST_CASE("removing the last team does not open the routes")
+{
+    Bed bed;
+    Replica replica("i-1", bed.replicaListen.front());
+    REQUIRE(bed.put(0, manifest(1, R"("k1")")));
+    REQUIRE(bed.beat(0, 1, "ready") == 200);
+    REQUIRE(eventually(kSoon, [&] { return bed.isReady(); }));
+    REQUIRE(bed.book("k1").status == 200);
+    std::string withoutTeams = manifest(2, "");
+    const std::size_t from = withoutTeams.find(R"([{"Name":"team")");
+    withoutTeams.replace(from, withoutTeams.size() - from, "[]}");
+    REQUIRE(bed.put(0, withoutTeams));
+    std::this_thread::sleep_for(Millis(2'000));
+    const std::size_t before = replica.seen().size();
+    for (const char *key : {"k1", "never-assigned", ""})
+        CHECK(bed.book(key).status == 401);
+    CHECK(callOnce(bed.entries.front().listen, "POST", "/book/1").status == 401);
+    CHECK(replica.seen().size() == before);
+    // It cannot be told whether null stands for an empty list or for an absent one.
+    std::string nullTeams = withoutTeams;
+    nullTeams.replace(nullTeams.size() - 3, 2, "null");
+    nullTeams.replace(nullTeams.find("\"Version\":2"), 11, "\"Version\":3");
+    CHECK(bed.putOnce(0, nullTeams) == 400);
+    CHECK(bed.book("k1").status == 401);
+}
+
+TEST_CASE("messages of another writer neither move nor remove a replica")
+{
+    Bed bed;
+    Replica replica("i-1", bed.replicaListen.front());
+    REQUIRE(bed.put(0, manifest(1, R"("k1")")));
+    REQUIRE(bed.beat(0, 1, "ready") == 200);
+    REQUIRE(eventually(kSoon, [&] { return bed.isReady(); }));
+    REQUIRE(bed.book("k1").status == 200);
+    const base::Endpoint control = bed.controls[0].listen;
+    const auto post = [&](const char *call, const std::string &body) {
+        CallOptions options;
+        options.body = body;
+        return callOnce(control, "POST", std::string("/api/instances/i-1/") + call, options).status;
+    };
+    const std::string address = bed.replicaListen.front().text();
+    CHECK(post("heartbeat", fmt::format(R"({{"Service":"other","Address":"{}","Zone":"floro-sal",)"
+                                        R"("Slots":6,"State":"ready","Seq":1000}})",
+                                        address))
+          == 400);
+    // Complete, but of a service that the manifest does not name.
+    CHECK(announce(control, "i-1", "other", bed.replicaListen.front(), 1'000, false, 0) == 200);
+    CHECK(announce(control, "i-2", "other", bed.replicaListen.front(), 1'000, false, 5) == 200);
+    for (const char *body : {"bye", R"({"born":"5"})", R"({"born":null})", "[]"})
+        CHECK(post("leave", body) == 400);
+    CHECK(bed.book("k1").status == 200);
+    // The replica's own announcements, with lower numbers, still keep it listed.
+    constexpr Millis kAnnounceTimeout(4'100); // 3.5 s with the stated interval, and some time.
+    const auto until = base::monotonicNow() + kAnnounceTimeout;
+    for (int sequence = 2; base::monotonicNow() < until; ++sequence) {
+        CHECK(bed.beat(0, sequence, "ready") == 200);
+        std::this_thread::sleep_for(Millis(300));
+    }
+    CHECK(bed.book("k1").status == 200);
+    CHECK(post("leave", "") == 200);
+    CHECK(eventually(kSoon, [&] { return bed.book("k1").status == 503; }));
+}
+
 TEST_CASE("a leaving replica gets no new calls, and a stopping entry host ends by itself")
 {
     Bed bed;
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/Base.h"
+#include "fleet/Upstream.h"
 
 #include <limits>
 #include <map>
@@ -98,6 +99,7 @@
     ConfigurationVersion version;
     std::vector<Route> routes;
     std::vector<Service> services;
+    bool requiresKeys = false; ///< Routes need a key unless they say otherwise, also without teams.
     std::vector<Team> teams;
     CallerLimits limits;
 };
@@ -149,7 +151,7 @@
     const Route *findRoute(std::string_view host, std::string_view path) const;
     const Service *findService(const base::ServiceId &id) const;
     const Team *findTeamByKey(const std::string &key) const;
-    bool hasTeams() const { return !m_configuration.teams.empty(); }
+    bool requiresKeys() const { return m_configuration.requiresKeys; }
     /// Chooses a service by the weights of the route. \a draw is a random number from 0 to 1.
     static const base::ServiceId &pickService(const Route &route, double draw);
     /// Shortest gap objective of the routes to \a service; 0 when none has one.
@@ -167,33 +169,6 @@
     std::map<std::string, const Team *> m_teamByKey;
 };
 
-/// An upstream as it announced itself.
-struct Upstream
-{
-    base::UpstreamId id;
-    base::ServiceId service;
-    base::Endpoint address;
-    base::DataCentreId dataCentre;
-    base::Incarnation incarnation; ///< Start of the process in Unix milliseconds; 0 when unknown.
-    std::int64_t sequence = 0; ///< Increases with each announcement of one start.
-    int slots = 1;
-    bool isLeaving = false; ///< Gets no new requests.
-
-    bool operator==(const Upstream &other) const = default;
-    /// Whether \a other was announced before this one.
-    bool isNewerThan(const Upstream &other) const
-    {
-        return incarnation != other.incarnation ? incarnation > other.incarnation
-                                                : sequence > other.sequence;
-    }
-    /// Whether it took over the address of \a other, as far as their start times show.
-    bool replacesAddressOf(const Upstream &other) const
-    {
-        return id != other.id && address == other.address && other.incarnation > base::Incarnation()
-               && incarnation > other.incarnation;
-    }
-};
-
 /// Identifies content that several requests to one service may have in common, such as a part of
 /// their prompts. A hash; 0 identifies none.
 using Fingerprint = base::Quantity<struct FingerprintTag>;
@@ -203,22 +178,6 @@
 /// Hexadecimal text for logs.
 std::string fingerprintText(Fingerprint fingerprint);
 
-/// How an upstream departed.
-enum class DepartureKind {
-    Left, ///< It announced its departure, or a later start took its address.
-    TimedOut, ///< Its announcements stopped for too long.
-};
-
-/// An upstream that left the directory.
-struct DepartedUpstream
-{
-    base::UpstreamId id;
-    base::Incarnation incarnation;
-    DepartureKind kind = DepartureKind::TimedOut;
-
-    bool operator==(const DepartedUpstream &other) const = default;
-};
-
 /// Rate of requests, in thousandths of a request per second.
 using RequestRate = base::Quantity<struct RequestRateTag>;
 /// Rate of an upstream that states no limit.
@@ -328,6 +287,7 @@
     Changed, ///< It began to drain, or other properties changed.
     Unchanged, ///< Nothing changed.
     Stale, ///< Older than the known state and ignored.
+    Conflicting, ///< Contradicts what is known of the upstream or its address, and ignored.
 };
 
 /// Name in metrics and logs.
@@ -363,6 +323,10 @@
     Directory(std::int64_t incarnation, base::Millis announceTimeout);
 
     AnnounceResult announce(const Upstream &upstream, base::TimePoint now);
+    /// Sets the services that the configuration in force names. Until the first call all count as
+    /// named. Upstreams of others are kept, as a later configuration may name their service, but
+    /// changes do not hold them, and they take over neither an id nor an address of the rest.
+    void setServices(std::set<base::ServiceId> services);
     /// Notes that a start of an upstream leaves, whatever its announcements still say.
     AnnounceResult markLeaving(const LeavingUpstream &leaving);
     /// Removes an upstream. Returns \c Stale if \a incarnation is an earlier start than the known
@@ -387,6 +351,7 @@
         Upstream upstream;
         std::int64_t revision = 0;
         base::TimePoint lastAnnouncedAt;
+        bool isRepeated = false; ///< Announced more than once by the same start.
     };
     struct Tombstone
     {
@@ -395,12 +360,15 @@
         base::TimePoint departedAt;
         std::int64_t lastSequence = 0;
         bool wasLeaving = false;
+        std::optional<Upstream> lastAnnounced = {}; ///< Set if it was announced more than once.
     };
 
     void remove(const base::UpstreamId &id, DepartureKind departure, base::TimePoint now);
     /// Tombstone of the same start of \a upstream if that timed out; null otherwise.
     const Tombstone *timedOutStart(const Upstream &upstream) const;
     bool isSuperseded(const Upstream &upstream, base::TimePoint now) const;
+    bool isNamed(const Upstream &upstream) const;
+    bool isConflicting(const Upstream &upstream) const;
     /// Whether an upstream with a recent announcement has the address of \a upstream and start
     /// times do not show which of the two is newer.
     bool isAddressInUse(const Upstream &upstream, base::TimePoint now) const;
@@ -412,6 +380,7 @@
     std::map<base::UpstreamId, Entry> m_entries;
     AddressIndex m_addresses; ///< Of the entries.
     std::map<base::UpstreamId, Tombstone> m_tombstones;
+    std::optional<std::set<base::ServiceId>> m_services; ///< Of the configuration in force.
 };
 
 /// Upstreams known to an entry host, merged from the directories of several control hosts.
