Find any part of a prompt that crashes upstreams, behind any number of others

Cause: the adapter read the first 32 parts of Prompt-Prefix. A part behind them had no fingerprint, so that no crash was counted for it.

A host reports at most 2,048 parts of one crash besides the requests themselves, those that are most likely to blame first; equal ones in an order that differs from crash to crash and is the same at all hosts. An answer to suspect content reports all parts of its request, and a host that finds a full list of suspects answered reports what else it saw answered since, so that parts that sound requests share are cleared together. The leader keeps 16,384 contents instead of 4,096 and publishes the suspects with the most crashes first; waiting trials are evaluated once a revision instead of at each tick, and log lines of one report are bounded. A host remembers 32,768 distinct answered contents; repeated ones no longer displace others.

The tests of the former bounds (4,096 contents, 10,000 answers) now exceed and check the new ones.

--- a/libs/dispatch/src/AnsweredContent.h
+++ b/libs/dispatch/src/AnsweredContent.h
@@ -2,26 +2,29 @@
 
 #include "fleet/Fleet.h"
 
-#include <deque>
+#include <list>
 #include <unordered_map>
 
 namespace hyssop::dispatch {
 
-/// When requests with some content were last answered. Of too much content, the one that was
-/// answered first is forgotten first.
+/// When each content was last seen in some kind of request, for example an answered one. Of too
+/// much content, the one that was seen the longest ago is forgotten first.
 class AnsweredContent
 {
 public:
     void record(fleet::Fingerprint content, base::TimePoint now);
     std::optional<base::TimePoint> lastAnswered(fleet::Fingerprint content) const;
+    /// The latest content that was answered after \a from, and at most \a limit of it.
+    std::vector<fleet::Fingerprint> answeredAfter(base::TimePoint from, std::size_t limit) const;
     std::size_t size() const { return m_times.size(); }
 
-    static constexpr std::size_t kMaxSize = 4'096;
+    /// Some twenty prompts with as many parts as a header section takes; 3 MB.
+    static constexpr std::size_t kMaxSize = 32'768;
 
 private:
-    std::unordered_map<std::int64_t, base::TimePoint> m_times;
-    /// In the order of the times. Content that was answered again is in it several times.
-    std::deque<std::pair<base::TimePoint, std::int64_t>> m_order;
+    using Order = std::list<std::pair<base::TimePoint, std::int64_t>>;
+    Order m_order; ///< The latest content at the end.
+    std::unordered_map<std::int64_t, Order::iterator> m_times;
 };
 
 } // namespace hyssop::dispatch
--- a/libs/dispatch/src/Crashes.cpp
+++ b/libs/dispatch/src/Crashes.cpp
@@ -11,6 +11,11 @@
 
 /// Retry-After of calls with suspect content while no control host decides on trials.
 constexpr base::Millis kUndecidedRetryAfter{1'000};
+/// Suspects that a leader publishes at most (registry::CrashSuspects::kMaxPublished).
+constexpr std::size_t kMaxPublishedSuspects = 64;
+/// Answered content in one message to the leader beside the published suspects; 18 KB. Prompts
+/// have up to some 1,600 parts.
+constexpr std::size_t kMaxReportedAnswers = 2'048;
 
 base::Millis elapsed(base::TimePoint from, base::TimePoint now)
 {
@@ -86,23 +91,13 @@
     action.report.upstream = start.first;
     action.report.incarnation = start.second;
     action.report.age = elapsed(attempts.front().at, now);
-    std::map<fleet::Fingerprint, fleet::InterruptedContent> contents;
     for (const LostAttempt &attempt : attempts) {
         if (attempt.trial && action.trial && !attempt.isTrialEnded)
             m_actions.emplace_back(EndTrial{*attempt.trial});
         else if (attempt.trial && !action.trial)
             action.trial = attempt.trial;
-        for (const fleet::Fingerprint it : attempt.fingerprints) {
-            fleet::InterruptedContent &content = contents[it];
-            content.fingerprint = it;
-            content.wasTrial = content.wasTrial || attempt.trial;
-            content.sentAge = elapsed(attempt.sentAt, now); // The attempts are in order.
-            if (const auto answeredAt = m_answeredContent.lastAnswered(it))
-                content.answeredAge = elapsed(*answeredAt, now);
-        }
     }
-    for (const auto &[fingerprint, content] : contents)
-        action.report.contents.push_back(content);
+    action.report.contents = m_reportedContent.select(start, attempts, m_answeredContent, now);
     m_actions.emplace_back(std::move(action));
 }
 
@@ -119,8 +114,9 @@
     for (const fleet::Fingerprint it : call.info.fingerprints)
         m_answeredContent.record(it, now);
     const auto cleared = suspectsIn(call);
+    // The leader may hold more content of the call for suspect than it has published.
     if (!cleared.empty())
-        m_actions.emplace_back(ReportAnswered{cleared});
+        m_actions.emplace_back(ReportAnswered{call.info.fingerprints});
     for (const fleet::Fingerprint it : cleared)
         removeSuspect(it);
     endTrial(call);
@@ -137,8 +133,10 @@
 {
     std::set<fleet::Fingerprint> received;
     std::vector<fleet::Fingerprint> answered;
+    base::TimePoint latestCrashAt{};
     for (const fleet::CrashSuspect &it : event.suspects) {
         const Suspect suspect{it, event.repliedAfter - it.crashAge, now + it.nextTrialIn};
+        latestCrashAt = std::max(latestCrashAt, suspect.firstCrashAt);
         const auto answeredAt = m_answeredContent.lastAnswered(it.fingerprint);
         if (answeredAt && *answeredAt > suspect.firstCrashAt) {
             answered.push_back(it.fingerprint);
@@ -151,6 +149,12 @@
         if (isChange)
             m_actions.emplace_back(CrashSuspectChanged{it, false});
     }
+    if (!answered.empty() && event.suspects.size() >= kMaxPublishedSuspects) {
+        // The leader may know more suspects than it publishes. Many of them were answered as well.
+        for (const fleet::Fingerprint it :
+             m_answeredContent.answeredAfter(latestCrashAt, kMaxReportedAnswers))
+            answered.push_back(it);
+    }
     if (!answered.empty())
         m_actions.emplace_back(ReportAnswered{answered});
     if (!event.isComplete)
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -8,6 +8,7 @@
 #include "PeerLoads.h"
 #include "Reachability.h"
 #include "RelayPeers.h"
+#include "ReportedContent.h"
 #include "RetryBudget.h"
 #include "UpstreamState.h"
 
@@ -420,6 +421,7 @@
     /// Starts of upstreams that want no requests, and until when.
     std::map<base::UpstreamId, std::pair<base::Incarnation, base::TimePoint>> m_backOffs;
     AnsweredContent m_answeredContent;
+    ReportedContent m_reportedContent;
     LostAttempts m_lostAttempts;
     std::map<fleet::Fingerprint, Suspect> m_suspects;
     std::vector<UpstreamState *> m_rateLimitedCandidates; ///< Of the call that is being placed.
--- a/libs/dispatch/src/LostAttempts.cpp
+++ b/libs/dispatch/src/LostAttempts.cpp
@@ -10,6 +10,8 @@
 constexpr base::Millis kRetention{10'000};
 /// Limit for one start; the slots of an upstream are fewer.
 constexpr std::size_t kMaxAttempts = 256;
+/// Limit on their content; 0.5 MB for one start. A prompt may have some 1,600 parts.
+constexpr std::size_t kMaxFingerprints = 65'536;
 
 } // namespace
 
@@ -18,7 +20,8 @@
     Losses &losses = m_starts[{upstream.id, upstream.incarnation}];
     losses.address = upstream.address;
     losses.lastAt = attempt.at;
-    if (losses.attempts.size() < kMaxAttempts)
+    losses.fingerprints += attempt.fingerprints.size();
+    if (losses.attempts.size() < kMaxAttempts && losses.fingerprints <= kMaxFingerprints)
         losses.attempts.push_back(std::move(attempt));
 }
 
@@ -62,8 +65,10 @@
 std::vector<LostAttempt> LostAttempts::take(const Start &start)
 {
     const auto it = m_starts.find(start);
-    return it == m_starts.end() ? std::vector<LostAttempt>()
-                                : std::exchange(it->second.attempts, {});
+    if (it == m_starts.end())
+        return {};
+    it->second.fingerprints = 0;
+    return std::exchange(it->second.attempts, {});
 }
 
 std::vector<CallId> LostAttempts::endTrials(const Start &start)
--- a/libs/dispatch/src/LostAttempts.h
+++ b/libs/dispatch/src/LostAttempts.h
@@ -46,6 +46,7 @@
     {
         base::Endpoint address;
         std::vector<LostAttempt> attempts;
+        std::size_t fingerprints = 0; ///< Of all attempts that were added.
         bool isProbePending = false;
         bool isCrashed = false;
         base::TimePoint nextProbeAt{};
--- a/libs/dispatch/tests/CrashTest.cpp
+++ b/libs/dispatch/tests/CrashTest.cpp
@@ -3,6 +3,7 @@
 #include "AnsweredContent.h"
 
 #include "FirstAction.h"
+#include "ReportedContent.h"
 
 #include <catch2/catch.hpp>
 
@@ -303,12 +304,63 @@
 TEST_CASE("the memory of answered content is bounded and forgets the oldest first")
 {
     AnsweredContent answered;
-    for (int n = 0; n < 10'000; ++n) {
+    for (int n = 0; n < 40'000; ++n) {
         answered.record(fleet::Fingerprint(n), kStart + Millis(n));
         answered.record(fleet::Fingerprint(0), kStart + Millis(n));
     }
     CHECK(answered.size() <= AnsweredContent::kMaxSize);
-    CHECK(answered.lastAnswered(fleet::Fingerprint(9'999)) == kStart + Millis(9'999));
+    CHECK(answered.lastAnswered(fleet::Fingerprint(39'999)) == kStart + Millis(39'999));
     CHECK(answered.lastAnswered(fleet::Fingerprint(0)));
     CHECK_FALSE(answered.lastAnswered(fleet::Fingerprint(1)));
 }
+
+// Messages of any size would take the processor time of a control host.
+TEST_CASE("a report of many parts is cut and keeps the requests and what was lost before")
+{
+    const auto attemptOf = [](std::int64_t first) {
+        LostAttempt attempt;
+        attempt.fingerprints = {kPart};
+        for (std::int64_t n = 0; n < 1'600; ++n)
+            attempt.fingerprints.emplace_back(first + n);
+        attempt.at = kStart;
+        return attempt;
+    };
+    const auto contains = [](const auto &contents, fleet::Fingerprint part) {
+        return std::any_of(contents.begin(), contents.end(),
+                           [part](const auto &it) { return it.fingerprint == part; });
+    };
+    ReportedContent reported;
+    AnsweredContent answered;
+    const auto select = [&](int upstream, std::int64_t first) {
+        std::vector<LostAttempt> attempts;
+        for (std::int64_t n = 0; n < 8; ++n)
+            attempts.push_back(attemptOf(first + n * 10'000));
+        return reported.select({base::UpstreamId(std::to_string(upstream)), {}}, attempts, answered,
+                               kStart + Millis(upstream));
+    };
+    CHECK(select(1, 100'000).size() <= ReportedContent::kMaxParts + 8);
+    for (int n = 2; n < 10; ++n) {
+        const auto contents = select(n, n * 100'000);
+        CHECK(contents.size() == ReportedContent::kMaxParts + 8);
+        CHECK(contains(contents, kPart));
+        for (std::int64_t request = 0; request < 8; ++request)
+            CHECK(contains(contents, fleet::Fingerprint(n * 100'000 + request * 10'000 + 1'599)));
+    }
+}
+
+// Parts that are left out at one crash are reported at another one.
+TEST_CASE("no part is left out of all reports")
+{
+    AnsweredContent answered;
+    std::vector<LostAttempt> attempts(1);
+    for (std::int64_t n = 0; n < 4'000; ++n)
+        attempts[0].fingerprints.emplace_back(n);
+    std::set<fleet::Fingerprint> seen;
+    for (int n = 0; n < 40; ++n) {
+        ReportedContent ofOtherHost;
+        for (const auto &it : ofOtherHost.select({base::UpstreamId(std::to_string(n)), {}},
+                                                 attempts, answered, kStart))
+            seen.insert(it.fingerprint);
+    }
+    CHECK(seen.size() == 4'000);
+}
--- a/libs/edge/src/Crashes.cpp
+++ b/libs/edge/src/Crashes.cpp
@@ -15,14 +15,19 @@
 constexpr base::Millis kTrialTimeout{500};
 /// Evidence that is kept while there is no leader. The oldest is dropped first.
 constexpr std::size_t kMaxKeptEvidence = 64;
+/// Contents of a call in one log line. A prompt may have some 1,600 parts.
+constexpr std::size_t kMaxNamedContents = 32;
 
 } // namespace
 
 std::string contentText(const std::vector<fleet::Fingerprint> &fingerprints)
 {
     std::string text;
-    for (const fleet::Fingerprint it : fingerprints)
-        text += (text.empty() ? "" : ",") + fleet::fingerprintText(it);
+    const std::size_t named = std::min(fingerprints.size(), kMaxNamedContents);
+    for (std::size_t n = 0; n < named; ++n)
+        text += (text.empty() ? "" : ",") + fleet::fingerprintText(fingerprints[n]);
+    if (fingerprints.size() > named)
+        text += ",+" + std::to_string(fingerprints.size() - named);
     return text;
 }
 
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -197,7 +197,8 @@
                     + std::min(route->timeout, metadata.timeout.value_or(route->timeout));
     info.latencyObjective = route->latencyObjective;
     info.gapObjective = route->gapObjective;
-    for (const std::string &part : metadata.sharedParts)
+    // The texts of some 1,600 parts take more memory than the head that they come from.
+    for (const std::string &part : std::exchange(metadata.sharedParts, {}))
         info.fingerprints.push_back(fleet::fingerprintOf(info.service, {"part", part}));
     const auto body = std::make_shared<const std::string>(exchange->takeBody());
     info.fingerprints.push_back(fleet::fingerprintOf(
--- a/libs/registry/src/CrashSuspects.cpp
+++ b/libs/registry/src/CrashSuspects.cpp
@@ -24,9 +24,17 @@
 /// Content is forgotten this long after its last crash.
 constexpr base::Millis kContentRetention{3'600'000};
 constexpr base::Millis kQuarantineRetention{48 * 3'600'000};
-/// Limits on what is kept. The content with the oldest crash is dropped first.
-constexpr std::size_t kMaxContents = 4'096;
+/// Suspects with more crashes are published before others, up to this number: a part that is to
+/// blame has more of them than the many parts that were in flight beside it.
+constexpr int kMaxRankedCrashes = 6;
+/// Limits on what is kept.
 constexpr std::size_t kMaxCrashes = 64;
+/// Of one crash; 8 MB for all of them.
+constexpr std::size_t kMaxCrashContents = 16'384;
+/// Content is dropped down to this, so that the next reports need not search for the oldest again.
+constexpr std::size_t kContentsAfterDrop = CrashSuspects::kMaxContents * 7 / 8;
+/// Changes logged of one report. A prompt with many parts changes as many contents at once.
+constexpr std::size_t kMaxLoggedChanges = 16;
 constexpr std::size_t kMaxEndedTrials = 16;
 constexpr std::size_t kMaxKnownCrashes = 16;
 constexpr std::size_t kMaxFailedTrials = 4;
@@ -50,8 +58,12 @@
         latest.erase(latest.begin());
 }
 
-void logChange(std::string_view change, const fleet::CrashSuspect &suspect)
+} // namespace
+
+void CrashSuspects::logChange(std::string_view change, const fleet::CrashSuspect &suspect)
 {
+    if (++m_loggedChanges > kMaxLoggedChanges)
+        return;
     base::logEvent("crash_content", {{"content", fleet::fingerprintText(suspect.fingerprint)},
                                      {"change", change},
                                      {"crashes", suspect.crashes},
@@ -59,7 +71,13 @@
                                      {"age_ms", suspect.crashAge.count()}});
 }
 
-} // namespace
+void CrashSuspects::logSuppressedChanges()
+{
+    const std::size_t changes = std::exchange(m_loggedChanges, 0);
+    if (changes > kMaxLoggedChanges)
+        base::logEvent("crash_content_more",
+                       {{"changes", changes - kMaxLoggedChanges}, {"contents", m_contents.size()}});
+}
 
 void CrashSuspects::report(const fleet::CrashEvidence &evidence, base::TimePoint now)
 {
@@ -83,6 +101,7 @@
         endTrial(*evidence.endedTrial);
     removeForgotten(now);
     updateQuarantines(now);
+    logSuppressedChanges();
     tick(now);
 }
 
@@ -159,8 +178,15 @@
                               [&key](const Crash &it) { return it.key == key; });
     if (crash == m_crashes.end())
         crash = m_crashes.insert(m_crashes.end(), {key, {}});
+    std::vector<fleet::Fingerprint> &contents = crash->contents;
     for (const fleet::InterruptedContent &it : report.contents)
-        crash->contents.insert(it.fingerprint);
+        contents.push_back(it.fingerprint);
+    std::sort(contents.begin(), contents.end());
+    contents.erase(std::unique(contents.begin(), contents.end()), contents.end());
+    if (contents.size() > kMaxCrashContents) {
+        contents.resize(kMaxCrashContents);
+        crash->isCut = true;
+    }
     if (m_crashes.size() > kMaxCrashes)
         m_crashes.pop_front();
 }
@@ -184,7 +210,7 @@
     const auto isOnlySuspect = [&](const CrashKey &key) {
         const auto crash = std::find_if(m_crashes.begin(), m_crashes.end(),
                                         [&key](const Crash &it) { return it.key == key; });
-        return crash != m_crashes.end()
+        return crash != m_crashes.end() && !crash->isCut
                && std::none_of(crash->contents.begin(), crash->contents.end(),
                                [&](fleet::Fingerprint it) {
                                    return it != fingerprint && isAlternative(it, content);
@@ -223,6 +249,7 @@
     content.crashes = std::max(content.crashes, suspect.crashes);
     content.learnedQuarantine = std::max(content.learnedQuarantine, suspect.quarantine);
     content.quarantine = std::max(content.quarantine, suspect.quarantine);
+    ++m_learned;
     content.quarantineTrials = std::max(content.quarantineTrials, suspect.quarantineTrials);
     content.nextTrialAt = std::max(content.nextTrialAt, now + suspect.nextTrialIn);
     if (!isMore)
@@ -252,14 +279,28 @@
         return now >= it.second.lastCrashAt
                               + (isQuarantined ? kQuarantineRetention : kContentRetention);
     });
-    while (m_contents.size() > kMaxContents) {
-        const auto oldest = std::min_element(
-                m_contents.begin(), m_contents.end(), [](const auto &a, const auto &b) {
-                    return std::pair(a.second.quarantine, a.second.lastCrashAt)
-                           < std::pair(b.second.quarantine, b.second.lastCrashAt);
-                });
-        logChange("dropped", toFact(oldest->first, oldest->second, now));
-        m_contents.erase(oldest);
+    if (m_contents.size() > kMaxContents) {
+        using Iterator = std::map<fleet::Fingerprint, Content>::iterator;
+        std::vector<Iterator> contents;
+        contents.reserve(m_contents.size());
+        for (auto it = m_contents.begin(); it != m_contents.end(); ++it)
+            contents.push_back(it);
+        const auto rank = [](const Iterator &it) {
+            const Content &content = it->second;
+            return std::tuple(content.quarantine, content.crashes >= kSuspectCrashes,
+                              content.lastCrashAt);
+        };
+        const auto kept = contents.end() - static_cast<std::ptrdiff_t>(kContentsAfterDrop);
+        base::logEvent("crash_contents_dropped",
+                       {{"contents", kept - contents.begin()}, {"kept", kContentsAfterDrop}});
+        std::nth_element(
+                contents.begin(), kept, contents.end(),
+                [&rank](const Iterator &a, const Iterator &b) { return rank(a) < rank(b); });
+        for (auto it = contents.begin(); it != kept; ++it) {
+            if ((*it)->second.crashes >= kSuspectCrashes)
+                logChange("dropped", toFact((*it)->first, (*it)->second, now));
+            m_contents.erase(*it);
+        }
     }
     if (m_contents.size() != before)
         ++m_revision;
@@ -292,6 +333,19 @@
     return suspects;
 }
 
+const CrashSuspects::Standing &CrashSuspects::standingOf(WaitingTrial &waiting,
+                                                         base::TimePoint now) const
+{
+    Standing &standing = waiting.standing;
+    if (standing.revision == m_revision + m_learned)
+        return standing;
+    const auto suspects = suspectsIn(waiting.request, now);
+    standing = {m_revision + m_learned, suspects.size(), 0, now + fleet::nextTrialIn(suspects)};
+    for (const fleet::CrashSuspect &it : suspects)
+        standing.crashes = std::max(standing.crashes, it.crashes);
+    return standing;
+}
+
 void CrashSuspects::requestTrial(const fleet::TrialRequest &request, Answer answer,
                                  base::TimePoint now)
 {
@@ -308,14 +362,15 @@
     std::set<base::ServiceId> services;
     std::erase_if(m_waiting, [&](WaitingTrial &it) {
         services.insert(it.request.service);
-        const auto suspects = suspectsIn(it.request, now);
-        const base::Millis trialIn = fleet::nextTrialIn(suspects);
-        if (!suspects.empty() && now < it.waitsUntil && now + trialIn <= it.waitsUntil)
+        const Standing &standing = standingOf(it, now);
+        const base::TimePoint trialAt = std::max(now, standing.trialAt);
+        if (standing.suspects > 0 && now < it.waitsUntil && trialAt <= it.waitsUntil)
             return false;
         fleet::TrialReply reply;
-        reply.isGranted = suspects.empty();
+        reply.isGranted = standing.suspects == 0;
         if (!reply.isGranted)
-            reply.retryAfter = std::max(trialIn, kTrialRetryAfter);
+            reply.retryAfter =
+                    std::max(std::chrono::ceil<base::Millis>(trialAt - now), kTrialRetryAfter);
         answers.emplace_back(std::move(it.answer), reply);
         return true;
     });
@@ -335,11 +390,9 @@
     for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
         if (it->request.service != service)
             continue;
-        const auto suspects = suspectsIn(it->request, now);
-        std::pair<std::size_t, int> rank{suspects.size(), 0};
-        for (const fleet::CrashSuspect &suspect : suspects)
-            rank.second = std::max(rank.second, suspect.crashes);
-        const bool isDue = fleet::nextTrialIn(suspects) == base::Millis(0);
+        const Standing &standing = standingOf(*it, now);
+        const std::pair<std::size_t, int> rank{standing.suspects, standing.crashes};
+        const bool isDue = standing.trialAt <= now;
         if (!isDue || (best != m_waiting.end() && rank >= bestRank))
             continue;
         best = it;
@@ -365,20 +418,28 @@
 
 std::vector<fleet::CrashSuspect> CrashSuspects::suspects(base::TimePoint now) const
 {
-    std::vector<std::pair<base::TimePoint, fleet::CrashSuspect>> latest;
-    for (const auto &[fingerprint, content] : m_contents) {
-        if (content.crashes >= kSuspectCrashes)
-            latest.emplace_back(content.lastCrashAt, toFact(fingerprint, content, now));
+    if (m_publishedRevision != m_revision) {
+        using Rank = std::tuple<fleet::Quarantine, int, base::TimePoint, fleet::Fingerprint>;
+        std::vector<Rank> ranks;
+        for (const auto &[fingerprint, content] : m_contents) {
+            if (content.crashes >= kSuspectCrashes)
+                ranks.emplace_back(content.quarantine, std::min(content.crashes, kMaxRankedCrashes),
+                                   content.lastCrashAt, fingerprint);
+        }
+        const auto end =
+                ranks.begin() + static_cast<std::ptrdiff_t>(std::min(ranks.size(), kMaxPublished));
+        std::partial_sort(ranks.begin(), end, ranks.end(), std::greater<>());
+        m_published.clear();
+        for (auto it = ranks.begin(); it != end; ++it)
+            m_published.push_back(std::get<fleet::Fingerprint>(*it));
+        m_publishedRevision = m_revision;
     }
-    std::stable_sort(latest.begin(), latest.end(), [](const auto &a, const auto &b) {
-        return std::pair(a.second.quarantine, a.first) > std::pair(b.second.quarantine, b.first);
-    });
-    if (latest.size() > kMaxPublished)
-        latest.resize(kMaxPublished);
     std::vector<fleet::CrashSuspect> suspects;
-    suspects.reserve(latest.size());
-    for (const auto &[at, suspect] : latest)
-        suspects.push_back(suspect);
+    suspects.reserve(m_published.size());
+    for (const fleet::Fingerprint it : m_published) {
+        if (const auto content = m_contents.find(it); content != m_contents.end())
+            suspects.push_back(toFact(it, content->second, now));
+    }
     return suspects;
 }
 
--- a/libs/registry/src/CrashSuspects.h
+++ b/libs/registry/src/CrashSuspects.h
@@ -38,6 +38,9 @@
     std::size_t size() const { return m_contents.size(); }
 
     static constexpr std::size_t kMaxPublished = 64;
+    /// The content that is least suspected and whose last crash is the oldest is dropped first. A
+    /// prompt has up to some 1,600 parts; about 0.5 KB each.
+    static constexpr std::size_t kMaxContents = 16'384;
 
 private:
     /// Identifies a crash by the start of the upstream that it ended.
@@ -51,7 +54,8 @@
     struct Crash
     {
         CrashKey key;
-        std::set<fleet::Fingerprint> contents; ///< In flight there, of all hosts.
+        std::vector<fleet::Fingerprint> contents; ///< In flight there, of all hosts; in order.
+        bool isCut = false; ///< There was more than is kept.
     };
     /// Content that was in flight at a crash and in no answered request since.
     struct Content
@@ -67,11 +71,20 @@
         base::TimePoint lastCrashAt;
         base::TimePoint nextTrialAt{};
     };
+    /// What is known of all suspects in a request, at a revision.
+    struct Standing
+    {
+        std::int64_t revision = -1;
+        std::size_t suspects = 0;
+        int crashes = 0; ///< Of the suspect with the most.
+        base::TimePoint trialAt{}; ///< Earliest time of the next trial.
+    };
     struct WaitingTrial
     {
         fleet::TrialRequest request;
         Answer answer;
         base::TimePoint waitsUntil;
+        Standing standing = {};
     };
     struct RunningTrial
     {
@@ -89,6 +102,10 @@
     bool isAlternative(fleet::Fingerprint other, const Content &content) const;
     /// Whether \a content was the only suspect in flight when one of its trials failed.
     bool isProvenByTrial(fleet::Fingerprint fingerprint, const Content &content) const;
+    const Standing &standingOf(WaitingTrial &waiting, base::TimePoint now) const;
+    /// Logs a change of content, and of one report only the first ones.
+    void logChange(std::string_view change, const fleet::CrashSuspect &suspect);
+    void logSuppressedChanges();
     void addKnown(const fleet::CrashSuspect &suspect, base::TimePoint now);
     /// Forgets content that is part of an answered request.
     void clear(fleet::Fingerprint fingerprint, base::TimePoint now);
@@ -113,6 +130,11 @@
     /// crashed.
     std::deque<RunningTrial> m_ended;
     std::int64_t m_revision = 0;
+    std::int64_t m_learned = 0; ///< Counts what was learned of hosts.
+    std::size_t m_loggedChanges = 0; ///< Of the present report.
+    /// The latest suspects in their order, at a revision.
+    mutable std::vector<fleet::Fingerprint> m_published;
+    mutable std::int64_t m_publishedRevision = -1;
 };
 
 } // namespace hyssop::registry
--- a/libs/registry/tests/CrashPlayer.cpp
+++ b/libs/registry/tests/CrashPlayer.cpp
@@ -176,6 +176,14 @@
         info.fingerprints = {partOf(1'000'000 + info.id.count())};
     if (deadlyPart)
         info.fingerprints.push_back(partOf(100 + static_cast<std::int64_t>(*deadlyPart)));
+    for (std::int64_t n = 0; n < m_scenario.sharedPartCount; ++n)
+        info.fingerprints.push_back(partOf(10'000 + n));
+    for (std::int64_t n = 0; n < m_scenario.ownPartCount; ++n)
+        info.fingerprints.push_back(
+                partOf(100'000'000 + info.id.count() * m_scenario.ownPartCount + n));
+    // The last one is that of the whole request.
+    if (m_scenario.sharedPartCount + m_scenario.ownPartCount > 0)
+        info.fingerprints.push_back(partOf(-info.id.count()));
     m_attempts[info.id] = {host, 0, 0, {}};
     handle(host, dispatch::CallArrived{info});
 }
@@ -357,6 +365,11 @@
         fleet::CrashEvidence message = evidence;
         for (fleet::CrashReport &it : message.crashes)
             it.addAge(std::chrono::floor<Millis>(m_now - createdAt));
+        ++m_outcome.reports;
+        std::size_t contents = message.answered.size() + message.suspects.size();
+        for (const fleet::CrashReport &it : message.crashes)
+            contents += it.contents.size();
+        m_outcome.largestReport = std::max(m_outcome.largestReport, contents);
         m_suspects.report(message, m_now);
         publish();
     });
--- a/libs/registry/tests/CrashPlayer.h
+++ b/libs/registry/tests/CrashPlayer.h
@@ -30,6 +30,8 @@
     bool keepsIds = false; ///< Upstreams start again under their ids.
     /// Calls have no part in common; a deadly one comes again and again.
     bool areWholeRequests = false;
+    int sharedPartCount = 0; ///< Further parts that all calls have in common.
+    int ownPartCount = 0; ///< Further parts of each call that no other call has.
     std::uint64_t seed = 1;
 };
 
@@ -51,6 +53,8 @@
     std::vector<Call> calls;
     std::vector<DeadlyPart> deadlyParts;
     std::size_t suspects = 0; ///< At the end.
+    std::size_t largestReport = 0; ///< Contents in one message of a host.
+    std::size_t reports = 0; ///< Messages of all hosts.
 
     int arrivalsAfter(std::size_t part, base::TimePoint from) const;
     /// Calls without deadly parts that were sent from \a from on.
--- a/libs/registry/tests/CrashSharingTest.cpp
+++ b/libs/registry/tests/CrashSharingTest.cpp
@@ -247,3 +247,37 @@
     scenario.resetShare = 0.5;
     playWithoutCause(scenario);
 }
+
+// The part may stand behind any number of others that fit into a header section.
+TEST_CASE("a part that crashes upstreams is found among 1,600 that sound calls share")
+{
+    for (const int hosts : {1, 7, 40}) {
+        for (const std::uint64_t seed : {1, 2}) {
+            CrashScenario scenario;
+            scenario.hostCount = hosts;
+            scenario.deadlyPerSecond = {2};
+            scenario.sharedPartCount = 1'600;
+            scenario.seed = seed;
+            const CrashOutcome outcome = playBounded(scenario);
+            CHECK(outcome.largestReport <= 4'096);
+        }
+    }
+}
+
+// Reports can't hold all content that was in flight.
+TEST_CASE("a part that crashes upstreams is found among hundreds that each call has alone")
+{
+    for (const int hosts : {1, 3, 12}) {
+        for (const std::uint64_t seed : {1, 2, 3}) {
+            CrashScenario scenario;
+            scenario.hostCount = hosts;
+            scenario.upstreamCount = 6;
+            scenario.soundPerSecond = 40;
+            scenario.deadlyPerSecond = {1};
+            scenario.ownPartCount = 1'200;
+            scenario.seed = seed;
+            const CrashOutcome outcome = playBounded(scenario);
+            CHECK(outcome.largestReport <= 4'096);
+        }
+    }
+}
--- a/libs/registry/tests/CrashSuspectsTest.cpp
+++ b/libs/registry/tests/CrashSuspectsTest.cpp
@@ -262,9 +262,9 @@
 TEST_CASE("what is kept of crashes is bounded and ends with time")
 {
     Fixture it;
-    for (int n = 0; n < 10'000; ++n)
+    for (int n = 0; n < 20'000; ++n)
         it.report(crash(n, {fleet::Fingerprint(n)}), kStart + Millis(n));
-    CHECK(it.suspects.size() <= 4'096);
+    CHECK(it.suspects.size() <= 16'384);
     it.report(crash(1, {kPart}), kStart + Millis(4'000'000));
     CHECK(it.suspects.size() == 1);
     for (int n = 0; n < 200; ++n) {
