Keep what is known of crashing content in the replicated log

Cause: suspects were held in the memory of the leader and of the entry hosts, which teach a new leader. When all processes were killed at once, nothing was left.

A new leader learns them before it counts as having a lease, and only once it has applied the first entry of its term, so that no configuration of an earlier moment is confirmed either. An entry host gets them with its first confirmed configuration and applies them before it uses new upstreams. Messages of configuration reads moved out of Registry.cpp.

Tests of ledger, registry, group, fleet, dispatch, edge and the adapter pass.

--- a/integration/CrashTest.cpp
+++ b/integration/CrashTest.cpp
@@ -103,6 +103,27 @@
 
     ~CrashBed() { stopLoad(); }
 
+    /// Kills all processes at once and starts them again.
+    void killAll()
+    {
+        for (auto *hosts : {&controls, &entries}) {
+            for (PlatformHost &it : *hosts)
+                it.process->signal(SIGKILL);
+        }
+        for (auto *hosts : {&controls, &entries}) {
+            for (PlatformHost &it : *hosts)
+                it.process->wait(kSoon);
+        }
+        for (auto *hosts : {&controls, &entries}) {
+            for (PlatformHost &it : *hosts)
+                start(it);
+        }
+        REQUIRE(eventually(kSoon, [this] {
+            return std::all_of(entries.begin(), entries.end(),
+                               [this](const PlatformHost &it) { return isReady(it); });
+        }));
+    }
+
     ReplicaKeeper &replicas() { return m_replicas; }
     const ReplicaKeeper &replicas() const { return m_replicas; }
 
@@ -121,6 +142,7 @@
         for (std::thread &it : m_callers)
             it.join();
         m_callers.clear();
+        m_isLoadOver = false;
     }
 
     /// Calls that crash nothing and were sent from \a from to \a to.
@@ -246,3 +268,27 @@
     bed.stopLoad();
     checkBounds(bed, kRequestCrashes, end);
 }
+
+// What is known must not be paid for again with upstreams after each loss of all processes.
+TEST_CASE("a part that crashes engines is still known after all processes were killed at once")
+{
+    CrashBed bed("model", 6);
+    bed.replicas().crashOn({{kDeadlyPart}, {}});
+    const auto load = [&bed](Millis duration) {
+        bed.startLoad(3, false,
+                      [](std::size_t entry, int count) { return chat(entry, count, ""); });
+        bed.startLoad(0.7, true,
+                      [](std::size_t entry, int count) { return chat(entry, count, kDeadlyPart); });
+        std::this_thread::sleep_for(duration);
+        bed.stopLoad();
+    };
+    load(Millis(10'000));
+    REQUIRE(bed.replicas().crashes().size() >= 4); // It takes four crashes to quarantine the part.
+    bed.killAll();
+    std::this_thread::sleep_for(kContact);
+    const base::TimePoint inContactAt = base::monotonicNow();
+    load(Millis(8'000));
+    CHECK(bed.deadlyArrivals(inContactAt) <= kAllowedArrivals);
+    CHECK(CrashBed::servedShare(bed.soundCalls(inContactAt + kContact, base::monotonicNow()))
+          >= 0.5);
+}
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -291,6 +291,11 @@
                                                        {"control", update.control}});
         m_freshness.confirm(update.requestedAt);
     }
+    if (reply.isConfirmed) {
+        m_leader = base::parseEndpoint(update.control.text());
+        // Calls that wait for a new upstream must not be sent there with suspect content.
+        applyCrashSuspects(update, now);
+    }
     applyFleet(m_fleetView.apply(update.control, reply.directory, now), now);
     if (!reply.rateLimits.empty())
         execute(m_dispatcher.handle(
@@ -298,8 +303,6 @@
                                                      update.requestedAt + reply.heldFor},
                         now),
                 now);
-    if (reply.isConfirmed)
-        m_leader = base::parseEndpoint(update.control.text());
     if (reply.isConfirmed) {
         if (reply.loadPeers) {
             m_loadChannel.setPeers(*reply.loadPeers);
@@ -308,7 +311,6 @@
             sendLoadUpdate(true);
         }
         m_entryHostCount = std::max(1, reply.entryHostCount);
-        applyCrashSuspects(update, now);
     }
     if (reply.isConfirmed || !reply.distantLoad.upstreams.empty())
         execute(m_dispatcher.handle(dispatch::PeerLoadSumReceived{reply.distantLoad,
--- a/libs/ledger/include/ledger/Ledger.h
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -175,9 +175,25 @@
     replog::Position position; ///< Log position of the command that stored it.
 };
 
-using Command =
-        std::variant<PutRecord, Claim, ReleaseClaim, FinishClaim, RetireOwner, SubmitJob, TakeJob,
-                     FinishJob, TakeLease, InitializeGroup, ReinstateOwner, PutConfiguration>;
+/// Replaces what is known of content that crashes upstreams. The group does not read the text.
+struct PutCrashSuspects
+{
+    std::string text; ///< Empty for nothing; at most kMaxCrashSuspectsBytes.
+};
+
+/// Some 64 suspects take 3 KB.
+inline constexpr std::size_t kMaxCrashSuspectsBytes = 16'384;
+
+/// What was last stored of content that crashes upstreams.
+struct StoredCrashSuspects
+{
+    std::string text;
+    std::int64_t storedAtMs = 0; ///< Log time.
+};
+
+using Command = std::variant<PutRecord, Claim, ReleaseClaim, FinishClaim, RetireOwner, SubmitJob,
+                             TakeJob, FinishJob, TakeLease, InitializeGroup, ReinstateOwner,
+                             PutConfiguration, PutCrashSuspects>;
 
 /// Whether a command is idempotent, so that it may be resent after a lost reply.
 bool isSafeToResend(const Command &command);
@@ -237,6 +253,8 @@
     base::Millis retirementRetention{10LL * 60 * 1000};
     base::Millis releaseRetention{10LL * 60 * 1000}; ///< For released claims.
     base::Millis jobRetention{24LL * 3600 * 1000}; ///< For ended jobs.
+    /// For crash suspects that nobody stored again; the leader forgets them after the same time.
+    base::Millis crashSuspectsRetention{48LL * 3600 * 1000};
 };
 
 /// State of one group. Not thread-safe. Returned pointers and references are valid until the next
@@ -258,6 +276,8 @@
     const records::Record *record(records::Kind kind, const std::string &name) const;
     /// Empty until the first PutConfiguration.
     const std::optional<StoredConfiguration> &configuration() const { return m_configuration; }
+    /// Empty while nothing is stored.
+    const std::optional<StoredCrashSuspects> &crashSuspects() const { return m_crashSuspects; }
     /// Null if there is no such job.
     const Job *job(const base::JobId &id) const;
     /// Jobs of one team, ordered by id.
@@ -327,6 +347,7 @@
     Reply execute(const InitializeGroup &command);
     Reply execute(const ReinstateOwner &command);
     Reply execute(const PutConfiguration &command);
+    Reply execute(const PutCrashSuspects &command);
     bool isRetired(const Owner &owner) const;
     /// Whether a home-scoped key names a group incarnation other than this group's.
     bool isFromOtherIncarnation(const std::string &key) const;
@@ -348,6 +369,7 @@
     std::map<base::JobId, Job> m_jobs;
     std::map<std::string, Lease> m_leases;
     std::map<base::HostId, Retirement> m_retirements;
+    std::optional<StoredCrashSuspects> m_crashSuspects;
 };
 
 /// Encodes a command for the log as CBOR, stamped with the leader's time in milliseconds.
--- a/libs/ledger/src/Codec.cpp
+++ b/libs/ledger/src/Codec.cpp
@@ -144,6 +144,12 @@
     return {{"op", "configure"}, {"version", c.version}, {"text", c.text}};
 }
 
+// Builds before this command take it for malformed and go on.
+json commandToJson(const PutCrashSuspects &c)
+{
+    return {{"op", "suspect"}, {"text", c.text}};
+}
+
 std::optional<Command> commandFromJson(const json &j)
 {
     const std::string op = j.at("op");
@@ -181,6 +187,8 @@
         return InitializeGroup{j.at("incarnation").get<std::int64_t>()};
     if (op == "configure")
         return PutConfiguration{j.at("version").get<std::int64_t>(), j.at("text")};
+    if (op == "suspect")
+        return PutCrashSuspects{j.at("text")};
     return std::nullopt;
 }
 
--- a/libs/ledger/src/Ledger.cpp
+++ b/libs/ledger/src/Ledger.cpp
@@ -343,8 +343,21 @@
     return reply;
 }
 
+Reply Ledger::execute(const PutCrashSuspects &command)
+{
+    if (command.text.size() > kMaxCrashSuspectsBytes)
+        return makeReply(Status::LimitReached, "the text is too long");
+    m_crashSuspects.reset();
+    if (!command.text.empty())
+        m_crashSuspects = StoredCrashSuspects{command.text, m_logTimeMs};
+    return makeReply(Status::Accepted);
+}
+
 void Ledger::expireByLogTime()
 {
+    if (m_crashSuspects
+        && m_crashSuspects->storedAtMs + m_options.crashSuspectsRetention.count() < m_logTimeMs)
+        m_crashSuspects.reset();
     const std::int64_t claimCutoffMs = m_logTimeMs - m_options.claimRetention.count();
     const std::int64_t releaseCutoffMs = m_logTimeMs - m_options.releaseRetention.count();
     std::erase_if(m_claims, [claimCutoffMs, releaseCutoffMs](const auto &it) {
--- a/libs/ledger/src/Snapshot.cpp
+++ b/libs/ledger/src/Snapshot.cpp
@@ -85,6 +85,8 @@
         for (const auto &[host, retirement] : ledger.m_retirements)
             j["retired"].push_back({{"owner", toJson(Owner{host, retirement.incarnation})},
                                     {"at", retirement.retiredAtMs}});
+        if (const auto &suspects = ledger.m_crashSuspects)
+            j["crashSuspects"] = {suspects->text, suspects->storedAtMs};
         return j;
     }
 
@@ -133,6 +135,11 @@
             const Owner owner = ownerFromJson(item.at("owner"));
             ledger.m_retirements[owner.host] = {owner.incarnation, item.at("at")};
         }
+        // Snapshots of earlier builds have none.
+        if (j.contains("crashSuspects")) {
+            const json &item = j.at("crashSuspects");
+            ledger.m_crashSuspects = StoredCrashSuspects{item.at(0), item.at(1)};
+        }
         return true;
     }
 };
--- a/libs/ledger/tests/LedgerTest.cpp
+++ b/libs/ledger/tests/LedgerTest.cpp
@@ -299,3 +299,36 @@
     REQUIRE(other.restore(Ledger().snapshot()));
     CHECK_FALSE(other.configuration());
 }
+
+TEST_CASE("crash suspects are bounded, in the snapshot, and expire when nobody stores them again")
+{
+    LedgerFixture fixture;
+    CHECK(fixture.run(PutCrashSuspects{"known"}).status == Status::Accepted);
+    CHECK(fixture.run(PutCrashSuspects{std::string(kMaxCrashSuspectsBytes + 1, 'x')}).status
+          == Status::LimitReached);
+    Ledger other;
+    REQUIRE(other.restore(fixture.ledger.snapshot()));
+    REQUIRE(other.crashSuspects());
+    CHECK(other.crashSuspects()->text == "known");
+    CHECK(other.crashSuspects()->storedAtMs == fixture.ledger.crashSuspects()->storedAtMs);
+    REQUIRE(other.restore(Ledger().snapshot()));
+    CHECK_FALSE(other.crashSuspects());
+    fixture.run(PutCrashSuspects{""});
+    CHECK_FALSE(fixture.ledger.crashSuspects());
+}
+
+// Earlier builds read the same log: a command that a build does not know changes nothing.
+TEST_CASE("an unknown command is malformed and leaves the configuration as it is")
+{
+    LedgerFixture fixture;
+    fixture.run(PutConfiguration{7, "seven"});
+    replog::Entry entry;
+    entry.position = {replog::Term(1), replog::Index(1'000)};
+    entry.kind = replog::EntryKind::Command;
+    entry.payload = encode(PutConfiguration{9, "nine"}, 5);
+    const std::string op = "configure";
+    entry.payload.replace(entry.payload.find(op), op.size(), "later_one");
+    CHECK(fixture.ledger.apply(entry).status == Status::Malformed);
+    REQUIRE(fixture.ledger.configuration());
+    CHECK(fixture.ledger.configuration()->version == 7);
+}
--- a/libs/registry/src/CrashSuspects.cpp
+++ b/libs/registry/src/CrashSuspects.cpp
@@ -82,7 +82,7 @@
 void CrashSuspects::report(const fleet::CrashEvidence &evidence, base::TimePoint now)
 {
     for (const fleet::CrashSuspect &it : evidence.suspects)
-        addKnown(it, now);
+        addKnown(it, it.crashAge, now);
     const RunningTrial *trial = evidence.endedTrial ? findTrial(*evidence.endedTrial) : nullptr;
     for (const fleet::CrashReport &report : evidence.crashes) {
         base::logEvent("crash_report", {{"host", evidence.host},
@@ -237,7 +237,26 @@
     }
 }
 
-void CrashSuspects::addKnown(const fleet::CrashSuspect &suspect, base::TimePoint now)
+void CrashSuspects::learn(const std::vector<KnownSuspect> &suspects, base::TimePoint now)
+{
+    for (const KnownSuspect &it : suspects)
+        addKnown(it.fact, it.lastCrashAge, now);
+    removeForgotten(now);
+    logSuppressedChanges();
+}
+
+std::vector<KnownSuspect> CrashSuspects::known(base::TimePoint now) const
+{
+    std::vector<KnownSuspect> known;
+    for (const fleet::CrashSuspect &it : suspects(now)) {
+        const Content &content = m_contents.at(it.fingerprint);
+        known.push_back({it, std::chrono::floor<base::Millis>(now - content.lastCrashAt)});
+    }
+    return known;
+}
+
+void CrashSuspects::addKnown(const fleet::CrashSuspect &suspect, base::Millis lastCrashAge,
+                             base::TimePoint now)
 {
     const base::TimePoint firstCrashAt = now - suspect.crashAge;
     const auto [it, isNew] = m_contents.try_emplace(suspect.fingerprint);
@@ -245,7 +264,7 @@
     const bool isMore =
             suspect.crashes > content.crashes || suspect.quarantine > content.quarantine;
     content.firstCrashAt = isNew ? firstCrashAt : std::min(content.firstCrashAt, firstCrashAt);
-    content.lastCrashAt = std::max(content.lastCrashAt, firstCrashAt);
+    content.lastCrashAt = std::max(content.lastCrashAt, now - lastCrashAge);
     content.crashes = std::max(content.crashes, suspect.crashes);
     content.learnedQuarantine = std::max(content.learnedQuarantine, suspect.quarantine);
     content.quarantine = std::max(content.quarantine, suspect.quarantine);
--- a/libs/registry/src/CrashSuspects.h
+++ b/libs/registry/src/CrashSuspects.h
@@ -7,6 +7,15 @@
 
 namespace hyssop::registry {
 
+/// What a later leader needs of a suspect.
+struct KnownSuspect
+{
+    fleet::CrashSuspect fact;
+    base::Millis lastCrashAge{0};
+
+    bool operator==(const KnownSuspect &other) const = default;
+};
+
 /// Finds the content of requests that crashes each upstream that runs it, from what all entry hosts
 /// report. Does no I/O.
 ///
@@ -33,6 +42,10 @@
     void tick(base::TimePoint now);
     /// Content that hosts must know, the latest first and at most kMaxPublished of it.
     std::vector<fleet::CrashSuspect> suspects(base::TimePoint now) const;
+    /// The same content with what a later leader needs to forget it in time.
+    std::vector<KnownSuspect> known(base::TimePoint now) const;
+    /// Takes over what a former leader knew.
+    void learn(const std::vector<KnownSuspect> &suspects, base::TimePoint now);
     /// Grows with each change of suspects().
     std::int64_t revision() const { return m_revision; }
     std::size_t size() const { return m_contents.size(); }
@@ -106,7 +119,8 @@
     /// Logs a change of content, and of one report only the first ones.
     void logChange(std::string_view change, const fleet::CrashSuspect &suspect);
     void logSuppressedChanges();
-    void addKnown(const fleet::CrashSuspect &suspect, base::TimePoint now);
+    void addKnown(const fleet::CrashSuspect &suspect, base::Millis lastCrashAge,
+                  base::TimePoint now);
     /// Forgets content that is part of an answered request.
     void clear(fleet::Fingerprint fingerprint, base::TimePoint now);
     void updateQuarantines(base::TimePoint now);
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -1,6 +1,7 @@
 #include "registry/Registry.h"
 
 #include "ConfigurationHistory.h"
+#include "ConfigurationRead.h"
 #include "CrashSuspects.h"
 #include "LoadAggregator.h"
 #include "PackedDirectory.h"
@@ -8,8 +9,7 @@
 #include "PrefillPermits.h"
 #include "PublishedRevision.h"
 #include "SendGrants.h"
-
-#include <nlohmann/json.hpp>
+#include "SuspectRecord.h"
 
 #include <cmath>
 
@@ -48,41 +48,6 @@
 /// The host stops after this time even when no other leader was elected.
 constexpr base::Millis kStopTimeout{2'000};
 
-std::string encodeConfiguration(const std::optional<ledger::StoredConfiguration> &configuration)
-{
-    if (!configuration)
-        return base::toCbor({0, ""});
-    return base::toCbor({configuration->version, configuration->text});
-}
-
-std::optional<ledger::StoredConfiguration> decodeConfiguration(const std::string &bytes)
-{
-    const auto parsed = base::parseCbor(bytes);
-    if (!parsed)
-        return std::nullopt;
-    try {
-        return ledger::StoredConfiguration{parsed->at(0), parsed->at(1), {}};
-    } catch (const nlohmann::json::exception &) {
-        return std::nullopt;
-    }
-}
-
-/// Restores the text that the operator sent; empty when it is damaged.
-std::optional<ledger::StoredConfiguration> withUnpackedText(
-        std::optional<ledger::StoredConfiguration> configuration)
-{
-    if (!configuration)
-        return std::nullopt;
-    auto text = fleet::decompressText(configuration->text);
-    if (!text) {
-        base::logEvent("configuration_unreadable",
-                       {{"version", configuration->version}, {"reason", "damaged"}});
-        return std::nullopt;
-    }
-    configuration->text = *std::move(text);
-    return configuration;
-}
-
 } // namespace
 
 std::string_view putOutcomeName(PutOutcome outcome)
@@ -141,7 +106,11 @@
     }
     /// Answers watches when shared facts have changed since the last time.
     void publishFacts(base::TimePoint now);
-    bool hasLease(base::TimePoint now) const { return groupHost().replica().hasLease(now); }
+    bool hasLease(base::TimePoint now) const
+    {
+        const replog::Replica &replica = groupHost().replica();
+        return replica.hasLease(now) && m_suspectRecord.isRestored(replica.term());
+    }
     /// Whether replies carry the configuration text and the load of other hosts. Only the leader
     /// sends them, so that an entry host receives one copy; without a leader every host does.
     bool servesConfiguration(base::TimePoint now) const
@@ -161,6 +130,7 @@
     PrefillPermits m_prefillPermits;
     SendGrants m_sendGrants;
     CrashSuspects m_crashSuspects;
+    SuspectRecord m_suspectRecord;
     PackedDirectory m_packedDirectory;
     std::vector<base::UpstreamId> m_refreshedUpstreams; ///< Refreshed since the last relay.
     fleet::RelayedAnnouncements m_pendingRelay;
@@ -246,6 +216,7 @@
         m_onFailed();
         return;
     }
+    m_suspectRecord.update(groupHost(), m_crashSuspects, now);
     // Entry hosts wait longer at control hosts that do not lead, and do not know that this one
     // does.
     const bool hadLease = std::exchange(m_hadLease, hasLease(now));
--- a/libs/registry/tests/CrashPlayer.cpp
+++ b/libs/registry/tests/CrashPlayer.cpp
@@ -129,6 +129,9 @@
             for (std::size_t n = 0; n < m_hosts.size(); ++n)
                 watch(n);
         });
+    m_record.restore(replog::Term(m_leader), nullptr, m_suspects, m_now, wallMs());
+    if (m_scenario.allKilledAt)
+        scheduleAt(kStart + *m_scenario.allKilledAt, [this] { restartAll(); });
     for (base::TimePoint at = kStart; at < end + kCallerTimeout; at += kTick)
         scheduleAt(at, [this] {
             for (std::size_t n = 0; n < m_hosts.size(); ++n) {
@@ -139,6 +142,7 @@
             }
             if (hasLeader())
                 m_suspects.tick(m_now);
+            store();
             publish();
         });
     for (base::TimePoint at = kStart; at < end; at += kWatchInterval)
@@ -403,6 +407,38 @@
         watch(n);
 }
 
+std::int64_t CrashPlayer::wallMs() const
+{
+    return std::chrono::floor<Millis>(m_now.time_since_epoch()).count();
+}
+
+void CrashPlayer::store()
+{
+    if (!hasLeader())
+        return;
+    if (const auto text = m_record.takeDue(m_suspects, m_now, wallMs())) {
+        m_stored = ledger::StoredCrashSuspects{*text, wallMs()};
+        m_record.onStored(true);
+    }
+}
+
+void CrashPlayer::restartAll()
+{
+    m_suspects = {};
+    m_record = {};
+    ++m_leader;
+    m_record.restore(replog::Term(m_leader), m_stored ? &*m_stored : nullptr, m_suspects, m_now,
+                     wallMs());
+    for (auto &[call, attempt] : m_attempts)
+        ++attempt.number; // Calls end with their hosts.
+    for (Upstream &it : m_upstreams)
+        it.calls.clear();
+    for (std::size_t n = 0; n < m_hosts.size(); ++n) {
+        m_hosts[n] = {};
+        startHost(n);
+    }
+}
+
 void CrashPlayer::watch(std::size_t host)
 {
     Host &it = m_hosts[host];
--- a/libs/registry/tests/CrashPlayer.h
+++ b/libs/registry/tests/CrashPlayer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "CrashSuspects.h"
+#include "SuspectRecord.h"
 #include "VirtualTime.h"
 
 #include "dispatch/Dispatch.h"
@@ -27,6 +27,8 @@
     base::Millis leaderLostTo{0};
     /// One host starts only then, and gets all calls with deadly parts from then on.
     std::optional<base::Millis> lateHostAt;
+    /// All hosts and the leader lose their memory then; what the log holds is kept.
+    std::optional<base::Millis> allKilledAt;
     bool keepsIds = false; ///< Upstreams start again under their ids.
     /// Calls have no part in common; a deadly one comes again and again.
     bool areWholeRequests = false;
@@ -111,6 +113,9 @@
                       base::TimePoint createdAt);
     fleet::TrialKey keyOf(std::size_t host, dispatch::CallId call) const;
     void publish();
+    void store();
+    std::int64_t wallMs() const;
+    void restartAll();
     void watch(std::size_t host);
 
     void executeAction(std::size_t host, const dispatch::SendAttempt &action);
@@ -129,6 +134,8 @@
     std::mt19937_64 m_rng;
     CrashSuspects m_suspects;
     int m_leader = 1;
+    SuspectRecord m_record;
+    std::optional<ledger::StoredCrashSuspects> m_stored;
     std::int64_t m_publishedRevision = 0;
     base::TimePoint m_nextPublishAt{};
     std::vector<Host> m_hosts;
--- a/libs/registry/tests/CrashSharingTest.cpp
+++ b/libs/registry/tests/CrashSharingTest.cpp
@@ -281,3 +281,19 @@
         }
     }
 }
+
+// Without a record in the log, five more upstreams would crash after each loss of all processes.
+TEST_CASE("a part stays held back when all processes are killed at once")
+{
+    for (const int hosts : {1, 7}) {
+        for (const std::uint64_t seed : {1, 2, 3}) {
+            CrashScenario scenario;
+            scenario.hostCount = hosts;
+            scenario.deadlyPerSecond = {5};
+            scenario.allKilledAt = Millis(12'000);
+            scenario.duration = Millis(30'000);
+            scenario.seed = seed;
+            playBounded(scenario);
+        }
+    }
+}
