--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -198,7 +198,8 @@
                     + std::min(route->timeout, metadata.timeout.value_or(route->timeout));
     info.latencyObjective = route->latencyObjective;
     info.gapObjective = route->gapObjective;
-    for (const std::string &part : metadata.sharedParts)
+    // The texts of some 1,600 parts take more memory than the head that they come from.
+    for (const std::string &part : std::exchange(metadata.sharedParts, {}))
         info.fingerprints.push_back(fleet::fingerprintOf(info.service, {"part", part}));
     const auto body = std::make_shared<const std::string>(exchange->takeBody());
     info.fingerprints.push_back(fleet::fingerprintOf(
@@ -291,6 +292,11 @@
                                                        {"control", update.control}});
         m_freshness.confirm(update.requestedAt);
     }
+    if (reply.isConfirmed) {
+        m_leader = base::parseEndpoint(update.control.text());
+        // Calls that wait for a new upstream must not be sent there with suspect content.
+        applyCrashSuspects(update, now);
+    }
     applyFleet(m_fleetView.apply(update.control, reply.directory, now), now);
     if (!reply.rateLimits.empty())
         execute(m_dispatcher.handle(
@@ -298,8 +304,6 @@
                                                      update.requestedAt + reply.heldFor},
                         now),
                 now);
-    if (reply.isConfirmed)
-        m_leader = base::parseEndpoint(update.control.text());
     if (reply.isConfirmed) {
         if (reply.loadPeers) {
             m_loadChannel.setPeers(*reply.loadPeers);
@@ -308,7 +312,6 @@
             sendLoadUpdate(true);
         }
         m_entryHostCount = std::max(1, reply.entryHostCount);
-        applyCrashSuspects(update, now);
     }
     if (reply.isConfirmed || !reply.distantLoad.upstreams.empty())
         execute(m_dispatcher.handle(dispatch::PeerLoadSumReceived{reply.distantLoad,
--- a/libs/registry/tests/CrashPlayer.cpp
+++ b/libs/registry/tests/CrashPlayer.cpp
@@ -129,6 +129,9 @@
             for (std::size_t n = 0; n < m_hosts.size(); ++n)
                 watch(n);
         });
+    m_record.restore(replog::Term(m_leader), nullptr, m_suspects, m_now, wallMs());
+    if (m_scenario.allKilledAt)
+        scheduleAt(kStart + *m_scenario.allKilledAt, [this] { restartAll(); });
     for (base::TimePoint at = kStart; at < end + kCallerTimeout; at += kTick)
         scheduleAt(at, [this] {
             for (std::size_t n = 0; n < m_hosts.size(); ++n) {
@@ -139,6 +142,7 @@
             }
             if (hasLeader())
                 m_suspects.tick(m_now);
+            store();
             publish();
         });
     for (base::TimePoint at = kStart; at < end; at += kWatchInterval)
@@ -176,6 +180,14 @@
         info.fingerprints = {partOf(1'000'000 + info.id.count())};
     if (deadlyPart)
         info.fingerprints.push_back(partOf(100 + static_cast<std::int64_t>(*deadlyPart)));
+    for (std::int64_t n = 0; n < m_scenario.sharedPartCount; ++n)
+        info.fingerprints.push_back(partOf(10'000 + n));
+    for (std::int64_t n = 0; n < m_scenario.ownPartCount; ++n)
+        info.fingerprints.push_back(
+                partOf(100'000'000 + info.id.count() * m_scenario.ownPartCount + n));
+    // The last one is that of the whole request.
+    if (m_scenario.sharedPartCount + m_scenario.ownPartCount > 0)
+        info.fingerprints.push_back(partOf(-info.id.count()));
     m_attempts[info.id] = {host, 0, 0, {}};
     handle(host, dispatch::CallArrived{info});
 }
@@ -357,6 +369,11 @@
         fleet::CrashEvidence message = evidence;
         for (fleet::CrashReport &it : message.crashes)
             it.addAge(std::chrono::floor<Millis>(m_now - createdAt));
+        ++m_outcome.reports;
+        std::size_t contents = message.answered.size() + message.suspects.size();
+        for (const fleet::CrashReport &it : message.crashes)
+            contents += it.contents.size();
+        m_outcome.largestReport = std::max(m_outcome.largestReport, contents);
         m_suspects.report(message, m_now);
         publish();
     });
@@ -390,6 +407,38 @@
         watch(n);
 }
 
+std::int64_t CrashPlayer::wallMs() const
+{
+    return std::chrono::floor<Millis>(m_now.time_since_epoch()).count();
+}
+
+void CrashPlayer::store()
+{
+    if (!hasLeader())
+        return;
+    if (const auto text = m_record.takeDue(m_suspects, m_now, wallMs())) {
+        m_stored = ledger::StoredCrashSuspects{*text, wallMs()};
+        m_record.onStored(true);
+    }
+}
+
+void CrashPlayer::restartAll()
+{
+    m_suspects = {};
+    m_record = {};
+    ++m_leader;
+    m_record.restore(replog::Term(m_leader), m_stored ? &*m_stored : nullptr, m_suspects, m_now,
+                     wallMs());
+    for (auto &[call, attempt] : m_attempts)
+        ++attempt.number; // Calls end with their hosts.
+    for (Upstream &it : m_upstreams)
+        it.calls.clear();
+    for (std::size_t n = 0; n < m_hosts.size(); ++n) {
+        m_hosts[n] = {};
+        startHost(n);
+    }
+}
+
 void CrashPlayer::watch(std::size_t host)
 {
     Host &it = m_hosts[host];
--- a/libs/registry/tests/CrashPlayer.h
+++ b/libs/registry/tests/CrashPlayer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "CrashSuspects.h"
+#include "SuspectRecord.h"
 #include "VirtualTime.h"
 
 #include "dispatch/Dispatch.h"
@@ -27,9 +27,13 @@
     base::Millis leaderLostTo{0};
     /// One host starts only then, and gets all calls with deadly parts from then on.
     std::optional<base::Millis> lateHostAt;
+    /// All hosts and the leader lose their memory then; what the log holds is kept.
+    std::optional<base::Millis> allKilledAt;
     bool keepsIds = false; ///< Upstreams start again under their ids.
     /// Calls have no part in common; a deadly one comes again and again.
     bool areWholeRequests = false;
+    int sharedPartCount = 0; ///< Further parts that all calls have in common.
+    int ownPartCount = 0; ///< Further parts of each call that no other call has.
     std::uint64_t seed = 1;
 };
 
@@ -51,6 +55,8 @@
     std::vector<Call> calls;
     std::vector<DeadlyPart> deadlyParts;
     std::size_t suspects = 0; ///< At the end.
+    std::size_t largestReport = 0; ///< Contents in one message of a host.
+    std::size_t reports = 0; ///< Messages of all hosts.
 
     int arrivalsAfter(std::size_t part, base::TimePoint from) const;
     /// Calls without deadly parts that were sent from \a from on.
@@ -107,6 +113,9 @@
                       base::TimePoint createdAt);
     fleet::TrialKey keyOf(std::size_t host, dispatch::CallId call) const;
     void publish();
+    void store();
+    std::int64_t wallMs() const;
+    void restartAll();
     void watch(std::size_t host);
 
     void executeAction(std::size_t host, const dispatch::SendAttempt &action);
@@ -125,6 +134,8 @@
     std::mt19937_64 m_rng;
     CrashSuspects m_suspects;
     int m_leader = 1;
+    SuspectRecord m_record;
+    std::optional<ledger::StoredCrashSuspects> m_stored;
     std::int64_t m_publishedRevision = 0;
     base::TimePoint m_nextPublishAt{};
     std::vector<Host> m_hosts;
