process: Programs block their signals before constructors and main()

Cause: a signal that came before main() had blocked it ended the program. Change: each program that stops on signals blocks them in a function of its section .preinit_array, by the system call itself.

--- a/libs/process/include/process/Process.h
+++ b/libs/process/include/process/Process.h
@@ -81,6 +81,12 @@
 
 /// As blockStopSignals(), and holds SIGHUP back as well.
 void blockSignals();
+
+/// As blockStopSignals() and blockSignals(), for the section .preinit_array of a program: it runs
+/// before all constructors and main(). A signal that came before main() would end the program.
+/// Uses no function that may need initialization, such as those that sanitizers intercept.
+void blockStopSignalsEarly() noexcept;
+void blockSignalsEarly() noexcept;
 /// As runUntilStopped(), and calls \a reload on this thread at each SIGHUP.
 void runWithSignals(const std::function<void()> &run, const std::function<void()> &reload,
                     const std::function<void()> &stop);
--- a/libs/process/src/StopSignal.cpp
+++ b/libs/process/src/StopSignal.cpp
@@ -1,6 +1,8 @@
 #include "process/Process.h"
 
 #include <csignal>
+#include <cstdint>
+#include <sys/syscall.h>
 #include <thread>
 #include <unistd.h>
 
@@ -24,8 +26,34 @@
     return set;
 }
 
+/// A set of signals as the kernel represents it.
+constexpr std::uint64_t kernelSet(std::initializer_list<int> signals)
+{
+    std::uint64_t set = 0;
+    for (const int signal : signals)
+        set |= std::uint64_t(1) << (signal - 1);
+    return set;
+}
+
+void blockInKernel(const std::uint64_t &set) noexcept
+{
+    ::syscall(SYS_rt_sigprocmask, SIG_BLOCK, &set, nullptr, sizeof(set));
+}
+
 } // namespace
 
+void blockStopSignalsEarly() noexcept
+{
+    constexpr std::uint64_t kSet = kernelSet({SIGTERM, SIGINT});
+    blockInKernel(kSet);
+}
+
+void blockSignalsEarly() noexcept
+{
+    constexpr std::uint64_t kSet = kernelSet({SIGTERM, SIGINT, SIGHUP});
+    blockInKernel(kSet);
+}
+
 void blockStopSignals()
 {
     const sigset_t set = stopSignals();
--- a/programs/hyssop-control/main.cpp
+++ b/programs/hyssop-control/main.cpp
@@ -68,6 +68,10 @@
     return base::kExitBadSettings;
 }
 
+/// Runs before main().
+[[gnu::used,
+  gnu::section(".preinit_array")]] void (*const kBlockSignals)() = process::blockStopSignalsEarly;
+
 } // namespace
 
 int main(int argc, char **argv)
--- a/programs/hyssop-entry/main.cpp
+++ b/programs/hyssop-entry/main.cpp
@@ -88,6 +88,10 @@
     return options;
 }
 
+/// Runs before main().
+[[gnu::used,
+  gnu::section(".preinit_array")]] void (*const kBlockSignals)() = process::blockStopSignalsEarly;
+
 } // namespace
 
 int main(int argc, char **argv)
--- a/standins/crowd/main.cpp
+++ b/standins/crowd/main.cpp
@@ -37,6 +37,10 @@
     return announcement;
 }
 
+/// Runs before main().
+[[gnu::used,
+  gnu::section(".preinit_array")]] void (*const kBlockSignals)() = process::blockStopSignalsEarly;
+
 } // namespace
 
 int main(int argc, char **argv)
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -95,6 +95,10 @@
     return announcement;
 }
 
+/// Runs before main().
+[[gnu::used,
+  gnu::section(".preinit_array")]] void (*const kBlockSignals)() = process::blockStopSignalsEarly;
+
 } // namespace
 
 int main(int argc, char **argv)
--- a/standins/fault-proxy/main.cpp
+++ b/standins/fault-proxy/main.cpp
@@ -36,6 +36,10 @@
     return links;
 }
 
+/// Runs before main().
+[[gnu::used,
+  gnu::section(".preinit_array")]] void (*const kBlockSignals)() = process::blockStopSignalsEarly;
+
 } // namespace
 
 int main(int argc, char **argv)
--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -33,6 +33,10 @@
     return service;
 }
 
+/// Runs before main().
+[[gnu::used,
+  gnu::section(".preinit_array")]] void (*const kBlockSignals)() = process::blockStopSignalsEarly;
+
 } // namespace
 
 int main(int argc, char **argv)
