Evacuation of a data centre, and a send gate that everything asks which chooses an upstream

Cause: operators must be able to keep all requests from the upstreams of a data centre. Part of the answer to "may this be sent there" was in usableUpstreams(), part at the senders; probes of lost links asked nothing, and prompts with reserved memory were sent without a second look.

SendGate has one rule each for leaving, evacuated, regions, back-off, ejected and unreachable.

--- a/integration/platform/PlatformBed.cpp
+++ b/integration/platform/PlatformBed.cpp
@@ -25,6 +25,7 @@
 
 PlatformBed::PlatformBed(const PlatformPlan &plan)
     : m_plannedFolder(plan.folder)
+    , m_addedSettings(plan.settings)
     , m_hasFaultLinks(plan.hasFaultLinks)
     , m_uplinkGate(plan.hasUplinkGate ? std::make_unique<UplinkGate>() : nullptr)
 {
@@ -101,9 +102,9 @@
             "Node: \"{}\"\nIp: \"{}\"\nZone: \"{}\"\nListen:\n{}InternalPorts:\n  - {}\n  - {}\n"
             "Seeds:\n{}Bootstrap: {}\nDataDir: {}\nHeartbeatMs: 1200\nTolerate:\n"
             "  Machines: 1\nBounds:\n  RevokeMs: 5000\n  ConfigDeadlineMs: 2000\n"
-            "  GraceS: 8\nMark: \"{}\"\n",
+            "  GraceS: 8\nMark: \"{}\"\n{}",
             host.name, host.ip, dataCentreOf(number), listen, m_peerPort, m_peerPort + 1, seeds,
-            m_isFirstStart, data, mark);
+            m_isFirstStart, data, mark, m_addedSettings);
 }
 
 void PlatformBed::rewriteSettings(const PlatformHost &host, const std::string &mark)
@@ -154,14 +155,14 @@
 
 int announce(const base::Endpoint &control, const std::string &id, const std::string &service,
              const base::Endpoint &address, std::int64_t sequence, bool isLeaving,
-             std::int64_t incarnation)
+             std::int64_t incarnation, const std::string &dataCentre)
 {
     CallOptions options;
     options.limit = base::Millis(1'000);
     options.body = fmt::format(
-            R"({{"Service":"{}","Address":"{}","Zone":"floro-sal","Version":"v1","Slots":{},)"
+            R"({{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":{},)"
             R"("State":"{}","Seq":{}{}}})",
-            service, address.text(), kSlots, isLeaving ? "draining" : "ready", sequence,
+            service, address.text(), dataCentre, kSlots, isLeaving ? "draining" : "ready", sequence,
             incarnation > 0 ? fmt::format(R"(,"born":{})", incarnation) : "");
     return callOnce(control, "POST", "/api/instances/" + id + "/heartbeat", options).status;
 }
--- a/integration/platform/PlatformBed.h
+++ b/integration/platform/PlatformBed.h
@@ -18,6 +18,7 @@
     bool hasFaultLinks = false; ///< What comes from and goes to the outside passes the fault proxy.
     bool hasUplinkGate = false; ///< Entry hosts can be cut off from all replicas.
     std::filesystem::path folder = {}; ///< Of the programs at first; empty for that of this build.
+    std::string settings = {}; ///< Lines to add to the settings files of all hosts.
 };
 
 /// A host of the platform and the program on it.
@@ -79,6 +80,7 @@
     Addresses m_addresses;
     std::filesystem::path m_folder;
     std::filesystem::path m_plannedFolder; ///< Of the plan's programs.
+    std::string m_addedSettings;
     std::uint16_t m_peerPort = 0;
     bool m_isFirstStart = true;
     bool m_hasFaultLinks;
@@ -91,6 +93,6 @@
 /// \a incarnation is the start of the replica in Unix milliseconds, 0 leaves it out.
 int announce(const base::Endpoint &control, const std::string &id, const std::string &service,
              const base::Endpoint &address, std::int64_t sequence, bool isLeaving,
-             std::int64_t incarnation = 0);
+             std::int64_t incarnation = 0, const std::string &dataCentre = "floro-sal");
 
 } // namespace hyssop::harness
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -12,6 +12,8 @@
 #pragma once
 
 #include "base/Base.h"
+#include "dispatch/Reasons.h"
+#include "dispatch/SendScope.h"
 #include "fleet/Fleet.h"
 
 #include <memory>
@@ -44,55 +46,9 @@
     bool isRelayed = false; ///< Another entry host relayed it here, so it is not relayed again.
     /// Content that other calls of the service may have in common with it.
     std::vector<fleet::Fingerprint> fingerprints = {};
+    AllowedRegions allowedRegions = {};
 };
 
-/// Why a call ended without an answer from an upstream.
-enum class FailureReason {
-    NoUpstream, ///< No upstream is known, or none may be used.
-    TooLarge, ///< The engines of the service cannot hold the prompt.
-    Overloaded, ///< No capacity became free in time.
-    UpstreamRefused, ///< The upstreams that were tried did not start it.
-    UpstreamLost, ///< The connection to an upstream failed after the call was sent.
-    DeadlineExceeded, ///< The deadline of the call passed.
-    Stopping, ///< This host is stopping.
-    Quarantined, ///< It has content under which upstreams crashed.
-    Unreachable, ///< This host has lost its links to the upstreams of the service.
-};
-
-/// Name in metrics and logs.
-std::string_view failureReasonName(FailureReason reason);
-
-/// What a queued call lacked when it was last considered.
-enum class QueueBlocker {
-    None,
-    Capacity, ///< No upstream had a free place.
-    Permit, ///< It had no prefill permit.
-    Engines, ///< No engines were free enough for its prefill.
-    Memory, ///< The engines chosen for its prefill had too little free memory.
-    Reservation, ///< An engine did not reserve memory for it in time.
-    RateLimit, ///< The upstreams with a free place accept no more requests now.
-    BackOff, ///< All upstreams want no requests from this host for some time.
-    Trial, ///< It has suspect content and other suspects are tried before it.
-};
-
-/// Name in logs.
-std::string_view queueBlockerName(QueueBlocker blocker);
-
-/// How an attempt failed.
-enum class AttemptFault {
-    NotSent, ///< No byte reached the upstream.
-    Refused, ///< The upstream states that it did not start the call.
-    Misdirected, ///< The address belongs to another upstream now.
-    AnswerLost, ///< No complete answer arrived. The upstream may have run the call.
-    UpstreamError, ///< The upstream ran the call and answered with an error.
-    Stalled, ///< No data arrived for too long. The upstream may have run the call.
-};
-
-/// Name in metrics and logs.
-std::string_view attemptFaultName(AttemptFault fault);
-/// Whether a fault proves that the upstream did not run the call.
-bool provesNotRun(AttemptFault fault);
-
 // Events.
 
 /// A caller's request was admitted. The id must be new.
@@ -304,14 +260,13 @@
     AttemptFault fault = AttemptFault::AnswerLost;
 };
 
-using Event =
-        std::variant<CallArrived, CallerDisconnected, UpstreamUpdated, UpstreamRemoved,
-                     ServicesChanged, UpstreamLoadReported, BackOffStated, RateLimitStated,
-                     RateLimitsReceived, OrderSent, SendGrantReceived, UpstreamProbed,
-                     CrashSuspectsReceived, TrialDecided, PeerLoadSumReceived, PeerLoadReceived,
-                     PermitGranted, PermitDenied, ReservationDone, AnswerProgressed,
-                     AttemptSucceeded, AttemptFailed, RelayPeersChanged, RelayRejected, LinkProbed,
-                     StalledAttemptProgressed, StalledAttemptFailed, AnswerPaused>;
+using Event = std::variant<
+        CallArrived, CallerDisconnected, UpstreamUpdated, UpstreamRemoved, ServicesChanged,
+        UpstreamLoadReported, BackOffStated, RateLimitStated, RateLimitsReceived, OrderSent,
+        SendGrantReceived, UpstreamProbed, CrashSuspectsReceived, TrialDecided, PeerLoadSumReceived,
+        PeerLoadReceived, PermitGranted, PermitDenied, ReservationDone, AnswerProgressed,
+        AttemptSucceeded, AttemptFailed, RelayPeersChanged, RelayRejected, LinkProbed,
+        StalledAttemptProgressed, StalledAttemptFailed, AnswerPaused, EvacuationsChanged>;
 
 // Actions.
 
@@ -584,6 +539,7 @@
     int retryAllowance = 100; ///< Further retries in a window, shared by all entry hosts.
     base::Millis retryWindow{10'000};
     std::uint64_t seed = 1;
+    Regions regions = {};
 };
 
 /// Current numbers, for gauges.
@@ -596,6 +552,7 @@
     std::size_t rateLimited = 0; ///< Upstreams with a limit on their requests.
     std::size_t crashSuspects = 0; ///< Content under which upstreams crashed.
     std::size_t lostServices = 0; ///< Services whose upstreams this host cannot reach.
+    std::map<SendRefusalReason, std::size_t> refused; ///< Upstreams that get no calls now.
 };
 
 class Dispatcher
--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -184,6 +184,12 @@
         call->blocker = QueueBlocker::Reservation;
         return rejectOrFail(*call, FailureReason::Overloaded, now);
     }
+    if (!maySendReserved(*call, now)) {
+        withdrawPermit(*call);
+        releaseAttempt(*call, now);
+        --call->attempts;
+        return enqueue(*call, now);
+    }
     SendAttempt action = *std::exchange(call->pendingAttempt, std::nullopt);
     action.timeLeft = std::chrono::floor<base::Millis>(call->info.deadline - now);
     call->stage = CallStage::Sent;
@@ -424,7 +430,7 @@
 bool Dispatcher::Impl::hasRoomElsewhere(const ActiveCall &call, base::TimePoint now)
 {
     const ServiceState &service = serviceOf(call.info.service);
-    const std::vector<UpstreamState *> upstreams = usableUpstreams(service, now);
+    const std::vector<UpstreamState *> upstreams = usableUpstreams(call, service, now);
     return std::any_of(upstreams.begin(), upstreams.end(), [&](const UpstreamState *it) {
         const int slots =
                 service.parameters.engine ? service.parameters.engine->slots : it->info().slots;
@@ -536,7 +542,7 @@
     const base::Millis minDelay =
             call.promptClass == PromptClass::Long
                     ? std::max(kMinRetryAfter, call.info.latencyObjective / 2)
-                    : std::max({kMinRetryAfter, rateLimitDelay(call), backOffDelay(call, now)});
+                    : std::max({kMinRetryAfter, rateLimitDelay(call), gateDelay(call, now)});
     std::uniform_int_distribution<std::int64_t> delay(minDelay.count(), 2 * minDelay.count());
     const auto remaining = std::chrono::duration_cast<base::Millis>(call.info.deadline - now);
     return std::clamp(base::Millis(delay(m_rng)), base::Millis(1),
--- a/libs/dispatch/src/BackOff.cpp
+++ b/libs/dispatch/src/BackOff.cpp
@@ -35,31 +35,4 @@
         m_backOffs.erase(it);
 }
 
-base::TimePoint Dispatcher::Impl::firstBackOffEnd(const ServiceState &service, base::TimePoint now)
-{
-    base::TimePoint first = base::TimePoint::max();
-    for (const UpstreamState *it : service.upstreams) {
-        if (!it->info().isLeaving && now < it->backsOffUntil())
-            first = std::min(first, it->backsOffUntil());
-    }
-    return first;
-}
-
-void Dispatcher::Impl::rejectIfBackOffLasts(ActiveCall &call, const ServiceState &service,
-                                            base::TimePoint now)
-{
-    if (firstBackOffEnd(service, now) > queueDeadline(call))
-        rejectOrFail(call, FailureReason::Overloaded, now);
-}
-
-base::Millis Dispatcher::Impl::backOffDelay(const ActiveCall &call, base::TimePoint now) const
-{
-    const auto service = m_services.find(call.info.service);
-    if (call.blocker != QueueBlocker::BackOff || service == m_services.end())
-        return base::Millis(0);
-    const base::TimePoint end = firstBackOffEnd(service->second, now);
-    return end == base::TimePoint::max() ? base::Millis(0)
-                                         : std::chrono::ceil<base::Millis>(end - now);
-}
-
 } // namespace hyssop::dispatch
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -1,4 +1,10 @@
 #include "DispatcherImpl.h"
+#include "rules/BackOffRule.h"
+#include "rules/EjectedRule.h"
+#include "rules/EvacuatedRule.h"
+#include "rules/LeavingRule.h"
+#include "rules/RegionRule.h"
+#include "rules/UnreachableRule.h"
 
 #include <algorithm>
 #include <cassert>
@@ -36,6 +42,10 @@
         return "quarantined";
     case FailureReason::Unreachable:
         return "unreachable";
+    case FailureReason::Evacuated:
+        return "evacuated";
+    case FailureReason::OutsideRegions:
+        return "outside_regions";
     }
     return "unknown";
 }
@@ -61,6 +71,10 @@
         return "back_off";
     case QueueBlocker::Trial:
         return "trial";
+    case QueueBlocker::Evacuated:
+        return "evacuated";
+    case QueueBlocker::OutsideRegions:
+        return "outside_regions";
     }
     return "unknown";
 }
@@ -117,7 +131,14 @@
 Dispatcher::Impl::Impl(DispatcherOptions options)
     : m_options(std::move(options))
     , m_rng(m_options.seed)
-{ }
+{
+    m_gate.add(std::make_unique<LeavingRule>());
+    m_gate.add(std::make_unique<EvacuatedRule>(&m_evacuations));
+    m_gate.add(std::make_unique<RegionRule>(m_options.regions));
+    m_gate.add(std::make_unique<BackOffRule>());
+    m_gate.add(std::make_unique<EjectedRule>());
+    m_gate.add(std::make_unique<UnreachableRule>(&m_reachability, m_options.dataCentre));
+}
 
 ServiceState &Dispatcher::Impl::serviceOf(const base::ServiceId &id)
 {
@@ -382,8 +403,9 @@
             sendAttempt(call, *placement, now);
         } else if (call.blocker == QueueBlocker::RateLimit) {
             waitForSendGrant(call, service, now);
-        } else if (call.blocker == QueueBlocker::BackOff) {
-            rejectIfBackOffLasts(call, service, now);
+        } else if (call.blocker == QueueBlocker::BackOff || call.blocker == QueueBlocker::Evacuated
+                   || call.blocker == QueueBlocker::OutsideRegions) {
+            rejectIfRefused(call, service, now);
         }
     }
 }
@@ -453,6 +475,10 @@
                 return it.second->rateLimit().rate != fleet::kUnlimitedRate;
             }));
     stats.crashSuspects = m_suspects.size();
+    for (const auto &[id, state] : m_upstreams) {
+        if (const auto refusal = m_gate.check(*state, {}, now))
+            ++stats.refused[refusal->reason];
+    }
     stats.lostServices = static_cast<std::size_t>(
             std::count_if(m_services.begin(), m_services.end(),
                           [](const auto &it) { return it.second.links.isLost(); }));
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -9,6 +9,7 @@
 #include "Reachability.h"
 #include "RelayPeers.h"
 #include "RetryBudget.h"
+#include "SendGate.h"
 #include "UpstreamState.h"
 
 #include <algorithm>
@@ -186,6 +187,7 @@
     void handle(const RelayPeersChanged &event, base::TimePoint now);
     void handle(const RelayRejected &event, base::TimePoint now);
     void handle(const LinkProbed &event, base::TimePoint now);
+    void handle(const EvacuationsChanged &event, base::TimePoint now);
     void handle(const PermitGranted &event, base::TimePoint now);
     void handle(const PermitDenied &event, base::TimePoint now);
     void handle(const ReservationDone &event, base::TimePoint now);
@@ -273,9 +275,22 @@
     static bool splitMemory(const ActiveCall &call, const fleet::EngineSpec &spec,
                             const std::vector<UpstreamState *> &prefillEngines,
                             Placement &placement, base::TimePoint now);
-    /// Upstreams that may get new calls, or ejected and unreachable ones if there are no others.
-    std::vector<UpstreamState *> usableUpstreams(const ServiceState &service,
+    // Gate.
+    static SendScope scopeOf(const ActiveCall &call) { return {&call.info.allowedRegions}; }
+    /// Upstreams that may get \a call, or ejected and unreachable ones if there are no others.
+    std::vector<UpstreamState *> usableUpstreams(const ActiveCall &call,
+                                                 const ServiceState &service,
                                                  base::TimePoint now) const;
+    /// What the gate lets a queued call wait for.
+    QueueBlocker gateBlocker(const ActiveCall &call, const ServiceState &service,
+                             base::TimePoint now) const;
+    /// Rejects a queued call that the gate keeps from all upstreams for too long.
+    void rejectIfRefused(ActiveCall &call, const ServiceState &service, base::TimePoint now);
+    /// Whether an attempt whose memory is reserved may still be sent.
+    bool maySendReserved(const ActiveCall &call, base::TimePoint now);
+    /// Time until the gate lets a call pass, as far as it is known; 0 when it does not hold it
+    /// back.
+    base::Millis gateDelay(const ActiveCall &call, base::TimePoint now) const;
     // Lost links and relays.
     /// Records that an attempt at an upstream got no answer.
     void recordLinkFailure(const UpstreamState &upstream, base::TimePoint sentAt,
@@ -293,11 +308,6 @@
                    base::TimePoint now);
     void handleRelayFailure(ActiveCall &call, AttemptFault fault, base::TimePoint now);
     // Back off.
-    /// When the first upstream of \a service that wants no requests now takes some again.
-    static base::TimePoint firstBackOffEnd(const ServiceState &service, base::TimePoint now);
-    /// Rejects a call that waits for upstreams to take requests again if none will in time.
-    void rejectIfBackOffLasts(ActiveCall &call, const ServiceState &service, base::TimePoint now);
-    base::Millis backOffDelay(const ActiveCall &call, base::TimePoint now) const;
     /// An upstream that was removed and is back still wants no requests.
     void restoreBackOff(UpstreamState &state, base::TimePoint now);
     // Rate limits.
@@ -409,6 +419,8 @@
     std::map<CallId, ActiveCall> m_calls;
     std::map<std::pair<int, CallId>, CallId> m_queue; ///< Ordered by priority, then by arrival.
     Reachability m_reachability;
+    fleet::Evacuations m_evacuations;
+    SendGate m_gate;
     RelayPeers m_relayPeers;
     PeerLoads m_peerLoads;
     std::map<base::UpstreamId, fleet::UpstreamLoad> m_distantLoads; ///< Of hosts that are no peers.
--- a/libs/dispatch/src/LongPlacement.cpp
+++ b/libs/dispatch/src/LongPlacement.cpp
@@ -103,7 +103,7 @@
     if (m_entryHostCount <= kMaxMeshEntryHosts)
         return {};
     std::vector<UpstreamState *> local;
-    for (UpstreamState *it : usableUpstreams(service, now)) {
+    for (UpstreamState *it : usableUpstreams(call, service, now)) {
         if (it->info().dataCentre == m_options.dataCentre)
             local.push_back(it);
     }
--- a/libs/dispatch/src/Placement.cpp
+++ b/libs/dispatch/src/Placement.cpp
@@ -90,25 +90,6 @@
     return call.kvTokens.count() > spec->kvTokens.count() * static_cast<std::int64_t>(engineCount);
 }
 
-std::vector<UpstreamState *> Dispatcher::Impl::usableUpstreams(const ServiceState &service,
-                                                               base::TimePoint now) const
-{
-    std::vector<UpstreamState *> usable;
-    for (UpstreamState *it : service.upstreams) {
-        const bool isLocal = it->info().dataCentre == m_options.dataCentre;
-        if (it->isUsable(now)
-            && (isLocal || !m_reachability.isUnreachable(it->info().dataCentre, now)))
-            usable.push_back(it);
-    }
-    if (!usable.empty())
-        return usable;
-    for (UpstreamState *it : service.upstreams) {
-        if (it->isOpen(now))
-            usable.push_back(it);
-    }
-    return usable;
-}
-
 UpstreamState *Dispatcher::Impl::leastLoaded(const std::vector<UpstreamState *> &candidates,
                                              const ActiveCall &call, int maxRequests,
                                              base::TimePoint now)
@@ -137,10 +118,7 @@
 std::optional<Placement> Dispatcher::Impl::place(ActiveCall &call, ServiceState &service,
                                                  base::TimePoint now)
 {
-    call.blocker = firstBackOffEnd(service, now) < base::TimePoint::max()
-                                   && usableUpstreams(service, now).empty()
-                           ? QueueBlocker::BackOff
-                           : QueueBlocker::Capacity;
+    call.blocker = gateBlocker(call, service, now);
     return service.parameters.engine && call.info.promptTokens.count() > 0
                    ? placePrompt(call, service, now)
                    : placePlain(call, service, now);
@@ -149,7 +127,7 @@
 std::optional<Placement> Dispatcher::Impl::placePlain(ActiveCall &call, ServiceState &service,
                                                       base::TimePoint now)
 {
-    const std::vector<UpstreamState *> upstreams = usableUpstreams(service, now);
+    const std::vector<UpstreamState *> upstreams = usableUpstreams(call, service, now);
     int maxRequests = 1;
     for (const UpstreamState *it : upstreams)
         maxRequests = std::max(maxRequests, it->info().slots);
@@ -213,7 +191,7 @@
 std::optional<Placement> Dispatcher::Impl::placePrompt(ActiveCall &call, ServiceState &service,
                                                        base::TimePoint now)
 {
-    const std::vector<UpstreamState *> engines = usableUpstreams(service, now);
+    const std::vector<UpstreamState *> engines = usableUpstreams(call, service, now);
     if (engines.empty())
         return std::nullopt;
     if (call.promptClass == PromptClass::Long)
--- a/libs/dispatch/src/RateLimits.cpp
+++ b/libs/dispatch/src/RateLimits.cpp
@@ -124,7 +124,7 @@
     std::vector<UpstreamState *> limited;
     bool hasUnlimited = false;
     for (UpstreamState *it : service.upstreams) {
-        if (!it->isUsable(now))
+        if (!m_gate.maySend(*it, {}, now))
             continue;
         if (!it->isRateLimited()) {
             hasUnlimited = true;
@@ -147,7 +147,8 @@
 {
     const int hostCount = m_sharingHosts.current(now);
     for (UpstreamState *it : service.upstreams) {
-        if (it->isRateLimited() && it->isUsable(now) && it->takeLocalShare(hostCount, m_rng, now)) {
+        if (it->isRateLimited() && m_gate.maySend(*it, {}, now)
+            && it->takeLocalShare(hostCount, m_rng, now)) {
             it->addSendGrant(1, now + kSendGrantLifetime);
             return true;
         }
--- a/libs/dispatch/src/Reachability.cpp
+++ b/libs/dispatch/src/Reachability.cpp
@@ -50,4 +50,11 @@
     return it != m_dataCentres.end() && now < it->second.unreachableUntil;
 }
 
+std::optional<base::TimePoint> Reachability::unreachableUntil(
+        const base::DataCentreId &dataCentre) const
+{
+    const auto it = m_dataCentres.find(dataCentre);
+    return it == m_dataCentres.end() ? std::nullopt : std::optional(it->second.unreachableUntil);
+}
+
 } // namespace hyssop::dispatch
--- a/libs/dispatch/src/Reachability.h
+++ b/libs/dispatch/src/Reachability.h
@@ -3,6 +3,7 @@
 #include "base/Base.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace hyssop::dispatch {
@@ -19,6 +20,8 @@
     bool recordFailure(const base::DataCentreId &dataCentre, const base::UpstreamId &upstream,
                        base::TimePoint now);
     bool isUnreachable(const base::DataCentreId &dataCentre, base::TimePoint now) const;
+    /// Until when it counts as unreachable, also if that is over; empty if it never did.
+    std::optional<base::TimePoint> unreachableUntil(const base::DataCentreId &dataCentre) const;
 
 private:
     struct DataCentre
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -59,8 +59,16 @@
         if (now < service.links.nextProbeAt() || service.upstreams.empty())
             continue;
         service.links.beginProbe(now);
-        const UpstreamState *upstream = service.upstreams[m_rng() % service.upstreams.size()];
-        m_actions.emplace_back(ProbeLink{upstream->info()});
+        std::vector<const UpstreamState *> candidates;
+        for (const UpstreamState *it : service.upstreams) {
+            if (!m_gate.checkHard(*it, {nullptr, SendKind::Probe}, now))
+                candidates.push_back(it);
+        }
+        if (candidates.empty()) {
+            service.links.endProbe(false);
+            continue;
+        }
+        m_actions.emplace_back(ProbeLink{candidates[m_rng() % candidates.size()]->info()});
     }
 }
 
--- a/libs/dispatch/src/UpstreamState.h
+++ b/libs/dispatch/src/UpstreamState.h
@@ -64,10 +64,6 @@
     /// It wants no requests of this host until then.
     void backOffUntil(base::TimePoint time) { m_backsOffUntil = std::max(m_backsOffUntil, time); }
     base::TimePoint backsOffUntil() const { return m_backsOffUntil; }
-    /// Whether it takes new calls at all, even if they are likely to fail.
-    bool isOpen(base::TimePoint now) const { return !m_info.isLeaving && now >= m_backsOffUntil; }
-    /// Whether it may get new calls.
-    bool isUsable(base::TimePoint now) const { return isOpen(now) && !isEjected(now); }
 
 private:
     /// Requests that this host may send in spite of the rate limit.
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -108,6 +108,7 @@
                 m_routeTable ? m_routeTable->version() : fleet::ConfigurationVersion();
         state.acceptsDelta = m_routeTable && !m_needsWholeConfiguration;
         state.load = m_dispatcher.ownLoad();
+        state.evacuationsRevision = m_evacuations.state().revision;
         return state;
     };
     m_watcher = std::make_unique<FleetWatcher>(
@@ -128,7 +129,7 @@
 bool Edge::Impl::isReady() const
 {
     return m_routeTable && !m_stopRequestedAt && !m_fleetView.isEmpty()
-           && m_freshness.canAcceptKeys(base::monotonicNow());
+           && m_evacuations.isConfirmed() && m_freshness.canAcceptKeys(base::monotonicNow());
 }
 
 void Edge::Impl::setControlHosts(const std::vector<base::Endpoint> &controlHosts)
@@ -159,6 +160,8 @@
 {
     if (!m_routeTable || !m_freshness.wasConfirmed())
         return Refusal{503, "no_configuration"};
+    if (!m_evacuations.isConfirmed())
+        return Refusal{503, "evacuations_not_confirmed"};
     if (m_stopRequestedAt && now >= *m_stopRequestedAt + kStopAdmissionTime)
         return Refusal{503, "stopping"};
     const gateway::RequestHead &head = exchange->head();
@@ -281,6 +284,7 @@
 {
     const base::TimePoint now = base::monotonicNow();
     const fleet::WatchReply &reply = update.reply;
+    applyEvacuations(reply, now);
     if (auto text = configurationTextFrom(reply))
         applyConfiguration(*std::move(text), reply.configurationVersion, now);
     if (reply.isConfirmed && m_routeTable && m_routeTable->version() >= reply.configurationVersion
@@ -545,6 +549,7 @@
     m_metrics->set("hyssop_ejected_upstreams", static_cast<double>(stats.ejected));
     m_metrics->set("hyssop_lost_services", static_cast<double>(stats.lostServices));
     m_metrics->set("hyssop_crash_suspects", static_cast<double>(stats.crashSuspects));
+    updateGateGauges(stats);
     m_metrics->set("hyssop_rate_limited_upstreams", static_cast<double>(stats.rateLimited));
     m_metrics->set("hyssop_caller_connections", static_cast<double>(m_server.connectionCount()));
     m_metrics->set("hyssop_configuration_version",
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -5,6 +5,7 @@
 #include "EventSplitter.h"
 #include "FleetWatcher.h"
 #include "Freshness.h"
+#include "KnownEvacuations.h"
 #include "LoadChannel.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -252,6 +253,8 @@
     std::optional<std::string> configurationTextFrom(const fleet::WatchReply &reply);
     void applyConfiguration(std::string text, fleet::ConfigurationVersion version,
                             base::TimePoint now);
+    void applyEvacuations(const fleet::WatchReply &reply, base::TimePoint now);
+    void updateGateGauges(const dispatch::DispatcherStats &stats);
     void applyFleet(const fleet::FleetView::Changes &changes, base::TimePoint now);
     void tickFleet();
     /// Sends this host's load to its peers after a short delay that collects further changes.
@@ -281,6 +284,7 @@
     std::string m_configurationText; ///< Of the route table.
     bool m_needsWholeConfiguration = false; ///< The last delta did not fit.
     Freshness m_freshness;
+    KnownEvacuations m_evacuations;
     fleet::FleetView m_fleetView;
     base::Rng m_rng;
     std::int64_t m_lastCallId = 0;
--- a/libs/edge/src/FleetWatcher.cpp
+++ b/libs/edge/src/FleetWatcher.cpp
@@ -92,6 +92,7 @@
     request.directoryRevision = it->second.directoryRevision;
     request.factsRevision = it->second.factsRevision;
     request.loadPeersRevision = it->second.loadPeersRevision;
+    request.evacuationsRevision = local.evacuationsRevision;
     const base::Millis wait = it->second.isLeader ? kLongPollWait : kFollowerPollWait;
     request.maxWait = wait;
     request.load = std::move(local.load);
--- a/libs/edge/src/FleetWatcher.h
+++ b/libs/edge/src/FleetWatcher.h
@@ -28,6 +28,7 @@
         fleet::ConfigurationVersion configurationVersion;
         bool acceptsDelta = false;
         fleet::LoadReport load;
+        std::int64_t evacuationsRevision = 0;
     };
     using LocalStateProvider = std::function<LocalState()>;
 
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -6,6 +6,8 @@
 #pragma once
 
 #include "base/Base.h"
+#include "fleet/ConfigurationText.h"
+#include "fleet/Evacuations.h"
 
 #include <limits>
 #include <map>
@@ -121,19 +123,6 @@
     virtual tl::expected<Configuration, ConfigurationError> parse(std::string_view text) const = 0;
 };
 
-/// Compresses a source text for storage and transfer. Control hosts send every text to all entry
-/// hosts within the time limit for configuration changes, so its size matters.
-std::string compressText(std::string_view text);
-/// Decompresses a source text; one that was stored uncompressed is returned as it is. Returns
-/// nothing if \a packed is damaged or the text exceeds the accepted size.
-std::optional<std::string> decompressText(std::string_view packed);
-
-/// Encodes how \a target differs from \a base, both texts of configurations. Its size depends on
-/// the difference only, in whole elements of their lists.
-std::string makeDelta(std::string_view base, std::string_view target);
-/// Returns the target of a delta, or nothing if the delta is damaged or was made for another base.
-std::optional<std::string> applyDelta(std::string_view base, std::string_view delta);
-
 /// Looks up routes, services and teams of a configuration.
 class RouteTable
 {
@@ -509,6 +498,7 @@
     /// Of the last reply of the same control host.
     std::int64_t factsRevision = 0;
     std::int64_t loadPeersRevision = 0; ///< Of the peers that the requesting host uses; 0 for none.
+    std::int64_t evacuationsRevision = 0; ///< Of the evacuations that the requesting host knows.
 };
 
 /// Reply to a WatchRequest.
@@ -547,6 +537,7 @@
     /// The control host keeps account of crash suspects. Not sent: those of builds that do not are
     /// known by what their replies lack.
     bool knowsCrashSuspects = true;
+    std::optional<Evacuations> evacuations; ///< Empty from builds that do not know them.
 };
 
 /// CBOR encoding and decoding. Decoding returns nothing for bytes that are not a valid message.
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -250,11 +250,12 @@
 
 std::string encode(const WatchRequest &request)
 {
-    return base::toCbor(
-            {request.host.text(), request.dataCentre.text(), request.configurationVersion.count(),
-             request.directoryIncarnation, request.directoryRevision, request.maxWait.count(),
-             listToJson(request.load.upstreams), request.address.text(), request.factsRevision,
-             request.loadPeersRevision, request.acceptsDelta, request.acceptsPackedDirectory});
+    return base::toCbor({request.host.text(), request.dataCentre.text(),
+                         request.configurationVersion.count(), request.directoryIncarnation,
+                         request.directoryRevision, request.maxWait.count(),
+                         listToJson(request.load.upstreams), request.address.text(),
+                         request.factsRevision, request.loadPeersRevision, request.acceptsDelta,
+                         request.acceptsPackedDirectory, request.evacuationsRevision});
 }
 
 std::optional<WatchRequest> decodeWatchRequest(std::string_view bytes)
@@ -280,6 +281,9 @@
             request.acceptsDelta = j.at(10);
         if (j.size() > 11)
             request.acceptsPackedDirectory = j.at(11);
+        // Entry hosts of earlier versions do not wait for evacuations.
+        request.evacuationsRevision = j.size() > 12 ? j.at(12).get<std::int64_t>()
+                                                    : std::numeric_limits<std::int64_t>::max();
         return request;
     });
 }
@@ -303,6 +307,27 @@
         changes.departed.push_back(departedFrom(it));
 }
 
+json evacuationsToJson(const std::optional<Evacuations> &evacuations)
+{
+    if (!evacuations)
+        return nullptr;
+    json names = json::array();
+    for (const base::DataCentreId &it : evacuations->dataCentres)
+        names.push_back(it.text());
+    return json::array({evacuations->revision, std::move(names)});
+}
+
+std::optional<Evacuations> evacuationsFrom(const json &j)
+{
+    if (j.is_null())
+        return std::nullopt;
+    Evacuations evacuations;
+    evacuations.revision = j.at(0);
+    for (const json &it : j.at(1))
+        evacuations.dataCentres.insert(base::DataCentreId(it));
+    return evacuations;
+}
+
 } // namespace
 
 std::string encode(const WatchReply &reply)
@@ -336,7 +361,8 @@
                          reply.loadPeersRevision,
                          reply.configurationDelta ? json(*reply.configurationDelta) : json(),
                          reply.deltaBase.count(),
-                         reply.packedDirectory});
+                         reply.packedDirectory,
+                         evacuationsToJson(reply.evacuations)});
 }
 
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes)
@@ -387,6 +413,8 @@
         }
         if (j.size() > 19 && !j.at(19).get<std::string>().empty())
             unpackDirectory(j.at(19), reply.directory);
+        if (j.size() > 20)
+            reply.evacuations = evacuationsFrom(j.at(20));
         return reply;
     });
 }
--- a/libs/ledger/include/ledger/Ledger.h
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -167,6 +167,27 @@
     std::string text;
 };
 
+/// Begins or ends the evacuation of a data centre, to whose upstreams nothing is sent meanwhile.
+///
+/// It is stored as a lease of the reserved name evacuationLeaseName(), held by the owner "on" or
+/// "off". Builds that do not know the command apply it as that lease and keep it in their
+/// snapshots, so that an evacuation survives on the disks of hosts of an earlier build.
+struct SetEvacuation
+{
+    base::DataCentreId dataCentre;
+    bool isEvacuated = true;
+};
+
+/// Name of the lease that stores whether \a dataCentre is evacuated.
+std::string evacuationLeaseName(const base::DataCentreId &dataCentre);
+
+/// Evacuated data centres.
+struct Evacuations
+{
+    std::int64_t revision = 0; ///< Grows with each SetEvacuation; 0 before the first one.
+    std::vector<base::DataCentreId> dataCentres; ///< In order.
+};
+
 /// Configuration in force.
 struct StoredConfiguration
 {
@@ -175,9 +196,9 @@
     replog::Position position; ///< Log position of the command that stored it.
 };
 
-using Command =
-        std::variant<PutRecord, Claim, ReleaseClaim, FinishClaim, RetireOwner, SubmitJob, TakeJob,
-                     FinishJob, TakeLease, InitializeGroup, ReinstateOwner, PutConfiguration>;
+using Command = std::variant<PutRecord, Claim, ReleaseClaim, FinishClaim, RetireOwner, SubmitJob,
+                             TakeJob, FinishJob, TakeLease, InitializeGroup, ReinstateOwner,
+                             PutConfiguration, SetEvacuation>;
 
 /// Whether a command is idempotent, so that it may be resent after a lost reply.
 bool isSafeToResend(const Command &command);
@@ -258,6 +279,7 @@
     const records::Record *record(records::Kind kind, const std::string &name) const;
     /// Empty until the first PutConfiguration.
     const std::optional<StoredConfiguration> &configuration() const { return m_configuration; }
+    Evacuations evacuations() const;
     /// Null if there is no such job.
     const Job *job(const base::JobId &id) const;
     /// Jobs of one team, ordered by id.
@@ -327,6 +349,7 @@
     Reply execute(const InitializeGroup &command);
     Reply execute(const ReinstateOwner &command);
     Reply execute(const PutConfiguration &command);
+    Reply execute(const SetEvacuation &command);
     bool isRetired(const Owner &owner) const;
     /// Whether a home-scoped key names a group incarnation other than this group's.
     bool isFromOtherIncarnation(const std::string &key) const;
--- a/libs/ledger/src/Codec.cpp
+++ b/libs/ledger/src/Codec.cpp
@@ -1,3 +1,4 @@
+#include "EvacuationLease.h"
 #include "JsonConversion.h"
 
 namespace hyssop::ledger {
@@ -144,6 +145,11 @@
     return {{"op", "configure"}, {"version", c.version}, {"text", c.text}};
 }
 
+json commandToJson(const SetEvacuation &c)
+{
+    return commandToJson(toLease(c));
+}
+
 std::optional<Command> commandFromJson(const json &j)
 {
     const std::string op = j.at("op");
@@ -174,9 +180,13 @@
     if (op == "end")
         return FinishJob{base::JobId(j.at("id")), ownerFromJson(j.at("owner")),
                          static_cast<JobState>(j.at("state").get<int>()), j.at("result")};
-    if (op == "lease")
-        return TakeLease{j.at("name"), ownerFromJson(j.at("owner")),
-                         base::Millis(j.at("duration"))};
+    if (op == "lease") {
+        const TakeLease lease{j.at("name"), ownerFromJson(j.at("owner")),
+                              base::Millis(j.at("duration"))};
+        if (const auto evacuation = toEvacuation(lease.name, lease.owner))
+            return *evacuation;
+        return lease;
+    }
     if (op == "found")
         return InitializeGroup{j.at("incarnation").get<std::int64_t>()};
     if (op == "configure")
--- a/libs/registry/include/registry/Registry.h
+++ b/libs/registry/include/registry/Registry.h
@@ -60,6 +60,7 @@
     std::int64_t configurationVersion = 0; ///< Of the applied configuration; 0 when there is none.
     bool isLeader = false;
     bool hasRecentLeader = false; ///< A leader was active within an election timeout.
+    std::size_t evacuatedDataCentres = 0;
     std::size_t upstreams = 0;
     std::size_t pendingWatches = 0; ///< Watches that wait for a change.
     std::size_t entryHosts = 0; ///< Entry hosts that reported recently.
@@ -79,6 +80,9 @@
     /// Stores a configuration that has already been validated. \a done is called once.
     void putConfiguration(fleet::ConfigurationVersion version, std::string text,
                           std::function<void(PutOutcome)> done, base::TimePoint now);
+    /// Begins or ends the evacuation of a data centre. \a done is called once.
+    void setEvacuation(const base::DataCentreId &dataCentre, bool isEvacuated,
+                       std::function<void(PutOutcome)> done);
     /// Reads the latest committed configuration, from the leader if necessary. Yields nothing when
     /// no leader with a lease confirms it.
     void readConfiguration(std::function<void(std::optional<ledger::StoredConfiguration>)> done,
--- a/libs/registry/src/PendingWatches.cpp
+++ b/libs/registry/src/PendingWatches.cpp
@@ -12,7 +12,8 @@
     return request.configurationVersion < state.configuration
            || request.directoryIncarnation != state.directoryIncarnation
            || request.directoryRevision < state.directoryRevision
-           || request.factsRevision < state.factsRevision;
+           || request.factsRevision < state.factsRevision
+           || request.evacuationsRevision < state.evacuationsRevision;
 }
 
 } // namespace
--- a/libs/registry/src/PendingWatches.h
+++ b/libs/registry/src/PendingWatches.h
@@ -20,6 +20,7 @@
         std::int64_t directoryIncarnation = 0;
         std::int64_t directoryRevision = 0;
         std::int64_t factsRevision = 0;
+        std::int64_t evacuationsRevision = 0;
     };
 
     /// Adds a request; its wait is capped at kMaxWait.
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -2,14 +2,14 @@
 
 #include "ConfigurationHistory.h"
 #include "CrashSuspects.h"
+#include "GroupEvacuationLink.h"
 #include "LoadAggregator.h"
 #include "PackedDirectory.h"
 #include "PendingWatches.h"
 #include "PrefillPermits.h"
 #include "PublishedRevision.h"
 #include "SendGrants.h"
-
-#include <nlohmann/json.hpp>
+#include "StoredText.h"
 
 #include <cmath>
 
@@ -48,41 +48,6 @@
 /// The host stops after this time even when no other leader was elected.
 constexpr base::Millis kStopTimeout{2'000};
 
-std::string encodeConfiguration(const std::optional<ledger::StoredConfiguration> &configuration)
-{
-    if (!configuration)
-        return base::toCbor({0, ""});
-    return base::toCbor({configuration->version, configuration->text});
-}
-
-std::optional<ledger::StoredConfiguration> decodeConfiguration(const std::string &bytes)
-{
-    const auto parsed = base::parseCbor(bytes);
-    if (!parsed)
-        return std::nullopt;
-    try {
-        return ledger::StoredConfiguration{parsed->at(0), parsed->at(1), {}};
-    } catch (const nlohmann::json::exception &) {
-        return std::nullopt;
-    }
-}
-
-/// Restores the text that the operator sent; empty when it is damaged.
-std::optional<ledger::StoredConfiguration> withUnpackedText(
-        std::optional<ledger::StoredConfiguration> configuration)
-{
-    if (!configuration)
-        return std::nullopt;
-    auto text = fleet::decompressText(configuration->text);
-    if (!text) {
-        base::logEvent("configuration_unreadable",
-                       {{"version", configuration->version}, {"reason", "damaged"}});
-        return std::nullopt;
-    }
-    configuration->text = *std::move(text);
-    return configuration;
-}
-
 } // namespace
 
 std::string_view putOutcomeName(PutOutcome outcome)
@@ -108,6 +73,9 @@
         , m_directory(static_cast<std::int64_t>(m_options.seed >> 1), m_options.upstreamTimeout)
         // Hosts compare revisions with those of an earlier start of this control host.
         , m_entryLoads(kMaxLoadPeers, static_cast<std::int64_t>(m_options.seed >> 2) + 1)
+        , m_evacuationLink({m_loop, &m_groups, &m_router, &m_node, [this] { schedulePump(); }},
+                           kGroupName)
+        , m_evacuations(&m_evacuationLink, static_cast<std::int64_t>(m_options.seed >> 3))
     { }
 
     tl::expected<void, RegistryError> open(peers::Service *service);
@@ -161,6 +129,8 @@
     PrefillPermits m_prefillPermits;
     SendGrants m_sendGrants;
     CrashSuspects m_crashSuspects;
+    GroupEvacuationLink m_evacuationLink;
+    EvacuationOrders m_evacuations;
     PackedDirectory m_packedDirectory;
     std::vector<base::UpstreamId> m_refreshedUpstreams; ///< Refreshed since the last relay.
     fleet::RelayedAnnouncements m_pendingRelay;
@@ -259,6 +229,8 @@
         m_sendGrants.tick(now);
         m_crashSuspects.tick(now);
     }
+    m_evacuations.apply(groupHost().ledger().evacuations());
+    m_evacuations.tick();
     sendPendingRelay();
     relayRefreshedUpstreams(now);
     const auto &configuration = groupHost().ledger().configuration();
@@ -291,6 +263,7 @@
     state.directoryRevision = m_publishedDirectory.read(m_directory.revision(), now);
     if (hasLease(now))
         state.factsRevision = m_publishedFacts.read(factsRevision(), now);
+    state.evacuationsRevision = m_evacuations.state().revision;
     m_watches.answerReady(state, now);
 }
 
@@ -313,6 +286,7 @@
         }
     }
     reply.isConfirmed = hasLease(now);
+    reply.evacuations = m_evacuations.state();
     if (request.acceptsPackedDirectory) {
         const PackedDirectory::Changes &changes = m_packedDirectory.changesSince(
                 m_directory, request.directoryIncarnation, request.directoryRevision);
@@ -547,16 +521,17 @@
                                 std::function<void(PutOutcome)> done, base::TimePoint now)
 {
     const ledger::PutConfiguration command{version.count(), fleet::compressText(text)};
-    const auto onReply = [done](const peers::ExecuteReply &reply) {
-        if (reply.status == peers::ExecuteStatus::Done)
-            return done(PutOutcome::Accepted);
-        done(reply.status == peers::ExecuteStatus::Unknown ? PutOutcome::Unknown
-                                                           : PutOutcome::Unavailable);
-    };
+    const auto onReply = [done](const auto &reply) { done(toPutOutcome(reply)); };
     m_impl->m_router->execute({kGroupName, ledger::encode(command, 0)}, onReply, now, kPutTimeout);
     m_impl->schedulePump();
 }
 
+void Registry::setEvacuation(const base::DataCentreId &dataCentre, bool isEvacuated,
+                             std::function<void(PutOutcome)> done)
+{
+    m_impl->m_evacuations.submit({dataCentre, isEvacuated}, std::move(done));
+}
+
 void Registry::readConfiguration(
         std::function<void(std::optional<ledger::StoredConfiguration>)> done, base::TimePoint now)
 {
@@ -626,6 +601,7 @@
     stats.configurationVersion = m_impl->m_appliedVersion;
     stats.isLeader = m_impl->groupHost().replica().isLeader();
     stats.hasRecentLeader = m_impl->groupHost().replica().hasRecentLeader(now);
+    stats.evacuatedDataCentres = m_impl->m_evacuations.state().dataCentres.size();
     stats.upstreams = m_impl->m_directory.size();
     stats.pendingWatches = m_impl->m_watches.size();
     stats.entryHosts = m_impl->m_entryLoads.reportingHosts(now);
@@ -676,6 +652,8 @@
             return m_impl->handleCrashEvidence(request.body, answer, now);
         if (request.topic == fleet::kTrialTopic)
             return m_impl->handleTrialRequest(request.body, answer, now);
+        if (request.topic == kEvacuationTopic)
+            return m_impl->m_evacuations.answer(request.body, answer);
         if (request.topic == fleet::kRelayTopic) {
             if (const auto relay = fleet::decodeRelayedAnnouncements(request.body))
                 m_impl->applyRelay(*relay, now);
