--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -1,14 +1,15 @@
 #include "registry/Registry.h"
 
 #include "ConfigurationHistory.h"
-#include "ConfigurationRead.h"
 #include "CrashSuspects.h"
+#include "GroupEvacuationLink.h"
 #include "LoadAggregator.h"
 #include "PackedDirectory.h"
 #include "PendingWatches.h"
 #include "PrefillPermits.h"
 #include "PublishedRevision.h"
 #include "SendGrants.h"
+#include "StoredText.h"
 #include "SuspectRecord.h"
 
 #include <cmath>
@@ -73,6 +74,9 @@
         , m_directory(static_cast<std::int64_t>(m_options.seed >> 1), m_options.upstreamTimeout)
         // Hosts compare revisions with those of an earlier start of this control host.
         , m_entryLoads(kMaxLoadPeers, static_cast<std::int64_t>(m_options.seed >> 2) + 1)
+        , m_evacuationLink({m_loop, &m_groups, &m_router, &m_node, [this] { schedulePump(); }},
+                           kGroupName)
+        , m_evacuations(&m_evacuationLink, static_cast<std::int64_t>(m_options.seed >> 3))
     { }
 
     tl::expected<void, RegistryError> open(peers::Service *service);
@@ -132,6 +136,8 @@
     SendGrants m_sendGrants;
     CrashSuspects m_crashSuspects;
     SuspectRecord m_suspectRecord;
+    GroupEvacuationLink m_evacuationLink;
+    EvacuationOrders m_evacuations;
     PackedDirectory m_packedDirectory;
     std::vector<base::UpstreamId> m_refreshedUpstreams; ///< Refreshed since the last relay.
     fleet::RelayedAnnouncements m_pendingRelay;
@@ -231,6 +237,8 @@
         m_sendGrants.tick(now);
         m_crashSuspects.tick(now);
     }
+    m_evacuations.apply(groupHost().ledger().evacuations());
+    m_evacuations.tick();
     sendPendingRelay();
     relayRefreshedUpstreams(now);
     const auto &configuration = groupHost().ledger().configuration();
@@ -265,6 +273,7 @@
     state.directoryRevision = m_publishedDirectory.read(m_directory.revision(), now);
     if (hasLease(now))
         state.factsRevision = m_publishedFacts.read(factsRevision(), now);
+    state.evacuationsRevision = m_evacuations.state().revision;
     m_watches.answerReady(state, now);
 }
 
@@ -287,6 +296,7 @@
         }
     }
     reply.isConfirmed = hasLease(now);
+    reply.evacuations = m_evacuations.state();
     if (request.acceptsPackedDirectory) {
         const PackedDirectory::Changes &changes = m_packedDirectory.changesSince(
                 m_directory, request.directoryIncarnation, request.directoryRevision);
@@ -537,16 +547,17 @@
                                 std::function<void(PutOutcome)> done, base::TimePoint now)
 {
     const ledger::PutConfiguration command{version.count(), fleet::compressText(text)};
-    const auto onReply = [done](const peers::ExecuteReply &reply) {
-        if (reply.status == peers::ExecuteStatus::Done)
-            return done(PutOutcome::Accepted);
-        done(reply.status == peers::ExecuteStatus::Unknown ? PutOutcome::Unknown
-                                                           : PutOutcome::Unavailable);
-    };
+    const auto onReply = [done](const auto &reply) { done(toPutOutcome(reply)); };
     m_impl->m_router->execute({kGroupName, ledger::encode(command, 0)}, onReply, now, kPutTimeout);
     m_impl->schedulePump();
 }
 
+void Registry::setEvacuation(const base::DataCentreId &dataCentre, bool isEvacuated,
+                             std::function<void(PutOutcome)> done)
+{
+    m_impl->m_evacuations.submit({dataCentre, isEvacuated}, std::move(done));
+}
+
 void Registry::readConfiguration(
         std::function<void(std::optional<ledger::StoredConfiguration>)> done, base::TimePoint now)
 {
@@ -616,6 +627,7 @@
     stats.configurationVersion = m_impl->m_appliedVersion;
     stats.isLeader = m_impl->groupHost().replica().isLeader();
     stats.hasRecentLeader = m_impl->groupHost().replica().hasRecentLeader(now);
+    stats.evacuatedDataCentres = m_impl->m_evacuations.state().dataCentres.size();
     stats.upstreams = m_impl->m_directory.size();
     stats.pendingWatches = m_impl->m_watches.size();
     stats.entryHosts = m_impl->m_entryLoads.reportingHosts(now);
@@ -666,6 +678,8 @@
             return m_impl->handleCrashEvidence(request.body, answer, now);
         if (request.topic == fleet::kTrialTopic)
             return m_impl->handleTrialRequest(request.body, answer, now);
+        if (request.topic == kEvacuationTopic)
+            return m_impl->m_evacuations.answer(request.body, answer);
         if (request.topic == fleet::kRelayTopic) {
             if (const auto relay = fleet::decodeRelayedAnnouncements(request.body))
                 m_impl->applyRelay(*relay, now);
--- a/libs/registry/src/ConfigurationRead.h
+++ b/libs/registry/src/StoredText.cpp
@@ -1,22 +1,19 @@
-#pragma once
+#include "StoredText.h"
 
 #include "fleet/Fleet.h"
-#include "ledger/Ledger.h"
 
 #include <nlohmann/json.hpp>
 
 namespace hyssop::registry {
 
-/// Messages between control hosts.
-inline std::string encodeConfiguration(
-        const std::optional<ledger::StoredConfiguration> &configuration)
+std::string encodeConfiguration(const std::optional<ledger::StoredConfiguration> &configuration)
 {
     if (!configuration)
         return base::toCbor({0, ""});
     return base::toCbor({configuration->version, configuration->text});
 }
 
-inline std::optional<ledger::StoredConfiguration> decodeConfiguration(const std::string &bytes)
+std::optional<ledger::StoredConfiguration> decodeConfiguration(const std::string &bytes)
 {
     const auto parsed = base::parseCbor(bytes);
     if (!parsed)
@@ -28,8 +25,7 @@
     }
 }
 
-/// Restores the text that the operator sent; empty when it is damaged.
-inline std::optional<ledger::StoredConfiguration> withUnpackedText(
+std::optional<ledger::StoredConfiguration> withUnpackedText(
         std::optional<ledger::StoredConfiguration> configuration)
 {
     if (!configuration)
