--- a/integration/platform/PlatformBed.cpp
+++ b/integration/platform/PlatformBed.cpp
@@ -32,6 +32,9 @@
             (std::filesystem::temp_directory_path() / "hyssop-platform-XXXXXX").string();
     REQUIRE(::mkdtemp(folder.data()));
     m_folder = folder;
+    if (plan.memoryMb > 0)
+        m_limits =
+                fmt::format("Limits:\n  MemoryMb: {}\n  MaxFds: {}\n", plan.memoryMb, plan.maxFds);
     const auto add = [this, &plan](std::vector<PlatformHost> &to, const std::string &program,
                                    const std::string &name) {
         PlatformHost host;
@@ -101,9 +104,9 @@
             "Node: \"{}\"\nIp: \"{}\"\nZone: \"{}\"\nListen:\n{}InternalPorts:\n  - {}\n  - {}\n"
             "Seeds:\n{}Bootstrap: {}\nDataDir: {}\nHeartbeatMs: 1200\nTolerate:\n"
             "  Machines: 1\nBounds:\n  RevokeMs: 5000\n  ConfigDeadlineMs: 2000\n"
-            "  GraceS: 8\nMark: \"{}\"\n",
+            "  GraceS: 8\n{}Mark: \"{}\"\n",
             host.name, host.ip, dataCentreOf(number), listen, m_peerPort, m_peerPort + 1, seeds,
-            m_isFirstStart, data, mark);
+            m_isFirstStart, data, m_limits, mark);
 }
 
 void PlatformBed::rewriteSettings(const PlatformHost &host, const std::string &mark)
--- a/integration/platform/PlatformBed.h
+++ b/integration/platform/PlatformBed.h
@@ -17,6 +17,8 @@
     std::size_t replicas = 1; ///< Addresses for them; the test starts what stands there.
     bool hasFaultLinks = false; ///< What comes from and goes to the outside passes the fault proxy.
     bool hasUplinkGate = false; ///< Entry hosts can be cut off from all replicas.
+    int memoryMb = 0; ///< Limits.MemoryMb and Limits.MaxFds of all hosts; 0: not stated.
+    int maxFds = 0;
     std::filesystem::path folder = {}; ///< Of the programs at first; empty for that of this build.
 };
 
@@ -68,6 +70,9 @@
     /// Puts a manifest to a control host until it is acknowledged; false when \a limit passes.
     bool put(std::size_t control, const std::string &manifest, base::Millis limit) const;
     Faults &faults() { return m_faults; }
+    /// Where a host listens for RPC of other hosts; calls of other entry hosts come to the port
+    /// after it.
+    base::Endpoint peerEndpoint(const PlatformHost &host) const { return {host.ip, m_peerPort}; }
     /// Sets what becomes of an entry host's connections to replicas until it starts again.
     void setUplinks(const PlatformHost &entry, Uplinks uplinks);
 
@@ -79,6 +84,7 @@
     Addresses m_addresses;
     std::filesystem::path m_folder;
     std::filesystem::path m_plannedFolder; ///< Of the plan's programs.
+    std::string m_limits; ///< Lines of the settings file.
     std::uint16_t m_peerPort = 0;
     bool m_isFirstStart = true;
     bool m_hasFaultLinks;
