gateway: Account of what callers hold, and an order of giving it up

Nothing bounded what callers hold of a process: 64 bodies of 1 MB that stop one byte short took it from 11 to 84 MB, and pipelined requests for a long page whose responses are not read to 80 MB.

CallerAccount adds up heads, bodies, unread responses and connections for all servers that share it and names the connections to give up: stalled, unread, pipelining and unfinished ones before requests that are being handled, the largest of a kind first. An unfinished request gets 503, a stalled one 408. Above the limit of connections a new one takes the place of the one that has been silent longest. A handler may say that it does not need a body, which is then not read. A pipelined request waits until 64 KB or less of earlier responses are unread, and a response of which less than 4 KB is read within the idle timeout is cut off. A large response is moved to its connection instead of copied, and a body of known length is not copied as it grows.

--- a/libs/gateway/include/gateway/Gateway.h
+++ b/libs/gateway/include/gateway/Gateway.h
@@ -7,9 +7,11 @@
 #pragma once
 
 #include "base/Base.h"
+#include "gateway/CallerAccount.h"
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -85,6 +87,10 @@
     void finish();
     /// Closes the connection. The caller sees a streamed response as incomplete.
     void abort();
+    /// States how many bytes the handler holds for the response, apart from what was sent.
+    void setBuffered(std::size_t bytes);
+    /// Whether the body was not read, as CallerHandler::wantsBody() said.
+    bool isBodySkipped() const { return m_isBodySkipped; }
     /// Number of bytes that wait to be written to the connection.
     std::size_t unsentBytes() const;
     /// Returns whether start() was called.
@@ -101,6 +107,7 @@
     base::TimePoint m_arrivedAt;
     bool m_isStarted = false;
     bool m_isEnded = false;
+    bool m_isBodySkipped = false;
 };
 
 /// Receives the requests of a Server.
@@ -108,6 +115,10 @@
 {
 public:
     virtual ~CallerHandler() = default;
+    /// The head of a request has arrived and its body has not arrived whole. If the response does
+    /// not depend on the body, false lets onRequest() follow at once, without it. The connection
+    /// closes after the response then.
+    virtual bool wantsBody(const RequestHead &) { return true; }
     /// A request has arrived, including its body. The handler owns the exchange.
     virtual void onRequest(const std::shared_ptr<Exchange> &exchange) = 0;
     /// The connection was closed or failed before the response was complete.
@@ -124,6 +135,37 @@
     std::string message;
 };
 
+/// What several servers of a process hold for their callers together, and its limits. Connections
+/// are given up as CallerAccount decides.
+class CallerResources
+{
+public:
+    explicit CallerResources(CallerLimits limits)
+        : m_account(limits)
+    { }
+
+    const CallerAccount &account() const { return m_account; }
+    /// Connections given up so far, by reason.
+    std::int64_t shedCount(ShedReason reason) const
+    {
+        return m_shedCounts[static_cast<std::size_t>(reason)];
+    }
+
+private:
+    friend class CallerConnection;
+
+    void shedMemory(base::TimePoint now);
+    void shedConnection(const CallerConnection &newest, base::TimePoint now);
+    void shed(CallerAccount::Victim victim, base::TimePoint now);
+
+    CallerAccount m_account;
+    std::unordered_map<std::int64_t, std::weak_ptr<CallerConnection>> m_connections;
+    std::array<std::int64_t, 5> m_shedCounts{};
+    bool m_isShedPosted = false;
+    std::int64_t m_unloggedSheds = 0;
+    base::TimePoint m_lastLogAt{};
+};
+
 /// HTTP/1.1 server for callers. \a io and \a handler must outlive it.
 class Server
 {
@@ -144,7 +186,10 @@
         }
     };
 
-    Server(boost::asio::io_context *io, CallerHandler *handler);
+    /// \a resources may be shared with other servers on the same thread; without them nothing is
+    /// limited.
+    Server(boost::asio::io_context *io, CallerHandler *handler,
+           std::shared_ptr<CallerResources> resources = nullptr);
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -14,6 +14,26 @@
 /// Time for a caller to read the last response and close the connection. Closing it at once might
 /// reset the connection and lose the response.
 constexpr base::Millis kLingerTimeout{1'000};
+/// Limit on unsent bytes of earlier responses above which the next pipelined request waits.
+constexpr std::size_t kMaxUnsentBytes = std::size_t(64) << 10;
+/// A caller that reads less than this of a waiting response within the idle timeout is cut off: 273
+/// bytes a second by default, below any link that carries a request of legal size in its time.
+constexpr std::size_t kMinReadBytes = 4'096;
+/// Buffers above this size are freed when they are empty.
+constexpr std::size_t kMaxIdleBufferBytes = std::size_t(64) << 10;
+/// Held for each connection besides its buffers: socket, parser and entries in tables.
+constexpr std::size_t kOverheadBytes = 2'048;
+/// Handlers hold the head of a request up to three times: as it arrived, as it is forwarded and as
+/// text.
+constexpr std::size_t kHeadCopies = 3;
+/// Least time between two log lines about connections that were given up.
+constexpr base::Millis kShedLogInterval{1'000};
+
+void freeIfLarge(std::string &buf)
+{
+    if (buf.empty() && buf.capacity() > kMaxIdleBufferBytes)
+        std::string().swap(buf);
+}
 
 namespace http = boost::beast::http;
 
@@ -24,11 +44,24 @@
     , m_socket(std::move(socket))
 { }
 
+CallerConnection::~CallerConnection()
+{
+    leaveAccount();
+}
+
 void CallerConnection::open(base::TimePoint now)
 {
     boost::system::error_code ec;
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+    if (m_server->resources) {
+        m_resources = m_server->resources;
+        m_accountEntry = m_resources->m_account.add(now);
+        m_resources->m_connections[m_accountEntry->id] = weak_from_this();
+    }
     setState(State::Idle, now);
+    updateAccount();
+    if (m_resources && m_resources->m_account.isOverConnections())
+        m_resources->shedConnection(*this, now);
     read();
 }
 
@@ -41,6 +74,24 @@
     m_wasFoundIdle = false;
     if (state == State::Idle)
         m_idleTimeout = m_server->limits.idleTimeout;
+    if (!m_accountEntry)
+        return;
+    const auto activity = [&] {
+        switch (state) {
+        case State::Idle:
+            return CallerActivity::Idle;
+        case State::ReadingHeaders:
+        case State::ReadingBody:
+            return CallerActivity::Reading;
+        case State::Responding:
+            return CallerActivity::Responding;
+        case State::Closing:
+        case State::Closed:
+            break;
+        }
+        return CallerActivity::Closing;
+    };
+    m_resources->m_account.setActivity(*m_accountEntry, activity(), now);
 }
 
 void CallerConnection::extendIdleTimeout()
@@ -67,9 +118,13 @@
         close();
         return;
     }
-    if (m_state != State::Closing) {
+    if (m_state != State::Closing && !m_isBodySkipped) {
+        const base::TimePoint now = base::monotonicNow();
         m_input.append(m_readBuffer.data(), n);
-        process(base::monotonicNow());
+        if (m_accountEntry && m_state != State::Responding)
+            CallerAccount::addTransferred(*m_accountEntry, n, now);
+        process(now);
+        updateAccount();
     }
     read();
 }
@@ -77,6 +132,8 @@
 void CallerConnection::process(base::TimePoint now)
 {
     if (m_state == State::Idle && !m_input.empty()) {
+        if (unsentBytes() > kMaxUnsentBytes)
+            return;
         m_parser = std::make_unique<Parser<true>>();
         m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes));
         m_parser->body_limit(m_server->limits.maxBodyBytes);
@@ -96,7 +153,18 @@
     }
     if (m_state == State::ReadingHeaders && m_parser->is_header_done()) {
         setState(State::ReadingBody, now);
-        const auto expect = fieldValue(m_parser->fields, "expect");
+        m_head = {std::move(m_parser->method), std::move(m_parser->target),
+                  std::move(m_parser->fields)};
+        if (m_accountEntry) {
+            m_headBytes = m_head.fields.capacity() * sizeof(Field);
+            for (const Field &field : m_head.fields)
+                m_headBytes += field.name.size() + field.value.size();
+        }
+        if (!m_parser->is_done() && !m_server->handler->wantsBody(m_head)) {
+            m_isBodySkipped = true;
+            return deliverRequest(now);
+        }
+        const auto expect = fieldValue(m_head.fields, "expect");
         if (!m_parser->is_done() && expect && equalsIgnoreCase(*expect, "100-continue")) {
             m_output += "HTTP/1.1 100 Continue\r\n\r\n";
             flush();
@@ -110,11 +178,18 @@
 {
     setState(State::Responding, now);
     m_acceptsChunks = m_parser->version >= 11;
-    m_isKeepAlive = m_parser->keep_alive() && m_acceptsChunks;
-    RequestHead head{std::move(m_parser->method), std::move(m_parser->target),
-                     std::move(m_parser->fields)};
-    const auto exchange = std::make_shared<Exchange>(weak_from_this(), std::move(head),
-                                                     std::move(m_parser->body), m_firstByteAt);
+    m_isKeepAlive = m_parser->keep_alive() && m_acceptsChunks && !m_isBodySkipped;
+    std::string body;
+    if (m_isBodySkipped)
+        m_input.clear();
+    else
+        body = std::move(m_parser->body);
+    m_bodyBytes = body.capacity();
+    m_headBytes *= kHeadCopies;
+    const auto exchange = std::make_shared<Exchange>(weak_from_this(), std::move(m_head),
+                                                     std::move(body), m_firstByteAt);
+    m_head = {};
+    exchange->m_isBodySkipped = m_isBodySkipped;
     m_exchange = exchange;
     m_parser.reset();
     ++m_server->stats.requests;
@@ -127,6 +202,7 @@
     m_output += statusLine(status);
     m_output += "Content-Length: 0\r\nConnection: close\r\n\r\n";
     m_parser.reset();
+    m_head = {};
     startClosing();
 }
 
@@ -135,12 +211,22 @@
     return !m_isKeepAlive || m_server->isCloseAnnounced;
 }
 
-void CallerConnection::write(std::string_view data)
+void CallerConnection::write(std::string &&data)
 {
     if (m_state == State::Closed)
         return;
-    m_output += data;
+    if (m_output.empty() && data.size() > kMaxIdleBufferBytes)
+        m_output = std::move(data);
+    else
+        m_output += data;
     flush();
+    updateAccount();
+}
+
+void CallerConnection::setBuffered(std::size_t bytes)
+{
+    m_bufferedBytes = bytes;
+    updateAccount();
 }
 
 void CallerConnection::flush()
@@ -149,6 +235,11 @@
         return;
     m_writeBuffer.swap(m_output);
     m_writtenBytes = 0;
+    // The time in which the caller is to read begins with the first byte that waits for it.
+    m_progressAt = base::monotonicNow();
+    m_readProgressBytes = 0;
+    if (m_accountEntry)
+        m_accountEntry->progressAt = m_progressAt;
     writeSome();
 }
 
@@ -162,14 +253,19 @@
                 if (ec)
                     return self->close();
                 self->m_writtenBytes += n;
-                self->m_progressAt = base::monotonicNow();
+                self->noteWritten(n, base::monotonicNow());
                 if (self->m_writtenBytes < self->m_writeBuffer.size())
                     return self->writeSome();
                 self->m_writeBuffer.clear();
                 self->m_writtenBytes = 0;
+                freeIfLarge(self->m_writeBuffer);
                 if (!self->m_output.empty())
                     return self->flush();
-                if (self->m_state == State::Closing) {
+                self->updateAccount();
+                if (self->m_state == State::Idle && !self->m_input.empty()) {
+                    self->process(base::monotonicNow());
+                    self->read();
+                } else if (self->m_state == State::Closing) {
                     boost::system::error_code ignored;
                     self->m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
                 } else if (const auto exchange = self->m_exchange.lock()) {
@@ -178,11 +274,25 @@
             });
 }
 
+void CallerConnection::noteWritten(std::size_t n, base::TimePoint now)
+{
+    m_readProgressBytes += n;
+    if (m_readProgressBytes >= kMinReadBytes) {
+        m_readProgressBytes = 0;
+        m_progressAt = now;
+    }
+    if (m_accountEntry)
+        CallerAccount::addTransferred(*m_accountEntry, n, now);
+}
+
 void CallerConnection::endResponse(ResponseEnd end)
 {
     if (m_state == State::Closed)
         return;
     m_exchange.reset();
+    m_headBytes = 0;
+    m_bodyBytes = 0;
+    m_bufferedBytes = 0;
     Server::Stats &stats = m_server->stats;
     ++(end == ResponseEnd::Answered    ? stats.answered
        : end == ResponseEnd::BrokenOff ? stats.brokenOff
@@ -197,9 +307,13 @@
     if (m_hasCloseHeader)
         return startClosing();
     setState(State::Idle, base::monotonicNow());
+    freeIfLarge(m_input);
+    updateAccount();
     if (!m_input.empty()) {
         // Posted, because the handler that ended the response may not expect another request yet.
         boost::asio::post(*m_server->io, [self = shared_from_this()] {
+            if (self->m_state == State::Closed)
+                return;
             self->process(base::monotonicNow());
             self->read();
         });
@@ -216,6 +330,9 @@
     if (isStarted)
         return endResponse(ResponseEnd::Abandoned);
     m_exchange.reset();
+    m_headBytes = 0;
+    m_bodyBytes = 0;
+    m_bufferedBytes = 0;
     ++m_server->stats.abandoned;
     m_output += statusLine(502);
     m_output += "Content-Length: 0\r\nConnection: close\r\n\r\n";
@@ -225,6 +342,7 @@
 void CallerConnection::detach()
 {
     m_state = State::Closed;
+    leaveAccount();
     boost::system::error_code ec;
     m_socket.close(ec);
 }
@@ -233,6 +351,9 @@
 {
     setState(State::Closing, base::monotonicNow());
     m_input.clear();
+    freeIfLarge(m_input);
+    m_headBytes = 0;
+    updateAccount();
     if (m_writeBuffer.empty() && m_output.empty()) {
         boost::system::error_code ec;
         m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
@@ -254,6 +375,10 @@
         // A caller may take longer to read the response than to close the connection afterwards.
         return unsentBytes() > 0 ? m_server->limits.idleTimeout : kLingerTimeout;
     case State::Responding:
+        // A response that nobody reads would be held as long as the caller keeps its connection.
+        if (unsentBytes() > 0)
+            return m_server->limits.idleTimeout;
+        break;
     case State::Closed:
         break;
     }
@@ -274,7 +399,9 @@
     const bool isOver = limit && now - since >= *limit;
     if (!std::exchange(m_isTimeoutOver, isOver) || !isOver)
         return;
-    if (m_state != State::Closing && hasUnreadData())
+    // A caller that sends on without reading keeps its socket full.
+    const bool isUnread = m_state == State::Closing || unsentBytes() > 0;
+    if (!isUnread && hasUnreadData())
         return;
     switch (m_state) {
     case State::ReadingHeaders:
@@ -301,6 +428,7 @@
     if (m_state == State::Closed)
         return;
     m_state = State::Closed;
+    leaveAccount();
     const auto self = shared_from_this();
     boost::system::error_code ec;
     m_socket.close(ec);
@@ -313,4 +441,87 @@
     }
 }
 
+std::size_t CallerConnection::heldBytes() const
+{
+    const std::size_t buffers = m_input.capacity() + m_output.capacity() + m_writeBuffer.capacity();
+    std::size_t bytes = sizeof(CallerConnection) + kOverheadBytes + buffers + m_headBytes
+                        + m_bodyBytes + m_bufferedBytes;
+    // Memory that was reserved for a body of known length is not in use before the bytes arrive.
+    if (m_parser)
+        bytes += m_parser->length ? m_parser->body.size() : m_parser->body.capacity();
+    return bytes;
+}
+
+void CallerConnection::updateAccount()
+{
+    if (!m_accountEntry)
+        return;
+    m_accountEntry->unreadBytes = unsentBytes();
+    m_accountEntry->pipelinedBytes =
+            m_state == State::Responding || m_state == State::Idle ? m_input.size() : 0;
+    CallerResources &resources = *m_resources;
+    resources.m_account.setBytes(*m_accountEntry, heldBytes());
+    if (!resources.m_account.isOverMemory() || std::exchange(resources.m_isShedPosted, true))
+        return;
+    // Posted, because the handler that caused it may be in use of the connection to give up.
+    boost::asio::post(*m_server->io, [resources = m_resources] {
+        resources->m_isShedPosted = false;
+        resources->shedMemory(base::monotonicNow());
+    });
+}
+
+void CallerConnection::leaveAccount()
+{
+    if (!m_accountEntry)
+        return;
+    m_resources->m_connections.erase(m_accountEntry->id);
+    m_resources->m_account.remove(std::exchange(m_accountEntry, nullptr));
+}
+
+void CallerConnection::shed(ShedReason reason)
+{
+    const bool isReading = m_state == State::ReadingHeaders || m_state == State::ReadingBody;
+    if (!isReading || unsentBytes() > 0)
+        return close();
+    if (reason == ShedReason::Stalled)
+        return reject(408, "stalled while memory is short");
+    reject(503, "memory is short");
+}
+
+void CallerResources::shed(CallerAccount::Victim victim, base::TimePoint now)
+{
+    const auto it = m_connections.find(victim.id);
+    const auto connection = it == m_connections.end() ? nullptr : it->second.lock();
+    if (!connection)
+        return;
+    ++m_shedCounts[static_cast<std::size_t>(victim.reason)];
+    ++m_unloggedSheds;
+    connection->shed(victim.reason);
+    if (now - m_lastLogAt < kShedLogInterval)
+        return;
+    m_lastLogAt = now;
+    base::logEvent("callers_shed", {{"reason", shedReasonName(victim.reason)},
+                                    {"count", std::exchange(m_unloggedSheds, 0)},
+                                    {"held_bytes", m_account.bytes()},
+                                    {"connections", m_account.connectionCount()}});
+}
+
+void CallerResources::shedMemory(base::TimePoint now)
+{
+    for (const CallerAccount::Victim &victim : m_account.memoryVictims(now))
+        shed(victim, now);
+}
+
+void CallerResources::shedConnection(const CallerConnection &newest, base::TimePoint now)
+{
+    const CallerAccount::Victim victim = m_account.connectionVictim(newest.accountId(), now);
+    const auto it = m_connections.find(victim.id);
+    const auto connection = it == m_connections.end() ? nullptr : it->second.lock();
+    if (!connection)
+        return;
+    shed(victim, now);
+    // Its descriptor is needed now; a rejected connection would wait for its peer.
+    connection->close();
+}
+
 } // namespace hyssop::gateway
--- a/libs/gateway/src/CallerConnection.h
+++ b/libs/gateway/src/CallerConnection.h
@@ -14,6 +14,7 @@
 {
     boost::asio::io_context *io = nullptr;
     CallerHandler *handler = nullptr;
+    std::shared_ptr<CallerResources> resources;
     ServerLimits limits;
     bool isCloseAnnounced = false;
     Stats stats;
@@ -33,8 +34,11 @@
 {
 public:
     CallerConnection(Server::Shared *server, boost::asio::ip::tcp::socket socket);
+    ~CallerConnection();
 
     void open(base::TimePoint now);
+    /// Rejects the request that is being read, or closes the connection.
+    void shed(ShedReason reason);
     /// Closes the connection or rejects the request if the timeout of the current state was over at
     /// the last check too and nothing has arrived since. After the host stood still, timers are due
     /// before what arrived is read.
@@ -48,7 +52,8 @@
     void close();
 
     // For the exchange.
-    void write(std::string_view data);
+    void write(std::string &&data);
+    void setBuffered(std::size_t bytes);
     /// Ends the response. Closes the connection at once if it is incomplete.
     void endResponse(ResponseEnd end);
     /// Ends a response that cannot be completed, with status 502 unless it has started, and logs
@@ -67,11 +72,21 @@
 private:
     enum class State { Idle, ReadingHeaders, ReadingBody, Responding, Closing, Closed };
 
+    std::int64_t accountId() const { return m_accountEntry ? m_accountEntry->id : 0; }
+    /// Brings the account up to date, and has connections given up if too much is held.
+    void updateAccount();
+    /// Ends the part of the connection in the account.
+    void leaveAccount();
+    std::size_t heldBytes() const;
+    friend class CallerResources;
+
     void read();
     void onRead(boost::system::error_code ec, std::size_t n);
     void process(base::TimePoint now);
     void deliverRequest(base::TimePoint now);
     void reject(int status, std::string_view reason);
+    /// Notes that the socket took \a n bytes of a response.
+    void noteWritten(std::size_t n, base::TimePoint now);
     void flush();
     void writeSome();
     void startClosing();
@@ -91,17 +106,25 @@
     base::Millis m_idleTimeout{0};
     base::TimePoint m_firstByteAt;
     std::unique_ptr<Parser<true>> m_parser;
+    RequestHead m_head; ///< Of the request whose body is being read.
+    std::shared_ptr<CallerResources> m_resources; ///< Null without limits.
+    CallerEntry *m_accountEntry = nullptr; ///< In the resources, while the connection is open.
+    std::size_t m_headBytes = 0; ///< Held for the head of the current request.
+    std::size_t m_bodyBytes = 0; ///< Held for its body after it was delivered.
+    std::size_t m_bufferedBytes = 0; ///< See Exchange::setBuffered().
     std::weak_ptr<Exchange> m_exchange; ///< While its response has not ended.
     std::array<char, 8192> m_readBuffer{};
     std::string m_input;
     std::string m_output;
     std::string m_writeBuffer;
     std::size_t m_writtenBytes = 0; ///< Of the write buffer.
+    std::size_t m_readProgressBytes = 0; ///< Written since the last progress.
     bool m_isReading = false;
     bool m_isKeepAlive = true;
     bool m_hasCloseHeader = false;
     bool m_acceptsChunks = true;
     bool m_expectsContinue = false;
+    bool m_isBodySkipped = false; ///< What arrives until the response is dropped.
 };
 
 } // namespace hyssop::gateway
--- a/libs/gateway/src/Exchange.cpp
+++ b/libs/gateway/src/Exchange.cpp
@@ -44,7 +44,7 @@
     out += "\r\n";
     if (hasBody && m_head.method != "HEAD")
         out += body;
-    connection->write(out);
+    connection->write(std::move(out));
     connection->endResponse(ResponseEnd::Answered);
 }
 
@@ -62,7 +62,7 @@
     if (connection->hasCloseHeader())
         out += "Connection: close\r\n";
     out += "\r\n";
-    connection->write(out);
+    connection->write(std::move(out));
 }
 
 void Exchange::send(std::string_view data)
@@ -73,7 +73,7 @@
     if (connection->acceptsChunks())
         connection->write(fmt::format("{:x}\r\n{}\r\n", data.size(), data));
     else
-        connection->write(data);
+        connection->write(std::string(data));
 }
 
 void Exchange::finish()
@@ -96,6 +96,12 @@
     connection->endResponse(ResponseEnd::BrokenOff);
 }
 
+void Exchange::setBuffered(std::size_t bytes)
+{
+    if (const auto connection = m_connection.lock())
+        connection->setBuffered(bytes);
+}
+
 std::size_t Exchange::unsentBytes() const
 {
     const auto connection = m_connection.lock();
--- a/libs/gateway/src/Parser.h
+++ b/libs/gateway/src/Parser.h
@@ -36,6 +36,9 @@
     std::optional<std::uint64_t> length;
 
 private:
+    /// Smaller bodies arrive in a few parts.
+    static constexpr std::uint64_t kMinReservedBytes = std::uint64_t(64) << 10;
+
     void on_request_impl(boost::beast::http::verb, string_view name, string_view text,
                          int requestVersion, error_code &) override
     {
@@ -52,8 +55,12 @@
     void on_header_impl(error_code &) override { }
     void on_body_init_impl(boost::optional<std::uint64_t> const &size, error_code &) override
     {
-        if (size)
-            length = *size;
+        if (!size)
+            return;
+        length = *size;
+        // Spares copies as the body grows. Responses are taken out in parts instead.
+        if (IsRequest && *size > kMinReservedBytes)
+            body.reserve(*size);
     }
     std::size_t on_body_impl(string_view data, error_code &) override
     {
--- a/libs/gateway/src/Server.cpp
+++ b/libs/gateway/src/Server.cpp
@@ -18,11 +18,13 @@
 class Server::Impl
 {
 public:
-    Impl(boost::asio::io_context *io, CallerHandler *handler)
+    Impl(boost::asio::io_context *io, CallerHandler *handler,
+         std::shared_ptr<CallerResources> resources)
         : m_timeoutCheckTimer(*io)
     {
         m_shared.io = io;
         m_shared.handler = handler;
+        m_shared.resources = std::move(resources);
         scheduleTimeoutCheck();
     }
 
@@ -144,8 +146,9 @@
     std::vector<std::unique_ptr<Listener>> m_listeners;
 };
 
-Server::Server(boost::asio::io_context *io, CallerHandler *handler)
-    : m_impl(std::make_unique<Impl>(io, handler))
+Server::Server(boost::asio::io_context *io, CallerHandler *handler,
+               std::shared_ptr<CallerResources> resources)
+    : m_impl(std::make_unique<Impl>(io, handler, std::move(resources)))
 { }
 
 Server::~Server() = default;
