edge, platform: Limits for what callers hold, derived from the settings

Callers' port, relay port and readiness port of an entry host share one account. Files without Limits set none. Requests without a route or with an unknown key, and all on the readiness port, are answered without their body.

--- a/integration/MisbehavingClientTest.cpp
+++ b/integration/MisbehavingClientTest.cpp
@@ -288,22 +288,22 @@
 
 } // namespace
 
-TEST_CASE("bodies that stop one byte short at a route", "[.known-red]")
+TEST_CASE("bodies that stop one byte short at a route")
 {
     checkHolds(Port::Route, kOfBodies, unfinishedBody);
 }
 
-TEST_CASE("bodies that stop one byte short at a path without a route", "[.known-red]")
+TEST_CASE("bodies that stop one byte short at a path without a route")
 {
     checkHolds(Port::NoRoute, kOfBodies, unfinishedBody);
 }
 
-TEST_CASE("bodies that stop one byte short at the readiness port", "[.known-red]")
+TEST_CASE("bodies that stop one byte short at the readiness port")
 {
     checkHolds(Port::Ready, kOfBodies, unfinishedBody);
 }
 
-TEST_CASE("bodies that stop one byte short at the relay port", "[.known-red]")
+TEST_CASE("bodies that stop one byte short at the relay port")
 {
     checkHolds(Port::Relay, kOfBodies, unfinishedBody);
 }
@@ -313,22 +313,22 @@
     checkHolds(Port::Control, kOfBodies, unfinishedBody);
 }
 
-TEST_CASE("bodies that arrive byte by byte at a route", "[.known-red]")
+TEST_CASE("bodies that arrive byte by byte at a route")
 {
     checkHolds(Port::Route, kOfBodies, drippingBody);
 }
 
-TEST_CASE("bodies that arrive byte by byte at a path without a route", "[.known-red]")
+TEST_CASE("bodies that arrive byte by byte at a path without a route")
 {
     checkHolds(Port::NoRoute, kOfBodies, drippingBody);
 }
 
-TEST_CASE("bodies that arrive byte by byte at the readiness port", "[.known-red]")
+TEST_CASE("bodies that arrive byte by byte at the readiness port")
 {
     checkHolds(Port::Ready, kOfBodies, drippingBody);
 }
 
-TEST_CASE("bodies that arrive byte by byte at the relay port", "[.known-red]")
+TEST_CASE("bodies that arrive byte by byte at the relay port")
 {
     checkHolds(Port::Relay, kOfBodies, drippingBody);
 }
@@ -338,22 +338,22 @@
     checkHolds(Port::Control, kOfBodies, drippingBody);
 }
 
-TEST_CASE("chunked bodies that do not end at a route", "[.known-red]")
+TEST_CASE("chunked bodies that do not end at a route")
 {
     checkHolds(Port::Route, kOfBodies, unfinishedChunks);
 }
 
-TEST_CASE("chunked bodies that do not end at a path without a route", "[.known-red]")
+TEST_CASE("chunked bodies that do not end at a path without a route")
 {
     checkHolds(Port::NoRoute, kOfBodies, unfinishedChunks);
 }
 
-TEST_CASE("chunked bodies that do not end at the readiness port", "[.known-red]")
+TEST_CASE("chunked bodies that do not end at the readiness port")
 {
     checkHolds(Port::Ready, kOfBodies, unfinishedChunks);
 }
 
-TEST_CASE("chunked bodies that do not end at the relay port", "[.known-red]")
+TEST_CASE("chunked bodies that do not end at the relay port")
 {
     checkHolds(Port::Relay, kOfBodies, unfinishedChunks);
 }
@@ -388,22 +388,22 @@
     checkHolds(Port::Control, kOfBodies, declaredOverLimit);
 }
 
-TEST_CASE("undeclared bodies over the limit at a route", "[.known-red]")
+TEST_CASE("undeclared bodies over the limit at a route")
 {
     checkHolds(Port::Route, kOfBodies, undeclaredOverLimit);
 }
 
-TEST_CASE("undeclared bodies over the limit at a path without a route", "[.known-red]")
+TEST_CASE("undeclared bodies over the limit at a path without a route")
 {
     checkHolds(Port::NoRoute, kOfBodies, undeclaredOverLimit);
 }
 
-TEST_CASE("undeclared bodies over the limit at the readiness port", "[.known-red]")
+TEST_CASE("undeclared bodies over the limit at the readiness port")
 {
     checkHolds(Port::Ready, kOfBodies, undeclaredOverLimit);
 }
 
-TEST_CASE("undeclared bodies over the limit at the relay port", "[.known-red]")
+TEST_CASE("undeclared bodies over the limit at the relay port")
 {
     checkHolds(Port::Relay, kOfBodies, undeclaredOverLimit);
 }
@@ -413,22 +413,22 @@
     checkHolds(Port::Control, kOfBodies, undeclaredOverLimit);
 }
 
-TEST_CASE("heads of very many short fields at a route", "[.known-red]")
+TEST_CASE("heads of very many short fields at a route")
 {
     checkHolds(Port::Route, kOfHeads, manyFields);
 }
 
-TEST_CASE("heads of very many short fields at a path without a route", "[.known-red]")
+TEST_CASE("heads of very many short fields at a path without a route")
 {
     checkHolds(Port::NoRoute, kOfHeads, manyFields);
 }
 
-TEST_CASE("heads of very many short fields at the readiness port", "[.known-red]")
+TEST_CASE("heads of very many short fields at the readiness port")
 {
     checkHolds(Port::Ready, kOfHeads, manyFields);
 }
 
-TEST_CASE("heads of very many short fields at the relay port", "[.known-red]")
+TEST_CASE("heads of very many short fields at the relay port")
 {
     checkHolds(Port::Relay, kOfHeads, manyFields);
 }
@@ -513,22 +513,22 @@
     checkHolds(Port::Control, kOfPipelines, pipelinedRequests);
 }
 
-TEST_CASE("connections that send nothing at a route", "[.known-red]")
+TEST_CASE("connections that send nothing at a route")
 {
     checkHolds(Port::Route, kOfConnections, silence);
 }
 
-TEST_CASE("connections that send nothing at a path without a route", "[.known-red]")
+TEST_CASE("connections that send nothing at a path without a route")
 {
     checkHolds(Port::NoRoute, kOfConnections, silence);
 }
 
-TEST_CASE("connections that send nothing at the readiness port", "[.known-red]")
+TEST_CASE("connections that send nothing at the readiness port")
 {
     checkHolds(Port::Ready, kOfConnections, silence);
 }
 
-TEST_CASE("connections that send nothing at the relay port", "[.known-red]")
+TEST_CASE("connections that send nothing at the relay port")
 {
     checkHolds(Port::Relay, kOfConnections, silence);
 }
@@ -538,12 +538,12 @@
     checkHolds(Port::Control, kOfConnections, silence);
 }
 
-TEST_CASE("large responses that are not read at a route", "[.known-red]")
+TEST_CASE("large responses that are not read at a route")
 {
     checkHolds(Port::Route, kOfBodies, unreadResponse);
 }
 
-TEST_CASE("large responses that are not read at the relay port", "[.known-red]")
+TEST_CASE("large responses that are not read at the relay port")
 {
     checkHolds(Port::Relay, kOfBodies, unreadResponse);
 }
@@ -578,7 +578,7 @@
     checkHolds(Port::ControlRpc, kOfConnections, silence);
 }
 
-TEST_CASE("pipelined requests for the metrics at the readiness port", "[.known-red]")
+TEST_CASE("pipelined requests for the metrics at the readiness port")
 {
     checkHolds(Port::Ready, kOfPipelines, pipelinedMetrics);
 }
--- a/libs/edge/include/edge/Edge.h
+++ b/libs/edge/include/edge/Edge.h
@@ -122,6 +122,8 @@
     base::Millis propagationBound{2'000};
     base::Millis upstreamRetention{5'000}; ///< See fleet::FleetView.
     base::Millis stopTimeout{8'000}; ///< From the stop request to the end of the process.
+    /// What callers hold of this process, shared with its other servers; null without limits.
+    std::shared_ptr<gateway::CallerResources> callerResources;
     dispatch::DispatcherOptions dispatch;
 };
 
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -500,6 +500,7 @@
         receiveEvents(*call, attempt, data, now);
     } else {
         attempt.answerBody += data;
+        call->exchange->setBuffered(attempt.answerBody.capacity());
         if (attempt.answerBody.size() > kMaxBufferedBytes)
             failAttempt(*call, attempt, {dispatch::AttemptFault::AnswerLost, "too_long"}, now);
     }
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -78,9 +78,9 @@
     , m_reader(reader)
     , m_metrics(metrics)
     , m_dispatcher(m_options.dispatch)
-    , m_server(io, this)
+    , m_server(io, this, m_options.callerResources)
     , m_relayHandler(this)
-    , m_relayServer(io, &m_relayHandler)
+    , m_relayServer(io, &m_relayHandler, m_options.callerResources)
     , m_client(io, this)
     , m_freshness(m_options.revocationBound, m_options.propagationBound)
     , m_fleetView(m_options.upstreamRetention)
@@ -153,32 +153,50 @@
     scheduleTick(now);
 }
 
-std::optional<Edge::Impl::Refusal> Edge::Impl::admit(
-        const std::shared_ptr<gateway::Exchange> &exchange, CallMetadata metadata,
-        std::optional<int> maxAttempts, base::TimePoint now)
+bool Edge::Impl::wantsBody(const gateway::RequestHead &head)
+{
+    const auto metadata = m_protocol->parseRequest(head);
+    return metadata && !checkHead(head, *metadata, base::monotonicNow()).refusal;
+}
+
+Edge::Impl::Admission Edge::Impl::checkHead(const gateway::RequestHead &head,
+                                            const CallMetadata &metadata, base::TimePoint now) const
 {
     if (!m_routeTable || !m_freshness.wasConfirmed())
-        return Refusal{503, "no_configuration"};
+        return {Refusal{503, "no_configuration"}};
     if (m_stopRequestedAt && now >= *m_stopRequestedAt + kStopAdmissionTime)
-        return Refusal{503, "stopping"};
-    const gateway::RequestHead &head = exchange->head();
+        return {Refusal{503, "stopping"}};
     const auto host = gateway::fieldValue(head.fields, "host").value_or("");
     const std::string_view target = head.target;
     const fleet::Route *route = m_routeTable->findRoute(host, target.substr(0, target.find('?')));
     // A newer configuration might allow what this one does not.
     if (!route)
-        return m_freshness.isCurrent(now) ? Refusal{404, "no_route"}
-                                          : Refusal{503, "configuration_not_confirmed"};
+        return {m_freshness.isCurrent(now) ? Refusal{404, "no_route"}
+                                           : Refusal{503, "configuration_not_confirmed"}};
     const bool needsKey = route->needsKey && m_routeTable->hasTeams();
     const fleet::Team *team = nullptr;
     if (needsKey) {
         team = metadata.apiKey ? m_routeTable->findTeamByKey(*metadata.apiKey) : nullptr;
         if (!team)
-            return m_freshness.isCurrent(now) ? Refusal{401, "unknown_key"}
-                                              : Refusal{503, "configuration_not_confirmed"};
+            return {m_freshness.isCurrent(now) ? Refusal{401, "unknown_key"}
+                                               : Refusal{503, "configuration_not_confirmed"}};
         if (!m_freshness.canAcceptKeys(now))
-            return Refusal{503, "keys_not_confirmed"};
+            return {Refusal{503, "keys_not_confirmed"}};
     }
+    return {std::nullopt, route, team};
+}
+
+std::optional<Edge::Impl::Refusal> Edge::Impl::admit(
+        const std::shared_ptr<gateway::Exchange> &exchange, CallMetadata metadata,
+        std::optional<int> maxAttempts, base::TimePoint now)
+{
+    const gateway::RequestHead &head = exchange->head();
+    const auto [refusal, route, team] = checkHead(head, metadata, now);
+    if (refusal)
+        return refusal;
+    // The body was not read because of a refusal that no longer holds.
+    if (exchange->isBodySkipped())
+        return Refusal{503, "body_not_read"};
     std::uniform_real_distribution<double> draw(0, 1);
     dispatch::CallInfo info;
     info.id = dispatch::CallId(++m_lastCallId);
@@ -560,6 +578,14 @@
                    static_cast<double>(m_relayServer.stats().abandoned));
     m_metrics->set("hyssop_caller_requests_left", static_cast<double>(requests.disconnected));
     m_metrics->set("hyssop_caller_requests_open", static_cast<double>(requests.open()));
+    if (const auto &callers = m_options.callerResources) {
+        m_metrics->set("hyssop_caller_held_bytes", static_cast<double>(callers->account().bytes()));
+        for (const auto reason : {gateway::ShedReason::Stalled, gateway::ShedReason::Unread,
+                                  gateway::ShedReason::Pipelining, gateway::ShedReason::Unfinished,
+                                  gateway::ShedReason::Busy})
+            m_metrics->set("hyssop_callers_shed", static_cast<double>(callers->shedCount(reason)),
+                           {{"reason", std::string(gateway::shedReasonName(reason))}});
+    }
     const auto &client = m_client.stats();
     m_metrics->set("hyssop_upstream_connects", static_cast<double>(client.connects));
     m_metrics->set("hyssop_upstream_reuses", static_cast<double>(client.reuses));
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -103,6 +103,7 @@
 
 private:
     // Callers.
+    bool wantsBody(const gateway::RequestHead &head) override;
     void onRequest(const std::shared_ptr<gateway::Exchange> &exchange) override;
     void onCallerDisconnected(gateway::Exchange &exchange) override;
     void onDrained(gateway::Exchange &exchange) override;
@@ -113,6 +114,15 @@
         int status;
         std::string_view reason;
     };
+    /// What the head alone decides about a request. The pointers are set if it is admitted.
+    struct Admission
+    {
+        std::optional<Refusal> refusal;
+        const fleet::Route *route = nullptr;
+        const fleet::Team *team = nullptr;
+    };
+    Admission checkHead(const gateway::RequestHead &head, const CallMetadata &metadata,
+                        base::TimePoint now) const;
     /// \a maxAttempts is set for calls that another entry host relayed.
     std::optional<Refusal> admit(const std::shared_ptr<gateway::Exchange> &exchange,
                                  CallMetadata metadata, std::optional<int> maxAttempts,
@@ -128,6 +138,10 @@
         explicit RelayHandler(Impl *impl)
             : m_impl(impl)
         { }
+        bool wantsBody(const gateway::RequestHead &head) override
+        {
+            return m_impl->wantsBody(head);
+        }
         void onRequest(const std::shared_ptr<gateway::Exchange> &exchange) override
         {
             m_impl->takeOver(exchange);
