http, platform: Bounds for unfinished bodies and connections of the control API

Unfinished bodies at the control API took a control host from 11 to 77 MB, and 600 silent connections 619 descriptors.

The three cases at the control API pass: 21 MB in three of three runs, 94 descriptors in three of three. test-http: 7 cases pass. The whole of test-misbehaving-clients has not been run since this change.

--- a/integration/MisbehavingClientTest.cpp
+++ b/integration/MisbehavingClientTest.cpp
@@ -308,7 +308,7 @@
     checkHolds(Port::Relay, kOfBodies, unfinishedBody);
 }
 
-TEST_CASE("bodies that stop one byte short at the control API", "[.known-red]")
+TEST_CASE("bodies that stop one byte short at the control API")
 {
     checkHolds(Port::Control, kOfBodies, unfinishedBody);
 }
@@ -333,7 +333,7 @@
     checkHolds(Port::Relay, kOfBodies, drippingBody);
 }
 
-TEST_CASE("bodies that arrive byte by byte at the control API", "[.known-red]")
+TEST_CASE("bodies that arrive byte by byte at the control API")
 {
     checkHolds(Port::Control, kOfBodies, drippingBody);
 }
@@ -533,7 +533,7 @@
     checkHolds(Port::Relay, kOfConnections, silence);
 }
 
-TEST_CASE("connections that send nothing at the control API", "[.known-red]")
+TEST_CASE("connections that send nothing at the control API")
 {
     checkHolds(Port::Control, kOfConnections, silence);
 }
--- a/libs/http/include/http/Http.h
+++ b/libs/http/include/http/Http.h
@@ -61,7 +61,13 @@
 using TimerId = base::Quantity<struct TimerTag>;
 
 /// Why a server closed or refused an exchange before its handler saw it.
-enum class RejectReason { BodyTooLarge, LengthRequired, BodyTimeout, HeadersTooLong };
+enum class RejectReason {
+    BodyTooLarge,
+    LengthRequired,
+    BodyTimeout,
+    HeadersTooLong,
+    MemoryShort, ///< All unfinished bodies together hold too much.
+};
 
 std::string_view rejectReasonName(RejectReason reason);
 
@@ -83,6 +89,10 @@
     std::vector<std::string> headers; ///< Lower-case names of further headers to collect.
     std::size_t maxBodyBytes = std::size_t(16) << 20;
     base::Millis bodyTimeout{30'000}; ///< Bound on the arrival of a whole body.
+    /// Of all unfinished bodies; above it the largest is rejected. 0 means no limit.
+    std::size_t maxHeldBodyBytes = 0;
+    /// Above it the connection that has been idle longest is closed. 0 means no limit.
+    std::size_t maxConnections = 0;
 };
 
 /// How far a failed call had come.
--- a/libs/http/src/LoopContext.h
+++ b/libs/http/src/LoopContext.h
@@ -6,17 +6,22 @@
 
 #include <atomic>
 #include <deque>
+#include <list>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace hyssop::http {
 
+struct Listener;
+
 /// One server-side exchange on a connection.
 struct Exchange
 {
     ExchangeId id;
     lws *wsi = nullptr;
     ServerHandler *handler = nullptr;
+    Listener *listener = nullptr;
     Request request;
     std::size_t maxBodyBytes = 0;
     std::string out; ///< Body bytes not yet written.
@@ -50,6 +55,10 @@
 {
     ServerOptions options;
     ServerHandler *handler = nullptr;
+    std::size_t heldBodyBytes = 0; ///< Of bodies that have not arrived whole.
+    std::unordered_set<lws *> connections;
+    std::list<lws *>
+            idle; ///< Of these, those without a request, in the order in which they became so.
     std::vector<std::string> headerNames; ///< With the trailing colon libwebsockets wants.
 };
 
--- a/libs/http/src/Message.cpp
+++ b/libs/http/src/Message.cpp
@@ -53,6 +53,8 @@
         return "body_timeout";
     case RejectReason::HeadersTooLong:
         return "headers_too_long";
+    case RejectReason::MemoryShort:
+        return "memory_short";
     }
     return "unknown";
 }
--- a/libs/http/src/ServerSide.cpp
+++ b/libs/http/src/ServerSide.cpp
@@ -90,8 +90,17 @@
     lws_callback_on_writable(exchange.wsi);
 }
 
+/// Takes an unfinished body out of what its listener holds.
+void releaseBody(Exchange &exchange)
+{
+    if (!exchange.isDelivered)
+        exchange.listener->heldBodyBytes -= exchange.request.body.size();
+}
+
 void reject(Exchange &exchange, RejectReason reason, int status)
 {
+    releaseBody(exchange);
+    std::string().swap(exchange.request.body);
     exchange.handler->onRejected(reason);
     exchange.closesAfter = true;
     exchange.isDelivered = true;
@@ -106,6 +115,7 @@
 {
     if (exchange.isDelivered)
         return;
+    releaseBody(exchange);
     exchange.isDelivered = true;
     context.stopTimer(exchange.bodyTimer);
     // The handler bounds the wait for the answer; the library's own timeout would cut it short.
@@ -122,6 +132,8 @@
     exchange.id = ExchangeId(++context.lastId);
     exchange.wsi = wsi;
     exchange.handler = listener->handler;
+    exchange.listener = listener;
+    listener->idle.remove(wsi);
     exchange.maxBodyBytes = listener->options.maxBodyBytes;
     exchange.request = readHead(wsi, *listener, path);
     context.exchanges.emplace(exchange.id.count(), std::move(owned));
@@ -195,11 +207,14 @@
     if (!exchange->isEnded)
         return 0;
     const bool closes = exchange->closesAfter;
+    Listener &listener = *exchange->listener;
     context.stopTimer(exchange->bodyTimer);
     context.exchanges.erase(*slot);
     *slot = 0;
     if (closes)
         return -1;
+    if (listener.connections.contains(wsi))
+        listener.idle.push_back(wsi);
     return lws_http_transaction_completed(wsi) ? -1 : 0;
 }
 
@@ -212,11 +227,51 @@
         return;
     const std::unique_ptr<Exchange> exchange = std::move(it->second);
     context.exchanges.erase(it);
+    releaseBody(*exchange);
     context.stopTimer(exchange->bodyTimer);
     if (exchange->isDelivered && !context.isStopping)
         exchange->handler->onPeerClosed(exchange->id);
 }
 
+/// Rejects the largest unfinished body of a listener.
+void rejectLargest(Loop::Context &context, const Listener &listener)
+{
+    Exchange *largest = nullptr;
+    for (const auto &[id, exchange] : context.exchanges)
+        if (exchange->listener == &listener && !exchange->isDelivered
+            && (!largest || exchange->request.body.size() > largest->request.body.size()))
+            largest = exchange.get();
+    if (largest)
+        reject(*largest, RejectReason::MemoryShort, 503);
+}
+
+void connectionOpened(lws *wsi)
+{
+    auto *listener = static_cast<Listener *>(lws_vhost_user(lws_get_vhost(wsi)));
+    if (!listener || !listener->connections.insert(wsi).second)
+        return;
+    listener->idle.push_back(wsi);
+    const std::size_t limit = listener->options.maxConnections;
+    if (limit == 0 || listener->connections.size() <= limit)
+        return;
+    lws *longest = listener->idle.front();
+    listener->idle.pop_front();
+    // It counts no longer, so that the next one does not find it again before it has ended.
+    listener->connections.erase(longest);
+    // At once, since a burst would otherwise open far more before the first one is closed. A
+    // connection can't be closed like this in a callback of its own.
+    lws_set_timeout(longest, PENDING_TIMEOUT_USER_OK,
+                    longest == wsi ? LWS_TO_KILL_ASYNC : LWS_TO_KILL_SYNC);
+}
+
+void connectionDestroyed(lws *wsi)
+{
+    lws_vhost *vhost = lws_get_vhost(wsi);
+    auto *listener = vhost ? static_cast<Listener *>(lws_vhost_user(vhost)) : nullptr;
+    if (listener && listener->connections.erase(wsi) > 0)
+        listener->idle.remove(wsi);
+}
+
 void addBody(lws *wsi, std::int64_t *slot, const void *in, std::size_t len)
 {
     Exchange *exchange = contextOf(wsi).exchange(ExchangeId(*slot));
@@ -227,6 +282,11 @@
         return;
     }
     exchange->request.body.append(static_cast<const char *>(in), len);
+    Listener &listener = *exchange->listener;
+    listener.heldBodyBytes += len;
+    if (listener.options.maxHeldBodyBytes > 0
+        && listener.heldBodyBytes > listener.options.maxHeldBodyBytes)
+        rejectLargest(contextOf(wsi), listener);
 }
 
 } // namespace
@@ -235,6 +295,12 @@
 {
     auto *slot = static_cast<std::int64_t *>(user);
     switch (reason) {
+    case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
+        connectionOpened(wsi);
+        return 0;
+    case LWS_CALLBACK_WSI_DESTROY:
+        connectionDestroyed(wsi);
+        return 0;
     case LWS_CALLBACK_HTTP:
         return beginExchange(wsi, slot, std::string_view(static_cast<const char *>(in), len));
     case LWS_CALLBACK_HTTP_BODY:
