--- a/integration/platform/PlatformBed.h
+++ b/integration/platform/PlatformBed.h
@@ -17,10 +17,10 @@
     std::size_t replicas = 1; ///< Addresses for them; the test starts what stands there.
     bool hasFaultLinks = false; ///< What comes from and goes to the outside passes the fault proxy.
     bool hasUplinkGate = false; ///< Entry hosts can be cut off from all replicas.
-    int memoryMb = 0; ///< Limits.MemoryMb and Limits.MaxFds of all hosts; 0: not stated.
-    int maxFds = 0;
     std::filesystem::path folder = {}; ///< Of the programs at first; empty for that of this build.
     std::string settings = {}; ///< Lines to add to the settings files of all hosts.
+    int memoryMb = 0; ///< Limits.MemoryMb and Limits.MaxFds of all hosts; 0: not stated.
+    int maxFds = 0;
 };
 
 /// A host of the platform and the program on it.
