--- a/libs/dispatch/tests/SenderTest.cpp
+++ b/libs/dispatch/tests/SenderTest.cpp
@@ -159,7 +159,7 @@
         fixture.evacuate({used == kNorth ? kSouth : kNorth});
         fixture.handle(AttemptFailed{CallId(1), fault, {}});
         fixture.tick(kStart + Millis(40));
-        CHECK(fixture.takeTargets().size() == 0);
+        CHECK(fixture.takeTargets().empty());
     }
 }
 
