registry: A move without effect in EvacuationOrdersTest

Cause: clang-tidy rejects std::move of an argument that is taken by reference. Change: the argument is passed as it is.

--- a/libs/registry/tests/EvacuationOrdersTest.cpp
+++ b/libs/registry/tests/EvacuationOrdersTest.cpp
@@ -102,7 +102,7 @@
         }
         void ask(const base::Endpoint &to, std::string body, Millis timeout, Answered done) override
         {
-            m_hosts->ask(m_self, to.port - 1, std::move(body), timeout, std::move(done));
+            m_hosts->ask(m_self, to.port - 1, std::move(body), timeout, done);
         }
         void executeAtEarlierBuild(const ledger::SetEvacuation &command, Millis,
                                    std::function<void(PutOutcome)> done) override
