fleet, dispatch, edge, platform: Requests do not leave the allowed regions of routes and tenants

Cause: the send gate had a rule for regions, but no configuration field reached it, and a call was relayed to entry hosts of any region, which takes its body there.

Change: AllowedRegions of routes and tenants is read; both lists bind where both are given. The watch reply tells the data centres of the peers (field 21), so that a restricted call is relayed to hosts in its regions only. A host that gets such a call from an earlier build in another region declines it. The type of the library is renamed to RegionSet.

--- a/integration/EvacuationTest.cpp
+++ b/integration/EvacuationTest.cpp
@@ -26,12 +26,14 @@
 constexpr auto kSettings = "Contracts: [\"places\"]\nZones:\n  floro-sal: \"r1\"\n"
                            "  forde-sal: \"r2\"\nRegion: \"r1\"\n";
 
-std::string manifest()
+/// \a fields are added to the route.
+std::string manifest(const std::string &fields = {})
 {
     return R"({"Version":1,"Routes":[{"Name":"r","Host":"site.example","PathPrefix":"/book/",)"
            R"("Kind":"idempotent","TimeoutMs":2000,"TargetLatencyMs":200,"Priority":0,)"
-           R"("Service":"booking","MaxAttempts":2,"NoAuth":true}],)"
-           R"("Services":[{"Name":"booking","HealthPath":"/health","MaxConns":50}]})";
+           + fields
+           + R"("Service":"booking","MaxAttempts":2,"NoAuth":true}],)"
+             R"("Services":[{"Name":"booking","HealthPath":"/health","MaxConns":50}]})";
 }
 
 /// Two entry hosts with callers, and replicas of which every second one is in the other data
@@ -39,12 +41,13 @@
 class EvacuationBed : public PlatformBed
 {
 public:
-    explicit EvacuationBed(const std::string &settings = kSettings)
+    explicit EvacuationBed(const std::string &settings = kSettings,
+                           const std::string &fieldsOfRoute = {})
         : PlatformBed({3, 2, kReplicas, false, false, {}, settings})
     {
         for (std::size_t n = 0; n < kReplicas; ++n)
             m_replicas.push_back(std::make_unique<Replica>(idOf(n), replicaListen[n]));
-        REQUIRE(put(0, manifest(), kSoon));
+        REQUIRE(put(0, manifest(fieldsOfRoute), kSoon));
         m_heartbeats = std::thread([this] {
             while (!m_isStopping) {
                 sendHeartbeats();
@@ -223,3 +226,19 @@
     EvacuationBed bed("Zones:\n  floro-sal: \"r1\"\n");
     CHECK(bed.order(0, kNorth + "/start") == 404);
 }
+
+TEST_CASE("requests do not leave the regions of their route, also when these are evacuated")
+{
+    EvacuationBed bed(kSettings, R"("AllowedRegions":["r2"],)");
+    const base::TimePoint start = base::monotonicNow();
+    REQUIRE(eventually(kSoon, [&] { return bed.arrivals(kSouth, start) > 20; }));
+    REQUIRE(bed.orderUntilAcknowledged(kSouth + "/start"));
+    const base::TimePoint inForceAt = base::monotonicNow() + kEvacuationBound;
+    std::this_thread::sleep_until(inForceAt + Millis(1'000));
+    CHECK(bed.arrivals(kSouth, inForceAt) == 0);
+    CHECK(bed.arrivals(kNorth, start) == 0);
+    const int served = bed.servedCalls();
+    REQUIRE(bed.orderUntilAcknowledged(kSouth + "/end"));
+    CHECK(eventually(kSoon, [&] { return bed.servedCalls() > served + 20; }));
+    CHECK(bed.arrivals(kNorth, start) == 0);
+}
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -46,7 +46,7 @@
     bool isRelayed = false; ///< Another entry host relayed it here, so it is not relayed again.
     /// Content that other calls of the service may have in common with it.
     std::vector<fleet::Fingerprint> fingerprints = {};
-    AllowedRegions allowedRegions = {};
+    fleet::RegionSet allowedRegions = {}; ///< Of its route and its team.
 };
 
 // Events.
@@ -116,7 +116,7 @@
 /// The entry hosts to which calls can be relayed.
 struct RelayPeersChanged
 {
-    std::vector<base::Endpoint> peers;
+    std::vector<fleet::LoadPeer> peers; ///< With the addresses that take relayed calls.
 };
 
 /// A relayed call was rejected or failed at the other entry host.
--- a/libs/dispatch/include/dispatch/SendScope.h
+++ b/libs/dispatch/include/dispatch/SendScope.h
@@ -3,19 +3,24 @@
 
 #include "base/Base.h"
 #include "fleet/Evacuations.h"
+#include "fleet/Regions.h"
 
 #include <map>
-#include <optional>
-#include <set>
 #include <string>
 
 namespace hyssop::dispatch {
 
-/// Regions that a call must not leave; not set where it may go anywhere. An empty set allows none.
-using AllowedRegions = std::optional<std::set<std::string>>;
 /// Region of each data centre.
 using Regions = std::map<base::DataCentreId, std::string>;
 
+/// Whether a call that is restricted to \a allowed may go to \a dataCentre.
+inline bool isAllowed(const Regions &regions, const fleet::RegionSet &allowed,
+                      const base::DataCentreId &dataCentre)
+{
+    const auto region = regions.find(dataCentre);
+    return fleet::allowsRegion(allowed, region == regions.end() ? nullptr : &region->second);
+}
+
 /// Why the gate keeps a request from an upstream.
 enum class SendRefusalReason {
     Leaving, ///< It announced that it stops.
--- a/libs/dispatch/src/RelayPeers.cpp
+++ b/libs/dispatch/src/RelayPeers.cpp
@@ -12,7 +12,8 @@
 } // namespace
 
 std::optional<base::Endpoint> RelayPeers::choose(const std::vector<base::Endpoint> &tried,
-                                                 base::Rng &rng, base::TimePoint now)
+                                                 const IsAllowed &isAllowed, base::Rng &rng,
+                                                 base::TimePoint now)
 {
     std::erase_if(m_avoided, [now](const auto &it) { return now >= it.second; });
     const auto isAvoided = [this](const base::Endpoint &peer) {
@@ -20,10 +21,11 @@
                            [&peer](const auto &it) { return it.first == peer; });
     };
     std::vector<base::Endpoint> candidates;
-    std::copy_if(m_peers.begin(), m_peers.end(), std::back_inserter(candidates),
-                 [&tried](const base::Endpoint &it) {
-                     return std::find(tried.begin(), tried.end(), it) == tried.end();
-                 });
+    for (const fleet::LoadPeer &it : m_peers) {
+        const bool isTried = std::find(tried.begin(), tried.end(), it.address) != tried.end();
+        if (!isTried && isAllowed(it.dataCentre))
+            candidates.push_back(it.address);
+    }
     if (std::any_of(candidates.begin(), candidates.end(),
                     [&](const auto &it) { return !isAvoided(it); }))
         std::erase_if(candidates, isAvoided);
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -91,7 +91,10 @@
         || now < service.relaysPausedUntil || call.triedRelays.size() >= kMaxRelays
         || call.info.deadline - now < kMinRelayTime)
         return false;
-    const auto peer = m_relayPeers.choose(call.triedRelays, m_rng, now);
+    const auto isInside = [&](const base::DataCentreId &dataCentre) {
+        return isAllowed(m_options.regions, call.info.allowedRegions, dataCentre);
+    };
+    const auto peer = m_relayPeers.choose(call.triedRelays, isInside, m_rng, now);
     if (!peer)
         return false;
     if (acquireStallRetry(call, now))
--- a/libs/dispatch/src/SendGate.h
+++ b/libs/dispatch/src/SendGate.h
@@ -13,7 +13,7 @@
 /// What a request needs of the upstream that it is sent to.
 struct SendScope
 {
-    const AllowedRegions *allowedRegions = nullptr; ///< Null for no restriction.
+    const fleet::RegionSet *allowedRegions = nullptr; ///< Null for no restriction.
     SendKind kind = SendKind::Call;
 };
 
--- a/libs/dispatch/src/rules/RegionRule.h
+++ b/libs/dispatch/src/rules/RegionRule.h
@@ -15,10 +15,8 @@
     std::optional<SendRefusal> check(const UpstreamState &upstream, const SendScope &scope,
                                      base::TimePoint) const override
     {
-        if (!scope.allowedRegions || !*scope.allowedRegions)
-            return std::nullopt;
-        const auto region = m_regions.find(upstream.info().dataCentre);
-        if (region != m_regions.end() && (*scope.allowedRegions)->contains(region->second))
+        if (!scope.allowedRegions
+            || isAllowed(m_regions, *scope.allowedRegions, upstream.info().dataCentre))
             return std::nullopt;
         return SendRefusal{SendRefusalReason::OutsideRegions, std::nullopt};
     }
--- a/libs/dispatch/tests/RelayTest.cpp
+++ b/libs/dispatch/tests/RelayTest.cpp
@@ -36,7 +36,9 @@
             it.slots = 6;
             dispatcher.handle(UpstreamUpdated{it}, kStart);
         }
-        dispatcher.handle(RelayPeersChanged{{{"127.0.0.2", 1}, {"127.0.0.3", 1}}}, kStart);
+        dispatcher.handle(RelayPeersChanged{{{{"127.0.0.2", 1}, base::DataCentreId("a")},
+                                             {{"127.0.0.3", 1}, base::DataCentreId("b")}}},
+                          kStart);
     }
 
     CallInfo call(bool isRetrySafe = false)
@@ -104,6 +106,38 @@
     CHECK(first<RelayCall>(fixture.arrive(fixture.call(), kStart + Millis(20))));
 }
 
+// A relayed call takes its body to the other host, which may be in another region.
+TEST_CASE("a call is relayed only to hosts in the regions that it must not leave")
+{
+    DispatcherOptions options = Fixture::defaultOptions();
+    options.regions = {{base::DataCentreId("a"), "r1"}, {base::DataCentreId("b"), "r2"}};
+    Fixture fixture(6, options);
+    fixture.loseLinks();
+    const auto relayOf = [&](const fleet::RegionSet &regions) {
+        CallInfo info = fixture.call();
+        info.allowedRegions = regions;
+        const Actions actions = fixture.arrive(info);
+        const auto *relay = first<RelayCall>(actions);
+        // Without a host to relay it to, a call is tried at the upstreams that it may go to.
+        if (const auto *attempt = first<SendAttempt>(actions)) {
+            CHECK_FALSE(relay);
+            CHECK(regions->contains(options.regions.at(attempt->upstream.dataCentre)));
+        }
+        return relay ? relay->peer.address : std::string();
+    };
+    for (int n = 0; n < 8; ++n) {
+        CHECK(relayOf(std::set<std::string>{"r1"}) == "127.0.0.2");
+        CHECK(relayOf(std::set<std::string>{"r2"}) == "127.0.0.3");
+    }
+    CHECK(relayOf(std::set<std::string>{"r3"}).empty());
+    CHECK(relayOf(std::set<std::string>()).empty());
+    CHECK_FALSE(relayOf(std::nullopt).empty());
+    // Control hosts of earlier builds do not tell the data centres of the hosts.
+    fixture.dispatcher.handle(RelayPeersChanged{{{{"127.0.0.4", 1}, {}}}}, kStart);
+    CHECK(relayOf(std::set<std::string>{"r1", "r2"}).empty());
+    CHECK_FALSE(relayOf(std::nullopt).empty());
+}
+
 TEST_CASE("calls that are queued when the links are lost are relayed")
 {
     Fixture fixture(3);
--- a/libs/dispatch/tests/SendGateTest.cpp
+++ b/libs/dispatch/tests/SendGateTest.cpp
@@ -74,10 +74,10 @@
 {
     const RegionRule rule({{kNorth, "r1"}, {base::DataCentreId("south"), "r2"}});
     CHECK(rule.isHard());
-    const AllowedRegions anywhere;
-    const AllowedRegions first = std::set<std::string>{"r1"};
-    const AllowedRegions nowhere = std::set<std::string>{};
-    const auto isRefused = [&](const char *dataCentre, const AllowedRegions *regions) {
+    const fleet::RegionSet anywhere;
+    const fleet::RegionSet first = std::set<std::string>{"r1"};
+    const fleet::RegionSet nowhere = std::set<std::string>{};
+    const auto isRefused = [&](const char *dataCentre, const fleet::RegionSet *regions) {
         const UpstreamState state = upstreamIn(base::DataCentreId(dataCentre));
         return rule.check(state, {regions}, kStart).has_value();
     };
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -190,6 +190,11 @@
     return {std::nullopt, route, team};
 }
 
+bool Edge::Impl::mayRunHere(const fleet::RegionSet &allowedRegions) const
+{
+    return dispatch::isAllowed(m_options.dispatch.regions, allowedRegions, m_options.dataCentre);
+}
+
 std::optional<Edge::Impl::Refusal> Edge::Impl::admit(
         const std::shared_ptr<gateway::Exchange> &exchange, CallMetadata metadata,
         std::optional<RelayTerms> relayTerms, base::TimePoint now)
@@ -201,6 +206,11 @@
     // The body was not read because of a refusal that no longer holds.
     if (exchange->isBodySkipped())
         return Refusal{503, "body_not_read"};
+    const auto allowedRegions = fleet::intersection(
+            route->allowedRegions, team ? team->allowedRegions : fleet::RegionSet());
+    // Entry hosts of earlier builds relay calls to other regions.
+    if (relayTerms && !mayRunHere(allowedRegions))
+        return Refusal{503, "outside_regions"};
     std::uniform_real_distribution<double> draw(0, 1);
     dispatch::CallInfo info;
     info.id = dispatch::CallId(++m_lastCallId);
@@ -226,6 +236,7 @@
     const auto body = std::make_shared<const std::string>(exchange->takeBody());
     info.fingerprints.push_back(fleet::fingerprintOf(
             info.service, {"request", info.team.text(), head.method, head.target, *body}));
+    info.allowedRegions = allowedRegions;
 
     EdgeCall &call = m_calls[info.id];
     call.id = info.id;
@@ -329,7 +340,10 @@
                 now);
     if (reply.isConfirmed) {
         if (reply.loadPeers) {
-            m_loadChannel.setPeers(*reply.loadPeers);
+            std::vector<base::Endpoint> addresses;
+            for (const fleet::LoadPeer &it : *reply.loadPeers)
+                addresses.push_back(it.address);
+            m_loadChannel.setPeers(addresses);
             setRelayPeers(*reply.loadPeers, now);
             // New peers do not wait for the next change to learn this host's load.
             sendLoadUpdate(true);
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -133,6 +133,9 @@
     void refuse(gateway::Exchange &exchange, const base::RequestId &id, const Refusal &refusal,
                 bool isTakenOver, base::TimePoint now);
 
+    /// Whether a call may be at this host that another host relayed to it.
+    bool mayRunHere(const fleet::RegionSet &allowedRegions) const;
+
     // Relays between entry hosts.
     /// Receives the calls that other entry hosts relay to this one.
     class RelayHandler final : public gateway::CallerHandler
@@ -162,7 +165,7 @@
     private:
         Impl *m_impl;
     };
-    void setRelayPeers(const std::vector<base::Endpoint> &peers, base::TimePoint now);
+    void setRelayPeers(const std::vector<fleet::LoadPeer> &peers, base::TimePoint now);
     void takeOver(const std::shared_ptr<gateway::Exchange> &exchange);
     /// Begins an attempt with a request that is already addressed.
     void startAttempt(EdgeCall &call, gateway::Call request);
--- a/libs/edge/src/Relays.cpp
+++ b/libs/edge/src/Relays.cpp
@@ -25,13 +25,13 @@
     });
 }
 
-void Edge::Impl::setRelayPeers(const std::vector<base::Endpoint> &peers, base::TimePoint now)
+void Edge::Impl::setRelayPeers(const std::vector<fleet::LoadPeer> &peers, base::TimePoint now)
 {
     if (m_options.relayPort == 0)
         return;
     dispatch::RelayPeersChanged event;
-    for (const base::Endpoint &it : peers)
-        event.peers.push_back({it.address, m_options.relayPort});
+    for (const fleet::LoadPeer &it : peers)
+        event.peers.push_back({{it.address.address, m_options.relayPort}, it.dataCentre});
     execute(m_dispatcher.handle(event, now), now);
 }
 
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -8,6 +8,8 @@
 #include "base/Base.h"
 #include "fleet/ConfigurationText.h"
 #include "fleet/Evacuations.h"
+#include "fleet/LoadPeer.h"
+#include "fleet/Regions.h"
 #include "fleet/Upstream.h"
 
 #include <limits>
@@ -47,6 +49,7 @@
     int priority = 0; ///< 0 is served first.
     int maxAttempts = 1; ///< Limit on the number of upstreams one request is sent to.
     std::vector<WeightedService> services;
+    RegionSet allowedRegions = {};
 
     /// Whether a request that may have run can be sent again.
     bool isRetrySafe() const { return isIdempotent || (isStream && isResumable); }
@@ -84,6 +87,7 @@
     base::TeamId id;
     std::vector<std::string> keys;
     std::optional<int> priority; ///< Overrides the priority of the route.
+    RegionSet allowedRegions = {};
 };
 
 /// Limits on requests and connections of callers.
@@ -491,7 +495,7 @@
     int entryHostCount = 1; ///< Entry hosts that poll, including the requesting one.
     /// The hosts that exchange their loads directly with the requesting one, if the request holds
     /// another revision of them.
-    std::optional<std::vector<base::Endpoint>> loadPeers;
+    std::optional<std::vector<LoadPeer>> loadPeers;
     std::int64_t loadPeersRevision = 0; ///< 0 when this control host does not know them.
     LoadReport distantLoad; ///< Load of the entry hosts that are not among these peers.
     /// \c distantLoad is that of all other entry hosts. Not sent: control hosts of builds that
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -317,6 +317,21 @@
     return json::array({evacuations->revision, std::move(names)});
 }
 
+/// Control hosts of earlier versions send no data centres.
+std::vector<LoadPeer> loadPeersFrom(const json &addresses, const json &dataCentres)
+{
+    std::vector<LoadPeer> peers;
+    for (std::size_t n = 0; n < addresses.size(); ++n) {
+        const auto address = base::parseEndpoint(addresses[n].get<std::string>());
+        if (!address)
+            continue;
+        peers.push_back({*address, base::DataCentreId(n < dataCentres.size()
+                                                              ? dataCentres[n].get<std::string>()
+                                                              : std::string())});
+    }
+    return peers;
+}
+
 std::optional<Evacuations> evacuationsFrom(const json &j)
 {
     if (j.is_null())
@@ -334,10 +349,13 @@
 {
     const bool isPacked = !reply.packedDirectory.empty();
     json loadPeers;
+    json dataCentresOfPeers = json::array();
     if (reply.loadPeers) {
         loadPeers = json::array();
-        for (const base::Endpoint &it : *reply.loadPeers)
-            loadPeers.push_back(it.text());
+        for (const LoadPeer &it : *reply.loadPeers) {
+            loadPeers.push_back(it.address.text());
+            dataCentresOfPeers.push_back(it.dataCentre.text());
+        }
     }
     json controlHosts = json::array();
     for (const base::Endpoint &it : reply.controlHosts)
@@ -362,7 +380,8 @@
                          reply.configurationDelta ? json(*reply.configurationDelta) : json(),
                          reply.deltaBase.count(),
                          reply.packedDirectory,
-                         evacuationsToJson(reply.evacuations)});
+                         evacuationsToJson(reply.evacuations),
+                         std::move(dataCentresOfPeers)});
 }
 
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes)
@@ -386,13 +405,9 @@
         }
         reply.entryHostCount = j.at(9);
         reply.distantLoad = loadFrom(j.at(10));
-        if (!j.at(11).is_null()) {
-            reply.loadPeers.emplace();
-            for (const json &it : j.at(11)) {
-                if (const auto peer = base::parseEndpoint(it.get<std::string>()))
-                    reply.loadPeers->push_back(*peer);
-            }
-        }
+        if (!j.at(11).is_null())
+            reply.loadPeers =
+                    loadPeersFrom(j.at(11), j.size() > 21 ? j.at(21) : json(json::array()));
         // Control hosts of earlier versions send no limits.
         if (j.size() > 12)
             reply.rateLimits = rateLimitsFrom(j.at(12));
--- a/libs/fleet/tests/ConfigurationTest.cpp
+++ b/libs/fleet/tests/ConfigurationTest.cpp
@@ -69,3 +69,23 @@
     CHECK(RouteTable::pickService(it, 0.76).text() == "b");
     CHECK(RouteTable::pickService(it, 1.0).text() == "b");
 }
+
+TEST_CASE("a call may go to the regions that both its route and its team allow")
+{
+    const RegionSet none;
+    const RegionSet first = std::set<std::string>{"r1"};
+    const RegionSet both = std::set<std::string>{"r1", "r2"};
+    const RegionSet second = std::set<std::string>{"r2"};
+    CHECK_FALSE(intersection(none, none));
+    CHECK(intersection(first, none) == first);
+    CHECK(intersection(none, second) == second);
+    CHECK(intersection(first, both) == first);
+    // Two lists without a common region allow no region; they are not the same as no list.
+    CHECK(intersection(first, second) == RegionSet(std::set<std::string>()));
+    const std::string region = "r1";
+    CHECK(allowsRegion(none, nullptr));
+    CHECK(allowsRegion(first, &region));
+    CHECK_FALSE(allowsRegion(second, &region));
+    CHECK_FALSE(allowsRegion(first, nullptr));
+    CHECK_FALSE(allowsRegion(intersection(first, second), &region));
+}
--- a/libs/fleet/tests/EarlierBuildsTest.cpp
+++ b/libs/fleet/tests/EarlierBuildsTest.cpp
@@ -89,7 +89,7 @@
     CHECK(reply.controlHosts == std::vector<base::Endpoint>{{"10.0.0.5", 7000}});
     CHECK(reply.entryHostCount == 4);
     REQUIRE(reply.loadPeers);
-    CHECK(*reply.loadPeers == std::vector<base::Endpoint>{{"10.0.0.2", 7000}});
+    CHECK(*reply.loadPeers == std::vector<LoadPeer>{{{"10.0.0.2", 7000}, {}}});
     CHECK(reply.distantLoad.upstreams == std::vector{load()});
     CHECK(reply.includesPeers == !build.exchangesLoad);
     REQUIRE(reply.rateLimits.size() == 1);
--- a/libs/fleet/tests/FleetViewTest.cpp
+++ b/libs/fleet/tests/FleetViewTest.cpp
@@ -120,7 +120,7 @@
     CHECK(read->distantLoad == reply.distantLoad);
     CHECK(read->controlHosts == reply.controlHosts);
     CHECK_FALSE(read->loadPeers);
-    reply.loadPeers = {{"127.0.0.2", 6}};
+    reply.loadPeers = {{{"127.0.0.2", 6}, base::DataCentreId("north")}, {{"127.0.0.3", 6}, {}}};
     reply.loadPeersRevision = 9;
     CHECK(decodeWatchReply(encode(reply))->loadPeers == reply.loadPeers);
     CHECK(decodeWatchReply(encode(reply))->loadPeersRevision == 9);
--- a/libs/registry/src/LoadAggregator.cpp
+++ b/libs/registry/src/LoadAggregator.cpp
@@ -73,15 +73,15 @@
     return peers;
 }
 
-std::vector<base::Endpoint> LoadAggregator::peers(const base::HostId &host) const
+std::vector<fleet::LoadPeer> LoadAggregator::peers(const base::HostId &host) const
 {
     const auto own = m_reports.find(host);
     if (own == m_reports.end())
         return {};
-    std::vector<base::Endpoint> addresses;
+    std::vector<fleet::LoadPeer> peers;
     for (const auto &it : peersOf(own))
-        addresses.push_back(it->second.address);
-    return addresses;
+        peers.push_back({it->second.address, it->second.dataCentre});
+    return peers;
 }
 
 void LoadAggregator::removeExpired(base::TimePoint now)
--- a/libs/registry/src/LoadAggregator.h
+++ b/libs/registry/src/LoadAggregator.h
@@ -16,12 +16,12 @@
         : m_limit(limit)
         , m_membersRevision(firstRevision)
     { }
-    /// Addresses of the peers of \a host: all other hosts if the limit allows, else those in its
+    /// The peers of \a host: all other hosts if the limit allows, else those in its
     /// data centre, else the nearest of these in a ring ordered by id, so that (for an even limit)
     /// a host sends its load to those that send theirs to it. Those in its data centre come first.
     /// Hosts that exchange their loads have only such peers, and the others only others.
     /// Empty when \a host has not reported.
-    std::vector<base::Endpoint> peers(const base::HostId &host) const;
+    std::vector<fleet::LoadPeer> peers(const base::HostId &host) const;
     /// Changes with each host that begins or ends to report, or moves.
     std::int64_t membersRevision() const { return m_membersRevision; }
     /// Total outstanding load of all hosts except \a host and its peers, or of all others if \a
--- a/libs/registry/tests/LoadAggregatorTest.cpp
+++ b/libs/registry/tests/LoadAggregatorTest.cpp
@@ -29,6 +29,15 @@
     return {host, 1};
 }
 
+std::vector<base::Endpoint> addressesOfPeers(const LoadAggregator &aggregator,
+                                             const std::string &host)
+{
+    std::vector<base::Endpoint> addresses;
+    for (const fleet::LoadPeer &it : aggregator.peers(base::HostId(host)))
+        addresses.push_back(it.address);
+    return addresses;
+}
+
 } // namespace
 
 TEST_CASE("the distant load excludes the host's own and expires")
@@ -64,7 +73,7 @@
         }
         for (const auto &[host, own] : requests) {
             int known = own;
-            for (const base::Endpoint &peer : aggregator.peers(base::HostId(host)))
+            for (const base::Endpoint &peer : addressesOfPeers(aggregator, host))
                 known += requests.at(peer.address);
             CAPTURE(limit, host);
             CHECK(known + distantRequests(aggregator, host.c_str()) == 63);
@@ -80,7 +89,7 @@
             aggregator.report(report(std::string(1, host).c_str(), host % 2 == 0 ? "p" : "q", 1),
                               kStart);
         const auto sendsTo = [&aggregator](char from, char to) {
-            const auto peers = aggregator.peers(base::HostId(std::string(1, from)));
+            const auto peers = addressesOfPeers(aggregator, std::string(1, from));
             return std::find(peers.begin(), peers.end(), at(std::string(1, to).c_str()))
                    != peers.end();
         };
@@ -109,7 +118,7 @@
         for (const auto &[host, own] : requests) {
             CAPTURE(limit, host);
             int known = own;
-            for (const base::Endpoint &peer : aggregator.peers(base::HostId(host))) {
+            for (const base::Endpoint &peer : addressesOfPeers(aggregator, host)) {
                 CHECK(isEarlier(peer.address) == isEarlier(host));
                 known += isEarlier(host) ? 0 : requests.at(peer.address);
             }
@@ -127,11 +136,11 @@
     earlier.exchangesLoad = false;
     aggregator.report(earlier, kStart);
     aggregator.report(report("b", "d", 1), kStart);
-    CHECK(aggregator.peers(base::HostId("b")).empty());
+    CHECK(addressesOfPeers(aggregator, "b").empty());
     const std::int64_t revision = aggregator.membersRevision();
     aggregator.report(report("a", "d", 1), kStart + Millis(500));
     CHECK(aggregator.membersRevision() > revision);
-    CHECK(aggregator.peers(base::HostId("b")) == std::vector{at("a")});
+    CHECK(addressesOfPeers(aggregator, "b") == std::vector{at("a")});
 }
 
 TEST_CASE("a host gets at most the requested number of peers and never itself")
@@ -142,9 +151,9 @@
         one.report(report(host, "d", 1), kStart);
         nine.report(report(host, "d", 1), kStart);
     }
-    CHECK(one.peers(base::HostId("y")) == std::vector{at("z")});
-    CHECK(nine.peers(base::HostId("z")) == std::vector{at("x"), at("y")});
-    CHECK(nine.peers(base::HostId("q")).empty());
+    CHECK(addressesOfPeers(one, "y") == std::vector{at("z")});
+    CHECK(addressesOfPeers(nine, "z") == std::vector{at("x"), at("y")});
+    CHECK(addressesOfPeers(nine, "q").empty());
 }
 
 TEST_CASE("peers in the same data centre come first")
@@ -156,8 +165,9 @@
         it->report(report("b", "far", 1), kStart);
         it->report(report("c", "near", 1), kStart);
     }
-    CHECK(one.peers(base::HostId("a")) == std::vector{at("c")});
-    CHECK(two.peers(base::HostId("a")) == std::vector{at("c"), at("b")});
+    CHECK(addressesOfPeers(one, "a") == std::vector{at("c")});
+    CHECK(addressesOfPeers(two, "a") == std::vector{at("c"), at("b")});
+    CHECK(two.peers(base::HostId("a")).back().dataCentre == base::DataCentreId("far"));
 }
 
 TEST_CASE("the revision of members changes when a host comes, moves or leaves, and not otherwise")
--- a/libs/registry/tests/PromptLoadPlayer.cpp
+++ b/libs/registry/tests/PromptLoadPlayer.cpp
@@ -86,9 +86,9 @@
     }
     sumLoads();
     for (int n = 0; n < m_scenario.entryHostCount; ++n) {
-        for (const base::Endpoint &it :
+        for (const fleet::LoadPeer &it :
              m_aggregator.peers(base::HostId("entry" + std::to_string(n))))
-            m_hosts[static_cast<std::size_t>(n)].peers.push_back(it.port - std::size_t(1));
+            m_hosts[static_cast<std::size_t>(n)].peers.push_back(it.address.port - std::size_t(1));
     }
 }
 
