integration: The soak's check of rate limits waits until a response has stated a lower limit

A silent replica states no limit, and reads what was sent to it meanwhile at once when it goes on. The check took the lower limit as known half a second after it was set, whether or not any response had stated it.

Change: a lower limit counts from half a second after the first response that could state it.

--- a/integration/platform/RateLimits.cpp
+++ b/integration/platform/RateLimits.cpp
@@ -40,6 +40,19 @@
     return since;
 }
 
+/// When hosts know the limit that was stated from \a from on: half a second after the first
+/// response that could state it. A silent replica states nothing, and what was sent to it meanwhile
+/// arrives when it goes on.
+base::TimePoint knownFrom(const ReplicaTraffic &traffic, base::TimePoint from)
+{
+    base::TimePoint first = base::TimePoint::max();
+    for (const ReplicaTraffic::Answer &it : traffic.limitedAnswers) {
+        if (it.at >= from && it.at < first)
+            first = it.at;
+    }
+    return first == base::TimePoint::max() ? first : first + kNotice;
+}
+
 /// Limit that hosts know at \a at: a lower one counts once they had time to learn of it, and the
 /// first one for the time before it too.
 double knownLimit(const ReplicaTraffic &traffic, base::TimePoint at, base::TimePoint since)
@@ -47,11 +60,13 @@
     double known = 0;
     for (std::size_t n = 0; n < traffic.limits.size(); ++n) {
         const ReplicaTraffic::Limit &it = traffic.limits[n];
+        if (!it.perSecond || it.from < since)
+            continue;
         const bool isLast = n + 1 == traffic.limits.size();
         const base::TimePoint end =
-                isLast ? base::TimePoint::max() : traffic.limits[n + 1].from + kNotice;
+                isLast ? base::TimePoint::max() : knownFrom(traffic, traffic.limits[n + 1].from);
         const bool isFirst = it.from == since;
-        if (it.perSecond && it.from >= since && (isFirst || it.from <= at) && at < end)
+        if ((isFirst || it.from <= at) && at < end)
             known = std::max(known, *it.perSecond);
     }
     return known;
