ledger, hyssop-entry, hyssop-control: Starts of entry hosts are stored in the home group

Cause: entry hosts knew of each other by gossip only. One that was killed before its first heartbeat had reached another was found dead by nobody: its jobs were not taken over and what it left at engines was not cancelled. One that stopped without having heard from another had nobody to hand its cancels to.

Change: an entry host stores its start in the home group of its data centre before it is ready, as a lease of a reserved name, which earlier builds keep. Cancels are handed over to configured peers when too few were heard from.

--- a/integration/ReclaimTest.cpp
+++ b/integration/ReclaimTest.cpp
@@ -37,6 +37,26 @@
         CHECK(returnsToFloor(system, *engine, kFloorLimit));
 }
 
+// The others learned of a host only by its gossip, so what it left stayed when it was killed first.
+TEST_CASE("what a killed entry host left is cancelled by one that never heard from that start")
+{
+    Plan plan;
+    plan.entriesEach = 2;
+    plan.hasFaultLinks = true;
+    System system(plan);
+    bringUp(system);
+    Host &entry = system.host("entry-1-2");
+    system.faults().cut("entry-1-1", "entry-1-2");
+    system.faults().cut("entry-1-2", "entry-1-1");
+    system.kill(entry);
+    system.start(entry);
+    system.awaitReady(entry);
+    system.awaitUpstreams(entry.dataCentre, 1);
+    startStreams(system, entry, 4);
+    system.kill(entry);
+    CHECK(returnsToFloor(system, system.host("engine-1-1"), kFloorLimit));
+}
+
 TEST_CASE("an entry host alone in its data centre cancels what its earlier start left")
 {
     System system;
--- a/libs/ledger/include/ledger/Ledger.h
+++ b/libs/ledger/include/ledger/Ledger.h
@@ -212,6 +212,19 @@
     std::int64_t storedAtMs = 0; ///< Log time.
 };
 
+/// Command by which an entry host makes its start known in its home group, before it sends anything
+/// to upstreams. Others learn of it there even if it ends before it has reached any of them.
+///
+/// It is a lease of a reserved name, so that builds that do not read it keep it.
+TakeLease startOfEntryHost(const Owner &owner);
+
+/// Latest start of each entry host of the home group.
+struct StartedHosts
+{
+    std::int64_t revision = 0; ///< Grows with each start; 0 before the first one.
+    std::vector<Owner> hosts; ///< Without those that were retired.
+};
+
 using Command = std::variant<PutRecord, Claim, ReleaseClaim, FinishClaim, RetireOwner, SubmitJob,
                              TakeJob, FinishJob, TakeLease, InitializeGroup, ReinstateOwner,
                              PutConfiguration, PutCrashSuspects, SetEvacuation>;
@@ -300,6 +313,7 @@
     /// Empty while nothing is stored.
     const std::optional<StoredCrashSuspects> &crashSuspects() const { return m_crashSuspects; }
     Evacuations evacuations() const;
+    StartedHosts startedHosts() const;
     /// Null if there is no such job.
     const Job *job(const base::JobId &id) const;
     /// Jobs of one team, ordered by id.
@@ -372,6 +386,8 @@
     Reply execute(const PutCrashSuspects &command);
     Reply execute(const SetEvacuation &command);
     bool isRetired(const Owner &owner) const;
+    /// Removes the start of \a retired or of an earlier incarnation.
+    void forgetStart(const Owner &retired);
     /// Whether a home-scoped key names a group incarnation other than this group's.
     bool isFromOtherIncarnation(const std::string &key) const;
     /// Removes items past their retention time and fails jobs past their time limit.
--- a/libs/ledger/src/Ledger.cpp
+++ b/libs/ledger/src/Ledger.cpp
@@ -366,8 +366,11 @@
                && it.second.endedAtMs < (isReleased ? releaseCutoffMs : claimCutoffMs);
     });
     const std::int64_t retirementCutoffMs = m_logTimeMs - m_options.retirementRetention.count();
-    std::erase_if(m_retirements, [retirementCutoffMs](const auto &it) {
-        return it.second.retiredAtMs < retirementCutoffMs;
+    std::erase_if(m_retirements, [this, retirementCutoffMs](const auto &it) {
+        if (it.second.retiredAtMs >= retirementCutoffMs)
+            return false;
+        forgetStart({it.first, it.second.incarnation});
+        return true;
     });
     const std::int64_t jobCutoffMs = m_logTimeMs - m_options.jobRetention.count();
     for (auto &[id, job] : m_jobs) {
--- a/libs/membership/tests/HostTableTest.cpp
+++ b/libs/membership/tests/HostTableTest.cpp
@@ -66,3 +66,21 @@
         ids += it.id.text();
     CHECK(ids == "abc");
 }
+
+// Such a host was reclaimed by nobody, as no other host knew that it had ever been there.
+TEST_CASE("a host that is known only by its start is found dead when it never gossips")
+{
+    HostTable table({base::HostId("self"), base::Incarnation(1), 0, {}});
+    const base::TimePoint start{std::chrono::hours(1)};
+    const HostHeartbeat started{base::HostId("other"), base::Incarnation(5), 0, {}};
+    REQUIRE(table.update(started, start).size() == 1);
+    CHECK(table.update(started, start + HostTable::kSuspectAfter).empty());
+    table.tick(start + HostTable::kSuspectAfter);
+    const auto changes = table.tick(start + HostTable::kDeadAfter);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().kind == HostChange::Kind::Dead);
+    CHECK(changes.front().incarnation == base::Incarnation(5));
+    // Neither the list nor an earlier start brings it back.
+    CHECK(table.update(started, start + HostTable::kDeadAfter).empty());
+    CHECK(table.isDead(base::HostId("other")));
+}
--- a/programs/hyssop-control/Queries.cpp
+++ b/programs/hyssop-control/Queries.cpp
@@ -124,6 +124,23 @@
                       {"confirmed", group->isConfirmed}});
 }
 
+std::string answerStartedHosts(const json &body, const QueryView &view)
+{
+    const GroupView *group =
+            findGroup(view, std::string(kHomeGroupPrefix) + stringField(body, "dataCentre"));
+    if (!group)
+        return {};
+    const ledger::StartedHosts started = group->ledger->startedHosts();
+    json answer{{"revision", started.revision}};
+    if (nonNegativeField(body, "revision") == started.revision)
+        return serialize(answer);
+    answer["hosts"] = json::array();
+    for (const ledger::Owner &it : started.hosts)
+        answer["hosts"].push_back(
+                {{"host", it.host.text()}, {"incarnation", it.incarnation.count()}});
+    return serialize(answer);
+}
+
 std::string answerEntryHosts(const QueryView &view)
 {
     json answer{{"host", view.host.text()},
@@ -209,6 +226,8 @@
         return answerOpenJobs(view);
     if (request.topic == "scope")
         return answerScope(*body, view);
+    if (request.topic == "started-hosts")
+        return answerStartedHosts(*body, view);
     if (request.topic == "reporters")
         return answerEntryHosts(view);
     return {};
--- a/programs/hyssop-control/Queries.h
+++ b/programs/hyssop-control/Queries.h
@@ -43,6 +43,9 @@
 ///   first, then running ones. A body {host, incarnation, held, room, waitMs} makes it a watch, see
 ///   parseJobWatch();
 /// - "scope" {dataCentre}: {incarnation, confirmed} of its home group, incarnation as a string;
+/// - "started-hosts" {dataCentre, revision}: {revision, hosts: [{host, incarnation}]}, the entry
+/// hosts
+///   whose start its home group remembers; without hosts if the revision is the requested one;
 /// - "reporters" {}: {host, dataCentre, hosts: [{host, dataCentre, position, ageMs}]}.
 std::string answerQuery(const peers::QueryRequest &request, const QueryView &view);
 
--- a/programs/hyssop-control/tests/QueriesTest.cpp
+++ b/programs/hyssop-control/tests/QueriesTest.cpp
@@ -84,6 +84,21 @@
     CHECK(fixture.query("scope", {{"dataCentre", "hall-b"}}).is_null());
 }
 
+TEST_CASE("a query for started hosts is answered in full only when they changed")
+{
+    Fixture fixture;
+    const json body{{"dataCentre", "hall-a"}, {"revision", 0}};
+    CHECK(fixture.query("started-hosts", body).at("revision") == 0);
+    fixture.applyCommand(ledger::startOfEntryHost(kOwner), 200);
+    const json answer = fixture.query("started-hosts", body);
+    REQUIRE(answer.at("hosts").size() == 1);
+    CHECK(answer.at("hosts")[0].at("host") == kOwner.host.text());
+    CHECK(answer.at("hosts")[0].at("incarnation") == kOwner.incarnation.count());
+    const json known{{"dataCentre", "hall-a"}, {"revision", answer.at("revision")}};
+    CHECK_FALSE(fixture.query("started-hosts", known).contains("hosts"));
+    CHECK(fixture.query("started-hosts", {{"dataCentre", "hall-b"}, {"revision", 0}}).is_null());
+}
+
 TEST_CASE("a reporters query returns data centre, position and age; unknown topics get no answer")
 {
     const Fixture fixture;
--- a/programs/hyssop-entry/EntryServer.cpp
+++ b/programs/hyssop-entry/EntryServer.cpp
@@ -104,7 +104,13 @@
     m_callResolver.setCatalogue(catalogue);
     m_orderRunner->setCatalogue(catalogue);
     m_routerDriver->feed(routing::CatalogueChanged{std::move(catalogue)});
-    m_platformServer->setReady(!m_isStopping);
+    m_hasCatalogue = true;
+    updateReadiness();
+}
+
+void EntryServer::updateReadiness()
+{
+    m_platformServer->setReady(m_hasCatalogue && m_startRegister->isSettled() && !m_isStopping);
 }
 
 tl::expected<void, StartError> EntryServer::listen()
@@ -128,6 +134,15 @@
     m_reclaimer = std::make_unique<Reclaimer>(m_loop.get(), &m_metrics, m_gossiper.get(),
                                               m_controlClient.get(), m_options.dataCentre);
     m_orderRunner = makeOrderRunner();
+    StartRegister::Hooks hooks;
+    hooks.onSettled = [this] { updateReadiness(); };
+    hooks.onHostStarted = [this](const ledger::Owner &it) {
+        m_gossiper->addStartedHost(it.host, it.incarnation);
+    };
+    m_startRegister =
+            std::make_unique<StartRegister>(m_loop.get(), &m_metrics, m_controlClient.get(),
+                                            ledger::Owner{m_options.host, m_options.incarnation},
+                                            m_options.dataCentre, std::move(hooks));
     m_controlClient->setNode(m_peerNode.get());
     base::logEvent("listening", {{"callers", callers->text()},
                                  {"upstreams", upstreams->text()},
@@ -143,6 +158,7 @@
                                {"incarnation", m_options.incarnation.count()}});
     m_recordsWatcher->start(m_peerNode.get());
     m_gossiper->start(m_peerNode.get());
+    m_startRegister->start();
     m_jobRunner->start();
     m_reclaimer->start();
     m_orderRunner->start();
@@ -359,7 +375,7 @@
     if (m_isStopping)
         return;
     m_isStopping = true;
-    m_platformServer->setReady(false);
+    updateReadiness();
     m_jobRunner->stop();
     m_orderRunner->stop();
     base::logEvent("stopping", {{"open_requests", m_routerDriver->openRequestCount()}});
--- a/programs/hyssop-entry/EntryServer.h
+++ b/programs/hyssop-entry/EntryServer.h
@@ -15,6 +15,7 @@
 #include "RecordsWatcher.h"
 #include "RouterDriver.h"
 #include "routing/Routing.h"
+#include "StartRegister.h"
 #include "upstream/Upstream.h"
 
 namespace hyssop::entry {
@@ -45,6 +46,7 @@
     void createComponents();
     tl::expected<void, StartError> listen();
     void applyCatalogue(std::shared_ptr<const records::Catalogue> catalogue);
+    void updateReadiness();
 
     // Calls.
     void onCall(http::ExchangeId id, caller::Call call) override;
@@ -95,6 +97,8 @@
     std::unique_ptr<Gossiper> m_gossiper;
     std::unique_ptr<Reclaimer> m_reclaimer;
     std::unique_ptr<OrderRunner> m_orderRunner;
+    std::unique_ptr<StartRegister> m_startRegister;
+    bool m_hasCatalogue = false;
     bool m_isStopping = false;
     std::optional<base::TimePoint> m_idleSince; ///< When the last work ended; deletions at
                                                 ///< upstreams may still be unconfirmed.
--- a/programs/hyssop-entry/Gossiper.cpp
+++ b/programs/hyssop-entry/Gossiper.cpp
@@ -43,6 +43,7 @@
                    std::vector<base::Endpoint> seeds, bool usesSeedsOnly, Hooks hooks)
     : m_loop(loop)
     , m_metrics(metrics)
+    , m_seeds(seeds)
     , m_hooks(std::move(hooks))
     , m_hosts(self)
     , m_protocol(protocolOptions(self, std::move(seeds), usesSeedsOnly), &m_hosts, &m_directory)
@@ -100,6 +101,11 @@
         m_hooks.onDeletionsHandedOver(body->handedOver);
 }
 
+void Gossiper::addStartedHost(const base::HostId &host, base::Incarnation incarnation)
+{
+    apply(m_hosts.update({host, incarnation, 0, {}}, base::monotonicNow()));
+}
+
 bool Gossiper::handOverDeletions(std::vector<upstream::DeletionQueue::Deletion> deletions)
 {
     deletions.resize(std::min(deletions.size(), kMaxHandedOverDeletions));
@@ -108,15 +114,24 @@
     body.handedOver = std::move(deletions);
     const std::string bytes = encodeGossip(body);
     // Two receivers, as one may be stopping as well. Repeated deletions are harmless.
-    std::size_t receivers = 0;
+    std::vector<base::Endpoint> receivers;
+    const auto add = [&](const base::Endpoint &address) {
+        const bool isKnown =
+                std::find(receivers.begin(), receivers.end(), address) != receivers.end();
+        if (address.port != 0 && address != m_hosts.self().address && !isKnown
+            && receivers.size() < kHandOverReceivers)
+            receivers.push_back(address);
+    };
     for (const membership::HostHeartbeat &heartbeat : m_hosts.live()) {
-        if (heartbeat.id == m_hosts.self().id || heartbeat.address.port == 0
-            || receivers == kHandOverReceivers)
-            continue;
-        m_node->gossip(heartbeat.address, {m_hosts.self().id, bytes}, kSendTimeout);
-        ++receivers;
+        if (heartbeat.id != m_hosts.self().id)
+            add(heartbeat.address);
     }
-    return receivers > 0;
+    // A host that stops soon after its start may not have heard from any other.
+    for (const base::Endpoint &seed : m_seeds)
+        add(seed);
+    for (const base::Endpoint &it : receivers)
+        m_node->gossip(it, {m_hosts.self().id, bytes}, kSendTimeout);
+    return !receivers.empty();
 }
 
 void Gossiper::apply(const std::vector<membership::DirectoryChange> &changes)
--- a/programs/hyssop-entry/Gossiper.h
+++ b/programs/hyssop-entry/Gossiper.h
@@ -40,7 +40,11 @@
     /// Adds an announcement that an upstream sent to this host.
     void announce(const membership::Announcement &announcement);
     void receive(const peers::GossipMessage &message);
-    /// Hands unconfirmed deletions over to other hosts. Returns false when no other host is live.
+    /// Adds a host of whose start a control host tells. If it never gossips, it is found dead like
+    /// one that falls silent.
+    void addStartedHost(const base::HostId &host, base::Incarnation incarnation);
+    /// Hands unconfirmed deletions over to live hosts and, if there are too few, to configured ones
+    /// that were not seen yet. Returns false when there are none.
     bool handOverDeletions(std::vector<upstream::DeletionQueue::Deletion> deletions);
 
     const membership::Directory &directory() const { return m_directory; }
@@ -53,6 +57,7 @@
 
     http::Loop *m_loop;
     process::Metrics *m_metrics;
+    std::vector<base::Endpoint> m_seeds;
     Hooks m_hooks;
     membership::HostTable m_hosts;
     membership::Directory m_directory;
