--- a/integration/HostFaultTest.cpp
+++ b/integration/HostFaultTest.cpp
@@ -53,8 +53,7 @@
 
 } // namespace
 
-TEST_CASE("after an entry is killed under load all engines' memory is back at its floor",
-          "[.known-red]")
+TEST_CASE("after an entry is killed under load all engines' memory is back at its floor")
 {
     System system(pairPlan());
     bringUp(system);
@@ -128,8 +127,7 @@
         CHECK(returnsToFloor(system, *engine, kFloorLimit));
 }
 
-TEST_CASE("an entry host that stops gives cancels no engine has confirmed over to another host",
-          "[.known-red]")
+TEST_CASE("an entry host that stops gives cancels no engine has confirmed over to another host")
 {
     Plan plan;
     plan.entriesEach = 2;
--- a/integration/JobTest.cpp
+++ b/integration/JobTest.cpp
@@ -66,7 +66,7 @@
         CHECK(eventually(kDoneLimit, [&] { return stateOf(system, entry, id) == "done"; }));
 }
 
-TEST_CASE("the job of a killed host is taken over by another", "[.known-red]")
+TEST_CASE("the job of a killed host is taken over by another")
 {
     Plan plan;
     plan.entriesEach = 2;
--- a/integration/ReclaimTest.cpp
+++ b/integration/ReclaimTest.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-TEST_CASE("what a killed entry host left at the engines is cancelled by the others", "[.known-red]")
+TEST_CASE("what a killed entry host left at the engines is cancelled by the others")
 {
     Plan plan;
     plan.entriesEach = 3;
