fuzz: A watch reply with the data centre of a peer

Cause: the fuzz targets build a watch reply with addresses of peers only, which no longer compiles.

Change: the reply states the data centre too.

Result: the whole tree builds.

--- a/fuzz/PlatformTargets.cpp
+++ b/fuzz/PlatformTargets.cpp
@@ -120,7 +120,7 @@
     reply.packedConfiguration = "text";
     reply.directory.upstreams.emplace_back();
     reply.controlHosts = {{"127.0.0.1", 7}};
-    reply.loadPeers = {{"127.0.0.2", 7}};
+    reply.loadPeers = {{{"127.0.0.2", 7}, base::DataCentreId("north")}};
     reply.distantLoad.upstreams.emplace_back();
     fleet::RelayedAnnouncements relay;
     relay.departed.emplace_back();
