replog, group: A log with a missing segment is set aside and the host joins again

Cause: FileStorage::open() rejects a log in which a segment file is missing between two others, so a control host ended with start_failed at each start until an operator moved its data folder.

Change: before loadReplicaId() decides whether there is a log, it looks for such a gap. FileStorage::open() itself still rejects a gap. A host with a set-aside log and an empty new one neither founds a group nor reports its log as empty: otherwise hosts that have all lost their logs would found a second group.

--- a/libs/group/include/group/Group.h
+++ b/libs/group/include/group/Group.h
@@ -22,7 +22,8 @@
 struct Hello
 {
     replog::ReplicaId id;
-    bool isEmpty = false; ///< The sender's log holds no entry yet.
+    /// The sender's log holds no entry yet, and none was set aside as incomplete.
+    bool isEmpty = false;
     replog::ReplicaId echoedId; ///< Latest id received from the receiver's host; empty if none.
     base::DataCentreId dataCentre = {}; ///< Of the sender; empty where it is not used.
 };
@@ -241,6 +242,9 @@
     void apply(const replog::Entry &entry, base::TimePoint now);
     void failPendingCommands();
     void sendHellos(base::TimePoint now);
+    /// Whether this host may take part in a new group. An incomplete log that was set aside shows
+    /// that the group exists already.
+    bool canFoundGroup() const;
     void bootstrapWhenReady(base::TimePoint now);
     void performLeaderTasks(base::TimePoint now);
     void updateHostsFromRecord();
@@ -248,6 +252,7 @@
 
     GroupOptions m_options;
     replog::ReplicaId m_self;
+    bool m_hasSetAsideLog;
     std::unique_ptr<GroupMembers> m_members;
     std::unique_ptr<replog::Storage> m_storage;
     std::unique_ptr<replog::Replica> m_replica;
--- a/libs/group/src/GroupHost.cpp
+++ b/libs/group/src/GroupHost.cpp
@@ -27,6 +27,7 @@
 GroupHost::GroupHost(GroupOptions options, replog::ReplicaId self, Send send, base::TimePoint now)
     : m_options(std::move(options))
     , m_self(std::move(self))
+    , m_hasSetAsideLog(replog::hasSetAsideLog(m_options.folder))
     , m_members(m_options.members ? std::move(m_options.members)
                                   : std::make_unique<GroupMembers>(m_options.host,
                                                                    m_options.initialHosts, now))
@@ -132,14 +133,18 @@
     m_nextHelloAt = now + kHelloInterval;
     for (const HostAddress &host : m_members->hosts()) {
         if (host.host != m_options.host)
-            m_send(host.address,
-                   encode(m_members->helloTo(host.host, m_self, m_replica->isEmpty())));
+            m_send(host.address, encode(m_members->helloTo(host.host, m_self, canFoundGroup())));
     }
 }
 
+bool GroupHost::canFoundGroup() const
+{
+    return m_replica->isEmpty() && !m_hasSetAsideLog;
+}
+
 void GroupHost::bootstrapWhenReady(base::TimePoint now)
 {
-    if (!m_replica->isEmpty())
+    if (!canFoundGroup())
         return;
     if (const auto voters = m_members->bootstrapVoters(m_self)) {
         base::logEvent("group_founded", {{"group", m_options.group}, {"voters", voters->size()}});
--- a/libs/replog/include/replog/Replog.h
+++ b/libs/replog/include/replog/Replog.h
@@ -203,11 +203,16 @@
                                                      base::TimePoint now);
 
 /// Loads the id of a host's replica from \a folder. Without a log there, the replica has lost its
-/// votes, so a new id with \a random as incarnation is created and stored. Fails with
-/// StorageFault::Damaged when the log belongs to another host.
+/// votes, so a new id with \a random as incarnation is created and stored. A log in which a segment
+/// is missing between two others counts as lost: it is first moved, with its id, to a folder below
+/// \a folder. Fails with StorageFault::Damaged when the log belongs to another host.
 tl::expected<ReplicaId, StorageError> loadReplicaId(const std::filesystem::path &folder,
                                                     const base::HostId &host, std::uint64_t random);
 
+/// Whether loadReplicaId() has ever set aside an incomplete log of \a folder. The replica then
+/// belonged to a group, even if its present log is empty.
+bool hasSetAsideLog(const std::filesystem::path &folder);
+
 /// Host part of an id.
 base::HostId hostOf(const ReplicaId &id);
 
--- a/libs/replog/src/FileStorage.cpp
+++ b/libs/replog/src/FileStorage.cpp
@@ -1,10 +1,9 @@
-#include "Files.h"
 #include "Frames.h"
+#include "LogFiles.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cstring>
 #include <deque>
 
 namespace hyssop::replog {
@@ -13,10 +12,6 @@
 
 namespace {
 
-constexpr auto kSnapshotFile = "snapshot";
-constexpr auto kReplicaIdFile = "replica-id";
-constexpr auto kSegmentPrefix = "segment-";
-
 StorageError damagedError(const std::filesystem::path &path, const std::string &reason)
 {
     return {StorageFault::Damaged, fmt::format("{} is damaged: {}", path.string(), reason)};
@@ -91,24 +86,15 @@
 
 FileStorage::Result FileStorage::findSegments()
 {
-    std::error_code ec;
-    std::vector<std::string> names;
-    for (const auto &it : std::filesystem::directory_iterator(m_folder, ec)) {
-        const std::string name = it.path().filename().string();
-        if (name.starts_with(kSegmentPrefix))
-            names.push_back(name);
-    }
-    if (ec)
+    const auto found = listSegments(m_folder);
+    if (!found)
+        return tl::unexpected(found.error());
+    if (const auto gap = findGap(*found); gap != found->end())
         return tl::unexpected(
-                StorageError{StorageFault::Failed, m_folder.string() + ": " + ec.message()});
-    std::sort(names.begin(), names.end());
-    for (const std::string &name : names) {
-        const std::int64_t number = std::atoll(name.c_str() + std::strlen(kSegmentPrefix));
-        if (!m_segments.empty() && number != m_nextSegment)
-            return tl::unexpected(
-                    damagedError(m_folder, "a segment before " + name + " is missing"));
-        m_segments.push_back({m_folder / name, Index()});
-        m_nextSegment = number + 1;
+                damagedError(m_folder, "a segment before " + gap->name + " is missing"));
+    for (const SegmentName &it : *found) {
+        m_segments.push_back({m_folder / it.name, Index()});
+        m_nextSegment = it.number + 1;
     }
     return {};
 }
@@ -298,6 +284,8 @@
 {
     std::error_code ec;
     std::filesystem::create_directories(folder, ec);
+    if (const auto done = setAsideIncompleteLog(folder); !done)
+        return tl::unexpected(done.error());
     const std::filesystem::path path = folder / kReplicaIdFile;
     bool hasLog = std::filesystem::exists(folder / kSnapshotFile, ec);
     for (const auto &it : std::filesystem::directory_iterator(folder, ec))
--- a/libs/replog/tests/FileStorageTest.cpp
+++ b/libs/replog/tests/FileStorageTest.cpp
@@ -196,3 +196,93 @@
         fs::remove(segment);
     CHECK(*loadReplicaId(folder.path, host, 4) != first);
 }
+
+// Guards against a log with a gap that ends the host at every start, or from which it answers.
+TEST_CASE("a log in which a segment is missing is set aside and the replica gets a new id")
+{
+    const Folder folder;
+    const base::HostId host("a");
+    const auto first = *loadReplicaId(folder.path, host, 1);
+    fill(folder, 20, kSmall);
+    {
+        const auto storage = makeFileStorage(folder.path, kSmall);
+        REQUIRE(storage->open());
+        storage->saveSnapshot({{Term(1), Index(2)}, {{first}, {}}, "state"});
+        REQUIRE(storage->sync());
+    }
+    const auto segments = folder.segments();
+    REQUIRE(segments.size() > 4);
+    CHECK(*loadReplicaId(folder.path, host, 2) == first);
+    CHECK_FALSE(hasSetAsideLog(folder.path));
+    fs::remove(segments[2]);
+
+    const auto second = loadReplicaId(folder.path, host, 3);
+    REQUIRE(second);
+    CHECK(*second != first);
+    CHECK(hostOf(*second) == host);
+    CHECK(hasSetAsideLog(folder.path));
+    CHECK(folder.segments().empty());
+    CHECK_FALSE(fs::exists(folder.path / "snapshot"));
+    const fs::path aside = folder.path / "incomplete-log-1";
+    CHECK(fs::exists(aside / "replica-id"));
+    CHECK(fs::exists(aside / "snapshot"));
+    for (std::size_t n = 0; n < segments.size(); ++n)
+        CHECK(fs::exists(aside / segments[n].filename()) == (n != 2));
+    const auto recovered = reopen(folder);
+    REQUIRE(recovered);
+    CHECK(recovered->entries.empty());
+    CHECK(recovered->snapshot.position == Position());
+
+    // The next log is kept, and a second incomplete one does not replace the first.
+    const Folder next;
+    fill(next, 20, kSmall);
+    for (const auto &segment : folder.segments())
+        fs::remove(segment);
+    for (const auto &segment : next.segments())
+        fs::copy(segment, folder.path);
+    CHECK(*loadReplicaId(folder.path, host, 4) == *second);
+    fs::remove(folder.segments()[1]);
+    CHECK(*loadReplicaId(folder.path, host, 5) != *second);
+    CHECK(fs::exists(folder.path / "incomplete-log-2" / "replica-id"));
+    CHECK(fs::exists(aside / "snapshot"));
+}
+
+// Guards against a crash between two renames, after which the rest of a log may have no gap and
+// would be taken for the whole one.
+TEST_CASE("setting aside an incomplete log is completed after a crash at any step")
+{
+    const Folder whole;
+    const base::HostId host("a");
+    const auto first = *loadReplicaId(whole.path, host, 1);
+    fill(whole, 20, kSmall);
+    fs::remove(whole.segments()[2]);
+    std::vector<std::string> files{"replica-id"};
+    for (const fs::path &segment : whole.segments())
+        files.push_back(segment.filename().string());
+    // The renames of the segments may become durable in any order, that of the id is the first.
+    for (std::size_t moved = 0; moved <= files.size(); ++moved) {
+        for (const bool isBackwards : {false, true}) {
+            const Folder folder;
+            fs::copy(whole.path, folder.path, fs::copy_options::recursive);
+            const fs::path aside = folder.path / "incomplete-log-1";
+            fs::create_directories(aside);
+            for (std::size_t n = 0; n < moved; ++n) {
+                const std::string &name = files[n > 0 && isBackwards ? files.size() - n : n];
+                fs::rename(folder.path / name, aside / name);
+            }
+            const auto id = loadReplicaId(folder.path, host, 2);
+            REQUIRE(id);
+            CHECK(*id != first);
+            CHECK(folder.segments().empty());
+            CHECK(hasSetAsideLog(folder.path));
+            std::size_t kept = 0;
+            for (const auto &it : fs::recursive_directory_iterator(folder.path)) {
+                const std::string name = it.path().filename().string();
+                const bool isNewId = it.path().parent_path() == folder.path;
+                kept += it.is_regular_file() && !isNewId ? 1U : 0U;
+                CHECK((it.is_directory() || !isNewId || name == "replica-id"));
+            }
+            CHECK(kept == files.size());
+        }
+    }
+}
