group: A seed reports its empty log to one possible founder only

Cause: a control host without a log reported this to every host. While lists of seeds differ, two hosts can each be the first of their own list, and each founded a group with the same seeds. With the lists {1, 2, 3} at host 1 and {2, 3, 4} at the others, and the links between {1, 3} and {2, 4} lost 0.54 s after the start, two leaders had a lease at the same time.

Change: the empty log is reported only to the first seed of the own list and, once the id of that seed is known, to no other until the next start. A first seed that has reported to another founds nothing. If the first seed changes while the old one runs and cannot found a group, the group is founded only after the bound seeds were started again.

--- a/libs/group/include/group/Group.h
+++ b/libs/group/include/group/Group.h
@@ -22,7 +22,8 @@
 struct Hello
 {
     replog::ReplicaId id;
-    /// The sender's log holds no entry yet, and none was set aside as incomplete.
+    /// The sender's log holds no entry yet, none was set aside as incomplete, and the sender has
+    /// not said so to another host, so that only the receiver may found a group with it.
     bool isEmpty = false;
     replog::ReplicaId echoedId; ///< Latest id received from the receiver's host; empty if none.
     base::DataCentreId dataCentre = {}; ///< Of the sender; empty where it is not used.
@@ -89,8 +90,7 @@
     virtual std::optional<base::Endpoint> addressOf(const base::HostId &host) const;
 
     /// The Hello to send to \a host.
-    virtual Hello helloTo(const base::HostId &host, const replog::ReplicaId &self,
-                          bool isEmpty) const;
+    virtual Hello helloTo(const base::HostId &host, const replog::ReplicaId &self, bool isEmpty);
     /// Records the replica id of the sender's host.
     virtual void onHello(const Hello &hello);
 
@@ -153,8 +153,7 @@
 
     bool isMember() const override { return true; }
     std::optional<base::Endpoint> addressOf(const base::HostId &host) const override;
-    Hello helloTo(const base::HostId &host, const replog::ReplicaId &self,
-                  bool isEmpty) const override;
+    Hello helloTo(const base::HostId &host, const replog::ReplicaId &self, bool isEmpty) override;
     void onHello(const Hello &hello) override;
     std::optional<std::vector<replog::ReplicaId>> bootstrapVoters(
             const replog::ReplicaId &self) const override;
@@ -167,8 +166,14 @@
 
 private:
     void addHost(const base::HostId &host);
+    /// First seed in order of addresses, which bootstraps the group; empty without seeds.
+    base::HostId firstSeed() const;
+    /// Whether the empty log of this host may be reported to \a host, which may then found a group
+    /// with it. Once it was reported to a host whose id is known, it is reported to no other.
+    bool mayReportEmptyLogTo(const base::HostId &host, bool isIdKnown);
 
     DynamicMembersOptions m_options;
+    base::HostId m_possibleFounder; ///< May found a group with this host; empty if none may yet.
     std::map<base::HostId, base::TimePoint> m_lastHelloAt;
     base::TimePoint m_lastTickAt; ///< Stands in for the current time in onHello().
 };
--- a/libs/group/src/DynamicMembers.cpp
+++ b/libs/group/src/DynamicMembers.cpp
@@ -35,14 +35,34 @@
     return base::parseEndpoint(host.text());
 }
 
-Hello DynamicMembers::helloTo(const base::HostId &host, const replog::ReplicaId &self,
-                              bool isEmpty) const
+Hello DynamicMembers::helloTo(const base::HostId &host, const replog::ReplicaId &self, bool isEmpty)
 {
     Hello hello = GroupMembers::helloTo(host, self, isEmpty);
+    hello.isEmpty = isEmpty && mayReportEmptyLogTo(host, !hello.echoedId.isEmpty());
     hello.dataCentre = m_options.dataCentre;
     return hello;
 }
 
+base::HostId DynamicMembers::firstSeed() const
+{
+    return m_options.seeds.empty() ? base::HostId()
+                                   : sortedAddressesOf(m_options.seeds).front().host;
+}
+
+bool DynamicMembers::mayReportEmptyLogTo(const base::HostId &host, bool isIdKnown)
+{
+    // Hosts whose lists of seeds differ for a while may have different first seeds. If a seed
+    // reported its empty log to two of them, each could found a group with it.
+    if (!m_possibleFounder.isEmpty())
+        return host == m_possibleFounder;
+    if (host != firstSeed())
+        return false;
+    // A host whose current id is not echoed in the Hello ignores the report.
+    if (isIdKnown)
+        m_possibleFounder = host;
+    return true;
+}
+
 void DynamicMembers::addHost(const base::HostId &host)
 {
     const auto address = base::parseEndpoint(host.text());
@@ -95,9 +115,9 @@
 std::optional<std::vector<replog::ReplicaId>> DynamicMembers::bootstrapVoters(
         const replog::ReplicaId &self) const
 {
-    const bool isFirst = !m_options.seeds.empty()
-                         && sortedAddressesOf(m_options.seeds).front().host == replog::hostOf(self);
-    if (!m_options.canBootstrap || !isFirst)
+    const base::HostId selfHost = replog::hostOf(self);
+    const bool isBoundToOther = !m_possibleFounder.isEmpty() && m_possibleFounder != selfHost;
+    if (!m_options.canBootstrap || firstSeed() != selfHost || isBoundToOther)
         return std::nullopt;
     std::vector<replog::ReplicaId> voters{self};
     for (const base::Endpoint &seed : m_options.seeds) {
--- a/libs/group/src/GroupMembers.cpp
+++ b/libs/group/src/GroupMembers.cpp
@@ -39,8 +39,7 @@
     return it->second;
 }
 
-Hello GroupMembers::helloTo(const base::HostId &host, const replog::ReplicaId &self,
-                            bool isEmpty) const
+Hello GroupMembers::helloTo(const base::HostId &host, const replog::ReplicaId &self, bool isEmpty)
 {
     const auto hello = m_hellos.find(host);
     return {self, isEmpty, hello == m_hellos.end() ? replog::ReplicaId() : hello->second.id, {}};
--- a/libs/group/tests/Cluster.h
+++ b/libs/group/tests/Cluster.h
@@ -62,6 +62,9 @@
     void cutOff(int host) { m_cutOff.insert(host); }
     void reconnect(int host) { m_cutOff.erase(host); }
 
+    /// Loses all messages between \a a and \a b from now on.
+    void separate(int a, int b) { m_separated.insert({std::min(a, b), std::max(a, b)}); }
+
     void run(base::Millis duration)
     {
         constexpr base::Millis kStep{20};
@@ -97,6 +100,12 @@
         }
         return 0;
     }
+    std::ptrdiff_t leaderCount() const
+    {
+        return std::count_if(m_hosts.begin(), m_hosts.end(), [this](const auto &it) {
+            return it.second->replica().hasLease(m_now);
+        });
+    }
     bool isEmpty(int host) const { return m_hosts.at(host)->replica().isEmpty(); }
     /// Identifies the group of \a host; 0 while it has applied nothing.
     std::int64_t incarnation(int host) const
@@ -130,7 +139,10 @@
     void deliver(const Sent &sent)
     {
         for (const auto &[number, host] : m_hosts) {
-            const bool isCut = m_cutOff.count(number) > 0 || m_cutOff.count(sent.from) > 0;
+            const std::pair<int, int> link{std::min(number, sent.from),
+                                           std::max(number, sent.from)};
+            const bool isCut = m_cutOff.count(number) > 0 || m_cutOff.count(sent.from) > 0
+                               || m_separated.count(link) > 0;
             if (address(number) == sent.to && !isCut && m_hosts.count(sent.from) > 0)
                 host->receive(sent.body, m_now);
         }
@@ -140,6 +152,7 @@
     std::map<int, std::unique_ptr<GroupHost>> m_hosts;
     std::map<int, DynamicMembers *> m_members;
     std::set<int> m_cutOff;
+    std::set<std::pair<int, int>> m_separated;
     std::deque<Sent> m_messages;
     base::TimePoint m_now{std::chrono::hours(1)};
     std::uint64_t m_lastSeed = 0;
