--- a/libs/group/include/group/Group.h
+++ b/libs/group/include/group/Group.h
@@ -22,7 +22,9 @@
 struct Hello
 {
     replog::ReplicaId id;
-    bool isEmpty = false; ///< The sender's log holds no entry yet.
+    /// The sender's log holds no entry yet, none was set aside as incomplete, and the sender has
+    /// not said so to another host, so that only the receiver may found a group with it.
+    bool isEmpty = false;
     replog::ReplicaId echoedId; ///< Latest id received from the receiver's host; empty if none.
     base::DataCentreId dataCentre = {}; ///< Of the sender; empty where it is not used.
 };
@@ -88,8 +90,7 @@
     virtual std::optional<base::Endpoint> addressOf(const base::HostId &host) const;
 
     /// The Hello to send to \a host.
-    virtual Hello helloTo(const base::HostId &host, const replog::ReplicaId &self,
-                          bool isEmpty) const;
+    virtual Hello helloTo(const base::HostId &host, const replog::ReplicaId &self, bool isEmpty);
     /// Records the replica id of the sender's host.
     virtual void onHello(const Hello &hello);
 
@@ -152,8 +153,7 @@
 
     bool isMember() const override { return true; }
     std::optional<base::Endpoint> addressOf(const base::HostId &host) const override;
-    Hello helloTo(const base::HostId &host, const replog::ReplicaId &self,
-                  bool isEmpty) const override;
+    Hello helloTo(const base::HostId &host, const replog::ReplicaId &self, bool isEmpty) override;
     void onHello(const Hello &hello) override;
     std::optional<std::vector<replog::ReplicaId>> bootstrapVoters(
             const replog::ReplicaId &self) const override;
@@ -166,8 +166,14 @@
 
 private:
     void addHost(const base::HostId &host);
+    /// First seed in order of addresses, which bootstraps the group; empty without seeds.
+    base::HostId firstSeed() const;
+    /// Whether the empty log of this host may be reported to \a host, which may then found a group
+    /// with it. Once it was reported to a host whose id is known, it is reported to no other.
+    bool mayReportEmptyLogTo(const base::HostId &host, bool isIdKnown);
 
     DynamicMembersOptions m_options;
+    base::HostId m_possibleFounder; ///< May found a group with this host; empty if none may yet.
     std::map<base::HostId, base::TimePoint> m_lastHelloAt;
     base::TimePoint m_lastTickAt; ///< Stands in for the current time in onHello().
 };
@@ -241,6 +247,9 @@
     void apply(const replog::Entry &entry, base::TimePoint now);
     void failPendingCommands();
     void sendHellos(base::TimePoint now);
+    /// Whether this host may take part in a new group. An incomplete log that was set aside shows
+    /// that the group exists already.
+    bool canFoundGroup() const;
     void bootstrapWhenReady(base::TimePoint now);
     void performLeaderTasks(base::TimePoint now);
     void updateHostsFromRecord();
@@ -248,6 +257,7 @@
 
     GroupOptions m_options;
     replog::ReplicaId m_self;
+    bool m_hasSetAsideLog;
     std::unique_ptr<GroupMembers> m_members;
     std::unique_ptr<replog::Storage> m_storage;
     std::unique_ptr<replog::Replica> m_replica;
