registry: Entry hosts of earlier builds see evacuated upstreams time out

Cause: entry hosts whose watch requests lack the revision of evacuations ignore them and went on sending to evacuated data centres.

After the end the upstreams are listed again. Hosts that know evacuations get the directory as before; the packed form is kept apart. Not listed as left, since such an upstream would stay away for two minutes, nor as leaving, which ends only with its next start.

Limit: an upstream is dropped only when no control host lists it any more, so a control host of an earlier build, or one that is down, keeps it listed.

--- a/libs/fleet/include/fleet/Evacuations.h
+++ b/libs/fleet/include/fleet/Evacuations.h
@@ -2,6 +2,7 @@
 
 #include "base/Base.h"
 
+#include <limits>
 #include <set>
 
 namespace hyssop::fleet {
@@ -15,4 +16,8 @@
     bool operator==(const Evacuations &other) const = default;
 };
 
+/// Revision in watch requests of entry hosts whose builds do not know evacuations. They wait for
+/// none.
+inline constexpr std::int64_t kEvacuationsUnread = std::numeric_limits<std::int64_t>::max();
+
 } // namespace hyssop::fleet
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -281,9 +281,8 @@
             request.acceptsDelta = j.at(10);
         if (j.size() > 11)
             request.acceptsPackedDirectory = j.at(11);
-        // Entry hosts of earlier versions do not wait for evacuations.
-        request.evacuationsRevision = j.size() > 12 ? j.at(12).get<std::int64_t>()
-                                                    : std::numeric_limits<std::int64_t>::max();
+        request.evacuationsRevision =
+                j.size() > 12 ? j.at(12).get<std::int64_t>() : kEvacuationsUnread;
         return request;
     });
 }
--- a/libs/registry/src/PackedDirectory.h
+++ b/libs/registry/src/PackedDirectory.h
@@ -14,16 +14,18 @@
         fleet::DirectoryChanges header; ///< Without its lists.
         std::string packed; ///< The lists; empty if there are no changes.
     };
-    /// What a host at that revision of \a directory has to learn.
-    const Changes &changesSince(const fleet::Directory &directory, std::int64_t incarnation,
-                                std::int64_t revision)
+    /// What \a read returns for a host at \a revision of \a incarnation, while the directory is at
+    /// \a state.
+    template <typename Read>
+    const Changes &changesSince(std::pair<std::int64_t, std::int64_t> state,
+                                std::int64_t incarnation, std::int64_t revision, const Read &read)
     {
-        if (directory.revision() != m_revision)
+        if (state != m_state)
             m_changes.clear();
-        m_revision = directory.revision();
+        m_state = state;
         const auto [it, isNew] = m_changes.try_emplace({incarnation, revision});
         if (isNew)
-            it->second = pack(directory.changesSince(incarnation, revision));
+            it->second = pack(read());
         return it->second;
     }
 
@@ -39,7 +41,7 @@
         return packed;
     }
 
-    std::int64_t m_revision = 0; ///< Up to which changes are packed.
+    std::pair<std::int64_t, std::int64_t> m_state; ///< Incarnation and revision that are packed.
     std::map<std::pair<std::int64_t, std::int64_t>, Changes> m_changes;
 };
 
--- a/libs/registry/src/PendingWatches.cpp
+++ b/libs/registry/src/PendingWatches.cpp
@@ -1,5 +1,7 @@
 #include "PendingWatches.h"
 
+#include "ListedDirectory.h"
+
 namespace hyssop::registry {
 
 namespace {
@@ -10,7 +12,9 @@
 bool isOutdated(const fleet::WatchRequest &request, const PendingWatches::Revisions &state)
 {
     return request.configurationVersion < state.configuration
-           || request.directoryIncarnation != state.directoryIncarnation
+           || request.directoryIncarnation
+                      != listedIncarnation(request, state.directoryIncarnation,
+                                           state.evacuationsRevision)
            || request.directoryRevision < state.directoryRevision
            || request.factsRevision < state.factsRevision
            || request.evacuationsRevision < state.evacuationsRevision;
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -3,8 +3,8 @@
 #include "ConfigurationHistory.h"
 #include "CrashSuspects.h"
 #include "GroupEvacuationLink.h"
+#include "ListedDirectory.h"
 #include "LoadAggregator.h"
-#include "PackedDirectory.h"
 #include "PendingWatches.h"
 #include "PrefillPermits.h"
 #include "PublishedRevision.h"
@@ -138,7 +138,7 @@
     SuspectRecord m_suspectRecord;
     GroupEvacuationLink m_evacuationLink;
     EvacuationOrders m_evacuations;
-    PackedDirectory m_packedDirectory;
+    ListedDirectory m_listedDirectory;
     std::vector<base::UpstreamId> m_refreshedUpstreams; ///< Refreshed since the last relay.
     fleet::RelayedAnnouncements m_pendingRelay;
     std::vector<std::function<void()>> m_relayDone; ///< For the announcements in m_pendingRelay.
@@ -297,15 +297,7 @@
     }
     reply.isConfirmed = hasLease(now);
     reply.evacuations = m_evacuations.state();
-    if (request.acceptsPackedDirectory) {
-        const PackedDirectory::Changes &changes = m_packedDirectory.changesSince(
-                m_directory, request.directoryIncarnation, request.directoryRevision);
-        reply.directory = changes.header;
-        reply.packedDirectory = changes.packed;
-    } else {
-        reply.directory =
-                m_directory.changesSince(request.directoryIncarnation, request.directoryRevision);
-    }
+    m_listedDirectory.list(m_directory, *reply.evacuations, request, reply);
     reply.controlHosts = otherControlHosts();
     reply.controlHosts.push_back(m_options.listenPeers);
     reply.entryHostCount =
--- a/libs/registry/tests/EarlierBuildsTest.cpp
+++ b/libs/registry/tests/EarlierBuildsTest.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t kFieldsWithoutPacking = 9;
 /// Fields of one of builds that read a packed directory, but do not say so.
 constexpr std::size_t kFieldsOfFirstPacking = 11;
+/// Fields of one of builds that do not know evacuations.
+constexpr std::size_t kFieldsWithoutEvacuations = 12;
 /// Positions in a watch reply.
 constexpr std::size_t kUpstreams = 6;
 constexpr std::size_t kDeparted = 7;
@@ -84,6 +86,17 @@
         });
         REQUIRE(done.get_future().wait_for(kTimeout) == std::future_status::ready);
     }
+    void setEvacuation(const std::string &dataCentre, bool isEvacuated)
+    {
+        std::promise<PutOutcome> done;
+        m_loop->post([&] {
+            m_registry->setEvacuation(base::DataCentreId(dataCentre), isEvacuated,
+                                      [&done](PutOutcome outcome) { done.set_value(outcome); });
+        });
+        auto outcome = done.get_future();
+        REQUIRE(outcome.wait_for(kTimeout) == std::future_status::ready);
+        REQUIRE(outcome.get() == PutOutcome::Accepted);
+    }
     json watch(const std::string &request)
     {
         std::promise<tl::expected<std::string, peers::PeerError>> done;
@@ -166,3 +179,31 @@
     REQUIRE(decoded);
     CHECK(decoded->directory.upstreams == std::vector{upstream()});
 }
+
+TEST_CASE("an entry host that does not know evacuations is told that upstreams time out and return")
+{
+    ControlHost control;
+    control.announce(upstream());
+    fleet::WatchRequest request = watchRequest();
+    request.acceptsPackedDirectory = true;
+    const auto poll = [&] {
+        const json reply =
+                control.watch(firstFields(fleet::encode(request), kFieldsWithoutEvacuations));
+        const auto decoded = fleet::decodeWatchReply(base::toCbor(reply));
+        REQUIRE(decoded);
+        request.directoryIncarnation = decoded->directory.incarnation;
+        request.directoryRevision = decoded->directory.revision;
+        return decoded->directory;
+    };
+    CHECK(poll().upstreams == std::vector{upstream()});
+    control.setEvacuation("d", true);
+    const auto evacuated = poll();
+    CHECK(evacuated.upstreams.empty());
+    CHECK(evacuated.departed
+          == std::vector{fleet::DepartedUpstream{base::UpstreamId("u"), base::Incarnation(1),
+                                                 fleet::DepartureKind::TimedOut}});
+    // Nothing changes until the next order.
+    CHECK_FALSE(poll().isSnapshot);
+    control.setEvacuation("d", false);
+    CHECK(poll().upstreams == std::vector{upstream()});
+}
