dispatch: Evacuated upstreams do not count as engines for large prompts

Cause: isUnservable() and hasEnginesForTwo() counted the engines of evacuated data centres. A prompt that the other engines cannot hold waited in the queue instead of being rejected, and a permit for an oversized one was not exclusive although the engines left suffice for one only.

Change: both count the upstreams outside the evacuated data centres. Where all are evacuated, no prompt is called too large; the send gate rejects it.

--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -526,7 +526,8 @@
 bool Dispatcher::Impl::hasEnginesForTwo(const ActiveCall &call) const
 {
     const auto service = m_services.find(call.info.service);
-    return service != m_services.end() && service->second.upstreams.size() >= 2 * (kMaxHelpers + 1);
+    return service != m_services.end()
+           && availableUpstreams(service->second) >= 2 * (kMaxHelpers + 1);
 }
 
 base::TimePoint Dispatcher::Impl::queueDeadline(const ActiveCall &call) const
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -252,8 +252,8 @@
     UpstreamState *leastLoaded(const std::vector<UpstreamState *> &candidates,
                                const ActiveCall &call, int maxRequests, base::TimePoint now);
     /// Whether all engines together cannot hold the prompt or prefill it in time.
-    static bool isUnservable(const ActiveCall &call, const ServiceState &service,
-                             base::TimePoint now);
+    bool isUnservable(const ActiveCall &call, const ServiceState &service,
+                      base::TimePoint now) const;
     std::vector<UpstreamState *> helperCandidates(const ActiveCall &call,
                                                   const std::vector<UpstreamState *> &engines,
                                                   const UpstreamState *primary,
@@ -282,6 +282,8 @@
                             Placement &placement, base::TimePoint now);
     // Gate.
     static SendScope scopeOf(const ActiveCall &call) { return {&call.info.allowedRegions}; }
+    /// Number of upstreams of a service outside the evacuated data centres.
+    std::size_t availableUpstreams(const ServiceState &service) const;
     /// Upstreams that may get \a call, or ejected and unreachable ones if there are no others.
     std::vector<UpstreamState *> usableUpstreams(const ActiveCall &call,
                                                  const ServiceState &service,
--- a/libs/dispatch/src/Gate.cpp
+++ b/libs/dispatch/src/Gate.cpp
@@ -2,6 +2,8 @@
 
 #include "DispatcherImpl.h"
 
+#include <algorithm>
+
 namespace hyssop::dispatch {
 
 namespace {
@@ -29,6 +31,15 @@
     m_evacuations = event.evacuations;
 }
 
+std::size_t Dispatcher::Impl::availableUpstreams(const ServiceState &service) const
+{
+    const auto isAvailable = [this](const UpstreamState *it) {
+        return !m_evacuations.dataCentres.contains(it->info().dataCentre);
+    };
+    return static_cast<std::size_t>(
+            std::count_if(service.upstreams.begin(), service.upstreams.end(), isAvailable));
+}
+
 std::vector<UpstreamState *> Dispatcher::Impl::usableUpstreams(const ActiveCall &call,
                                                                const ServiceState &service,
                                                                base::TimePoint now) const
--- a/libs/dispatch/src/Placement.cpp
+++ b/libs/dispatch/src/Placement.cpp
@@ -74,19 +74,20 @@
 }
 
 bool Dispatcher::Impl::isUnservable(const ActiveCall &call, const ServiceState &service,
-                                    base::TimePoint now)
+                                    base::TimePoint now) const
 {
     const auto &spec = service.parameters.engine;
-    if (!spec || call.info.promptTokens.count() == 0 || service.upstreams.empty())
+    const std::size_t engines = availableUpstreams(service);
+    if (!spec || call.info.promptTokens.count() == 0 || engines == 0)
         return false;
-    const auto maxParts = static_cast<double>(std::min(kMaxHelpers + 1, service.upstreams.size()));
+    const auto maxParts = static_cast<double>(std::min(kMaxHelpers + 1, engines));
     const std::chrono::duration<double, std::milli> timeLeft = call.info.deadline - now;
     if (call.prefillMs / maxParts > timeLeft.count())
         return true;
     if (spec->kvTokens.count() <= 0)
         return false;
     // Other requests may need half of the engines at the same time.
-    const auto engineCount = std::min(kMaxHelpers + 1, (service.upstreams.size() + 1) / 2);
+    const auto engineCount = std::min(kMaxHelpers + 1, (engines + 1) / 2);
     return call.kvTokens.count() > spec->kvTokens.count() * static_cast<std::int64_t>(engineCount);
 }
 
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -44,6 +44,14 @@
             addUpstream(kModel, dataCentre + std::to_string(n), dataCentre);
     }
 
+    void evacuate(const std::set<std::string> &dataCentres)
+    {
+        fleet::Evacuations evacuations{1, {}};
+        for (const std::string &it : dataCentres)
+            evacuations.dataCentres.emplace(it);
+        dispatcher.handle(EvacuationsChanged{evacuations}, kStart);
+    }
+
     Actions addUpstream(const base::ServiceId &service, const std::string &id,
                         const char *dataCentre, base::TimePoint now = kStart)
     {
@@ -943,6 +951,53 @@
     }
 }
 
+// Counted with the evacuated ones, the engines that are left seemed to suffice for two prompts.
+TEST_CASE("engines of an evacuated data centre do not count for a second oversized prompt")
+{
+    for (const bool isEvacuated : {false, true}) {
+        CAPTURE(isEvacuated);
+        Fixture fixture;
+        fixture.addEnginesIn("a", 14);
+        fixture.addEnginesIn("b", 22);
+        if (isEvacuated)
+            fixture.evacuate({"b"});
+        const Actions actions =
+                fixture.dispatcher.handle(CallArrived{longCall(fixture, 400'000)}, kStart);
+        const auto *request = first<RequestPermit>(actions);
+        REQUIRE(request);
+        CHECK(request->isExclusive == isEvacuated);
+    }
+}
+
+// Such a prompt waited in the queue for engines that nothing may be sent to.
+TEST_CASE("engines of an evacuated data centre do not count for the size of a prompt")
+{
+    for (const bool isEvacuated : {false, true}) {
+        CAPTURE(isEvacuated);
+        Fixture fixture;
+        fixture.addEnginesIn("a", 4);
+        fixture.addEnginesIn("b", 10);
+        if (isEvacuated)
+            fixture.evacuate({"b"});
+        CallInfo call = longCall(fixture, 700'000);
+        call.deadline = kStart + Millis(30'000);
+        const Actions actions = fixture.dispatcher.handle(CallArrived{call}, kStart);
+        const auto *rejected = first<RejectCall>(actions);
+        CHECK((rejected && rejected->reason == FailureReason::TooLarge) == isEvacuated);
+    }
+}
+
+TEST_CASE("a prompt is not called too large because all data centres are evacuated")
+{
+    Fixture fixture;
+    fixture.addEnginesIn("a", 4);
+    fixture.evacuate({"a"});
+    const Actions actions =
+            fixture.dispatcher.handle(CallArrived{longCall(fixture, 300'000)}, kStart);
+    const auto *rejected = first<RejectCall>(actions);
+    CHECK((!rejected || rejected->reason != FailureReason::TooLarge));
+}
+
 TEST_CASE("a long prompt is not sent to engines that cannot answer it before its deadline")
 {
     Fixture fixture;
