--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -338,6 +338,8 @@
     const bool hasEvents = call.firstEventAt != base::TimePoint();
     const bool isQuarantined =
             reason == dispatch::failureReasonName(dispatch::FailureReason::Quarantined);
+    if (outcome == "answered")
+        m_startSteps.reach(StartStep::FirstResponse, now);
     m_metrics->count("hyssop_requests_total", {{"outcome", std::string(outcome)}});
     m_metrics->observeSeconds("hyssop_request_seconds", seconds(now - arrivedAt));
     if (hasEvents)
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -91,6 +91,7 @@
     , m_loadUpdateTimer(*io)
     , m_loadChannel(io, [this](const auto &update) { onLoadUpdate(update); })
     , m_startId(static_cast<std::int64_t>(m_rng() >> 1))
+    , m_startSteps(base::monotonicNow())
     , m_peerService(std::make_unique<NoService>())
 { }
 
@@ -356,9 +357,25 @@
                                                                   reply.includesPeers},
                                     now),
                 now);
+    logStartSteps(reply.isConfirmed, now);
     scheduleTick(now);
 }
 
+void Edge::Impl::logStartSteps(bool isFromLeader, base::TimePoint now)
+{
+    if (m_startSteps.wasReached(StartStep::Ready))
+        return;
+    m_startSteps.reach(StartStep::FirstContact, now);
+    if (isFromLeader)
+        m_startSteps.reach(StartStep::LeaderKnown, now);
+    if (m_freshness.wasConfirmed())
+        m_startSteps.reach(StartStep::ConfigurationConfirmed, now);
+    if (!m_fleetView.isEmpty())
+        m_startSteps.reach(StartStep::DirectoryUsable, now);
+    if (isReady())
+        m_startSteps.reach(StartStep::Ready, now);
+}
+
 std::optional<std::string> Edge::Impl::configurationTextFrom(const fleet::WatchReply &reply)
 {
     const fleet::ConfigurationVersion heldVersion =
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -8,6 +8,7 @@
 #include "Freshness.h"
 #include "KnownEvacuations.h"
 #include "LoadChannel.h"
+#include "StartSteps.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -282,6 +283,7 @@
     void tickFleet();
     /// Sends this host's load to its peers after a short delay that collects further changes.
     void scheduleLoadUpdate();
+    void logStartSteps(bool isFromLeader, base::TimePoint now);
     void sendLoadUpdate(bool isSnapshot);
     void onLoadUpdate(const fleet::LoadUpdate &update);
 
@@ -334,6 +336,7 @@
     int m_entryHostCount = 1; ///< As the leader counted them last.
     std::optional<base::Endpoint> m_leader; ///< Last control host that confirmed a configuration.
     std::int64_t m_startId; ///< Random number drawn at each start.
+    StartSteps m_startSteps;
     std::unique_ptr<FleetWatcher> m_watcher;
     std::unique_ptr<peers::Service> m_peerService;
     std::unique_ptr<peers::Node> m_node; ///< Last, as its thread uses the members above.
--- a/libs/group/include/group/Group.h
+++ b/libs/group/include/group/Group.h
@@ -243,6 +243,8 @@
     void sendHellos(base::TimePoint now);
     void bootstrapWhenReady(base::TimePoint now);
     void performLeaderTasks(base::TimePoint now);
+    /// Logs the leader that this host follows when it changes.
+    void logFollowedLeader();
     void updateHostsFromRecord();
     void compactIfNeeded();
 
@@ -260,6 +262,8 @@
     replog::Position m_appliedRecordsPosition; ///< Records position at the last update.
     base::TimePoint m_nextHelloAt;
     bool m_hadLease = false;
+    bool m_wasContacted = false; ///< Another host of the group has sent a message.
+    std::pair<replog::Term, replog::ReplicaId> m_loggedLeader;
     std::optional<base::TimePoint> m_suspendedUntil; ///< Next attempt to reopen the log.
     std::map<replog::Position, Done> m_pendingCommands;
 };
--- a/libs/group/src/GroupHost.cpp
+++ b/libs/group/src/GroupHost.cpp
@@ -62,6 +62,12 @@
         return tl::unexpected(opened.error());
     m_replica = *std::move(opened);
     m_storage = std::move(storage);
+    const auto elapsed = std::chrono::floor<base::Millis>(base::monotonicNow() - now);
+    base::logEvent("log_recovered", {{"group", m_options.group},
+                                     {"term", m_replica->term().count()},
+                                     {"last_index", m_replica->lastPosition().index.count()},
+                                     {"voters", m_replica->configuration().voters.size()},
+                                     {"ms", elapsed.count()}});
     m_ledger = ledger::Ledger();
     m_clock = {};
     m_compactedPosition = {};
@@ -114,6 +120,8 @@
     const auto envelope = decodeEnvelope(body);
     if (!envelope)
         return;
+    if (!std::exchange(m_wasContacted, true))
+        base::logEvent("first_contact", {{"group", m_options.group}});
     if (const auto *hello = std::get_if<Hello>(&*envelope)) {
         m_members->onHello(*hello);
         m_members->onContact(hello->id, now);
@@ -165,6 +173,18 @@
         m_members->setHosts(std::move(hosts));
 }
 
+void GroupHost::logFollowedLeader()
+{
+    const std::pair followed(m_replica->term(), m_replica->leader());
+    if (followed.second.isEmpty() || followed == m_loggedLeader)
+        return;
+    m_loggedLeader = followed;
+    if (followed.second != m_self)
+        base::logEvent("leader_known", {{"group", m_options.group},
+                                        {"leader", followed.second},
+                                        {"term", followed.first.count()}});
+}
+
 void GroupHost::performLeaderTasks(base::TimePoint now)
 {
     const bool isLeader = m_replica->hasLease(now);
@@ -245,6 +265,7 @@
     }
     bootstrapWhenReady(now);
     m_replica->tick(now);
+    logFollowedLeader();
     performLeaderTasks(now);
     auto output = m_replica->flush(now);
     if (!output)
