replog: The last leader leads again at once after a restart of all replicas

Cause: a replica that restarts does not know whom it answered, so it waited for an election timeout before it voted, and stood for election after one to two of them. After a full restart this was nearly all of the time without service.

Change: each replica stores the leader of its term beside the term and the vote, before it answers that leader. A replica that is the stored leader itself stands for election at its start. The others end their wait when their stored leader requests a vote for a later term, which it does only when it leads no more. In all other cases they wait as before.

The simulation now also restarts one host or all hosts within a lease, and still checks that no two replicas hold a lease at once.

--- a/libs/ledger/tests/ReplicationTest.cpp
+++ b/libs/ledger/tests/ReplicationTest.cpp
@@ -38,7 +38,8 @@
             {"disk losses", &Faults::diskLosses},
             {"clock skew", &Faults::clockSkew},
             {"snapshots", &Faults::snapshots},
-            {"leader transfers", &Faults::leaderTransfers}};
+            {"leader transfers", &Faults::leaderTransfers},
+            {"quick restarts", &Faults::quickRestarts}};
     for (const auto &[name, kind] : kinds) {
         faults.*kind = false;
         if (runSimulation(seed, faults, steps))
--- a/libs/ledger/tests/Simulation.cpp
+++ b/libs/ledger/tests/Simulation.cpp
@@ -235,8 +235,22 @@
         loseDisk(*m_hosts[static_cast<std::size_t>(drawUpTo(kInitialVoterCount - 1))]);
 }
 
+void Simulation::restartAtOnce(Host &host)
+{
+    if (host.replica)
+        crash(host);
+    start(host);
+}
+
 void Simulation::injectFaults()
 {
+    // A replica that forgets at its restart what it has answered a leader breaks that lease.
+    if (m_faults.quickRestarts && drawBool(0.003 * m_faultRateFactor))
+        restartAtOnce(*m_hosts[static_cast<std::size_t>(drawUpTo(kHostCount - 1))]);
+    if (m_faults.quickRestarts && drawBool(0.001 * m_faultRateFactor)) {
+        for (const auto &host : m_hosts)
+            restartAtOnce(*host);
+    }
     for (const auto &host : m_hosts)
         injectHostFaults(*host);
     if (m_faults.partitions && drawBool(0.002 * m_faultRateFactor)) {
--- a/libs/ledger/tests/Simulation.h
+++ b/libs/ledger/tests/Simulation.h
@@ -22,6 +22,7 @@
     bool clockSkew = true;
     bool snapshots = true;
     bool leaderTransfers = true;
+    bool quickRestarts = true; ///< Of one or of all hosts, within the lease of a leader.
 };
 
 /// Seeded simulation of a group of replicas, each with a ledger, on one thread in simulated time.
@@ -58,6 +59,8 @@
     void injectHostFaults(Host &host);
     void start(Host &host);
     void crash(Host &host);
+    /// Crashes the host, if it runs, and starts it again.
+    void restartAtOnce(Host &host);
     void loseDisk(Host &host);
     void send(const std::vector<replog::Message> &messages);
     void deliverDueMessages();
--- a/libs/replog/include/replog/Replog.h
+++ b/libs/replog/include/replog/Replog.h
@@ -11,6 +11,12 @@
 /// answered, and a replica votes for no other within a whole timeout of contact with the leader.
 /// The lease is therefore safe while the rates of two monotonic clocks differ by less than a
 /// quarter.
+///
+/// A replica that restarts may have answered a leader that still relies on its lease, so it votes
+/// for none within an election timeout. Each replica stores the leader of its term before it
+/// answers it. A vote request of that leader for a later term shows that it leads no more, which
+/// ends the wait, and a leader that restarts stands for election at once. After a restart of all
+/// replicas there is thus a leader as soon as the last one can reach a majority.
 #pragma once
 
 #include "base/Base.h"
@@ -56,6 +62,9 @@
 {
     Term term;
     ReplicaId vote; ///< Granted in this term; empty when none was.
+    /// Whom this replica has followed in this term, or itself when it led; empty when none is
+    /// known. Earlier builds do not store it.
+    ReplicaId leader = {};
 };
 
 /// Members of a group. Learners receive the log but do not vote.
--- a/libs/replog/src/Election.cpp
+++ b/libs/replog/src/Election.cpp
@@ -1,7 +1,16 @@
 #include "ReplicaImpl.h"
 
+#include <algorithm>
+
 namespace hyssop::replog {
 
+namespace {
+
+/// Rate at which a leader that was restarted repeats its pre-vote, for one election timeout.
+constexpr int kPreVotesPerHeartbeat = 2;
+
+} // namespace
+
 std::size_t Replica::Impl::quorum() const
 {
     return m_log.configuration().voters.size() / 2 + 1;
@@ -32,11 +41,15 @@
     m_leader = {};
     m_grantedVotes = {m_options.self};
     requestVotes(MessageKind::PreVote, m_hardState.term + Term(1), false);
+    // The other replicas may still be starting. Pre-votes change no term, so they may be repeated.
+    if (isReturningLeader(now))
+        m_electionDeadline = now + m_options.heartbeatInterval / kPreVotesPerHeartbeat;
     countVotes(now);
 }
 
 void Replica::Impl::startElection(base::TimePoint now, bool isTransfer)
 {
+    resetElectionDeadline(now);
     m_role = Role::Candidate;
     m_leader = {};
     setHardState(m_hardState.term + Term(1), m_options.self);
@@ -79,6 +92,22 @@
     return isTransfer || (!isLeader() && now >= m_refuseVotesUntil);
 }
 
+bool Replica::Impl::isReturningLeader(base::TimePoint now) const
+{
+    return !isLeader() && now < m_returnsUntil && m_hardState.leader == m_options.self;
+}
+
+void Replica::Impl::noteEndedLease(const ReplicaId &from, const ProtocolMessage &wire,
+                                   base::TimePoint now)
+{
+    // Only a replica that does not lead requests votes, and it never leads the same term again.
+    // This replica has followed no later leader, and the leases of earlier ones had ended before
+    // this one was elected. So the request may be of any age.
+    const bool isFromLeader = !m_hardState.leader.isEmpty() && from == m_hardState.leader;
+    if (isFromLeader && wire.term > m_hardState.term)
+        m_refuseVotesUntil = std::min(m_refuseVotesUntil, now);
+}
+
 void Replica::Impl::onPreVoteRequest(const ReplicaId &from, const ProtocolMessage &wire)
 {
     const bool isGranted = wire.term > m_hardState.term && wire.position >= m_log.lastPosition();
--- a/libs/replog/src/FileStorage.cpp
+++ b/libs/replog/src/FileStorage.cpp
@@ -136,7 +136,8 @@
                       [first](const Entry &entry) { return entry.position.index >= first; });
     } else if (op == "hard") {
         recovered.hardState = {Term(operation.at("term").get<std::int64_t>()),
-                               ReplicaId(operation.at("vote").get<std::string>())};
+                               ReplicaId(operation.at("vote").get<std::string>()),
+                               ReplicaId(operation.value("leader", std::string()))};
     } else {
         throw json::other_error::create(500, "unknown operation", &operation);
     }
@@ -206,7 +207,10 @@
 
 json FileStorage::hardStateToJson() const
 {
-    return {{"op", "hard"}, {"term", m_hardState.term.count()}, {"vote", m_hardState.vote.text()}};
+    return {{"op", "hard"},
+            {"term", m_hardState.term.count()},
+            {"vote", m_hardState.vote.text()},
+            {"leader", m_hardState.leader.text()}};
 }
 
 FileStorage::Result FileStorage::startSegment()
--- a/libs/replog/src/Follower.cpp
+++ b/libs/replog/src/Follower.cpp
@@ -15,6 +15,7 @@
 {
     m_role = Role::Follower;
     m_leader = from;
+    recordLeader(from);
     m_refuseVotesUntil = now + m_options.electionTimeout;
     resetElectionDeadline(now);
 }
--- a/libs/replog/src/Leader.cpp
+++ b/libs/replog/src/Leader.cpp
@@ -24,6 +24,7 @@
 {
     m_role = Role::Leader;
     m_leader = m_options.self;
+    recordLeader(m_options.self);
     m_leaderSince = now;
     m_nextHeartbeatAt = now;
     m_transferTarget.reset();
--- a/libs/replog/src/Replica.cpp
+++ b/libs/replog/src/Replica.cpp
@@ -18,8 +18,14 @@
         m_restoredSnapshot = m_log.snapshot();
     resetElectionDeadline(now);
     const bool hasHistory = !m_log.isEmpty() || m_hardState.term > Term(0);
-    // Before the restart it may have acknowledged a leader that still relies on its lease.
-    m_refuseVotesUntil = hasHistory ? now + m_options.electionTimeout : now;
+    const bool hasLed = m_hardState.leader == m_options.self;
+    // Before the restart it may have acknowledged a leader that still relies on its lease, unless
+    // it led itself: its own lease ended with its process, and those before at its election.
+    m_refuseVotesUntil = hasHistory && !hasLed ? now + m_options.electionTimeout : now;
+    if (hasLed) {
+        m_returnsUntil = now + m_options.electionTimeout;
+        m_electionDeadline = now;
+    }
     if (m_log.isEmpty() && !m_options.voters.empty())
         bootstrap(m_options.voters, now);
     else if (m_log.configuration().voters == std::vector<ReplicaId>{m_options.self})
@@ -45,7 +51,16 @@
 {
     if (term == m_hardState.term && vote == m_hardState.vote)
         return;
-    m_hardState = {term, std::move(vote)};
+    const bool isSameTerm = term == m_hardState.term;
+    m_hardState = {term, std::move(vote), isSameTerm ? std::move(m_hardState.leader) : ReplicaId()};
+    m_storage->setHardState(m_hardState);
+}
+
+void Replica::Impl::recordLeader(const ReplicaId &leader)
+{
+    if (leader == m_hardState.leader)
+        return;
+    m_hardState.leader = leader;
     m_storage->setHardState(m_hardState);
 }
 
@@ -94,6 +109,8 @@
         return;
     const bool isVoteRequest =
             wire->kind == MessageKind::PreVote || wire->kind == MessageKind::Vote;
+    if (isVoteRequest)
+        noteEndedLease(message.from, *wire, now);
     if (isVoteRequest && !canConsiderVoteRequest(*wire, now))
         return;
     if (wire->kind == MessageKind::PreVote)
--- a/libs/replog/src/ReplicaImpl.h
+++ b/libs/replog/src/ReplicaImpl.h
@@ -48,6 +48,8 @@
     // Replica.cpp
     void send(const ReplicaId &to, ProtocolMessage wire);
     void setHardState(Term term, ReplicaId vote);
+    /// Stores that this replica has followed \a leader in its term, or has led it.
+    void recordLeader(const ReplicaId &leader);
     void becomeFollower(Term term, const ReplicaId &leader, base::TimePoint now);
     /// Steps down on a higher term and answers leaders of an earlier one. Returns whether the
     /// message still has to be handled.
@@ -65,6 +67,11 @@
     void onVoteReply(const ReplicaId &from, const ProtocolMessage &wire, base::TimePoint now);
     void countVotes(base::TimePoint now);
     bool canConsiderVoteRequest(const ProtocolMessage &wire, base::TimePoint now) const;
+    /// Whether it led the latest term it knows of and was restarted a short time ago.
+    bool isReturningLeader(base::TimePoint now) const;
+    /// Ends the wait for the lease of the leader of this term if \a wire shows that this leader
+    /// has stepped down.
+    void noteEndedLease(const ReplicaId &from, const ProtocolMessage &wire, base::TimePoint now);
 
     // Leader.cpp
     void becomeLeader(base::TimePoint now);
@@ -101,6 +108,7 @@
 
     base::TimePoint m_electionDeadline;
     base::TimePoint m_refuseVotesUntil;
+    base::TimePoint m_returnsUntil; ///< End of the time in which pre-votes are repeated early.
     std::set<ReplicaId> m_grantedVotes; ///< Voters that granted a vote in the current campaign.
 
     std::map<ReplicaId, Progress> m_progress;
--- a/libs/replog/tests/FileStorageTest.cpp
+++ b/libs/replog/tests/FileStorageTest.cpp
@@ -196,3 +196,25 @@
         fs::remove(segment);
     CHECK(*loadReplicaId(folder.path, host, 4) != first);
 }
+
+// A leader that is lost with a segment would make the replica wait after each restart.
+TEST_CASE("the leader of the term is recovered, also after the segment that it was written to")
+{
+    const Folder folder;
+    {
+        const auto storage = makeFileStorage(folder.path, kSmall);
+        REQUIRE(storage->open());
+        storage->setHardState({Term(4), ReplicaId("a"), ReplicaId("b")});
+        for (std::int64_t n = 1; n <= 6; ++n) {
+            storage->append({entry(n)});
+            REQUIRE(storage->sync());
+        }
+        storage->saveSnapshot({{Term(1), Index(6)}, {}, "state"});
+        REQUIRE(storage->sync());
+    }
+    const auto recovered = reopen(folder);
+    REQUIRE(recovered);
+    CHECK(recovered->hardState.term == Term(4));
+    CHECK(recovered->hardState.vote == ReplicaId("a"));
+    CHECK(recovered->hardState.leader == ReplicaId("b"));
+}
