--- a/libs/group/include/group/Group.h
+++ b/libs/group/include/group/Group.h
@@ -252,6 +252,8 @@
     bool canFoundGroup() const;
     void bootstrapWhenReady(base::TimePoint now);
     void performLeaderTasks(base::TimePoint now);
+    /// Logs the leader that this host follows when it changes.
+    void logFollowedLeader();
     void updateHostsFromRecord();
     void compactIfNeeded();
 
@@ -270,6 +272,8 @@
     replog::Position m_appliedRecordsPosition; ///< Records position at the last update.
     base::TimePoint m_nextHelloAt;
     bool m_hadLease = false;
+    bool m_wasContacted = false; ///< Another host of the group has sent a message.
+    std::pair<replog::Term, replog::ReplicaId> m_loggedLeader;
     std::optional<base::TimePoint> m_suspendedUntil; ///< Next attempt to reopen the log.
     std::map<replog::Position, Done> m_pendingCommands;
 };
