gateway, edge, platform: Requests below a minimum rate get 408

Cause: a head or a body that arrived byte by byte held its memory until HeaderTimeoutMs or 10 s. On a route with a longer time limit, a legal body was rejected after 10 s.

Change: a request of which less than CallerProgressBytes (1,024) arrive within CallerProgressMs (2,000) gets 408 and its connection is closed; no request is running then. The slowest legal body, 4,194,304 bytes within the time limit of its route, is slower only if that limit is above 8,192 s; a head at its limit arrives within 3 s at 5 KB a second. What waits in the socket of a host that stood still does not count as slow. A body may take the longer of 10 s and the time limit of its route. Such rejections are counted by hyssop_callers_shed{reason="slow"} and logged in callers_shed, one line a second at most.

--- a/integration/ClientStatusTest.cpp
+++ b/integration/ClientStatusTest.cpp
@@ -148,7 +148,7 @@
     const base::Endpoint control = bed.controls.front().listen;
     const std::string path = "/api/evacuations/floro-sal/start";
     const auto isAnswered = [&] {
-        return responseTo(control, head("GET", "/nowhere", "Connection: close\r\n")).size() > 0;
+        return !responseTo(control, head("GET", "/nowhere", "Connection: close\r\n")).empty();
     };
     REQUIRE(eventually(kSoon, isAnswered));
     const std::string response = responseTo(control, head("GET", path, "Connection: close\r\n"));
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -161,6 +161,17 @@
     return metadata && !checkHead(head, *metadata, base::monotonicNow()).refusal;
 }
 
+base::Millis Edge::Impl::bodyTimeout(const gateway::RequestHead &head, base::Millis usual)
+{
+    if (!m_routeTable)
+        return usual;
+    const auto host = gateway::fieldValue(head.fields, "host").value_or("");
+    const std::string_view target = head.target;
+    const fleet::Route *route = m_routeTable->findRoute(host, target.substr(0, target.find('?')));
+    // A body that takes longer than the usual time is legal where its route allows that time.
+    return route ? std::max(usual, route->timeout) : usual;
+}
+
 Edge::Impl::Admission Edge::Impl::checkHead(const gateway::RequestHead &head,
                                             const CallMetadata &metadata, base::TimePoint now) const
 {
@@ -607,7 +618,7 @@
         m_metrics->set("hyssop_caller_held_bytes", static_cast<double>(callers->account().bytes()));
         for (const auto reason : {gateway::ShedReason::Stalled, gateway::ShedReason::Unread,
                                   gateway::ShedReason::Pipelining, gateway::ShedReason::Unfinished,
-                                  gateway::ShedReason::Busy})
+                                  gateway::ShedReason::Busy, gateway::ShedReason::Slow})
             m_metrics->set("hyssop_callers_shed", static_cast<double>(callers->shedCount(reason)),
                            {{"reason", std::string(gateway::shedReasonName(reason))}});
     }
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -107,6 +107,7 @@
 private:
     // Callers.
     bool wantsBody(const gateway::RequestHead &head) override;
+    base::Millis bodyTimeout(const gateway::RequestHead &head, base::Millis usual) override;
     void onRequest(const std::shared_ptr<gateway::Exchange> &exchange) override;
     void onCallerDisconnected(gateway::Exchange &exchange) override;
     void onDrained(gateway::Exchange &exchange) override;
@@ -148,6 +149,10 @@
         {
             return m_impl->wantsBody(head);
         }
+        base::Millis bodyTimeout(const gateway::RequestHead &head, base::Millis usual) override
+        {
+            return m_impl->bodyTimeout(head, usual);
+        }
         void onRequest(const std::shared_ptr<gateway::Exchange> &exchange) override
         {
             m_impl->takeOver(exchange);
--- a/libs/gateway/include/gateway/CallerAccount.h
+++ b/libs/gateway/include/gateway/CallerAccount.h
@@ -20,6 +20,11 @@
     /// A connection without progress for this long is stalled. This only sets the order in which
     /// connections are closed above a limit; no other connection meets it.
     base::Millis stallTime{1'000};
+    /// A request of which less than \c progressBytes arrive in \c progressTime is rejected. The
+    /// slowest legal one, a body of 4 MB within the time limit of its route, arrives faster unless
+    /// that limit is above two hours. A lost segment is repeated within the time, three times.
+    base::Bytes progressBytes{1'024};
+    base::Millis progressTime{2'000};
 };
 
 /// What a connection does.
@@ -30,13 +35,14 @@
     Closing, ///< Its last response is being sent, or the close of the peer awaited.
 };
 
-/// Why a connection is given up. The order is that in which it happens.
+/// Why a connection is given up. The order is that in which it happens above a limit.
 enum class ShedReason {
     Stalled, ///< It sent or read nothing for some time.
     Unread, ///< Its responses are not read.
     Pipelining, ///< It sent further requests before the response.
     Unfinished, ///< Its request has not arrived whole.
     Busy, ///< Its request is being handled.
+    Slow, ///< Its request arrives below the minimum rate. It is rejected below the limits, too.
 };
 
 std::string_view shedReasonName(ShedReason reason);
@@ -82,6 +88,7 @@
     /// progress, so that a connection that transfers single bytes is stalled.
     static void addTransferred(CallerEntry &entry, std::size_t n, base::TimePoint now);
 
+    const CallerLimits &limits() const { return m_limits; }
     std::size_t bytes() const { return m_bytes; }
     std::size_t connectionCount() const { return m_entries.size(); }
     bool isOverMemory() const
--- a/libs/gateway/include/gateway/Gateway.h
+++ b/libs/gateway/include/gateway/Gateway.h
@@ -119,6 +119,9 @@
     /// not depend on the body, false lets onRequest() follow at once, without it. The connection
     /// closes after the response then.
     virtual bool wantsBody(const RequestHead &) { return true; }
+    /// Longest time for a body to arrive, ServerLimits::bodyTimeout by default. Called after
+    /// wantsBody() returned true.
+    virtual base::Millis bodyTimeout(const RequestHead &, base::Millis usual) { return usual; }
     /// A request has arrived, including its body. The handler owns the exchange.
     virtual void onRequest(const std::shared_ptr<Exchange> &exchange) = 0;
     /// The connection was closed or failed before the response was complete.
@@ -157,10 +160,12 @@
     void shedMemory(base::TimePoint now);
     void shedConnection(const CallerConnection &newest, base::TimePoint now);
     void shed(CallerAccount::Victim victim, base::TimePoint now);
+    /// Counts and logs a connection that was given up.
+    void noteShed(ShedReason reason, base::TimePoint now);
 
     CallerAccount m_account;
     std::unordered_map<std::int64_t, std::weak_ptr<CallerConnection>> m_connections;
-    std::array<std::int64_t, 5> m_shedCounts{};
+    std::array<std::int64_t, 6> m_shedCounts{};
     bool m_isShedPosted = false;
     std::int64_t m_unloggedSheds = 0;
     base::TimePoint m_lastLogAt{};
--- a/libs/gateway/src/CallerAccount.cpp
+++ b/libs/gateway/src/CallerAccount.cpp
@@ -31,6 +31,8 @@
         return "unfinished";
     case ShedReason::Busy:
         return "busy";
+    case ShedReason::Slow:
+        return "slow";
     }
     return "unknown";
 }
--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -72,6 +72,8 @@
     m_progressAt = now;
     m_isTimeoutOver = false;
     m_wasFoundIdle = false;
+    m_rateSince = now;
+    m_rateBytes = 0;
     if (state == State::Idle)
         m_idleTimeout = m_server->limits.idleTimeout;
     if (!m_accountEntry)
@@ -121,6 +123,7 @@
     if (m_state != State::Closing && !m_isBodySkipped) {
         const base::TimePoint now = base::monotonicNow();
         m_input.append(m_readBuffer.data(), n);
+        m_rateBytes += n;
         if (m_accountEntry && m_state != State::Responding)
             CallerAccount::addTransferred(*m_accountEntry, n, now);
         process(now);
@@ -164,6 +167,8 @@
             m_isBodySkipped = true;
             return deliverRequest(now);
         }
+        if (!m_parser->is_done())
+            m_bodyTimeout = m_server->handler->bodyTimeout(m_head, m_server->limits.bodyTimeout);
         const auto expect = fieldValue(m_head.fields, "expect");
         if (!m_parser->is_done() && expect && equalsIgnoreCase(*expect, "100-continue")) {
             m_output += "HTTP/1.1 100 Continue\r\n\r\n";
@@ -370,7 +375,7 @@
     case State::ReadingHeaders:
         return m_server->limits.headerTimeout;
     case State::ReadingBody:
-        return m_server->limits.bodyTimeout;
+        return m_bodyTimeout;
     case State::Closing:
         // A caller may take longer to read the response than to close the connection afterwards.
         return unsentBytes() > 0 ? m_server->limits.idleTimeout : kLingerTimeout;
@@ -391,18 +396,35 @@
     return m_socket.available(ec) > 0;
 }
 
+bool CallerConnection::isBelowMinimumRate(base::TimePoint now)
+{
+    if (!m_resources || !isReadingRequest())
+        return false;
+    const CallerLimits &limits = m_resources->m_account.limits();
+    if (now - m_rateSince < limits.progressTime)
+        return false;
+    if (m_rateBytes < static_cast<std::size_t>(limits.progressBytes.count()))
+        return true;
+    m_rateSince = now;
+    m_rateBytes = 0;
+    return false;
+}
+
 void CallerConnection::checkTimeouts(base::TimePoint now)
 {
     const auto limit = timeout();
-    const bool isReading = m_state == State::ReadingHeaders || m_state == State::ReadingBody;
-    const base::TimePoint since = isReading ? m_stateSince : m_progressAt;
-    const bool isOver = limit && now - since >= *limit;
+    const base::TimePoint since = isReadingRequest() ? m_stateSince : m_progressAt;
+    const bool isLate = limit && now - since >= *limit;
+    const bool isSlow = !isLate && isBelowMinimumRate(now);
+    const bool isOver = isLate || isSlow;
     if (!std::exchange(m_isTimeoutOver, isOver) || !isOver)
         return;
     // A caller that sends on without reading keeps its socket full.
     const bool isUnread = m_state == State::Closing || unsentBytes() > 0;
     if (!isUnread && hasUnreadData())
         return;
+    if (isSlow)
+        m_resources->noteShed(ShedReason::Slow, now);
     switch (m_state) {
     case State::ReadingHeaders:
         return reject(408, "headers too slow");
@@ -480,8 +502,7 @@
 
 void CallerConnection::shed(ShedReason reason)
 {
-    const bool isReading = m_state == State::ReadingHeaders || m_state == State::ReadingBody;
-    if (!isReading || unsentBytes() > 0)
+    if (!isReadingRequest() || unsentBytes() > 0)
         return close();
     if (reason == ShedReason::Stalled)
         return reject(408, "stalled while memory is short");
@@ -494,13 +515,18 @@
     const auto connection = it == m_connections.end() ? nullptr : it->second.lock();
     if (!connection)
         return;
-    ++m_shedCounts[static_cast<std::size_t>(victim.reason)];
-    ++m_unloggedSheds;
     connection->shed(victim.reason);
+    noteShed(victim.reason, now);
+}
+
+void CallerResources::noteShed(ShedReason reason, base::TimePoint now)
+{
+    ++m_shedCounts[static_cast<std::size_t>(reason)];
+    ++m_unloggedSheds;
     if (now - m_lastLogAt < kShedLogInterval)
         return;
     m_lastLogAt = now;
-    base::logEvent("callers_shed", {{"reason", shedReasonName(victim.reason)},
+    base::logEvent("callers_shed", {{"reason", shedReasonName(reason)},
                                     {"count", std::exchange(m_unloggedSheds, 0)},
                                     {"held_bytes", m_account.bytes()},
                                     {"connections", m_account.connectionCount()}});
--- a/libs/gateway/src/CallerConnection.h
+++ b/libs/gateway/src/CallerConnection.h
@@ -91,6 +91,12 @@
     void writeSome();
     void startClosing();
     void setState(State state, base::TimePoint now);
+    bool isReadingRequest() const
+    {
+        return m_state == State::ReadingHeaders || m_state == State::ReadingBody;
+    }
+    /// Whether the request that is being read arrives below the minimum rate.
+    bool isBelowMinimumRate(base::TimePoint now);
     /// Time after which the current state ends by itself, or nothing.
     std::optional<base::Millis> timeout() const;
     bool hasUnreadData() const;
@@ -105,6 +111,9 @@
     /// Longest one that was set since the connection became idle. Its caller may know only that.
     base::Millis m_idleTimeout{0};
     base::TimePoint m_firstByteAt;
+    base::Millis m_bodyTimeout{0}; ///< Of the request whose body is being read.
+    base::TimePoint m_rateSince; ///< Start of the interval in which the rate is measured.
+    std::size_t m_rateBytes = 0; ///< Received in it.
     std::unique_ptr<Parser<true>> m_parser;
     RequestHead m_head; ///< Of the request whose body is being read.
     std::shared_ptr<CallerResources> m_resources; ///< Null without limits.
--- a/libs/gateway/tests/CallerLimitTest.cpp
+++ b/libs/gateway/tests/CallerLimitTest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace hyssop;
 using namespace hyssop::gateway;
 
@@ -20,6 +22,10 @@
         bodyBytes = exchange->body().size();
         exchange->respond(404, {}, "");
     }
+    base::Millis bodyTimeout(const RequestHead &head, base::Millis usual) override
+    {
+        return head.target == "/long" ? base::Millis(60'000) : usual;
+    }
     void onCallerDisconnected(Exchange &) override { }
     void onDrained(Exchange &) override { }
     void onRejected(int status, std::string_view) override { rejectedStatus = status; }
@@ -73,6 +79,27 @@
     base::Endpoint address;
 };
 
+/// At least 200 bytes in 300 ms.
+CallerLimits rateLimits()
+{
+    CallerLimits limits;
+    limits.progressBytes = base::Bytes(200);
+    limits.progressTime = base::Millis(300);
+    return limits;
+}
+
+/// Sends \a part each 20 ms, \a count times at most, until something is received.
+std::string sendSlowly(LimitedServer &limited, boost::asio::ip::tcp::socket &caller,
+                       const std::string &part, int count)
+{
+    std::string response;
+    for (int n = 0; n < count && response.empty(); ++n) {
+        limited.send(caller, part);
+        response = limited.received(caller);
+    }
+    return response;
+}
+
 std::string unfinished(const std::string &target, std::size_t bytes)
 {
     return "POST " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(bytes + 1)
@@ -153,3 +180,74 @@
     CHECK(limited.resources->account().bytes() == 0);
     CHECK(limited.resources->account().connectionCount() == 0);
 }
+
+// Guards against a body that arrives byte by byte holding its memory until the time limit of its
+// route.
+TEST_CASE("a body below the minimum rate gets 408 before its time limit")
+{
+    LimitedServer limited(rateLimits());
+    auto caller = limited.connect();
+    const std::string request = unfinished("/late", 100'000);
+    limited.send(caller, request.substr(0, request.size() - 1'000));
+    CHECK(sendSlowly(limited, caller, "x", 50).starts_with("HTTP/1.1 408"));
+    CHECK(limited.handler.rejectedStatus == 408);
+    CHECK(limited.resources->shedCount(ShedReason::Slow) == 1);
+    CHECK(limited.resources->account().bytes() < 20'000);
+}
+
+// Guards against heads that arrive byte by byte where the time limit of heads is long.
+TEST_CASE("a head below the minimum rate gets 408 before its time limit")
+{
+    LimitedServer limited(rateLimits());
+    ServerLimits limits;
+    limits.headerTimeout = base::Millis(60'000);
+    limited.server.setLimits(limits);
+    auto caller = limited.connect();
+    limited.send(caller, "GET / HTTP/1.1\r\nX: " + std::string(5'000, 'x'));
+    CHECK(sendSlowly(limited, caller, "x", 50).starts_with("HTTP/1.1 408"));
+    CHECK(limited.resources->shedCount(ShedReason::Slow) == 1);
+}
+
+// Guards against callers on slow links being rejected.
+TEST_CASE("a body just above the minimum rate arrives whole")
+{
+    LimitedServer limited(rateLimits());
+    auto caller = limited.connect();
+    limited.send(caller, "POST /late HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n");
+    CHECK(sendSlowly(limited, caller, std::string(50, 'x'), 40).starts_with("HTTP/1.1 404"));
+    CHECK(limited.handler.bodyBytes == 2'000);
+}
+
+// Guards against the rate being measured by the reads of a host that stood still.
+TEST_CASE("a body that arrived while the host stood still is not too slow")
+{
+    LimitedServer limited(rateLimits());
+    auto caller = limited.connect();
+    limited.send(caller, unfinished("/late", 100));
+    // The timer of the server is due twice before the rest is read.
+    std::this_thread::sleep_for(base::Millis(400));
+    limited.io.run_for(base::Millis(5));
+    boost::asio::write(caller, boost::asio::buffer(std::string("x")));
+    std::this_thread::sleep_for(base::Millis(400));
+    limited.io.run_for(base::Millis(50));
+    CHECK(limited.handler.bodyBytes == 101);
+    CHECK(limited.handler.rejectedStatus == 0);
+}
+
+// Guards against a legal body on a route with a long time limit being rejected.
+TEST_CASE("the time limit of a body is the one that its handler states")
+{
+    LimitedServer limited({});
+    ServerLimits limits;
+    limits.bodyTimeout = base::Millis(100);
+    limited.server.setLimits(limits);
+    auto longer = limited.connect();
+    auto usual = limited.connect();
+    limited.send(longer, unfinished("/long", 100));
+    limited.send(usual, unfinished("/late", 100));
+    limited.io.run_for(base::Millis(900));
+    CHECK(limited.received(usual).starts_with("HTTP/1.1 408"));
+    CHECK(limited.received(longer).empty());
+    limited.send(longer, "x");
+    CHECK(limited.received(longer).starts_with("HTTP/1.1 404"));
+}
