integration: One body of 4 MB is served by a host with 112 MB

Cause: nothing checked that the limits on callers' memory, which derive from Limits.MemoryMb, leave room for the largest legal request.

Change: a test sends one body of 4,194,304 bytes, with a length and in chunks, to an entry host with MemoryMb 112, and checks that it is answered whole and that the peak stays within 112 MB. The product is unchanged.

--- a/integration/PlatformTest.cpp
+++ b/integration/PlatformTest.cpp
@@ -1,5 +1,6 @@
 // The programs of the users' platform, as real processes on loopback addresses.
 
+#include "Crowd.h"
 #include "PlatformBed.h"
 #include "RawConnection.h"
 #include "Replica.h"
@@ -10,6 +11,7 @@
 #include <atomic>
 #include <csignal>
 #include <fstream>
+#include <iostream>
 #include <regex>
 
 using namespace hyssop;
@@ -212,6 +214,43 @@
     REQUIRE(eventually(kSoon, [&] { return bed.read(2) == second; }));
 }
 
+// Guards against limits on callers' memory that the largest legal request exceeds on its own.
+TEST_CASE("one body of the largest legal size is served by a host with 112 MB")
+{
+    constexpr std::size_t kMaxBodyBytes = 4'194'304;
+    PlatformPlan plan;
+    plan.memoryMb = 112;
+    plan.maxFds = 2'870;
+    PlatformBed bed(plan);
+    Replica replica("i-1", bed.replicaListen.front());
+    std::string text = manifest(1, R"("k1")");
+    text.replace(text.find("2000"), 4, "9000");
+    text.insert(1, fmt::format(R"("Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":{},)"
+                               R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}},)",
+                               kMaxBodyBytes));
+    REQUIRE(bed.put(0, text, kSoon));
+    const PlatformHost &entry = bed.entries.front();
+    const bool isChunked = GENERATE(false, true);
+    CAPTURE(isChunked);
+    REQUIRE(announce(bed.controls.front().listen, "i-1", "booking", bed.replicaListen.front(), 1,
+                     false)
+            == 200);
+    REQUIRE(eventually(kSoon, [&] { return bed.isReady(entry); }));
+    CallOptions options;
+    options.fields = "Request-Id: large\r\nApi-Key: k1\r\n";
+    options.body = std::string(kMaxBodyBytes, 'x');
+    options.isChunked = isChunked;
+    const Reply reply = callOnce(entry.listen, "POST", "/book/1", options);
+    CHECK(reply.status == 200);
+    CHECK(reply.isWhole);
+    CHECK(reply.body.size() == std::string("large ").size() + kMaxBodyBytes);
+    CHECK(replica.runs().size() == 1);
+    const std::int64_t peakMb = peakMemory(entry.process->id()).count() >> 20;
+    std::cout << "peak_mb=" << peakMb << " chunked=" << isChunked << "\n";
+    CHECK(peakMb > 0);
+    CHECK(peakMb <= plan.memoryMb);
+}
+
 TEST_CASE("removing the last team does not open the routes")
 {
     Bed bed;
