edge: Find control hosts and ask callers back sooner after a start

Cause: the pause after a failed query of a control host doubles up to 800 ms, also while an entry host serves nothing for want of a leader. Callers rejected meanwhile were asked back after 1.2 to 2.4 s, later than the host is ready.

--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -1,6 +1,7 @@
 // Handling of callers and fleet updates, startup and stop.
 
 #include "EdgeImpl.h"
+#include "WatchTiming.h"
 
 #include <boost/asio/post.hpp>
 
@@ -12,9 +13,6 @@
 
 /// Interval of checks for upstreams that are no longer listed.
 constexpr base::Millis kFleetTickInterval{500};
-/// Retry-After, between once and twice this, for requests that this host cannot decide yet. A new
-/// leader takes over about a second after the last one is lost.
-constexpr base::Millis kUnconfirmedRetryAfter{1'200};
 /// Retry-After while this host stops. The retry goes to another host.
 constexpr base::Millis kStoppingRetryAfter{20};
 /// Calls are still accepted this long after the stop request, until the load balancer has noticed
@@ -111,6 +109,8 @@
         state.acceptsDelta = m_routeTable && !m_needsWholeConfiguration;
         state.load = m_dispatcher.ownLoad();
         state.evacuationsRevision = m_evacuations.state().revision;
+        state.awaitsLeader =
+                !m_evacuations.isConfirmed() || !m_freshness.canAcceptKeys(base::monotonicNow());
         return state;
     };
     m_watcher = std::make_unique<FleetWatcher>(
@@ -272,8 +272,7 @@
         retryAfter = kStoppingRetryAfter;
     else if (refusal.status == 503)
         retryAfter =
-                kUnconfirmedRetryAfter
-                + base::Millis(static_cast<std::int64_t>(m_rng() % kUnconfirmedRetryAfter.count()));
+                undecidedRetryAfter(m_startSteps.elapsed(now), m_freshness.wasConfirmed(), m_rng());
     gateway::Fields fields = m_protocol->localResponseFields(exchange.head(), retryAfter);
     // Another host may hold a newer configuration, or not be stopping.
     if (isTakenOver)
--- a/libs/edge/src/FleetWatcher.cpp
+++ b/libs/edge/src/FleetWatcher.cpp
@@ -1,5 +1,7 @@
 #include "FleetWatcher.h"
 
+#include "WatchTiming.h"
+
 #include <boost/asio/post.hpp>
 
 namespace hyssop::edge {
@@ -13,9 +15,6 @@
 constexpr base::Millis kFollowerPollWait{2'000};
 /// An answer is overdue this long after the wait. Round trips take milliseconds.
 constexpr base::Millis kAnswerMargin{500};
-/// First and longest delay after a failed query. It doubles with each failure.
-constexpr base::Millis kMinRetryDelay{50};
-constexpr base::Millis kMaxRetryDelay{800};
 /// A control host that is not a seed and that no other control host lists is dropped after this.
 constexpr base::Millis kUnlistedRetention{30'000};
 
@@ -93,6 +92,7 @@
     request.factsRevision = it->second.factsRevision;
     request.loadPeersRevision = it->second.loadPeersRevision;
     request.evacuationsRevision = local.evacuationsRevision;
+    m_awaitsLeader = local.awaitsLeader;
     const base::Millis wait = it->second.isLeader ? kLongPollWait : kFollowerPollWait;
     request.maxWait = wait;
     request.load = std::move(local.load);
@@ -122,8 +122,7 @@
             base::logEvent("control_lost",
                            {{"control", from.text()},
                             {"reason", answer ? "malformed answer" : answer.error().message}});
-        const int doublings = std::min(control.consecutiveFailures - 1, 4);
-        scheduleQuery(from, std::min(kMaxRetryDelay, kMinRetryDelay * (1 << doublings)));
+        scheduleQuery(from, retryPause(control.consecutiveFailures, m_awaitsLeader));
         removeUnlisted(now);
         return;
     }
--- a/libs/edge/src/FleetWatcher.h
+++ b/libs/edge/src/FleetWatcher.h
@@ -29,6 +29,7 @@
         bool acceptsDelta = false;
         fleet::LoadReport load;
         std::int64_t evacuationsRevision = 0;
+        bool awaitsLeader = false; ///< It accepts no keys until a leader confirms its state.
     };
     using LocalStateProvider = std::function<LocalState()>;
 
@@ -71,6 +72,7 @@
     LocalStateProvider m_localState;
     OnUpdate m_onUpdate;
     std::map<base::Endpoint, ControlHost> m_controlHosts;
+    bool m_awaitsLeader = true; ///< When the last query was sent.
     bool m_isStopped = false;
 };
 
--- a/libs/edge/src/StartSteps.cpp
+++ b/libs/edge/src/StartSteps.cpp
@@ -29,8 +29,7 @@
 {
     if (!m_reached.insert(step).second)
         return false;
-    const auto elapsed = std::chrono::floor<base::Millis>(now - m_startedAt);
-    base::logEvent("start_step", {{"step", startStepName(step)}, {"ms", elapsed.count()}});
+    base::logEvent("start_step", {{"step", startStepName(step)}, {"ms", elapsed(now).count()}});
     return true;
 }
 
--- a/libs/edge/src/StartSteps.h
+++ b/libs/edge/src/StartSteps.h
@@ -26,6 +26,10 @@
 
     /// Returns whether this is the first time.
     bool reach(StartStep step, base::TimePoint now);
+    base::Millis elapsed(base::TimePoint now) const
+    {
+        return std::chrono::floor<base::Millis>(now - m_startedAt);
+    }
     bool wasReached(StartStep step) const { return m_reached.contains(step); }
 
 private:
