integration: A control host whose log lacks a segment joins again by itself

Cause: the setting aside of an incomplete log was tested in the libraries only.

Change: test-control-faults kills one of three control hosts, makes a segment of its global log a missing one, and starts it again.

Without the call in loadReplicaId() it fails: control-2 ends with start_failed "a segment before segment- is missing".

--- a/integration/ControlFaultTest.cpp
+++ b/integration/ControlFaultTest.cpp
@@ -125,6 +125,29 @@
     CHECK(startBooking(system, system.host("entry-1-1"), "after").wait().status == 200);
 }
 
+// Guards against a control host that ends at each start when a segment file of its log is missing.
+TEST_CASE("a control host whose log lacks a segment joins again by itself and costs no change")
+{
+    System system(centres(3));
+    bringUp(system);
+    Changes changes(&system);
+    changes.add(20);
+    Host &repaired = system.host("control-2");
+    system.kill(repaired);
+    const std::filesystem::path log = system.folder() / repaired.name / "global";
+    // An empty segment whose number is beyond the next makes the one before it a missing one.
+    REQUIRE(std::filesystem::exists(log / "segment-000000000001"));
+    const std::ofstream later(log / "segment-000000000999");
+    changes.add(1);
+    system.start(repaired);
+    REQUIRE(eventually(kRepairLimit,
+                       [&] { return votersChanges(system, "promote", repaired.name) > 0; }));
+    CHECK(votersChanges(system, "remove", repaired.name) > 0);
+    CHECK(std::filesystem::exists(log / "incomplete-log-1" / "segment-000000000001"));
+    changes.add(1);
+    CHECK(changes.reach(repaired));
+}
+
 TEST_CASE("a rolling restart of hosts with several voters under load cuts off, loses and doubles "
           "nothing")
 {
