dispatch, edge: Log failures that count against links, and retries that the budget denies

Callers of hosts without links to upstreams are served far worse than others. The logs could not tell a host that has not noticed from one whose stalled calls get no retry: a failed attempt that does not complete the three upstreams which make links count as lost left no line, and neither did a retry that the budget of a service has no room for.

link_failed names the upstream, those that have failed lately and those needed; retry_denied and hyssop_retries_denied_total the calls without a retry. No decision changes.

--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -343,6 +343,16 @@
     std::size_t upstreams = 0;
 };
 
+/// Reports an attempt without an answer, which counts against the links of its service, for logs.
+struct LinkFailed
+{
+    CallId call;
+    base::ServiceId service;
+    base::UpstreamId upstream;
+    std::size_t failedUpstreams = 0; ///< Lately, this one included.
+    std::size_t neededUpstreams = 0; ///< With so many the links count as lost.
+};
+
 /// Closes the connection of the attempt and discards what still arrives on it.
 struct CancelAttempt
 {
@@ -422,6 +432,13 @@
     AttemptFault fault = AttemptFault::AnswerLost;
 };
 
+/// Reports that the budget of a service has no retry left for a call, for metrics and logs.
+struct RetryDenied
+{
+    CallId call;
+    AttemptFault fault = AttemptFault::AnswerLost;
+};
+
 /// Reports an upstream that gets no new calls for \c duration, for metrics and logs.
 struct UpstreamEjected
 {
@@ -530,7 +547,8 @@
                      UpstreamEjected, DataCentreUnreachable, RateLimitChanged, RequestSendGrant,
                      ReportRateLimit, ProbeUpstream, ReportCrash, ReportAnswered, RequestTrial,
                      EndTrial, CrashSuspectChanged, RelayCall, ProbeLink, LinksChanged,
-                     KeepStalledAttempt, ReinstateAttempt, CancelStalledAttempt>;
+                     KeepStalledAttempt, ReinstateAttempt, CancelStalledAttempt, LinkFailed,
+                     RetryDenied>;
 using Actions = std::vector<Action>;
 
 /// Settings of a Dispatcher.
--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -399,7 +399,7 @@
 {
     if (!std::exchange(call.needsRetry, false))
         return true;
-    if (!serviceOf(call.info.service).retryBudget->tryAcquire(m_sharingHosts.current(now), now)) {
+    if (!takeRetry(call, AttemptFault::Stalled, now)) {
         rejectOrFail(call, FailureReason::UpstreamLost, now);
         return false;
     }
@@ -475,7 +475,7 @@
     if (!isUnanswered)
         recordLinkAnswer(call, now);
     else if (state && !isUnattributable)
-        recordLinkFailure(*state, call.current.sentAt, now);
+        recordLinkFailure(call, *state, now);
     if (state && !isUnattributable && state->recordFailure(fault, meanFailureRate(*state)))
         eject(*state, now);
 }
@@ -521,7 +521,15 @@
         return false;
     if (!provesNotRun(fault) && !call.info.isRetrySafe)
         return false;
-    return serviceOf(call.info.service).retryBudget->tryAcquire(m_sharingHosts.current(now), now);
+    return takeRetry(call, fault, now);
+}
+
+bool Dispatcher::Impl::takeRetry(const ActiveCall &call, AttemptFault fault, base::TimePoint now)
+{
+    if (serviceOf(call.info.service).retryBudget->tryAcquire(m_sharingHosts.current(now), now))
+        return true;
+    m_actions.emplace_back(RetryDenied{call.info.id, fault});
+    return false;
 }
 
 bool Dispatcher::Impl::hasEnginesForTwo(const ActiveCall &call) const
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -299,8 +299,8 @@
     /// back.
     base::Millis gateDelay(const ActiveCall &call, base::TimePoint now) const;
     // Lost links and relays.
-    /// Records that an attempt at an upstream got no answer.
-    void recordLinkFailure(const UpstreamState &upstream, base::TimePoint sentAt,
+    /// Records that the current attempt of a call, at \a upstream, got no answer.
+    void recordLinkFailure(const ActiveCall &call, const UpstreamState &upstream,
                            base::TimePoint now);
     /// Records that the current attempt of a call got an answer or a part of one.
     void recordLinkAnswer(const ActiveCall &call, base::TimePoint now);
@@ -387,6 +387,8 @@
     bool acquireStallRetry(ActiveCall &call, base::TimePoint now);
     /// Whether the call may be retried. Takes the retry from the budget of its service.
     bool acquireRetry(ActiveCall &call, AttemptFault fault, base::TimePoint now);
+    /// Takes a retry from the budget of the call's service, or reports that there is none left.
+    bool takeRetry(const ActiveCall &call, AttemptFault fault, base::TimePoint now);
     /// Mean over all upstreams of the service except \a excluded.
     double meanFailureRate(const UpstreamState &excluded);
     void recordConnectFailure(const fleet::Upstream &upstream, base::TimePoint now);
--- a/libs/dispatch/src/LinkMonitor.cpp
+++ b/libs/dispatch/src/LinkMonitor.cpp
@@ -14,13 +14,18 @@
 
 } // namespace
 
+std::size_t LinkMonitor::neededFailures(std::size_t upstreamCount)
+{
+    return std::min(kFailedUpstreams, upstreamCount);
+}
+
 bool LinkMonitor::recordFailure(const base::UpstreamId &upstream, std::size_t upstreamCount,
                                 base::TimePoint sentAt, base::TimePoint now)
 {
     m_failures[upstream] = now;
     m_lastFailureSentAt = std::max(m_lastFailureSentAt, sentAt);
     std::erase_if(m_failures, [now](const auto &it) { return now >= it.second + kFailureWindow; });
-    if (m_isLost || m_failures.size() < std::min(kFailedUpstreams, upstreamCount))
+    if (m_isLost || m_failures.size() < neededFailures(upstreamCount))
         return false;
     m_isLost = true;
     m_nextProbeAt = now;
--- a/libs/dispatch/src/LinkMonitor.h
+++ b/libs/dispatch/src/LinkMonitor.h
@@ -15,6 +15,8 @@
 public:
     bool isLost() const { return m_isLost; }
     std::size_t failedUpstreams() const { return m_failures.size(); }
+    /// Upstreams of \a upstreamCount that must fail before the links count as lost.
+    static std::size_t neededFailures(std::size_t upstreamCount);
     /// An attempt that was sent at \a sentAt to \a upstream, one of \a upstreamCount, got no
     /// answer. Returns whether this shows that the links are lost.
     bool recordFailure(const base::UpstreamId &upstream, std::size_t upstreamCount,
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -18,11 +18,17 @@
 
 } // namespace
 
-void Dispatcher::Impl::recordLinkFailure(const UpstreamState &upstream, base::TimePoint sentAt,
+void Dispatcher::Impl::recordLinkFailure(const ActiveCall &call, const UpstreamState &upstream,
                                          base::TimePoint now)
 {
     ServiceState &service = serviceOf(upstream.info().service);
-    if (!service.links.recordFailure(upstream.info().id, service.upstreams.size(), sentAt, now))
+    const std::size_t upstreamCount = service.upstreams.size();
+    const bool isLost = service.links.recordFailure(upstream.info().id, upstreamCount,
+                                                    call.current.sentAt, now);
+    m_actions.emplace_back(LinkFailed{call.info.id, upstream.info().service, upstream.info().id,
+                                      service.links.failedUpstreams(),
+                                      LinkMonitor::neededFailures(upstreamCount)});
+    if (!isLost)
         return;
     m_actions.emplace_back(LinksChanged{upstream.info().service, true,
                                         service.links.failedUpstreams(), service.upstreams.size()});
--- a/libs/edge/src/Calls.cpp
+++ b/libs/edge/src/Calls.cpp
@@ -313,6 +313,14 @@
                              {"ms", age.count()}});
 }
 
+void Edge::Impl::executeAction(const dispatch::RetryDenied &action, base::TimePoint)
+{
+    const auto fault = dispatch::attemptFaultName(action.fault);
+    m_metrics->count("hyssop_retries_denied_total", {{"reason", std::string(fault)}});
+    base::logEvent("retry_denied",
+                   {{"request", findCall(action.call)->requestMetadata.id}, {"reason", fault}});
+}
+
 void Edge::Impl::executeAction(const dispatch::UpstreamEjected &action, base::TimePoint)
 {
     m_metrics->count("hyssop_ejections_total");
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -181,6 +181,8 @@
     /// Returns whether the request was a probe of links.
     bool endLinkProbe(gateway::CallId id, bool isAnswered);
     void executeAction(const dispatch::LinksChanged &action, base::TimePoint now);
+    void executeAction(const dispatch::LinkFailed &action, base::TimePoint now);
+    void executeAction(const dispatch::RetryDenied &action, base::TimePoint now);
 
     // Upstreams.
     void onHead(gateway::CallId id, const gateway::ResponseHead &head) override;
--- a/libs/edge/src/Relays.cpp
+++ b/libs/edge/src/Relays.cpp
@@ -154,6 +154,15 @@
     return true;
 }
 
+void Edge::Impl::executeAction(const dispatch::LinkFailed &action, base::TimePoint)
+{
+    base::logEvent("link_failed", {{"request", findCall(action.call)->requestMetadata.id},
+                                   {"service", action.service},
+                                   {"upstream", action.upstream},
+                                   {"failed_upstreams", action.failedUpstreams},
+                                   {"needed", action.neededUpstreams}});
+}
+
 void Edge::Impl::executeAction(const dispatch::LinksChanged &action, base::TimePoint)
 {
     if (action.isLost)
