dispatch: Play hosts with few calls that lose their links; it fails

LinkPlay runs the dispatchers of 7, 30, 77 and 300 entry hosts in virtual time, of which a third, 0.8 or a whole data centre lose their links for 12 s, in four ways, with 0.1 to 20 calls a second each. The bound is the users': from 3 s after the cut on, at least two thirds of the share of first attempts that the other hosts serve.

--- /dev/null
+++ b/libs/dispatch/tests/LinkLossTest.cpp
@@ -0,0 +1,133 @@
+#include "LinkPlay.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssop;
+using namespace hyssop::dispatch;
+
+namespace {
+
+/// Calls at hosts that were cut off, from which a share is taken.
+constexpr int kMinCalls = 40;
+constexpr std::uint64_t kMaxSeeds = 40;
+
+void add(CallCount &sum, const CallCount &count)
+{
+    sum.sent += count.sent;
+    sum.served += count.served;
+}
+
+/// Plays a plan with one seed after the other until there are enough calls.
+LinkOutcome play(LinkPlan plan)
+{
+    LinkOutcome sum;
+    for (plan.seed = 1; plan.seed <= kMaxSeeds && sum.cutLater.sent < kMinCalls; ++plan.seed) {
+        const LinkOutcome outcome = LinkPlay(plan).run();
+        add(sum.cutAtFirst, outcome.cutAtFirst);
+        add(sum.cutLater, outcome.cutLater);
+        add(sum.afterwards, outcome.afterwards);
+        add(sum.others, outcome.others);
+        sum.repeatedBookings += outcome.repeatedBookings;
+        sum.falselyRefused += outcome.falselyRefused;
+        sum.probes += outcome.probes;
+        sum.failedUnaware += outcome.failedUnaware;
+        sum.declinedRelays += outcome.declinedRelays;
+        sum.deniedRetries += outcome.deniedRetries;
+    }
+    return sum;
+}
+
+const char *nameOf(LinkLoss loss)
+{
+    switch (loss) {
+    case LinkLoss::Silent:
+        return "silent";
+    case LinkLoss::Hanging:
+        return "hanging";
+    case LinkLoss::Reset:
+        return "reset";
+    case LinkLoss::Refused:
+        return "refused";
+    }
+    return "";
+}
+
+void check(LinkPlan plan)
+{
+    for (const LinkLoss loss :
+         {LinkLoss::Silent, LinkLoss::Hanging, LinkLoss::Reset, LinkLoss::Refused}) {
+        plan.loss = loss;
+        const LinkOutcome outcome = play(plan);
+        CAPTURE(plan.hosts, plan.cutShare, nameOf(loss), plan.rates.streams, plan.rates.lookups,
+                plan.rates.bookings, outcome.cutAtFirst.share(), outcome.cutLater.sent,
+                outcome.cutLater.served, outcome.failedUnaware, outcome.declinedRelays,
+                outcome.deniedRetries);
+        REQUIRE(outcome.cutLater.sent >= kMinCalls / 2);
+        // The users' bound, of first attempts from a while after the cut on.
+        CHECK(outcome.cutLater.share() >= outcome.others.share() * 2 / 3);
+        CHECK(outcome.others.share() >= 0.99);
+        CHECK(outcome.afterwards.share() >= 0.99);
+        CHECK(outcome.repeatedBookings == 0);
+        CHECK(outcome.falselyRefused == 0);
+    }
+}
+
+void checkSizes(const CallRates &rates)
+{
+    for (const std::size_t hosts : {7, 30, 77, 300}) {
+        for (const double share : {0.34, 0.8})
+            check({hosts, share, false, LinkLoss::Silent, rates, 1});
+    }
+}
+
+} // namespace
+
+TEST_CASE("hosts with few streams that lose their links serve as many of them as others",
+          "[.][link-loss]")
+{
+    checkSizes({0.33, 0, 0});
+    checkSizes({0.1, 0, 0});
+}
+
+TEST_CASE("hosts with a stream a second that lose their links serve as many of them as others",
+          "[.][link-loss]")
+{
+    checkSizes({1.03, 0, 0});
+}
+
+TEST_CASE("hosts with few repeatable calls that lose their links serve as many as others",
+          "[.][link-loss]")
+{
+    checkSizes({0, 0.13, 0});
+    checkSizes({0, 1.15, 0});
+}
+
+TEST_CASE("hosts with few calls that must run once that lose their links serve as many as others",
+          "[.][link-loss]")
+{
+    checkSizes({0, 0, 0.13});
+    checkSizes({0, 0, 1.15});
+}
+
+TEST_CASE("hosts with streams and few plain calls that lose their links serve as many as others",
+          "[.][link-loss]")
+{
+    checkSizes({1.03, 0.06, 0.07});
+}
+
+TEST_CASE("hosts with many calls that lose their links serve as many as others")
+{
+    check({7, 0.4, false, LinkLoss::Silent, {10, 5, 5}, 1});
+}
+
+TEST_CASE("one host of many that loses its links serves as many calls as others")
+{
+    for (const std::size_t hosts : {7, 77})
+        check({hosts, 0.01, false, LinkLoss::Silent, {1.03, 0.06, 0.07}, 1});
+}
+
+TEST_CASE("a data centre whose hosts all lose their links is served by others", "[.][link-loss]")
+{
+    for (const std::size_t hosts : {7, 30, 77, 300})
+        check({hosts, 0, true, LinkLoss::Silent, {1.03, 0.06, 0.07}, 1});
+}
