dispatch, edge, fleet, registry: Hosts tell which services they do not reach, and get no calls of these

Where most hosts lose their links, callers of these hosts got 503 and 504 although their host knew of the loss: it relayed a call to three hosts at random, which had lost their links as well, and then gave up.

A host now states the services that it does not reach in the datagrams with its loads, when that changes and each half second, and the others relay no calls of these to it. Where not all hosts exchange their loads, the leader names eight hosts of other data centres to each, spread so that the hosts of a data centre get different ones. A call tries six hosts instead of three, as those that have not noticed their loss yet decline it.

Fields are added at the end of the load datagram and of the watch reply; builds before ignore them.

--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -195,10 +195,11 @@
     bool includesPeers = false;
 };
 
-/// Outstanding load that another entry host sent of itself.
+/// Outstanding load and lost links that another entry host sent of itself.
 struct PeerLoadReceived
 {
     fleet::LoadUpdate update;
+    base::Endpoint relayAddress = {}; ///< Where it takes relayed calls; empty when not known.
 };
 
 /// A long prompt may be prefilled now. Also sent when no control host can order the prompts.
@@ -592,7 +593,7 @@
 
     DispatcherStats stats(base::TimePoint now) const;
     /// Returns the changes of this host's outstanding load since the last call, or all of its load
-    /// if \a isSnapshot.
+    /// if \a isSnapshot, and the services whose upstreams it does not reach.
     fleet::LoadUpdate takeLoadUpdate(bool isSnapshot);
     /// Outstanding load of this host, for the other entry hosts.
     fleet::LoadReport ownLoad() const;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -313,6 +313,7 @@
 {
     applyPeerLoads(m_peerLoads.apply(event.update, now), now);
     applyPeerLoads(m_peerLoads.removeExpired(now), now);
+    m_relayPeers.setUnreachable(event.relayAddress, event.update.unreachableServices, now);
 }
 
 fleet::LoadUpdate Dispatcher::Impl::takeLoadUpdate(bool isSnapshot)
@@ -320,6 +321,10 @@
     fleet::LoadUpdate update;
     update.host = m_options.host;
     update.isSnapshot = isSnapshot;
+    for (const auto &[id, service] : m_services) {
+        if (service.links.isLost())
+            update.unreachableServices.push_back(id);
+    }
     if (isSnapshot) {
         update.upstreams = ownLoad().upstreams;
         m_changedUpstreams.clear();
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -8,8 +8,9 @@
 
 /// Attempts of one call that reached no upstream before it is relayed.
 constexpr int kUnsentBeforeRelay = 2;
-/// Entry hosts that one call is relayed to at most.
-constexpr std::size_t kMaxRelays = 3;
+/// Entry hosts that one call is relayed to at most. Those that have not noticed yet that they are
+/// cut off too decline it.
+constexpr std::size_t kMaxRelays = 6;
 /// When so many declined a call, they reach no upstream either, and no calls of the service are
 /// relayed for this time.
 constexpr base::Millis kRelayPause{500};
@@ -100,7 +101,8 @@
     const auto isInside = [&](const base::DataCentreId &dataCentre) {
         return isAllowed(m_options.regions, call.info.allowedRegions, dataCentre);
     };
-    const auto peer = m_relayPeers.choose(call.triedRelays, isInside, m_rng, now);
+    const auto peer =
+            m_relayPeers.choose(call.info.service, call.triedRelays, isInside, m_rng, now);
     if (!peer)
         return false;
     if (acquireStallRetry(call, now))
--- a/libs/dispatch/tests/LinkPlay.cpp
+++ b/libs/dispatch/tests/LinkPlay.cpp
@@ -25,8 +25,10 @@
 constexpr int kEvents = 30;
 /// Callers give up a stream that pauses for longer.
 constexpr Millis kPatience{2'000};
-constexpr Millis kReportInterval{500};
+constexpr Millis kReportInterval{1'000};
 constexpr std::size_t kMaxMeshHosts = 97;
+/// Hosts of other data centres that a host knows beyond that.
+constexpr std::size_t kDistantPeers = 8;
 constexpr std::size_t kDataCentres = 3;
 /// Chance that a call finds an open connection.
 constexpr int kOpenPercent = 30;
@@ -80,10 +82,21 @@
         for (std::size_t i = 0; i < 4; ++i)
             handle(n, UpstreamUpdated{upstream(kPlain, i)});
         RelayPeersChanged peers;
+        std::vector<std::size_t> others;
         for (std::size_t i = 0; i < plan.hosts; ++i) {
-            if (i != n && (plan.hosts <= kMaxMeshHosts || dataCentreOf(i) == dataCentreOf(n)))
+            if (i == n)
+                continue;
+            if (plan.hosts <= kMaxMeshHosts || dataCentreOf(i) == dataCentreOf(n)) {
                 peers.peers.push_back({endpointOf(i), dataCentreOf(i)});
+                m_hosts[n].peers.push_back(i);
+            } else {
+                others.push_back(i);
+            }
         }
+        std::shuffle(others.begin(), others.end(), m_rng);
+        others.resize(std::min(others.size(), kDistantPeers));
+        for (const std::size_t i : others)
+            peers.peers.push_back({endpointOf(i), dataCentreOf(i)});
         handle(n, peers);
     }
     std::vector<std::size_t> order;
@@ -116,6 +129,7 @@
         for (base::TimePoint time = kStart; time < end; time += kReportInterval)
             at(time, [this, n] {
                 handle(n, PeerLoadSumReceived{{}, static_cast<int>(m_hosts.size()), false});
+                sendStatement(n);
             });
     }
     at(cutAt, [&] {
@@ -152,6 +166,23 @@
     return outcome;
 }
 
+void LinkPlay::sendStatement(std::size_t host)
+{
+    const fleet::LoadUpdate update = m_hosts[host].dispatcher->takeLoadUpdate(true);
+    // Idle hosts are silent.
+    const bool wasSilent =
+            std::exchange(m_hosts[host].isSilent, update.unreachableServices.empty());
+    if (wasSilent && m_hosts[host].isSilent)
+        return;
+    fleet::LoadUpdate statement;
+    statement.host = update.host;
+    statement.unreachableServices = update.unreachableServices;
+    at(m_now + kHop, [this, host, statement] {
+        for (const std::size_t peer : m_hosts[host].peers)
+            handle(peer, PeerLoadReceived{statement, endpointOf(host)});
+    });
+}
+
 void LinkPlay::cut(bool isCut)
 {
     for (const std::size_t n : m_cutHosts)
@@ -271,6 +302,7 @@
                 m_hosts[host].lostServices.insert(it->service);
             else
                 m_hosts[host].lostServices.erase(it->service);
+            at(m_now + kHop, [this, host] { sendStatement(host); });
         } else if (std::holds_alternative<RetryDenied>(action)) {
             ++m_deniedRetries;
         } else if (const auto *it = std::get_if<ProbeUpstream>(&action)) {
@@ -365,8 +397,8 @@
     const bool isSilent = m_plan.loss == LinkLoss::Silent || m_plan.loss == LinkLoss::Hanging;
     const bool isAnswered = !isLost(host);
     at(m_now + (!isAnswered && isSilent ? kLinkProbeTimeout : kHop),
-       [this, host, isAnswered, service = action.upstream.service] {
-           handle(host, LinkProbed{service, isAnswered});
+       [this, host, isAnswered, upstream = action.upstream] {
+           handle(host, LinkProbed{upstream.service, isAnswered});
        });
 }
 
--- a/libs/dispatch/tests/LinkPlay.h
+++ b/libs/dispatch/tests/LinkPlay.h
@@ -79,6 +79,8 @@
         base::TimePoint nextTick = base::TimePoint::max();
         std::int64_t lastCall = 0;
         std::set<base::ServiceId> lostServices;
+        std::vector<std::size_t> peers; ///< That exchange their loads with it.
+        bool isSilent = true; ///< It has told them last that it reaches all services.
     };
 
     /// What a caller sent, and what became of it.
@@ -130,6 +132,8 @@
     void succeed(int id);
     void endAttempt(int id);
     void end(const CallKey &key, bool isServed, const RejectCall *rejection);
+    /// Tells the peers of a host which services it does not reach.
+    void sendStatement(std::size_t host);
     void cut(bool isCut);
     Call *findCall(const CallKey &key);
     bool isLost(std::size_t host) const { return m_hosts[host].isCut; }
--- a/libs/edge/src/Edge.cpp
+++ b/libs/edge/src/Edge.cpp
@@ -87,7 +87,8 @@
     , m_fleetTimer(*io)
     , m_stopTimer(*io)
     , m_loadUpdateTimer(*io)
-    , m_loadChannel(io, [this](const auto &update) { onLoadUpdate(update); })
+    , m_loadChannel(io,
+                    [this](const auto &update, const auto &from) { onLoadUpdate(update, from); })
     , m_startId(static_cast<std::int64_t>(m_rng() >> 1))
     , m_startSteps(base::monotonicNow())
     , m_peerService(std::make_unique<NoService>())
@@ -355,7 +356,7 @@
             for (const fleet::LoadPeer &it : *reply.loadPeers)
                 addresses.push_back(it.address);
             m_loadChannel.setPeers(addresses);
-            setRelayPeers(*reply.loadPeers, now);
+            setRelayPeers(reply, now);
             // New peers do not wait for the next change to learn this host's load.
             sendLoadUpdate(true);
         }
@@ -513,17 +514,20 @@
     fleet::LoadUpdate update = m_dispatcher.takeLoadUpdate(isSnapshot);
     // Idle hosts are silent, so that they cost their peers nothing. The last snapshot before that
     // is empty, in case the update before it was lost.
-    const bool wasIdle = std::exchange(m_isIdle, isSnapshot && update.upstreams.empty());
-    if (update.upstreams.empty() && (!isSnapshot || wasIdle))
+    const bool isEmpty = update.upstreams.empty() && update.unreachableServices.empty();
+    const bool wasIdle = std::exchange(m_isIdle, isSnapshot && isEmpty);
+    if (isEmpty && (!isSnapshot || wasIdle))
         return;
     update.startId = m_startId;
     m_loadChannel.send(std::move(update), base::monotonicNow());
 }
 
-void Edge::Impl::onLoadUpdate(const fleet::LoadUpdate &update)
+void Edge::Impl::onLoadUpdate(const fleet::LoadUpdate &update, const std::string &from)
 {
     const base::TimePoint now = base::monotonicNow();
-    execute(m_dispatcher.handle(dispatch::PeerLoadReceived{update}, now), now);
+    execute(m_dispatcher.handle(dispatch::PeerLoadReceived{update, {from, m_options.relayPort}},
+                                now),
+            now);
 }
 
 void Edge::Impl::scheduleTick(base::TimePoint now)
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -171,7 +171,7 @@
     private:
         Impl *m_impl;
     };
-    void setRelayPeers(const std::vector<fleet::LoadPeer> &peers, base::TimePoint now);
+    void setRelayPeers(const fleet::WatchReply &reply, base::TimePoint now);
     void takeOver(const std::shared_ptr<gateway::Exchange> &exchange);
     /// Begins an attempt with a request that is already addressed.
     void startAttempt(EdgeCall &call, gateway::Call request);
@@ -295,7 +295,7 @@
     void scheduleLoadUpdate();
     void logStartSteps(bool isFromLeader, base::TimePoint now);
     void sendLoadUpdate(bool isSnapshot);
-    void onLoadUpdate(const fleet::LoadUpdate &update);
+    void onLoadUpdate(const fleet::LoadUpdate &update, const std::string &from);
 
     void checkStop();
     /// Takes no further connections of callers and closes those without a request. Returns whether
--- a/libs/edge/src/LoadChannel.cpp
+++ b/libs/edge/src/LoadChannel.cpp
@@ -75,7 +75,7 @@
                         continue;
                     if (ec)
                         break;
-                    handleDatagram({m_buffer.data(), size}, now);
+                    handleDatagram({m_buffer.data(), size}, from.address().to_string(), now);
                 }
                 if (ec != boost::asio::error::would_block)
                     logProblem("load_not_received", ec.message(), now);
@@ -83,10 +83,11 @@
             });
 }
 
-void LoadChannel::handleDatagram(std::string_view bytes, base::TimePoint now)
+void LoadChannel::handleDatagram(std::string_view bytes, const std::string &from,
+                                 base::TimePoint now)
 {
     if (const auto update = fleet::decodeLoadUpdate(bytes))
-        m_onUpdate(*update);
+        m_onUpdate(*update, from);
     else
         logProblem("bad_message", "load", now);
 }
--- a/libs/edge/src/LoadChannel.h
+++ b/libs/edge/src/LoadChannel.h
@@ -11,7 +11,8 @@
 class LoadChannel
 {
 public:
-    using OnUpdate = std::function<void(const fleet::LoadUpdate &)>;
+    /// An update, and the address of the host that sent it.
+    using OnUpdate = std::function<void(const fleet::LoadUpdate &, const std::string &)>;
 
     LoadChannel(boost::asio::io_context *io, OnUpdate onUpdate);
 
@@ -24,7 +25,7 @@
 
 private:
     void receive();
-    void handleDatagram(std::string_view bytes, base::TimePoint now);
+    void handleDatagram(std::string_view bytes, const std::string &from, base::TimePoint now);
     /// Logs at most one problem per kProblemInterval.
     void logProblem(std::string_view event, std::string_view reason, base::TimePoint now);
 
--- a/libs/edge/src/Relays.cpp
+++ b/libs/edge/src/Relays.cpp
@@ -25,13 +25,15 @@
     });
 }
 
-void Edge::Impl::setRelayPeers(const std::vector<fleet::LoadPeer> &peers, base::TimePoint now)
+void Edge::Impl::setRelayPeers(const fleet::WatchReply &reply, base::TimePoint now)
 {
     if (m_options.relayPort == 0)
         return;
     dispatch::RelayPeersChanged event;
-    for (const fleet::LoadPeer &it : peers)
-        event.peers.push_back({{it.address.address, m_options.relayPort}, it.dataCentre});
+    for (const auto *peers : {&*reply.loadPeers, &reply.distantPeers}) {
+        for (const fleet::LoadPeer &it : *peers)
+            event.peers.push_back({{it.address.address, m_options.relayPort}, it.dataCentre});
+    }
     execute(m_dispatcher.handle(event, now), now);
 }
 
@@ -165,6 +167,9 @@
 
 void Edge::Impl::executeAction(const dispatch::LinksChanged &action, base::TimePoint)
 {
+    // Others must not relay calls of this service to here.
+    if (m_loadChannel.hasPeers())
+        scheduleLoadUpdate();
     if (action.isLost)
         m_metrics->count("hyssop_link_losses_total");
     base::logEvent(action.isLost ? "links_lost" : "links_restored",
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -500,6 +500,9 @@
     /// The hosts that exchange their loads directly with the requesting one, if the request holds
     /// another revision of them.
     std::optional<std::vector<LoadPeer>> loadPeers;
+    /// Some entry hosts of other data centres that are no load peers, to relay calls to. Present
+    /// with \c loadPeers.
+    std::vector<LoadPeer> distantPeers;
     std::int64_t loadPeersRevision = 0; ///< 0 when this control host does not know them.
     LoadReport distantLoad; ///< Load of the entry hosts that are not among these peers.
     /// \c distantLoad is that of all other entry hosts. Not sent: control hosts of builds that
@@ -533,6 +536,8 @@
     std::vector<UpstreamLoad> upstreams;
     std::int64_t startId = 0; ///< Random number drawn at each start of the host.
     std::int64_t sequence = 0; ///< Increases with each update of a start; 0 when not known.
+    /// Services whose upstreams the host does not reach now.
+    std::vector<base::ServiceId> unreachableServices = {};
 };
 /// Splits an update into several with at most \a maxUpstreams each, numbered upwards after \a
 /// sequence. Later parts of a snapshot add to its first part.
--- a/libs/fleet/src/Messages.cpp
+++ b/libs/fleet/src/Messages.cpp
@@ -232,6 +232,7 @@
         part.isSnapshot = update.isSnapshot && parts.size() == 1;
         part.upstreams.assign(it, end);
         part.startId = update.startId;
+        part.unreachableServices = update.unreachableServices;
         part.sequence = ++sequence;
         it = end;
     } while (it != update.upstreams.end());
@@ -322,6 +323,17 @@
     return json::array({evacuations->revision, std::move(names)});
 }
 
+/// Addresses and data centres.
+std::pair<json, json> loadPeersToJson(const std::vector<LoadPeer> &peers)
+{
+    std::pair<json, json> lists(json::array(), json::array());
+    for (const LoadPeer &it : peers) {
+        lists.first.push_back(it.address.text());
+        lists.second.push_back(it.dataCentre.text());
+    }
+    return lists;
+}
+
 /// Control hosts of earlier versions send no data centres.
 std::vector<LoadPeer> loadPeersFrom(const json &addresses, const json &dataCentres)
 {
@@ -355,13 +367,9 @@
     const bool isPacked = !reply.packedDirectory.empty();
     json loadPeers;
     json dataCentresOfPeers = json::array();
-    if (reply.loadPeers) {
-        loadPeers = json::array();
-        for (const LoadPeer &it : *reply.loadPeers) {
-            loadPeers.push_back(it.address.text());
-            dataCentresOfPeers.push_back(it.dataCentre.text());
-        }
-    }
+    if (reply.loadPeers)
+        std::tie(loadPeers, dataCentresOfPeers) = loadPeersToJson(*reply.loadPeers);
+    auto [distantPeers, dataCentresOfDistantPeers] = loadPeersToJson(reply.distantPeers);
     json controlHosts = json::array();
     for (const base::Endpoint &it : reply.controlHosts)
         controlHosts.push_back(it.text());
@@ -386,7 +394,9 @@
                          reply.deltaBase.count(),
                          reply.packedDirectory,
                          evacuationsToJson(reply.evacuations),
-                         std::move(dataCentresOfPeers)});
+                         std::move(dataCentresOfPeers),
+                         std::move(distantPeers),
+                         std::move(dataCentresOfDistantPeers)});
 }
 
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes)
@@ -435,14 +445,19 @@
             unpackDirectory(j.at(19), reply.directory);
         if (j.size() > 20)
             reply.evacuations = evacuationsFrom(j.at(20));
+        if (j.size() > 23)
+            reply.distantPeers = loadPeersFrom(j.at(22), j.at(23));
         return reply;
     });
 }
 
 std::string encode(const LoadUpdate &update)
 {
+    json unreachableServices = json::array();
+    for (const base::ServiceId &it : update.unreachableServices)
+        unreachableServices.push_back(it.text());
     return base::toCbor({update.host.text(), update.isSnapshot, listToJson(update.upstreams),
-                         update.startId, update.sequence});
+                         update.startId, update.sequence, std::move(unreachableServices)});
 }
 
 std::optional<LoadUpdate> decodeLoadUpdate(std::string_view bytes)
@@ -457,6 +472,11 @@
             update.startId = j.at(3);
             update.sequence = j.at(4);
         }
+        // Hosts of earlier versions do not say what they reach.
+        if (j.size() > 5) {
+            for (const json &it : j.at(5))
+                update.unreachableServices.emplace_back(it.get<std::string>());
+        }
         return update;
     });
 }
--- a/libs/fleet/tests/FleetViewTest.cpp
+++ b/libs/fleet/tests/FleetViewTest.cpp
@@ -123,6 +123,8 @@
     reply.loadPeers = {{{"127.0.0.2", 6}, base::DataCentreId("north")}, {{"127.0.0.3", 6}, {}}};
     reply.loadPeersRevision = 9;
     CHECK(decodeWatchReply(encode(reply))->loadPeers == reply.loadPeers);
+    reply.distantPeers = {{{"127.0.0.4", 6}, base::DataCentreId("south")}};
+    CHECK(decodeWatchReply(encode(reply))->distantPeers == reply.distantPeers);
     CHECK(decodeWatchReply(encode(reply))->loadPeersRevision == 9);
     CHECK_FALSE(decodeWatchReply("no message"));
     WatchRequest request;
--- a/libs/registry/src/LoadAggregator.cpp
+++ b/libs/registry/src/LoadAggregator.cpp
@@ -84,6 +84,27 @@
     return peers;
 }
 
+std::vector<fleet::LoadPeer> LoadAggregator::distantPeers(const base::HostId &host,
+                                                          std::size_t limit) const
+{
+    const auto own = m_reports.find(host);
+    if (own == m_reports.end() || hostsLike(own->second) <= m_limit + 1)
+        return {};
+    std::vector<const Report *> others;
+    for (const auto &[id, report] : m_reports) {
+        if (report.dataCentre != own->second.dataCentre)
+            others.push_back(&report);
+    }
+    std::vector<fleet::LoadPeer> peers;
+    const std::size_t count = std::min(limit, others.size());
+    const std::size_t first = base::stableHash(host.text());
+    for (std::size_t n = 0; n < count; ++n) {
+        const Report &it = *others[(first + n * others.size() / count) % others.size()];
+        peers.push_back({it.address, it.dataCentre});
+    }
+    return peers;
+}
+
 void LoadAggregator::removeExpired(base::TimePoint now)
 {
     if (now < m_nextExpiryCheckAt)
--- a/libs/registry/src/LoadAggregator.h
+++ b/libs/registry/src/LoadAggregator.h
@@ -22,6 +22,9 @@
     /// Hosts that exchange their loads have only such peers, and the others only others.
     /// Empty when \a host has not reported.
     std::vector<fleet::LoadPeer> peers(const base::HostId &host) const;
+    /// Hosts of other data centres that are no peers of \a host, at most \a limit, chosen so that
+    /// the hosts of a data centre get different ones. Empty when \a host has not reported.
+    std::vector<fleet::LoadPeer> distantPeers(const base::HostId &host, std::size_t limit) const;
     /// Changes with each host that begins or ends to report, or moves.
     std::int64_t membersRevision() const { return m_membersRevision; }
     /// Total outstanding load of all hosts except \a host and its peers, or of all others if \a
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -26,6 +26,9 @@
 /// Peers with which an entry host exchanges its load directly. With more, the load messages would
 /// cost a host more than its calls do.
 constexpr std::size_t kMaxLoadPeers = 96;
+/// Entry hosts of other data centres that a host is told for relays when not all hosts are its
+/// peers. If its own data centre reaches no upstreams, it spreads its calls over these.
+constexpr std::size_t kMaxDistantPeers = 8;
 
 /// Interval at which the group is pumped without an event; a fifth of the heartbeat interval.
 constexpr base::Millis kPumpInterval{20};
@@ -304,8 +307,10 @@
             static_cast<int>(std::max<std::size_t>(1, m_entryLoads.reportingHosts(now)));
     if (reply.isConfirmed) {
         reply.loadPeersRevision = m_entryLoads.membersRevision();
-        if (request.loadPeersRevision != reply.loadPeersRevision)
+        if (request.loadPeersRevision != reply.loadPeersRevision) {
             reply.loadPeers = m_entryLoads.peers(request.host);
+            reply.distantPeers = m_entryLoads.distantPeers(request.host, kMaxDistantPeers);
+        }
         reply.rateLimits = m_sendGrants.limits(now);
         reply.crashSuspects = m_crashSuspects.suspects(now);
         reply.factsRevision = factsRevision();
--- a/libs/registry/tests/LoadAggregatorTest.cpp
+++ b/libs/registry/tests/LoadAggregatorTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 using namespace hyssop;
 using namespace hyssop::registry;
@@ -184,3 +185,35 @@
     CHECK(aggregator.reportingHosts(kStart + Millis(9'000)) == 0);
     CHECK(aggregator.membersRevision() > moved);
 }
+
+TEST_CASE("hosts that are no peers of all others know different hosts of other data centres")
+{
+    LoadAggregator aggregator(4);
+    for (const char *dataCentre : {"a", "b", "c"}) {
+        for (int n = 10; n < 30; ++n)
+            aggregator.report(report((dataCentre + std::to_string(n)).c_str(), dataCentre, 0),
+                              kStart);
+    }
+    std::map<base::Endpoint, int> users;
+    for (int n = 10; n < 30; ++n) {
+        const auto peers = aggregator.distantPeers(base::HostId("a" + std::to_string(n)), 4);
+        std::set<base::Endpoint> addresses;
+        for (const fleet::LoadPeer &it : peers) {
+            CHECK_FALSE(it.dataCentre == base::DataCentreId("a"));
+            addresses.insert(it.address);
+            ++users[it.address];
+        }
+        CHECK(addresses.size() == 4);
+    }
+    for (const auto &[address, count] : users)
+        CHECK(count <= 8);
+}
+
+TEST_CASE("hosts that are peers of all others need no further hosts of other data centres")
+{
+    LoadAggregator aggregator(8);
+    for (const char *host : {"a1", "a2", "b1", "b2"})
+        aggregator.report(report(host, std::string(host).substr(0, 1).c_str(), 0), kStart);
+    CHECK(aggregator.distantPeers(base::HostId("a1"), 4).empty());
+    CHECK(aggregator.distantPeers(base::HostId("unknown"), 4).empty());
+}
