dispatch, edge: A host checks its links at the first doubt, however few calls it gets

Callers of hosts without links to upstreams got 504 and 502 where hosts get few calls each: 77 hosts with 1.15 calls a second, or a service with one call in eight seconds at each. A host noticed the loss only from three of its own calls to a service that failed at three upstreams within 5 s, and a call that may not be repeated was lost each time.

Now a doubt is enough: an attempt without an answer, a silent one while no other upstream of the service sends anything, the loss of another service's links, or a call that may be sent only once at a host that has heard from no upstream for a second. The host then sends a health request to one upstream and, if that is not answered within 0.1 s, to three more; the links are lost if none answers within 0.3 s. Calls that could not make up for a lost attempt wait for that. One answer shows that the links are sound, so that a silent upstream changes nothing, and the next check comes a second later at the earliest. Streams that are silent when the links count as lost are relayed at once. Calls that no host can send are rejected at once.

This works at any rate of calls, since what is counted are probes that the host sends itself, all within half a second.

RelayTest's fixture loses the links by probes now, since calls that may be sent once wait after the first loss. The test of retries after a restored link answers the check and asks for an end of the call, which is stricter.

--- a/integration/UplinkCutTest.cpp
+++ b/integration/UplinkCutTest.cpp
@@ -24,13 +24,9 @@
 constexpr Millis kCut{9'000};
 /// Links that are back are to be in use after this.
 constexpr Millis kReturn{2'000};
-constexpr std::size_t kEntryHosts = 5;
 constexpr std::size_t kReplicas = 8; ///< Engines first, then those of the plain service.
 constexpr std::size_t kEngines = 5;
 constexpr int kEvents = 8;
-/// Each caller's calls begin that far apart, or when the one before has ended.
-constexpr Millis kCallInterval{400};
-constexpr std::size_t kCallersPerKind = 4; ///< At each entry host.
 
 std::string manifest()
 {
@@ -49,6 +45,15 @@
            R"("Tenants":[{"Name":"team","ApiKeys":["key"],"Priority":1}]})";
 }
 
+struct CutPlan
+{
+    std::size_t entries = 5;
+    std::size_t streamCallers = 4; ///< At each entry host.
+    std::size_t bookingCallers = 4;
+    /// Each caller's calls begin that far apart, or when the one before has ended.
+    Millis callInterval{400};
+};
+
 /// What a caller saw of one call, which it sent once.
 struct CallSeen
 {
@@ -64,8 +69,9 @@
 class CutBed : public PlatformBed
 {
 public:
-    CutBed()
-        : PlatformBed({3, kEntryHosts, kReplicas, false, true})
+    explicit CutBed(const CutPlan &plan = {})
+        : PlatformBed({3, plan.entries, kReplicas, false, true})
+        , m_plan(plan)
     {
         for (std::size_t n = 0; n < kReplicas; ++n) {
             m_replicas.push_back(
@@ -82,11 +88,11 @@
             return std::all_of(entries.begin(), entries.end(),
                                [this](const PlatformHost &it) { return isReady(it); });
         }));
-        for (std::size_t n = 0; n < kEntryHosts; ++n) {
-            for (std::size_t i = 0; i < kCallersPerKind; ++i) {
+        for (std::size_t n = 0; n < plan.entries; ++n) {
+            for (std::size_t i = 0; i < plan.streamCallers; ++i)
                 m_callers.emplace_back([this, n] { sendCalls(n, true); });
+            for (std::size_t i = 0; i < plan.bookingCallers; ++i)
                 m_callers.emplace_back([this, n] { sendCalls(n, false); });
-            }
         }
     }
 
@@ -172,8 +178,10 @@
 
     void sendCalls(std::size_t entry, bool isStream)
     {
+        // The hosts' calls do not all come together.
+        std::this_thread::sleep_for(m_plan.callInterval * entry / m_plan.entries);
         while (!m_isLoadOver) {
-            const base::TimePoint next = base::monotonicNow() + kCallInterval;
+            const base::TimePoint next = base::monotonicNow() + m_plan.callInterval;
             CallSeen seen;
             seen.entry = entry;
             seen.isStream = isStream;
@@ -200,6 +208,7 @@
         }
     }
 
+    const CutPlan m_plan;
     mutable std::mutex m_mutex;
     std::vector<std::unique_ptr<Replica>> m_replicas;
     std::vector<CallSeen> m_calls;
@@ -212,25 +221,28 @@
 };
 
 /// Cuts some hosts off and checks that their callers are served as often as those elsewhere.
-void checkCallersAreServed(Uplinks uplinks, const std::vector<std::size_t> &cutHosts)
+void checkCallersAreServed(Uplinks uplinks, const std::vector<std::size_t> &cutHosts,
+                           const CutPlan &plan = {})
 {
-    CutBed bed;
+    CutBed bed(plan);
     std::this_thread::sleep_for(Millis(2'000));
     const base::TimePoint cutAt = base::monotonicNow();
     bed.cut(cutHosts, uplinks);
     std::this_thread::sleep_for(kCut);
     const base::TimePoint joinedAt = base::monotonicNow();
     bed.cut(cutHosts, Uplinks::Open);
-    std::this_thread::sleep_for(kReturn + Millis(2'000));
+    std::this_thread::sleep_for(kReturn + std::max(Millis(2'000), 2 * plan.callInterval));
     const base::TimePoint end = base::monotonicNow();
     std::this_thread::sleep_for(Millis(500));
     bed.stopLoad();
     std::vector<std::size_t> others;
-    for (std::size_t n = 0; n < kEntryHosts; ++n) {
+    for (std::size_t n = 0; n < plan.entries; ++n) {
         if (std::find(cutHosts.begin(), cutHosts.end(), n) == cutHosts.end())
             others.push_back(n);
     }
     for (const bool isStream : {true, false}) {
+        if ((isStream ? plan.streamCallers : plan.bookingCallers) == 0)
+            continue;
         CAPTURE(isStream);
         // The users' bound, of first attempts from kContact after the cut on.
         CHECK(bed.servedShare(cutHosts, isStream, cutAt + kContact, joinedAt)
@@ -264,6 +276,22 @@
     checkCallersAreServed(Uplinks::Reset, {0, 2, 4});
 }
 
+TEST_CASE(
+        "callers of most hosts, with few calls each, whose links fall silent are served as others")
+{
+    checkCallersAreServed(Uplinks::Silent, {0, 1, 2, 3, 4, 5, 6, 7}, {12, 1, 1, Millis(2'000)});
+}
+
+TEST_CASE("callers of most hosts, with few calls each, whose links are reset are served as others")
+{
+    checkCallersAreServed(Uplinks::Reset, {0, 1, 2, 3, 4, 5, 6, 7}, {12, 1, 1, Millis(2'000)});
+}
+
+TEST_CASE("bookings at hosts that get nothing else are served as elsewhere when links fall silent")
+{
+    checkCallersAreServed(Uplinks::Silent, {0, 1, 2, 3}, {12, 0, 1, Millis(3'000)});
+}
+
 TEST_CASE("a planned stop of a host that takes over calls cuts none of them off")
 {
     CutBed bed;
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -12,6 +12,8 @@
 #pragma once
 
 #include "base/Base.h"
+#include "dispatch/CallId.h"
+#include "dispatch/Links.h"
 #include "dispatch/Reasons.h"
 #include "dispatch/SendScope.h"
 #include "fleet/Fleet.h"
@@ -24,8 +26,6 @@
 
 namespace hyssop::dispatch {
 
-using CallId = base::Quantity<struct DispatchCallTag>;
-
 /// A call as the dispatcher knows it.
 struct CallInfo
 {
@@ -116,12 +116,6 @@
     base::Millis duration{0};
 };
 
-/// The entry hosts to which calls can be relayed.
-struct RelayPeersChanged
-{
-    std::vector<fleet::LoadPeer> peers; ///< With the addresses that take relayed calls.
-};
-
 /// A relayed call was rejected or failed at the other entry host.
 struct RelayRejected
 {
@@ -130,13 +124,6 @@
     bool mayHaveRun = false;
 };
 
-/// Result of a ProbeLink.
-struct LinkProbed
-{
-    base::ServiceId service;
-    bool isAnswered = false;
-};
-
 /// What a control host knows of rate limits.
 struct RateLimitsReceived
 {
@@ -307,53 +294,6 @@
     bool isLongPrompt = false; ///< Sent to engines chosen for a long prompt.
 };
 
-/// Why a call is relayed.
-enum class RelayReason {
-    LinksLost, ///< This host reaches no upstream of the service.
-    NotSent, ///< Its attempts reached no upstream.
-};
-
-/// Name in logs.
-std::string_view relayReasonName(RelayReason reason);
-
-/// Sends a call to another entry host, which serves it as if its caller had sent it there. It ends
-/// like an attempt at an upstream, or with RelayRejected.
-struct RelayCall
-{
-    CallId call;
-    base::Endpoint peer;
-    RelayReason reason = RelayReason::LinksLost;
-    base::Millis timeLeft{0};
-    int attemptsLeft = 1; ///< Upstreams that it may still be sent to.
-    bool isResume = false; ///< Continues after the events that the caller already has.
-};
-
-/// Checks whether an upstream answers a request of this host.
-struct ProbeLink
-{
-    fleet::Upstream upstream;
-};
-
-/// Reports that the links to the upstreams of a service were lost or are back, for metrics and
-/// logs.
-struct LinksChanged
-{
-    base::ServiceId service;
-    bool isLost = false;
-    std::size_t failedUpstreams = 0; ///< That showed it.
-    std::size_t upstreams = 0;
-};
-
-/// Reports an attempt without an answer, which counts against the links of its service, for logs.
-struct LinkFailed
-{
-    CallId call;
-    base::ServiceId service;
-    base::UpstreamId upstream;
-    std::size_t failedUpstreams = 0; ///< Lately, this one included.
-    std::size_t neededUpstreams = 0; ///< With so many the links count as lost.
-};
-
 /// Closes the connection of the attempt and discards what still arrives on it.
 struct CancelAttempt
 {
@@ -549,7 +489,7 @@
                      ReportRateLimit, ProbeUpstream, ReportCrash, ReportAnswered, RequestTrial,
                      EndTrial, CrashSuspectChanged, RelayCall, ProbeLink, LinksChanged,
                      KeepStalledAttempt, ReinstateAttempt, CancelStalledAttempt, LinkFailed,
-                     RetryDenied>;
+                     LinksDoubted, RetryDenied>;
 using Actions = std::vector<Action>;
 
 /// Settings of a Dispatcher.
--- a/libs/dispatch/src/Attempts.cpp
+++ b/libs/dispatch/src/Attempts.cpp
@@ -339,10 +339,8 @@
     }
     call->mayHaveRun = call->mayHaveRun || !provesNotRun(event.fault);
     const bool isFailedTrial = wasTrial && event.fault == AttemptFault::AnswerLost;
-    if (!isFailedTrial && acquireRetry(*call, event.fault, now)) {
-        m_actions.emplace_back(RetryScheduled{event.call, event.fault});
-        return enqueue(*call, now);
-    }
+    if (!isFailedTrial && acquireRetry(*call, event.fault, now))
+        return scheduleRetry(*call, event.fault, now);
     if (event.fault == AttemptFault::UpstreamError)
         return forwardOrFail(*call, now);
     rejectOrFail(*call,
@@ -368,7 +366,8 @@
     // The upstream may still continue. If the call cannot be retried elsewhere, it waits until its
     // deadline, or until another upstream has room.
     call.progressDeadline = call.info.deadline;
-    if (!call.current.relay && !hasRoomElsewhere(call, now)) {
+    const bool isCutOff = serviceOf(call.info.service).links.isLost() && !m_relayPeers.isEmpty();
+    if (!call.current.relay && !isCutOff && !hasRoomElsewhere(call, now)) {
         call.progressDeadline = std::min(call.info.deadline, now + kStallRecheckInterval);
         return;
     }
@@ -380,7 +379,7 @@
     if (!std::exchange(call.current.isStallRecorded, true))
         recordFault(call, AttemptFault::Stalled, {}, now);
     call.mayHaveRun = true;
-    call.needsRetry = true;
+    call.pendingRetry = AttemptFault::Stalled;
     if (call.stalled) {
         // Neither has answered since the first one stalled, and that one may have begun to.
         m_actions.emplace_back(CancelAttempt{call.info.id});
@@ -395,15 +394,16 @@
     enqueue(call, now);
 }
 
-bool Dispatcher::Impl::acquireStallRetry(ActiveCall &call, base::TimePoint now)
+bool Dispatcher::Impl::acquirePendingRetry(ActiveCall &call, base::TimePoint now)
 {
-    if (!std::exchange(call.needsRetry, false))
+    const auto fault = std::exchange(call.pendingRetry, std::nullopt);
+    if (!fault)
         return true;
-    if (!takeRetry(call, AttemptFault::Stalled, now)) {
+    if (!takeRetry(call, *fault, now)) {
         rejectOrFail(call, FailureReason::UpstreamLost, now);
         return false;
     }
-    m_actions.emplace_back(RetryScheduled{call.info.id, AttemptFault::Stalled});
+    m_actions.emplace_back(RetryScheduled{call.info.id, *fault});
     return true;
 }
 
@@ -416,7 +416,7 @@
         releaseAttempt(call, now);
     m_queue.erase({call.info.priority, call.info.id});
     endTrial(call);
-    call.needsRetry = false;
+    call.pendingRetry.reset();
     call.isPrefillReported = !call.mayNeedPermit || call.hasForwardedEvents;
     call.current = *std::exchange(call.stalled, std::nullopt);
     call.stage = CallStage::Sent;
@@ -475,7 +475,7 @@
     if (!isUnanswered)
         recordLinkAnswer(call, now);
     else if (state && !isUnattributable)
-        recordLinkFailure(call, *state, now);
+        recordLinkFailure(call, *state, fault, now);
     if (state && !isUnattributable && state->recordFailure(fault, meanFailureRate(*state)))
         eject(*state, now);
 }
@@ -521,9 +521,21 @@
         return false;
     if (!provesNotRun(fault) && !call.info.isRetrySafe)
         return false;
+    // Whether it takes a retry depends on the way that it then goes.
+    if (fault == AttemptFault::AnswerLost && serviceOf(call.info.service).links.isChecking()) {
+        call.pendingRetry = fault;
+        return true;
+    }
     return takeRetry(call, fault, now);
 }
 
+void Dispatcher::Impl::scheduleRetry(ActiveCall &call, AttemptFault fault, base::TimePoint now)
+{
+    if (!call.pendingRetry)
+        m_actions.emplace_back(RetryScheduled{call.info.id, fault});
+    enqueue(call, now);
+}
+
 bool Dispatcher::Impl::takeRetry(const ActiveCall &call, AttemptFault fault, base::TimePoint now)
 {
     if (serviceOf(call.info.service).retryBudget->tryAcquire(m_sharingHosts.current(now), now))
@@ -541,6 +553,8 @@
 
 base::TimePoint Dispatcher::Impl::queueDeadline(const ActiveCall &call) const
 {
+    if (call.awaitsLinkCheck)
+        return call.info.deadline;
     if (call.promptClass == PromptClass::Long)
         return call.queuedAt + (call.info.deadline - call.queuedAt) * kLongQueueTenths / 10;
     const auto objectiveShare =
--- a/libs/dispatch/src/Crashes.cpp
+++ b/libs/dispatch/src/Crashes.cpp
@@ -62,10 +62,10 @@
 {
     const LostAttempts::Start start{event.upstream, event.incarnation};
     m_lostAttempts.endProbe(start);
-    // While this host reaches no upstream of the service, a refusal says nothing of this one.
+    // If this host reaches no upstream of the service, a refusal says nothing of this one.
     const UpstreamState *state = findUpstream(event.upstream);
     ServiceState *service = state ? &serviceOf(state->info().service) : nullptr;
-    if (event.isRefused && service && service->links.isLost()) {
+    if (event.isRefused && service && (service->links.isLost() || service->links.isChecking())) {
         service->refusedWithoutLinks.push_back(start);
         return;
     }
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -118,6 +118,21 @@
     return "unknown";
 }
 
+std::string_view linkDoubtName(LinkDoubt doubt)
+{
+    switch (doubt) {
+    case LinkDoubt::Failure:
+        return "failure";
+    case LinkDoubt::Silence:
+        return "silence";
+    case LinkDoubt::Idle:
+        return "idle";
+    case LinkDoubt::OtherService:
+        return "other_service";
+    }
+    return "unknown";
+}
+
 std::string_view rateLimitSourceName(RateLimitSource source)
 {
     switch (source) {
@@ -182,8 +197,6 @@
         return rejectOrFail(call, FailureReason::NoUpstream, now);
     if (isUnservable(call, service, now))
         return rejectOrFail(call, FailureReason::TooLarge, now);
-    if (call.info.isRelayed && service.links.isLost())
-        return rejectOrFail(call, FailureReason::Unreachable, now);
     enqueue(call, now);
     prefetchSendGrant(service, now);
 }
@@ -225,6 +238,8 @@
         reportCrashesBefore(event.upstream, now);
     }
     m_areServicesOutdated = true;
+    if (m_heardAt == base::TimePoint())
+        m_heardAt = now;
 }
 
 void Dispatcher::Impl::restoreLoad(UpstreamState &state, base::TimePoint now)
@@ -408,13 +423,19 @@
     for (const CallId id : queuedIds) {
         ActiveCall &call = *findCall(id);
         ServiceState &service = serviceOf(call.info.service);
-        if (relayIfCutOff(call, service, now))
+        if (relayIfCutOff(call, service, now) || rejectIfCutOff(call, service, now))
+            continue;
+        const bool wasWaiting = call.awaitsLinkCheck;
+        call.awaitsLinkCheck = mustAwaitLinkCheck(call, service, now);
+        if (call.awaitsLinkCheck)
             continue;
+        if (wasWaiting)
+            call.queuedAt = now;
         requestPermit(call, now);
         if (!mayRun(call, now))
             continue;
         if (const auto placement = place(call, service, now)) {
-            if (!acquireStallRetry(call, now))
+            if (!acquirePendingRetry(call, now))
                 continue;
             m_queue.erase({call.info.priority, id});
             sendAttempt(call, *placement, now);
@@ -439,6 +460,8 @@
                                               : std::min(call.progressDeadline, call.info.deadline);
         if (now >= dueAt)
             due.push_back(id);
+        if (now >= doubtAt(call))
+            checkLinks(call.info.service, serviceOf(call.info.service), LinkDoubt::Silence, now);
     }
     for (const CallId id : due) {
         ActiveCall &call = *findCall(id);
@@ -466,15 +489,17 @@
 {
     base::TimePoint next = base::TimePoint::max();
     for (const auto &[id, call] : m_calls) {
-        const base::TimePoint dueAt =
-                call.stage == CallStage::Queued
-                        ? std::min(queueDeadline(call), call.queuedAt + kQueueRecheckInterval)
-                        : std::min(call.progressDeadline, call.info.deadline);
-        next = std::min(next, dueAt);
+        base::TimePoint dueAt = call.stage == CallStage::Queued
+                                        ? queueDeadline(call)
+                                        : std::min(call.progressDeadline, call.info.deadline);
+        // The steps of a check wake up what waits for it.
+        if (call.stage == CallStage::Queued && !call.awaitsLinkCheck)
+            dueAt = std::min(dueAt, call.queuedAt + kQueueRecheckInterval);
+        next = std::min({next, dueAt, doubtAt(call)});
     }
     for (const auto &[id, service] : m_services) {
         if (!service.upstreams.empty())
-            next = std::min(next, service.links.nextProbeAt());
+            next = std::min(next, service.links.nextStepAt(service.upstreams.size()));
     }
     return next;
 }
--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -94,7 +94,9 @@
     bool isCountedElsewhere = false; ///< At a host that it was relayed to.
     bool mayHaveRun = false;
     bool hasForwardedEvents = false; ///< The caller has some events of the answer.
-    bool needsRetry = false; ///< The next attempt takes a retry from the budget when it is sent.
+    /// The next attempt takes a retry from the budget when it is sent, because of this.
+    std::optional<AttemptFault> pendingRetry;
+    bool awaitsLinkCheck = false; ///< It is queued until the links were checked.
     base::TimePoint queuedAt;
     base::TimePoint progressDeadline; ///< End of the stall or reservation timeout.
 };
@@ -132,7 +134,7 @@
     std::map<int, SendGrantQueue> sendGrantQueues; ///< By priority.
     LinkMonitor links;
     base::TimePoint relaysPausedUntil{}; ///< Other hosts do not reach its upstreams either.
-    /// Starts of upstreams that refused a connection while the links were lost.
+    /// Starts of upstreams that refused a connection while the links were lost or being checked.
     std::vector<LostAttempts::Start> refusedWithoutLinks;
 };
 
@@ -301,13 +303,31 @@
     // Lost links and relays.
     /// Records that the current attempt of a call, at \a upstream, got no answer.
     void recordLinkFailure(const ActiveCall &call, const UpstreamState &upstream,
-                           base::TimePoint now);
+                           AttemptFault fault, base::TimePoint now);
     /// Records that the current attempt of a call got an answer or a part of one.
     void recordLinkAnswer(const ActiveCall &call, base::TimePoint now);
     /// Uses all upstreams of a service again.
     void restoreLinks(const base::ServiceId &id, ServiceState &service, base::TimePoint now);
-    /// Begins the probes of lost links that are due.
+    /// Begins the probes that are due, and ends checks of links.
     void probeLinks(base::TimePoint now);
+    void probeLink(ServiceState &service, base::TimePoint now);
+    /// Checks the links of a service if there is another way to its upstreams. Returns whether they
+    /// are being checked then.
+    bool checkLinks(const base::ServiceId &id, ServiceState &service, LinkDoubt doubt,
+                    base::TimePoint now);
+    void reportLostLinks(const base::ServiceId &id, ServiceState &service, base::TimePoint now);
+    /// Probes upstreams again that refused connections while the links were in doubt.
+    void reprobeRefused(ServiceState &service, base::TimePoint now);
+    /// When the silence of the current attempt raises a doubt; TimePoint::max() when it cannot.
+    base::TimePoint doubtAt(const ActiveCall &call) const;
+    /// Time without a sign of the current attempt that raises a doubt about the links.
+    static base::Millis silenceLimit(const ActiveCall &call);
+    /// Whether a failure of the next attempt could not be made up for.
+    static bool isLastChance(const ActiveCall &call);
+    /// Whether a queued call has to wait until it is known that the links are sound.
+    bool mustAwaitLinkCheck(const ActiveCall &call, ServiceState &service, base::TimePoint now);
+    /// Ends a queued call that neither this host nor another one can send. Returns whether it did.
+    bool rejectIfCutOff(ActiveCall &call, const ServiceState &service, base::TimePoint now);
     /// Relays a call that reaches no upstream from here. Returns false if it cannot be relayed or
     /// need not be.
     bool relayIfCutOff(ActiveCall &call, ServiceState &service, base::TimePoint now);
@@ -382,11 +402,14 @@
     bool isStalled(const ActiveCall &call, base::TimePoint now) const;
     void recordFault(const ActiveCall &call, AttemptFault fault,
                      const std::optional<base::Endpoint> &faultyUpstream, base::TimePoint now);
-    /// Takes the retry that a call needs before its next attempt is sent, or goes on with its
-    /// stalled attempt and returns false if there is none left.
-    bool acquireStallRetry(ActiveCall &call, base::TimePoint now);
-    /// Whether the call may be retried. Takes the retry from the budget of its service.
+    /// Takes the retry that a call needs before its next attempt is sent. If there is none left,
+    /// ends it or goes on with its stalled attempt, and returns false.
+    bool acquirePendingRetry(ActiveCall &call, base::TimePoint now);
+    /// Whether the call may be retried. Takes the retry from the budget of its service, or leaves
+    /// that for later while the links are being checked.
     bool acquireRetry(ActiveCall &call, AttemptFault fault, base::TimePoint now);
+    /// Queues a call for its next attempt.
+    void scheduleRetry(ActiveCall &call, AttemptFault fault, base::TimePoint now);
     /// Takes a retry from the budget of the call's service, or reports that there is none left.
     bool takeRetry(const ActiveCall &call, AttemptFault fault, base::TimePoint now);
     /// Mean over all upstreams of the service except \a excluded.
@@ -431,6 +454,7 @@
     fleet::Evacuations m_evacuations;
     SendGate m_gate;
     RelayPeers m_relayPeers;
+    base::TimePoint m_heardAt{}; ///< When an upstream of any service sent something last.
     PeerLoads m_peerLoads;
     std::map<base::UpstreamId, fleet::UpstreamLoad> m_distantLoads; ///< Of hosts that are no peers.
     bool m_distantLoadsIncludePeers = false;
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -16,24 +16,60 @@
 constexpr base::Millis kRelayPause{500};
 /// No relay is made with less time than this left.
 constexpr base::Millis kMinRelayTime{30};
+/// Silence of an upstream that raises a doubt about the links, beyond the expected time to the
+/// first event of a stream.
+constexpr base::Millis kMaxSilence{400};
+constexpr base::Millis kMinSilence{150};
+/// The same for plain services, as a multiple of their objective.
+constexpr int kSilenceObjectives = 2;
+/// Silence beyond the pauses that a stream may make.
+constexpr base::Millis kGapMargin{200};
+/// A stall is no sign of lost links while other upstreams of the service sent something within
+/// this.
+constexpr base::Millis kRecentlyHeard{300};
+/// After this time without a sign of any upstream, a call that may be sent only once waits until
+/// the links were checked.
+constexpr base::Millis kRecheckIdle{1'000};
 
 } // namespace
 
 void Dispatcher::Impl::recordLinkFailure(const ActiveCall &call, const UpstreamState &upstream,
-                                         base::TimePoint now)
+                                         AttemptFault fault, base::TimePoint now)
 {
-    ServiceState &service = serviceOf(upstream.info().service);
+    const base::ServiceId id = upstream.info().service;
+    ServiceState &service = serviceOf(id);
     const std::size_t upstreamCount = service.upstreams.size();
     const bool isLost = service.links.recordFailure(upstream.info().id, upstreamCount,
                                                     call.current.sentAt, now);
-    m_actions.emplace_back(LinkFailed{call.info.id, upstream.info().service, upstream.info().id,
+    m_actions.emplace_back(LinkFailed{call.info.id, id, upstream.info().id,
                                       service.links.failedUpstreams(),
                                       LinkMonitor::neededFailures(upstreamCount)});
-    if (!isLost)
-        return;
-    m_actions.emplace_back(LinksChanged{upstream.info().service, true,
-                                        service.links.failedUpstreams(), service.upstreams.size()});
-    probeLinks(now);
+    if (isLost) {
+        reportLostLinks(id, service, now);
+        return probeLinks(now);
+    }
+    const bool isOthersHeard = now < service.links.heardAt() + kRecentlyHeard;
+    if (fault != AttemptFault::Stalled || !isOthersHeard)
+        checkLinks(id, service, LinkDoubt::Failure, now);
+}
+
+void Dispatcher::Impl::reportLostLinks(const base::ServiceId &id, ServiceState &service,
+                                       base::TimePoint now)
+{
+    m_actions.emplace_back(
+            LinksChanged{id, true, service.links.failedUpstreams(), service.upstreams.size()});
+    // What is silent already need not be so for as long as at a sound link.
+    for (auto &[callId, call] : m_calls) {
+        if (call.info.service == id && call.stage == CallStage::Sent && !call.current.relay
+            && !call.current.isPaused)
+            call.progressDeadline = std::min(call.progressDeadline,
+                                             std::max(call.current.sentAt, call.lastProgressAt)
+                                                     + silenceLimit(call));
+    }
+    for (auto &[otherId, other] : m_services) {
+        if (otherId != id)
+            checkLinks(otherId, other, LinkDoubt::OtherService, now);
+    }
 }
 
 void Dispatcher::Impl::recordLinkAnswer(const ActiveCall &call, base::TimePoint now)
@@ -41,8 +77,11 @@
     if (call.current.relay)
         return;
     ServiceState &service = serviceOf(call.info.service);
+    m_heardAt = now;
+    service.links.hear(now);
     if (service.links.recordAnswer(call.current.upstream, call.current.sentAt))
         restoreLinks(call.info.service, service, now);
+    reprobeRefused(service, now);
 }
 
 void Dispatcher::Impl::restoreLinks(const base::ServiceId &id, ServiceState &service,
@@ -51,6 +90,13 @@
     for (UpstreamState *it : service.upstreams)
         it->endEjection();
     m_actions.emplace_back(LinksChanged{id, false, 0, service.upstreams.size()});
+    reprobeRefused(service, now);
+}
+
+void Dispatcher::Impl::reprobeRefused(ServiceState &service, base::TimePoint now)
+{
+    if (service.links.isLost() || service.links.isChecking())
+        return;
     for (const LostAttempts::Start &it : std::exchange(service.refusedWithoutLinks, {})) {
         const UpstreamState *upstream = findUpstream(it.first);
         m_lostAttempts.discardProbe(it);
@@ -60,30 +106,126 @@
     }
 }
 
+bool Dispatcher::Impl::checkLinks(const base::ServiceId &id, ServiceState &service, LinkDoubt doubt,
+                                  base::TimePoint now)
+{
+    if (m_relayPeers.isEmpty() || service.upstreams.empty())
+        return false;
+    if (service.links.beginCheck(now)) {
+        const base::TimePoint heardAt = service.links.heardAt();
+        m_actions.emplace_back(LinksDoubted{
+                id, doubt,
+                heardAt == base::TimePoint() ? base::Millis(0)
+                                             : std::chrono::floor<base::Millis>(now - heardAt)});
+        probeLink(service, now);
+    }
+    return service.links.isChecking();
+}
+
 void Dispatcher::Impl::probeLinks(base::TimePoint now)
 {
     for (auto &[id, service] : m_services) {
-        if (now < service.links.nextProbeAt() || service.upstreams.empty())
+        const std::size_t upstreamCount = service.upstreams.size();
+        if (upstreamCount == 0)
             continue;
-        service.links.beginProbe(now);
-        std::vector<const UpstreamState *> candidates;
-        for (const UpstreamState *it : service.upstreams) {
-            if (!m_gate.checkHard(*it, {nullptr, SendKind::Probe}, now))
-                candidates.push_back(it);
+        const bool isLateCheck = service.links.isChecking();
+        for (std::size_t n = service.links.dueProbes(upstreamCount, now); n > 0; --n) {
+            probeLink(service, now);
+            if (!isLateCheck)
+                continue;
+            // The first probe had no answer. All services share the links of this host.
+            for (auto &[otherId, other] : m_services) {
+                if (otherId != id)
+                    checkLinks(otherId, other, LinkDoubt::OtherService, now);
+            }
         }
-        if (candidates.empty()) {
-            service.links.endProbe(false);
-            continue;
+        if (service.links.endCheck(upstreamCount, now)) {
+            reportLostLinks(id, service, now);
+            probeLink(service, now);
         }
-        m_actions.emplace_back(ProbeLink{candidates[m_rng() % candidates.size()]->info()});
     }
 }
 
+void Dispatcher::Impl::probeLink(ServiceState &service, base::TimePoint now)
+{
+    const SendScope scope{nullptr, SendKind::Probe};
+    std::vector<const UpstreamState *> candidates;
+    std::vector<const UpstreamState *> preferred;
+    for (const UpstreamState *it : service.upstreams) {
+        if (service.links.isProbed(it->info().id) || m_gate.checkHard(*it, scope, now))
+            continue;
+        candidates.push_back(it);
+        if (m_gate.maySend(*it, scope, now) && !it->isRateLimited())
+            preferred.push_back(it);
+    }
+    if (!preferred.empty())
+        candidates = std::move(preferred);
+    if (candidates.empty())
+        return service.links.skipProbe(now);
+    const fleet::Upstream &upstream = candidates[m_rng() % candidates.size()]->info();
+    service.links.beginProbe(upstream.id, now);
+    m_actions.emplace_back(ProbeLink{upstream});
+}
+
 void Dispatcher::Impl::handle(const LinkProbed &event, base::TimePoint now)
 {
     ServiceState &service = serviceOf(event.service);
-    if (service.links.endProbe(event.isAnswered))
+    if (event.isAnswered)
+        m_heardAt = now;
+    if (service.links.endProbe(event.upstream, event.isAnswered, now))
         restoreLinks(event.service, service, now);
+    reprobeRefused(service, now);
+    if (service.links.isChecking())
+        probeLinks(now);
+}
+
+base::Millis Dispatcher::Impl::silenceLimit(const ActiveCall &call)
+{
+    if (call.hasForwardedEvents)
+        return std::max(kMaxSilence, call.info.gapObjective + kGapMargin);
+    if (call.info.isStream)
+        return kMaxSilence + call.current.expectedFirstEvent;
+    return std::clamp(call.info.latencyObjective * kSilenceObjectives, kMinSilence, kMaxSilence);
+}
+
+base::TimePoint Dispatcher::Impl::doubtAt(const ActiveCall &call) const
+{
+    const auto service = m_services.find(call.info.service);
+    if (call.stage != CallStage::Sent || call.current.relay || call.current.isPaused
+        || m_relayPeers.isEmpty() || service == m_services.end()
+        || service->second.upstreams.empty())
+        return base::TimePoint::max();
+    const LinkMonitor &links = service->second.links;
+    return std::max(links.nextCheckAt(),
+                    std::max({call.current.sentAt, call.lastProgressAt, links.heardAt()})
+                            + silenceLimit(call));
+}
+
+bool Dispatcher::Impl::isLastChance(const ActiveCall &call)
+{
+    return !call.info.isRetrySafe || call.info.isRelayed
+           || call.attempts + 1 >= call.info.maxAttempts;
+}
+
+bool Dispatcher::Impl::mustAwaitLinkCheck(const ActiveCall &call, ServiceState &service,
+                                          base::TimePoint now)
+{
+    // A call that is not sent for want of a connection goes on to the next upstream.
+    if (!isLastChance(call) || call.unsentAttempts > 0 || service.upstreams.empty())
+        return false;
+    if (service.links.isChecking())
+        return true;
+    const bool isIdle = now >= std::max(m_heardAt, service.links.heardAt()) + kRecheckIdle;
+    return isIdle && checkLinks(call.info.service, service, LinkDoubt::Idle, now);
+}
+
+bool Dispatcher::Impl::rejectIfCutOff(ActiveCall &call, const ServiceState &service,
+                                      base::TimePoint now)
+{
+    if (!service.links.isLost() || m_relayPeers.isEmpty() || !isLastChance(call))
+        return false;
+    rejectOrFail(call, FailureReason::Unreachable, now);
+    return true;
 }
 
 void Dispatcher::Impl::handle(const RelayPeersChanged &event, base::TimePoint)
@@ -105,7 +247,7 @@
             m_relayPeers.choose(call.info.service, call.triedRelays, isInside, m_rng, now);
     if (!peer)
         return false;
-    if (acquireStallRetry(call, now))
+    if (acquirePendingRetry(call, now))
         sendRelay(call, *peer, isLost ? RelayReason::LinksLost : RelayReason::NotSent, now);
     return true;
 }
@@ -166,10 +308,8 @@
         return rejectOrFail(call, FailureReason::Unreachable, now);
     }
     call.mayHaveRun = true;
-    if (acquireRetry(call, fault, now)) {
-        m_actions.emplace_back(RetryScheduled{id, fault});
-        return enqueue(call, now);
-    }
+    if (acquireRetry(call, fault, now))
+        return scheduleRetry(call, fault, now);
     if (fault == AttemptFault::UpstreamError)
         return forwardOrFail(call, now);
     rejectOrFail(call, FailureReason::UpstreamLost, now);
@@ -184,10 +324,8 @@
     call->mayHaveRun = call->mayHaveRun || event.mayHaveRun;
     call->statedRetryAfter = event.retryAfter;
     // The other host may have been given fewer attempts than the call has left.
-    if (event.mayHaveRun && acquireRetry(*call, AttemptFault::AnswerLost, now)) {
-        m_actions.emplace_back(RetryScheduled{event.call, AttemptFault::AnswerLost});
-        return enqueue(*call, now);
-    }
+    if (event.mayHaveRun && acquireRetry(*call, AttemptFault::AnswerLost, now))
+        return scheduleRetry(*call, AttemptFault::AnswerLost, now);
     rejectOrFail(*call, event.mayHaveRun ? FailureReason::UpstreamLost : FailureReason::Overloaded,
                  now);
 }
--- a/libs/dispatch/tests/LinkLossTest.cpp
+++ b/libs/dispatch/tests/LinkLossTest.cpp
@@ -72,14 +72,20 @@
     }
 }
 
+void checkShares(std::size_t hosts, const CallRates &rates)
+{
+    for (const double share : {0.34, 0.8})
+        check({hosts, share, false, LinkLoss::Silent, rates, 1});
+}
+
 void checkSizes(const CallRates &rates)
 {
-    for (const std::size_t hosts : {7, 30, 77, 300}) {
-        for (const double share : {0.34, 0.8})
-            check({hosts, share, false, LinkLoss::Silent, rates, 1});
-    }
+    for (const std::size_t hosts : {7, 30, 77})
+        checkShares(hosts, rates);
 }
 
+const CallRates kMixedRates{1.03, 0.06, 0.07};
+
 } // namespace
 
 TEST_CASE("hosts with few streams that lose their links serve as many of them as others",
@@ -112,7 +118,8 @@
 TEST_CASE("hosts with streams and few plain calls that lose their links serve as many as others",
           "[.][link-loss]")
 {
-    checkSizes({1.03, 0.06, 0.07});
+    checkSizes(kMixedRates);
+    checkShares(300, kMixedRates);
 }
 
 TEST_CASE("hosts with many calls that lose their links serve as many as others")
@@ -123,11 +130,22 @@
 TEST_CASE("one host of many that loses its links serves as many calls as others")
 {
     for (const std::size_t hosts : {7, 77})
-        check({hosts, 0.01, false, LinkLoss::Silent, {1.03, 0.06, 0.07}, 1});
+        check({hosts, 0.01, false, LinkLoss::Silent, kMixedRates, 1});
 }
 
-TEST_CASE("a data centre whose hosts all lose their links is served by others", "[.][link-loss]")
+TEST_CASE("a data centre whose hosts all lose their links is served by others")
 {
     for (const std::size_t hosts : {7, 30, 77, 300})
-        check({hosts, 0, true, LinkLoss::Silent, {1.03, 0.06, 0.07}, 1});
+        check({hosts, 0, true, LinkLoss::Silent, kMixedRates, 1});
+}
+
+// Takes minutes.
+TEST_CASE("hundreds of hosts with few calls of one kind that lose their links serve as many as "
+          "others",
+          "[.long]")
+{
+    for (const CallRates &rates :
+         {CallRates{0.1, 0, 0}, CallRates{0.33, 0, 0}, CallRates{1.03, 0, 0}, CallRates{0, 0.13, 0},
+          CallRates{0, 1.15, 0}, CallRates{0, 0, 0.13}, CallRates{0, 0, 1.15}})
+        checkShares(300, rates);
 }
--- a/libs/dispatch/tests/LinkPlay.cpp
+++ b/libs/dispatch/tests/LinkPlay.cpp
@@ -398,7 +398,7 @@
     const bool isAnswered = !isLost(host);
     at(m_now + (!isAnswered && isSilent ? kLinkProbeTimeout : kHop),
        [this, host, isAnswered, upstream = action.upstream] {
-           handle(host, LinkProbed{upstream.service, isAnswered});
+           handle(host, LinkProbed{upstream.service, isAnswered, upstream.id});
        });
 }
 
--- a/libs/dispatch/tests/RelayTest.cpp
+++ b/libs/dispatch/tests/RelayTest.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <deque>
+
 using namespace hyssop;
 using namespace hyssop::dispatch;
 using base::Millis;
@@ -56,22 +58,34 @@
 
     Actions arrive(const CallInfo &info, base::TimePoint now = kStart)
     {
-        return dispatcher.handle(CallArrived{info}, now);
+        return noted(dispatcher.handle(CallArrived{info}, now));
     }
 
     Actions fail(CallId id, AttemptFault fault, base::TimePoint now = kStart)
     {
-        return dispatcher.handle(AttemptFailed{id, fault, {}}, now);
+        return noted(dispatcher.handle(AttemptFailed{id, fault, {}}, now));
+    }
+
+    /// Answers or fails the next probe of a link that was begun.
+    Actions endProbe(bool isAnswered, base::TimePoint now = kStart)
+    {
+        REQUIRE_FALSE(probes.empty());
+        const base::UpstreamId upstream = probes.front();
+        probes.pop_front();
+        return noted(dispatcher.handle(LinkProbed{kService, isAnswered, upstream}, now));
     }
 
-    /// Sends calls, whose answers get lost, until the links count as lost. Returns the last
-    /// actions.
+    /// Loses the answer of a call and all probes that follow, until the links count as lost.
+    /// Returns the last actions.
     Actions loseLinks()
     {
-        for (int n = 0; n < 20; ++n) {
+        if (probes.empty()) {
             const CallInfo info = call();
             REQUIRE(first<SendAttempt>(arrive(info)));
-            const Actions actions = fail(info.id, AttemptFault::AnswerLost);
+            fail(info.id, AttemptFault::AnswerLost);
+        }
+        for (int n = 0; n < 20; ++n) {
+            const Actions actions = endProbe(false);
             if (first<LinksChanged>(actions))
                 return actions;
         }
@@ -82,6 +96,17 @@
     const base::ServiceId kService{"s"};
     std::int64_t lastCall = 0;
     Dispatcher dispatcher;
+    std::deque<base::UpstreamId> probes; ///< Upstreams whose probes have not ended.
+
+private:
+    Actions noted(Actions actions)
+    {
+        for (const Action &it : actions) {
+            if (const auto *probe = std::get_if<ProbeLink>(&it))
+                probes.push_back(probe->upstream.id);
+        }
+        return actions;
+    }
 };
 
 } // namespace
@@ -398,7 +423,9 @@
 {
     // That host gets one attempt less than the call has, so it may fail with one left.
     for (const bool isRetrySafe : {true, false}) {
-        Fixture fixture;
+        DispatcherOptions options = Fixture::defaultOptions();
+        options.retryAllowance = 200;
+        Fixture fixture(6, options);
         fixture.loseLinks();
         const CallInfo rejected = fixture.call(isRetrySafe);
         REQUIRE(first<RelayCall>(fixture.arrive(rejected)));
@@ -436,7 +463,13 @@
         CallInfo info = fixture.call(true);
         info.deadline = now + Millis(4'000);
         REQUIRE(first<SendAttempt>(fixture.arrive(info, now)));
-        return first<SendAttempt>(fixture.fail(info.id, AttemptFault::AnswerLost, now)) != nullptr;
+        fixture.probes.clear();
+        Actions actions = fixture.fail(info.id, AttemptFault::AnswerLost, now);
+        // The links are checked before the last attempt.
+        if (!fixture.probes.empty())
+            actions = fixture.endProbe(true, now);
+        CHECK((first<SendAttempt>(actions) || first<FailCall>(actions)));
+        return first<SendAttempt>(actions) != nullptr;
     };
     CHECK_FALSE(isRetried(AttemptFault::UpstreamError));
     CHECK_FALSE(isRetried(AttemptFault::AnswerLost));
@@ -462,3 +495,124 @@
     REQUIRE(first<SendAttempt>(fixture.arrive(info)));
     CHECK_FALSE(first<SendAttempt>(fixture.fail(info.id, AttemptFault::AnswerLost)));
 }
+
+TEST_CASE("one call without an answer is enough for a host to find out that its links are lost")
+{
+    Fixture fixture;
+    const CallInfo lost = fixture.call();
+    REQUIRE(first<SendAttempt>(fixture.arrive(lost)));
+    const Actions failed = fixture.fail(lost.id, AttemptFault::AnswerLost);
+    REQUIRE(first<LinksDoubted>(failed));
+    CHECK(first<LinksDoubted>(failed)->doubt == LinkDoubt::Failure);
+    CHECK(fixture.probes.size() == 1);
+    // A call that may be sent only once waits for the result.
+    const CallInfo waiting = fixture.call();
+    CHECK_FALSE(first<SendAttempt>(fixture.arrive(waiting)));
+    CHECK_FALSE(first<LinksChanged>(fixture.endProbe(false)));
+    CHECK(fixture.probes.size() == 3);
+    fixture.endProbe(false);
+    fixture.endProbe(false);
+    const Actions lastFailed = fixture.endProbe(false);
+    REQUIRE(first<LinksChanged>(lastFailed));
+    CHECK(first<LinksChanged>(lastFailed)->isLost);
+    REQUIRE(first<RelayCall>(lastFailed));
+    CHECK(first<RelayCall>(lastFailed)->call == waiting.id);
+}
+
+TEST_CASE("probes that are not answered for a while show that the links are lost")
+{
+    Fixture fixture;
+    const CallInfo info = fixture.call(true);
+    REQUIRE(first<SendAttempt>(fixture.arrive(info)));
+    CHECK_FALSE(first<ProbeLink>(fixture.dispatcher.tick(kStart + Millis(390))));
+    const Actions doubted = fixture.dispatcher.tick(kStart + Millis(400));
+    REQUIRE(first<LinksDoubted>(doubted));
+    CHECK(first<LinksDoubted>(doubted)->doubt == LinkDoubt::Silence);
+    CHECK(first<ProbeLink>(fixture.dispatcher.tick(kStart + Millis(500))));
+    CHECK_FALSE(first<LinksChanged>(fixture.dispatcher.tick(kStart + Millis(790))));
+    const Actions lost = fixture.dispatcher.tick(kStart + Millis(800));
+    CHECK(first<LinksChanged>(lost));
+    // What is silent already is repeated elsewhere.
+    const Actions repeated = fixture.dispatcher.tick(kStart + Millis(801));
+    CHECK((first<RelayCall>(lost) || first<RelayCall>(repeated)));
+}
+
+TEST_CASE("an upstream that is silent while others answer makes no call wait for long")
+{
+    Fixture fixture;
+    const CallInfo silent = fixture.call(true);
+    REQUIRE(first<SendAttempt>(fixture.arrive(silent)));
+    fixture.dispatcher.tick(kStart + Millis(400));
+    const CallInfo waiting = fixture.call();
+    CHECK_FALSE(first<SendAttempt>(fixture.arrive(waiting, kStart + Millis(401))));
+    const Actions answered =
+            fixture.dispatcher.handle(LinkProbed{fixture.kService, true}, kStart + Millis(403));
+    REQUIRE(first<SendAttempt>(answered));
+    CHECK(first<SendAttempt>(answered)->call == waiting.id);
+    CHECK_FALSE(first<CancelAttempt>(answered));
+    // The next check begins a second later at the earliest.
+    CHECK_FALSE(first<ProbeLink>(fixture.dispatcher.tick(kStart + Millis(1'390))));
+}
+
+TEST_CASE("an idle host checks its links before a call that may be sent only once, or is relayed")
+{
+    for (const bool isRelayed : {false, true}) {
+        Fixture fixture;
+        fixture.arrive(fixture.call(true));
+        const base::TimePoint later = kStart + Millis(20'000);
+        fixture.dispatcher.handle(AttemptSucceeded{CallId(fixture.lastCall)}, kStart);
+        CallInfo info = fixture.call(isRelayed);
+        info.isRelayed = isRelayed;
+        info.deadline = later + Millis(4'000);
+        const Actions arrived = fixture.arrive(info, later);
+        CHECK_FALSE(first<SendAttempt>(arrived));
+        REQUIRE(first<LinksDoubted>(arrived));
+        CHECK(first<LinksDoubted>(arrived)->doubt == LinkDoubt::Idle);
+        CHECK(first<SendAttempt>(fixture.endProbe(true, later + Millis(2))));
+        CallInfo next = fixture.call();
+        next.deadline = later + Millis(4'000);
+        CHECK(first<SendAttempt>(fixture.arrive(next, later + Millis(500))));
+    }
+}
+
+TEST_CASE("a host that knows no other host sends calls without checking its links")
+{
+    Fixture fixture;
+    fixture.dispatcher.handle(RelayPeersChanged{}, kStart);
+    const base::TimePoint later = kStart + Millis(20'000);
+    CallInfo info = fixture.call();
+    info.deadline = later + Millis(4'000);
+    const Actions arrived = fixture.arrive(info, later);
+    CHECK(first<SendAttempt>(arrived));
+    CHECK_FALSE(first<ProbeLink>(arrived));
+    CHECK_FALSE(first<ProbeLink>(fixture.dispatcher.tick(later + Millis(2'000))));
+}
+
+TEST_CASE("no call is relayed to a host that states that it does not reach the service either")
+{
+    Fixture fixture;
+    fixture.loseLinks();
+    fleet::LoadUpdate update;
+    update.host = base::HostId("f");
+    update.unreachableServices = {fixture.kService};
+    const base::Endpoint cutOff{"127.0.0.2", 1};
+    fixture.dispatcher.handle(PeerLoadReceived{update, cutOff}, kStart);
+    for (int n = 0; n < 8; ++n) {
+        const Actions actions = fixture.arrive(fixture.call());
+        REQUIRE(first<RelayCall>(actions));
+        CHECK_FALSE(first<RelayCall>(actions)->peer == cutOff);
+    }
+    // A call that no host can send is rejected at once.
+    fixture.dispatcher.handle(PeerLoadReceived{update, {"127.0.0.3", 1}}, kStart);
+    const Actions rejected = fixture.arrive(fixture.call());
+    REQUIRE(first<RejectCall>(rejected));
+    CHECK(first<RejectCall>(rejected)->reason == FailureReason::Unreachable);
+    // What a host stated expires when it says no more, and ends when it reaches the service again.
+    update.unreachableServices.clear();
+    fixture.dispatcher.handle(PeerLoadReceived{update, cutOff}, kStart);
+    const Actions relayed = fixture.arrive(fixture.call());
+    REQUIRE(first<RelayCall>(relayed));
+    CHECK(first<RelayCall>(relayed)->peer == cutOff);
+    CHECK(fixture.dispatcher.takeLoadUpdate(true).unreachableServices
+          == std::vector{fixture.kService});
+}
--- a/libs/edge/src/EdgeImpl.h
+++ b/libs/edge/src/EdgeImpl.h
@@ -181,6 +181,7 @@
     /// Returns whether the request was a probe of links.
     bool endLinkProbe(gateway::CallId id, bool isAnswered);
     void executeAction(const dispatch::LinksChanged &action, base::TimePoint now);
+    void executeAction(const dispatch::LinksDoubted &action, base::TimePoint now);
     void executeAction(const dispatch::LinkFailed &action, base::TimePoint now);
     void executeAction(const dispatch::RetryDenied &action, base::TimePoint now);
 
@@ -327,7 +328,12 @@
     std::map<gateway::CallId, dispatch::CallId> m_attempts;
     std::map<gateway::Exchange *, dispatch::CallId> m_exchanges;
     std::map<gateway::CallId, PendingReservationRequest> m_reservationRequests;
-    std::map<gateway::CallId, base::ServiceId> m_linkProbes;
+    struct LinkProbe
+    {
+        base::ServiceId service;
+        base::UpstreamId upstream;
+    };
+    std::map<gateway::CallId, LinkProbe> m_linkProbes;
     std::int64_t m_lastReservationId = 0;
     boost::asio::steady_timer m_dispatchTimer;
     base::TimePoint m_dispatchTimerAt = base::TimePoint::max();
--- a/libs/edge/src/Relays.cpp
+++ b/libs/edge/src/Relays.cpp
@@ -138,7 +138,8 @@
     // A connection that was open before may go on while new ones fail.
     request.canReuseConnection = false;
     request.maxIdleConnections = 0;
-    m_linkProbes[m_client.start(std::move(request))] = service;
+    m_metrics->count("hyssop_link_probes_total");
+    m_linkProbes[m_client.start(std::move(request))] = {service, action.upstream.id};
 }
 
 bool Edge::Impl::endLinkProbe(gateway::CallId id, bool isAnswered)
@@ -146,7 +147,7 @@
     const auto probe = m_linkProbes.find(id);
     if (probe == m_linkProbes.end())
         return false;
-    const dispatch::LinkProbed event{probe->second, isAnswered};
+    const dispatch::LinkProbed event{probe->second.service, isAnswered, probe->second.upstream};
     m_linkProbes.erase(probe);
     if (isAnswered)
         m_client.cancel(id);
@@ -165,6 +166,15 @@
                                    {"needed", action.neededUpstreams}});
 }
 
+void Edge::Impl::executeAction(const dispatch::LinksDoubted &action, base::TimePoint)
+{
+    const auto doubt = dispatch::linkDoubtName(action.doubt);
+    m_metrics->count("hyssop_link_checks_total", {{"reason", std::string(doubt)}});
+    base::logEvent("links_doubted", {{"service", action.service},
+                                     {"reason", doubt},
+                                     {"silent_ms", action.silence.count()}});
+}
+
 void Edge::Impl::executeAction(const dispatch::LinksChanged &action, base::TimePoint)
 {
     // Others must not relay calls of this service to here.
