dispatch: A call that lost links swallowed is relayed without a retry from the budget

At a host of hundreds, a call that stalled before the loss of the links was known ended with 504 after its whole time, although other hosts could serve it: its share of the retry budget is 0.8 of the allowance divided by the number of hosts, less than one retry from 77 hosts on.

What was sent over lost links reached no upstream, and the other host counts a relayed call as its own, so that the relay repeats nothing. While the links are sound, or the check finds them so, a retry is taken as before.

The new test failed before: the call ended with FailCall and was not relayed.

--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -247,6 +247,11 @@
             m_relayPeers.choose(call.info.service, call.triedRelays, isInside, m_rng, now);
     if (!peer)
         return false;
+    // What was sent over lost links reached no upstream, so that the relay repeats nothing there.
+    if (const auto fault = call.pendingRetry; isLost && fault) {
+        call.pendingRetry.reset();
+        m_actions.emplace_back(RetryScheduled{call.info.id, *fault});
+    }
     if (acquirePendingRetry(call, now))
         sendRelay(call, *peer, isLost ? RelayReason::LinksLost : RelayReason::NotSent, now);
     return true;
--- a/libs/dispatch/tests/RelayTest.cpp
+++ b/libs/dispatch/tests/RelayTest.cpp
@@ -616,3 +616,34 @@
     CHECK(fixture.dispatcher.takeLoadUpdate(true).unreachableServices
           == std::vector{fixture.kService});
 }
+
+TEST_CASE("a call that stalls at lost links is relayed though its host has no share of a retry")
+{
+    DispatcherOptions options = Fixture::defaultOptions();
+    options.retryAllowance = 0;
+    Fixture fixture(6, options);
+    const CallInfo info = fixture.call(true);
+    REQUIRE(first<SendAttempt>(fixture.arrive(info)));
+    fixture.fail(info.id, AttemptFault::AnswerLost);
+    bool isRelayed = false;
+    for (int n = 0; n < 4; ++n) {
+        const Actions actions = fixture.endProbe(false);
+        CHECK_FALSE(first<FailCall>(actions));
+        isRelayed = isRelayed || first<RelayCall>(actions);
+    }
+    CHECK(isRelayed);
+}
+
+TEST_CASE("a call whose upstream lost it takes a retry while the links are sound")
+{
+    DispatcherOptions options = Fixture::defaultOptions();
+    options.retryAllowance = 0;
+    Fixture fixture(6, options);
+    const CallInfo info = fixture.call(true);
+    REQUIRE(first<SendAttempt>(fixture.arrive(info)));
+    fixture.fail(info.id, AttemptFault::AnswerLost);
+    const Actions sound = fixture.endProbe(true);
+    CHECK(first<RetryDenied>(sound));
+    CHECK(first<FailCall>(sound));
+    CHECK_FALSE(first<SendAttempt>(sound));
+}
