--- a/libs/dispatch/tests/LinkPlay.cpp
+++ b/libs/dispatch/tests/LinkPlay.cpp
@@ -418,17 +418,27 @@
     handle(key.first, AttemptFailed{key.second, fault, {}});
 }
 
-void LinkPlay::progress(int id)
+std::optional<LinkPlay::CallKey> LinkPlay::answeringCall(int id)
 {
     const auto it = m_attempts.find(id);
     if (it == m_attempts.end())
-        return;
+        return std::nullopt;
     const CallKey key = it->second.call;
     if (m_calls.at(key).stalled == id)
         handle(key.first, StalledAttemptProgressed{key.second});
     const Call *call = findCall(key);
     if (!call || call->attempt != id)
+        return std::nullopt;
+    return key;
+}
+
+void LinkPlay::progress(int id)
+{
+    const auto answering = answeringCall(id);
+    if (!answering)
         return;
+    const CallKey key = *answering;
+    const Call *call = findCall(key);
     m_requests[call->request].lastEventAt = m_now;
     const int relayedBy = call->relayedBy;
     handle(key.first, AnswerProgressed{key.second});
@@ -438,15 +448,10 @@
 
 void LinkPlay::succeed(int id)
 {
-    const auto it = m_attempts.find(id);
-    if (it == m_attempts.end())
-        return;
-    const CallKey key = it->second.call;
-    if (m_calls.at(key).stalled == id)
-        handle(key.first, StalledAttemptProgressed{key.second});
-    const Call *call = findCall(key);
-    if (!call || call->attempt != id)
+    const auto answering = answeringCall(id);
+    if (!answering)
         return;
+    const CallKey key = *answering;
     m_attempts.erase(id);
     handle(key.first, AttemptSucceeded{key.second});
     end(key, true, nullptr);
--- a/libs/dispatch/tests/LinkPlay.h
+++ b/libs/dispatch/tests/LinkPlay.h
@@ -128,6 +128,8 @@
     void probe(std::size_t host, const ProbeLink &action);
     void runAttempt(int id, int eventsLeft);
     void failAttempt(int id, AttemptFault fault);
+    /// The call of an attempt that has a part of an answer. A stalled attempt goes on with it.
+    std::optional<CallKey> answeringCall(int id);
     void progress(int id);
     void succeed(int id);
     void endAttempt(int id);
