dispatch: One place counts the probes that a check lacks, one checks the other services

LinkMonitor worked out in three places how many probes a check still has to begin, and the loop over the other services stood twice, once inside the loop over probes, where only its first pass could do anything. restoreLinks() probed refused upstreams again although both of its callers do so right after it.

No decision changes, only the order in which probes of several services begin. 160 test cases of dispatch pass, as do the tests of links that are reset at most hosts and at all hosts of a data centre with real processes.

--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -307,7 +307,7 @@
     /// Records that the current attempt of a call got an answer or a part of one.
     void recordLinkAnswer(const ActiveCall &call, base::TimePoint now);
     /// Uses all upstreams of a service again.
-    void restoreLinks(const base::ServiceId &id, ServiceState &service, base::TimePoint now);
+    void restoreLinks(const base::ServiceId &id, ServiceState &service);
     /// Begins the probes that are due, and ends checks of links.
     void probeLinks(base::TimePoint now);
     void probeLink(ServiceState &service, base::TimePoint now);
@@ -316,6 +316,8 @@
     bool checkLinks(const base::ServiceId &id, ServiceState &service, LinkDoubt doubt,
                     base::TimePoint now);
     void reportLostLinks(const base::ServiceId &id, ServiceState &service, base::TimePoint now);
+    /// Checks the links of all services but one.
+    void doubtOtherServices(const base::ServiceId &id, base::TimePoint now);
     /// Probes upstreams again that refused connections while the links were in doubt.
     void reprobeRefused(ServiceState &service, base::TimePoint now);
     /// When the silence of the current attempt raises a doubt; TimePoint::max() when it cannot.
--- a/libs/dispatch/src/LinkMonitor.cpp
+++ b/libs/dispatch/src/LinkMonitor.cpp
@@ -87,19 +87,24 @@
     return true;
 }
 
+std::size_t LinkMonitor::missingProbes(std::size_t upstreamCount) const
+{
+    const std::size_t wanted = std::min(kCheckedUpstreams, upstreamCount);
+    return m_isExhausted || m_probes.size() >= wanted ? 0 : wanted - m_probes.size();
+}
+
 std::size_t LinkMonitor::dueProbes(std::size_t upstreamCount, base::TimePoint now) const
 {
     if (isLost())
         return !m_isProbing && now >= m_nextProbeAt ? 1 : 0;
-    if (!isChecking() || m_isExhausted)
+    if (!isChecking())
         return 0;
     if (m_probes.empty())
         return 1;
     const bool isFirstLate = std::any_of(m_probes.begin(), m_probes.end(), [now](const auto &it) {
         return it.second.isFailed || now >= it.second.sentAt + kFirstProbeLead;
     });
-    const std::size_t wanted = std::min(kCheckedUpstreams, upstreamCount);
-    return isFirstLate && m_probes.size() < wanted ? wanted - m_probes.size() : 0;
+    return isFirstLate ? missingProbes(upstreamCount) : 0;
 }
 
 base::TimePoint LinkMonitor::nextStepAt(std::size_t upstreamCount) const
@@ -110,8 +115,7 @@
         return base::TimePoint::max();
     if (m_probes.empty())
         return m_checkedAt;
-    const bool needsMore =
-            !m_isExhausted && m_probes.size() < std::min(kCheckedUpstreams, upstreamCount);
+    const bool needsMore = missingProbes(upstreamCount) > 0;
     base::TimePoint next = m_checkedAt;
     for (const auto &[upstream, probe] : m_probes) {
         if (!probe.isFailed)
@@ -156,8 +160,7 @@
 
 bool LinkMonitor::endCheck(std::size_t upstreamCount, base::TimePoint now)
 {
-    if (!isChecking() || m_probes.empty()
-        || (!m_isExhausted && m_probes.size() < std::min(kCheckedUpstreams, upstreamCount)))
+    if (!isChecking() || m_probes.empty() || missingProbes(upstreamCount) > 0)
         return false;
     for (const auto &[upstream, probe] : m_probes) {
         if (!probe.isFailed && now < probe.sentAt + kProbeSilence)
--- a/libs/dispatch/src/LinkMonitor.h
+++ b/libs/dispatch/src/LinkMonitor.h
@@ -60,6 +60,8 @@
         bool isFailed = false;
     };
 
+    /// Probes that the check still has to begin.
+    std::size_t missingProbes(std::size_t upstreamCount) const;
     void setSound();
     void setLost(base::TimePoint now);
 
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -66,6 +66,11 @@
                                              std::max(call.current.sentAt, call.lastProgressAt)
                                                      + silenceLimit(call));
     }
+    doubtOtherServices(id, now);
+}
+
+void Dispatcher::Impl::doubtOtherServices(const base::ServiceId &id, base::TimePoint now)
+{
     for (auto &[otherId, other] : m_services) {
         if (otherId != id)
             checkLinks(otherId, other, LinkDoubt::OtherService, now);
@@ -80,17 +85,15 @@
     m_heardAt = now;
     service.links.hear(now);
     if (service.links.recordAnswer(call.current.upstream, call.current.sentAt))
-        restoreLinks(call.info.service, service, now);
+        restoreLinks(call.info.service, service);
     reprobeRefused(service, now);
 }
 
-void Dispatcher::Impl::restoreLinks(const base::ServiceId &id, ServiceState &service,
-                                    base::TimePoint now)
+void Dispatcher::Impl::restoreLinks(const base::ServiceId &id, ServiceState &service)
 {
     for (UpstreamState *it : service.upstreams)
         it->endEjection();
     m_actions.emplace_back(LinksChanged{id, false, 0, service.upstreams.size()});
-    reprobeRefused(service, now);
 }
 
 void Dispatcher::Impl::reprobeRefused(ServiceState &service, base::TimePoint now)
@@ -128,17 +131,12 @@
         const std::size_t upstreamCount = service.upstreams.size();
         if (upstreamCount == 0)
             continue;
-        const bool isLateCheck = service.links.isChecking();
-        for (std::size_t n = service.links.dueProbes(upstreamCount, now); n > 0; --n) {
+        const std::size_t dueProbes = service.links.dueProbes(upstreamCount, now);
+        for (std::size_t n = 0; n < dueProbes; ++n)
             probeLink(service, now);
-            if (!isLateCheck)
-                continue;
-            // The first probe had no answer. All services share the links of this host.
-            for (auto &[otherId, other] : m_services) {
-                if (otherId != id)
-                    checkLinks(otherId, other, LinkDoubt::OtherService, now);
-            }
-        }
+        // The first probe of the check had no answer. All services share the links of this host.
+        if (dueProbes > 0 && service.links.isChecking())
+            doubtOtherServices(id, now);
         if (service.links.endCheck(upstreamCount, now)) {
             reportLostLinks(id, service, now);
             probeLink(service, now);
@@ -173,7 +171,7 @@
     if (event.isAnswered)
         m_heardAt = now;
     if (service.links.endProbe(event.upstream, event.isAnswered, now))
-        restoreLinks(event.service, service, now);
+        restoreLinks(event.service, service);
     reprobeRefused(service, now);
     if (service.links.isChecking())
         probeLinks(now);
