dispatch: A host without links declines relayed calls though it knows no other host

What callers saw: nothing yet. A call that was relayed to a host which has lost its own links and knows no other entry host, as one does that has just started, was sent over the lost links. Where it may be sent only once it was lost there, and its caller got 502 or 504, though another host could have taken it.

Cause: since rejectIfCutOff() asks whether this host has another way, by its own relay peers. A relayed call has one whatever this host knows: the host that relayed it goes on to the next.

"a relayed call is not tried over lost links by a host that knows no other host" failed before (SendAttempt, no RejectCall) and passes now; the 161 cases of test-dispatch pass.

--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -220,7 +220,9 @@
 bool Dispatcher::Impl::rejectIfCutOff(ActiveCall &call, const ServiceState &service,
                                       base::TimePoint now)
 {
-    if (!service.links.isLost() || m_relayPeers.isEmpty() || !isLastChance(call))
+    // The host that relayed a call knows others.
+    const bool hasOtherWay = call.info.isRelayed || !m_relayPeers.isEmpty();
+    if (!service.links.isLost() || !hasOtherWay || !isLastChance(call))
         return false;
     rejectOrFail(call, FailureReason::Unreachable, now);
     return true;
--- a/libs/dispatch/tests/RelayTest.cpp
+++ b/libs/dispatch/tests/RelayTest.cpp
@@ -269,6 +269,20 @@
     CHECK_FALSE(first<RelayCall>(actions));
 }
 
+TEST_CASE("a relayed call is not tried over lost links by a host that knows no other host")
+{
+    Fixture fixture;
+    fixture.loseLinks();
+    fixture.dispatcher.handle(RelayPeersChanged{}, kStart);
+    CallInfo info = fixture.call();
+    info.isRelayed = true;
+    const Actions actions = fixture.arrive(info);
+    CHECK_FALSE(first<SendAttempt>(actions));
+    const auto *rejected = first<RejectCall>(actions);
+    REQUIRE(rejected);
+    CHECK(rejected->reason == FailureReason::Unreachable);
+}
+
 TEST_CASE("a call that a host declines is relayed to another one, and rejected when all decline")
 {
     Fixture fixture;
