dispatch: A call that no host can send waits for the first probe of lost links

What callers saw: where all upstreams of a service fell silent for a second and went on, as sound ones may, calls that may be sent only once were rejected as unreachable during that second, though they would have been served right after.

Cause: since silence of 0.4 s is checked and counts as lost links 0.4 s later, at each host by itself. Once all hosts say so, no call is relayed any more, and one that must not be lost was rejected at that moment, while the probe that would have shown the upstreams to be back had just been sent. Class: a conclusion on the own links is drawn from evidence that fits slow upstreams as well.

Fix: such a call waits until the first probe since the loss ends, 0.6 s at most. If that is answered the call is sent; if not, this and all further calls are rejected at once, as before. A call that six hosts declined goes the same way in place of being rejected by the sixth. Relayed calls are declined at once, so that the relaying host goes on.

--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -326,6 +326,8 @@
     static base::Millis silenceLimit(const ActiveCall &call);
     /// Whether a failure of the next attempt could not be made up for.
     static bool isLastChance(const ActiveCall &call);
+    /// Whether a call is not to be sent over links of this host that may be lost.
+    static bool needsSoundLinks(const ActiveCall &call);
     /// Whether a queued call has to wait until it is known that the links are sound.
     bool mustAwaitLinkCheck(const ActiveCall &call, ServiceState &service, base::TimePoint now);
     /// Ends a queued call that neither this host nor another one can send. Returns whether it did.
--- a/libs/dispatch/src/LinkMonitor.cpp
+++ b/libs/dispatch/src/LinkMonitor.cpp
@@ -42,6 +42,8 @@
     m_state = State::Lost;
     m_probes.clear();
     m_isProbing = false;
+    m_firstProbed.reset();
+    m_isLossConfirmed = false;
     m_nextProbeAt = now;
 }
 
@@ -131,17 +133,21 @@
         return;
     }
     m_isProbing = true;
+    if (!m_firstProbed)
+        m_firstProbed = upstream;
     m_nextProbeAt = now + kProbeInterval;
 }
 
 void LinkMonitor::skipProbe(base::TimePoint now)
 {
-    if (isLost())
+    if (isLost()) {
         m_nextProbeAt = now + kProbeInterval;
-    else if (m_probes.empty())
+        m_isLossConfirmed = true;
+    } else if (m_probes.empty()) {
         setSound();
-    else
+    } else {
         m_isExhausted = true;
+    }
 }
 
 bool LinkMonitor::endProbe(const base::UpstreamId &upstream, bool isAnswered, base::TimePoint now)
@@ -153,6 +159,7 @@
         setSound();
         return wasLost;
     }
+    m_isLossConfirmed = m_isLossConfirmed || m_firstProbed == upstream;
     if (const auto it = m_probes.find(upstream); it != m_probes.end())
         it->second.isFailed = true;
     return false;
--- a/libs/dispatch/src/LinkMonitor.h
+++ b/libs/dispatch/src/LinkMonitor.h
@@ -3,6 +3,7 @@
 #include "dispatch/Dispatch.h"
 
 #include <map>
+#include <optional>
 
 namespace hyssop::dispatch {
 
@@ -18,6 +19,8 @@
 public:
     bool isLost() const { return m_state == State::Lost; }
     bool isChecking() const { return m_state == State::Checking; }
+    /// The links are lost, and the first probe since then got no answer either.
+    bool isLossConfirmed() const { return isLost() && m_isLossConfirmed; }
     std::size_t failedUpstreams() const { return m_failures.size(); }
     /// Upstreams of \a upstreamCount that must fail before the links count as lost.
     static std::size_t neededFailures(std::size_t upstreamCount);
@@ -73,6 +76,8 @@
     std::map<base::UpstreamId, Probe> m_probes; ///< Of the check.
     bool m_isExhausted = false; ///< The check has no further upstreams to probe.
     bool m_isProbing = false; ///< While the links are lost.
+    std::optional<base::UpstreamId> m_firstProbed; ///< Since the links were lost.
+    bool m_isLossConfirmed = false;
     base::TimePoint m_nextProbeAt{};
 };
 
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -205,11 +205,21 @@
            || call.attempts + 1 >= call.info.maxAttempts;
 }
 
+bool Dispatcher::Impl::needsSoundLinks(const ActiveCall &call)
+{
+    return isLastChance(call) || call.triedRelays.size() >= kMaxRelays;
+}
+
 bool Dispatcher::Impl::mustAwaitLinkCheck(const ActiveCall &call, ServiceState &service,
                                           base::TimePoint now)
 {
+    if (service.upstreams.empty())
+        return false;
+    // No other host takes the call, so the upstreams may just be slow.
+    if (service.links.isLost())
+        return !m_relayPeers.isEmpty() && needsSoundLinks(call) && !service.links.isLossConfirmed();
     // A call that is not sent for want of a connection goes on to the next upstream.
-    if (!isLastChance(call) || call.unsentAttempts > 0 || service.upstreams.empty())
+    if (!isLastChance(call) || call.unsentAttempts > 0)
         return false;
     if (service.links.isChecking())
         return true;
@@ -222,7 +232,9 @@
 {
     // The host that relayed a call knows others.
     const bool hasOtherWay = call.info.isRelayed || !m_relayPeers.isEmpty();
-    if (!service.links.isLost() || !hasOtherWay || !isLastChance(call))
+    const bool isLost =
+            service.links.isLossConfirmed() || (call.info.isRelayed && service.links.isLost());
+    if (!isLost || !hasOtherWay || !needsSoundLinks(call))
         return false;
     rejectOrFail(call, FailureReason::Unreachable, now);
     return true;
@@ -304,13 +316,12 @@
     if (provesNotRun(fault)) {
         call.attempts -= relayedAttempts;
         call.isCountedElsewhere = false;
-        if (call.triedRelays.size() < kMaxRelays && call.info.deadline - now >= kMinRelayTime) {
-            m_actions.emplace_back(RetryScheduled{id, fault});
-            return enqueue(call, now);
-        }
         if (call.triedRelays.size() >= kMaxRelays)
             serviceOf(call.info.service).relaysPausedUntil = now + kRelayPause;
-        return rejectOrFail(call, FailureReason::Unreachable, now);
+        if (call.info.deadline - now < kMinRelayTime)
+            return rejectOrFail(call, FailureReason::Unreachable, now);
+        m_actions.emplace_back(RetryScheduled{id, fault});
+        return enqueue(call, now);
     }
     call.mayHaveRun = true;
     if (acquireRetry(call, fault, now))
--- a/libs/dispatch/tests/LinkLossTest.cpp
+++ b/libs/dispatch/tests/LinkLossTest.cpp
@@ -10,6 +10,9 @@
 /// Calls at hosts that were cut off, from which a share is taken.
 constexpr int kMinCalls = 40;
 constexpr std::uint64_t kMaxSeeds = 40;
+/// The same of a pause, which few calls meet.
+constexpr int kMinPausedCalls = 200;
+constexpr std::uint64_t kMaxPauseSeeds = 400;
 
 void add(CallCount &sum, const CallCount &count)
 {
@@ -27,6 +30,7 @@
         add(sum.cutLater, outcome.cutLater);
         add(sum.afterwards, outcome.afterwards);
         add(sum.others, outcome.others);
+        add(sum.paused, outcome.paused);
         sum.repeatedBookings += outcome.repeatedBookings;
         sum.falselyRefused += outcome.falselyRefused;
         sum.probes += outcome.probes;
@@ -84,6 +88,28 @@
         checkShares(hosts, rates);
 }
 
+/// Plays a silence of all upstreams that are sound, which is no loss of links.
+void checkPause(std::size_t hosts, const CallRates &rates, base::Millis pause)
+{
+    LinkOutcome sum;
+    for (std::uint64_t seed = 1; seed <= kMaxPauseSeeds && sum.paused.sent < kMinPausedCalls;
+         ++seed) {
+        const LinkOutcome outcome =
+                LinkPlay({hosts, 0, false, LinkLoss::Silent, rates, seed, pause}).run();
+        add(sum.paused, outcome.paused);
+        add(sum.others, outcome.others);
+        sum.repeatedBookings += outcome.repeatedBookings;
+        sum.falselyRefused += outcome.falselyRefused;
+    }
+    CAPTURE(hosts, rates.streams, rates.lookups, rates.bookings, pause.count(), sum.paused.sent,
+            sum.paused.served);
+    REQUIRE(sum.paused.sent >= kMinPausedCalls / 2);
+    CHECK(sum.paused.share() >= 0.99);
+    CHECK(sum.others.share() >= 0.99);
+    CHECK(sum.repeatedBookings == 0);
+    CHECK(sum.falselyRefused == 0);
+}
+
 const CallRates kMixedRates{1.03, 0.06, 0.07};
 
 } // namespace
@@ -139,6 +165,17 @@
         check({hosts, 0, true, LinkLoss::Silent, kMixedRates, 1});
 }
 
+TEST_CASE("calls that come while all upstreams are silent for up to a second are served after it")
+{
+    for (const std::size_t hosts : {7, 77}) {
+        for (const CallRates &rates : {CallRates{0, 0, 0.13}, CallRates{0, 0, 1.15},
+                                       CallRates{0, 0.13, 0}, CallRates{1.03, 0, 0}, kMixedRates}) {
+            for (const base::Millis pause : {base::Millis(500), base::Millis(1'000)})
+                checkPause(hosts, rates, pause);
+        }
+    }
+}
+
 // Takes minutes.
 TEST_CASE("hundreds of hosts with few calls of one kind that lose their links serve as many as "
           "others",
--- a/libs/dispatch/tests/LinkPlay.h
+++ b/libs/dispatch/tests/LinkPlay.h
@@ -33,6 +33,8 @@
     LinkLoss loss = LinkLoss::Silent;
     CallRates rates;
     std::uint64_t seed = 1;
+    /// From the time of the cut on all upstreams are silent for so long, to all hosts, and go on.
+    base::Millis pause{0};
 };
 
 struct CallCount
@@ -50,6 +52,7 @@
     CallCount cutLater;
     CallCount afterwards; ///< At these hosts, from a while after the end of the cut.
     CallCount others; ///< At the other hosts, all the time.
+    CallCount paused; ///< At all hosts, while the upstreams are silent.
     int repeatedBookings = 0;
     int falselyRefused = 0; ///< Calls that ran and were rejected as not run.
     int probes = 0; ///< Before the cut.
@@ -123,6 +126,8 @@
     void sendCalls(std::size_t host, Kind kind, double perSecond);
     void arrive(std::size_t host, Kind kind);
     void watchCaller(const CallKey &key);
+    /// When an upstream answers that would do so at a time if it did not pause.
+    base::TimePoint answerAt(base::TimePoint time) const;
     void attempt(std::size_t host, const SendAttempt &action);
     void relay(std::size_t host, const RelayCall &action);
     void probe(std::size_t host, const ProbeLink &action);
