dispatch: Upstreams that no host reaches get the calls all the same

What callers saw: where the way to the upstreams of a service was slow for all hosts, nearly all calls that may be sent only once were rejected as unreachable, at hosts whose links were sound.

Cause: since a health request without an answer for 0.3 s counts as lost links, and a call that no other host took was then rejected. If the way is that slow for all, all hosts state that they do not reach the service, so that no host is left to relay to. Each then probes three times a second, which keeps a slow way slow. Class: evidence on a shared resource is taken for evidence on the own links.

Fix: where no other host reaches a service either, by its statements or as all declined, this is nothing that another host could help with. Calls then go to the upstreams as by a host that knows no other one, as before; the first answer shows that the links are sound. Only a call that six of many hosts declined, which happens for half a second until their statements arrive, waits for a probe of the lost links, and is rejected if that is not answered.

--- a/libs/dispatch/src/DispatcherImpl.h
+++ b/libs/dispatch/src/DispatcherImpl.h
@@ -326,11 +326,15 @@
     static base::Millis silenceLimit(const ActiveCall &call);
     /// Whether a failure of the next attempt could not be made up for.
     static bool isLastChance(const ActiveCall &call);
+    /// Whether so many other hosts declined this call or one before it that none is asked now.
+    static bool areRelaysDeclined(const ActiveCall &call, const ServiceState &service,
+                                  base::TimePoint now);
     /// Whether a call is not to be sent over links of this host that may be lost.
     static bool needsSoundLinks(const ActiveCall &call);
     /// Whether a queued call has to wait until it is known that the links are sound.
     bool mustAwaitLinkCheck(const ActiveCall &call, ServiceState &service, base::TimePoint now);
-    /// Ends a queued call that neither this host nor another one can send. Returns whether it did.
+    /// Ends a queued call that this host cannot send and other hosts declined, or that another host
+    /// relayed. Returns whether it did.
     bool rejectIfCutOff(ActiveCall &call, const ServiceState &service, base::TimePoint now);
     /// Relays a call that reaches no upstream from here. Returns false if it cannot be relayed or
     /// need not be.
--- a/libs/dispatch/src/Relays.cpp
+++ b/libs/dispatch/src/Relays.cpp
@@ -205,6 +205,12 @@
            || call.attempts + 1 >= call.info.maxAttempts;
 }
 
+bool Dispatcher::Impl::areRelaysDeclined(const ActiveCall &call, const ServiceState &service,
+                                         base::TimePoint now)
+{
+    return call.triedRelays.size() >= kMaxRelays || now < service.relaysPausedUntil;
+}
+
 bool Dispatcher::Impl::needsSoundLinks(const ActiveCall &call)
 {
     return isLastChance(call) || call.triedRelays.size() >= kMaxRelays;
@@ -215,9 +221,9 @@
 {
     if (service.upstreams.empty())
         return false;
-    // No other host takes the call, so the upstreams may just be slow.
     if (service.links.isLost())
-        return !m_relayPeers.isEmpty() && needsSoundLinks(call) && !service.links.isLossConfirmed();
+        return areRelaysDeclined(call, service, now) && needsSoundLinks(call)
+               && !service.links.isLossConfirmed();
     // A call that is not sent for want of a connection goes on to the next upstream.
     if (!isLastChance(call) || call.unsentAttempts > 0)
         return false;
@@ -230,11 +236,12 @@
 bool Dispatcher::Impl::rejectIfCutOff(ActiveCall &call, const ServiceState &service,
                                       base::TimePoint now)
 {
-    // The host that relayed a call knows others.
-    const bool hasOtherWay = call.info.isRelayed || !m_relayPeers.isEmpty();
-    const bool isLost =
-            service.links.isLossConfirmed() || (call.info.isRelayed && service.links.isLost());
-    if (!isLost || !hasOtherWay || !needsSoundLinks(call))
+    // The host that relayed a call knows others. What no other host reaches either is slow or down
+    // for all, and gets the calls as if there were no other host.
+    const bool isLost = call.info.isRelayed ? service.links.isLost()
+                                            : service.links.isLossConfirmed()
+                                                      && areRelaysDeclined(call, service, now);
+    if (!isLost || !needsSoundLinks(call))
         return false;
     rejectOrFail(call, FailureReason::Unreachable, now);
     return true;
@@ -249,8 +256,7 @@
 {
     const bool isLost = service.links.isLost();
     if ((!isLost && call.unsentAttempts < kUnsentBeforeRelay) || call.info.isRelayed
-        || now < service.relaysPausedUntil || call.triedRelays.size() >= kMaxRelays
-        || call.info.deadline - now < kMinRelayTime)
+        || areRelaysDeclined(call, service, now) || call.info.deadline - now < kMinRelayTime)
         return false;
     const auto isInside = [&](const base::DataCentreId &dataCentre) {
         return isAllowed(m_options.regions, call.info.allowedRegions, dataCentre);
