integration: 77 hosts of which most lose their links, as real processes

The gate that cuts processes off found the owner of each new connection by a pass over the descriptors of all processes. Now one pass finds those of all connections that were accepted meanwhile.

--- a/integration/UplinkCutTest.cpp
+++ b/integration/UplinkCutTest.cpp
@@ -292,6 +292,19 @@
     checkCallersAreServed(Uplinks::Silent, {0, 1, 2, 3}, {12, 0, 1, Millis(3'000)});
 }
 
+// Eighty processes, by hand.
+TEST_CASE("callers of most of 77 hosts whose links are lost are served as often as others",
+          "[.large]")
+{
+    const Uplinks uplinks = GENERATE(Uplinks::Silent, Uplinks::Reset);
+    CAPTURE(static_cast<int>(uplinks));
+    constexpr std::size_t kEntries = 77;
+    std::vector<std::size_t> cutHosts;
+    for (std::size_t n = 0; n < kEntries * 4 / 5; ++n)
+        cutHosts.push_back(n);
+    checkCallersAreServed(uplinks, cutHosts, {kEntries, 1, 1, Millis(3'000)});
+}
+
 TEST_CASE("a planned stop of a host that takes over calls cuts none of them off")
 {
     CutBed bed;
--- a/integration/platform/UplinkGate.cpp
+++ b/integration/platform/UplinkGate.cpp
@@ -55,16 +55,15 @@
     return static_cast<const inet_diag_msg *>(NLMSG_DATA(header))->idiag_inode;
 }
 
-bool ownsSocket(pid_t process, std::uint32_t inode)
+/// Targets of the links below /proc for the descriptors of a process.
+std::set<std::string> descriptorsOf(pid_t process)
 {
+    std::set<std::string> descriptors;
     std::error_code ec;
     const std::filesystem::path folder = "/proc/" + std::to_string(process) + "/fd";
-    for (const auto &it : std::filesystem::directory_iterator(folder, ec)) {
-        if (std::filesystem::read_symlink(it.path(), ec)
-            == "socket:[" + std::to_string(inode) + "]")
-            return true;
-    }
-    return false;
+    for (const auto &it : std::filesystem::directory_iterator(folder, ec))
+        descriptors.insert(std::filesystem::read_symlink(it.path(), ec).string());
+    return descriptors;
 }
 
 } // namespace
@@ -158,14 +157,27 @@
         return it == m_uplinks.end() ? Uplinks::Open : it->second;
     }
 
-    pid_t ownerOf(const tcp::socket &socket) const
+    /// Finds the owners of all connections that were accepted since the last time, in one pass
+    /// over the processes, and opens them.
+    void openAccepted()
     {
-        const std::uint32_t inode = peerInode(socket);
-        for (const pid_t process : m_processes) {
-            if (inode != 0 && ownsSocket(process, inode))
-                return process;
+        const auto accepted = std::exchange(m_accepted, {});
+        std::map<std::string, SessionPtr> unowned;
+        for (const auto &[session, gate] : accepted) {
+            if (const std::uint32_t inode = peerInode(session->near); inode != 0)
+                unowned["socket:[" + std::to_string(inode) + "]"] = session;
         }
-        return 0;
+        for (auto it = m_processes.begin(); it != m_processes.end() && !unowned.empty(); ++it) {
+            for (const std::string &descriptor : descriptorsOf(*it)) {
+                const auto session = unowned.find(descriptor);
+                if (session == unowned.end())
+                    continue;
+                session->second->process = *it;
+                unowned.erase(session);
+            }
+        }
+        for (const auto &[session, gate] : accepted)
+            boost::asio::post(m_io, [this, gate, session] { open(session, gate->target); });
     }
 
     void accept(const std::shared_ptr<Gate> &gate)
@@ -175,8 +187,9 @@
                     if (ec)
                         return;
                     const auto session = std::make_shared<Session>(m_io, std::move(socket));
-                    session->process = ownerOf(session->near);
-                    boost::asio::post(m_io, [this, gate, session] { open(session, gate->target); });
+                    if (m_accepted.empty())
+                        boost::asio::post(m_acceptIo, [this] { openAccepted(); });
+                    m_accepted.emplace_back(session, gate);
                     accept(gate);
                 });
     }
@@ -262,7 +275,9 @@
     std::vector<std::shared_ptr<Gate>> m_gates;
     std::set<SessionPtr> m_sessions;
     std::map<pid_t, Uplinks> m_uplinks;
-    std::set<pid_t> m_processes; ///< Used on the accepting thread.
+    // Used on the accepting thread.
+    std::set<pid_t> m_processes;
+    std::vector<std::pair<SessionPtr, std::shared_ptr<Gate>>> m_accepted;
     std::thread m_thread;
     std::thread m_acceptThread;
 };
