--- a/integration/platform-soak/Faults.cpp
+++ b/integration/platform-soak/Faults.cpp
@@ -280,9 +280,10 @@
     const auto exit =
             host.process->isRunning() ? std::nullopt : host.process->wait(base::Millis(0));
     if (!exit || exit->code != 0)
-        m_badStops.push_back(
-                host.name
-                + (exit ? " ended with " + std::to_string(exit->code) : " did not end in time"));
+        m_badStops.push_back(host.name
+                             + (exit ? " ended with code " + std::to_string(exit->code)
+                                                + ", signal " + std::to_string(exit->signal)
+                                     : " did not end in time"));
     it.until = now;
 }
 
