--- a/integration/platform/UplinkGate.cpp
+++ b/integration/platform/UplinkGate.cpp
@@ -177,7 +177,8 @@
             }
         }
         for (const auto &[session, gate] : accepted)
-            boost::asio::post(m_io, [this, gate, session] { open(session, gate->target); });
+            boost::asio::post(
+                    m_io, [this, gate = gate, session = session] { open(session, gate->target); });
     }
 
     void accept(const std::shared_ptr<Gate> &gate)
