review: Case 6: A prompt that holds a part twice ends the entry host

Claim: when content under which two upstreams crashed is answered, an entry host clears each suspect part of the call. A prompt that holds a shared part twice clears it twice, and the second time erases the end of the map of suspects. The process ends with a segmentation fault, and the calls of its other callers are closed without an answer (LOST). The answer was not reported, so the content stays suspect and the next host that serves the call ends too.

Evidence: review/6/run.sh on the platform's programs, with 14 replicas of which two crash.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,5 +1,5 @@
-// A front machine that has lost its links to the replicas passes a request on to another one that
-// has just woken up and still holds the manifest from before.
+// A request whose prompt holds one part twice is answered after two replicas crashed under it. The
+// front machine that served it ends, and with it the requests of its other consumers.
 
 #include "../kit2/Kit.h"
 
@@ -11,43 +11,43 @@
 namespace {
 
 constexpr auto kKey = "n2ctnfzs989anu6wsjnb";
-/// `ConfigDeadlineMs` of the settings.
-constexpr std::int64_t kConfigDeadlineMs = 2'000;
-/// How long the other front machine stands still: `node_freeze` of kyklos-notes has up to 4 s.
-constexpr Millis kFreeze{3'300};
-/// `RollbackSlackMs`.
-constexpr std::int64_t kRollbackSlackMs = 250;
-/// Fronts of kyklos-notes; one of them freezes and one is cut off.
-constexpr std::size_t kFronts = 6;
-constexpr int kJudgedRequests = 40;
+constexpr std::size_t kFronts = 6; ///< As kyklos-notes has.
+constexpr int kEngines = 14;
+constexpr int kAuxReplicas = 3;
+constexpr int kConsumers = 10; ///< On kept channels of the front machine.
+/// A replica crashes this long after it began to run the request.
+constexpr Millis kUntilCrash{250};
+constexpr std::size_t kAskedFronts = 3;
+constexpr Millis kAskedFor{9'000};
+/// LOST: "more than three times".
+constexpr int kMostClosed = 3;
 
-/// Version 2 moves the route to another service and the key to another tenant.
-std::string manifest(int version)
+std::string manifest()
 {
-    const std::string service = version == 1 ? "old-aux" : "new-aux";
-    const std::string key = std::string("\"") + kKey + "\"";
-    return "{\"Version\":" + std::to_string(version)
-           + ",\"Routes\":[{\"Name\":\"links\",\"Host\":\"notes.example\","
-             "\"PathPrefix\":\"/link/\",\"Kind\":\"non_idempotent\",\"TimeoutMs\":2000,"
-             "\"TargetLatencyMs\":300,\"Priority\":2,\"Service\":\""
-           + service
-           + "\",\"MaxAttempts\":1,\"NoAuth\":false}],\"Services\":["
-             "{\"Name\":\"old-aux\",\"HealthPath\":\"/health\",\"MaxConns\":96},"
-             "{\"Name\":\"new-aux\",\"HealthPath\":\"/health\",\"MaxConns\":96}],"
-             "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,"
-             "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
-             "\"Tenants\":[{\"Name\":\"desk-one\",\"ApiKeys\":["
-           + (version == 1 ? key : "") + "],\"Priority\":1},{\"Name\":\"desk-two\",\"ApiKeys\":["
-           + (version == 1 ? "" : key) + "],\"Priority\":1}]}";
+    return std::string("{\"Version\":1,\"Routes\":[")
+           + "{\"Name\":\"drafts\",\"Host\":\"notes.example\",\"PathPrefix\":\"/draft/\",\"Kind\":"
+             "\"streaming\",\"TimeoutMs\":10000,\"TargetLatencyMs\":300,\"Priority\":1,\"Service\":"
+             "\"notes-model\",\"MaxAttempts\":2,\"NoAuth\":false,\"Sticky\":true,\"Resumable\":"
+             "true,"
+             "\"GapTargetMs\":250},"
+             "{\"Name\":\"tags\",\"Host\":\"notes.example\",\"PathPrefix\":\"/tag/\",\"Kind\":"
+             "\"idempotent\",\"TimeoutMs\":2000,\"TargetLatencyMs\":300,\"Priority\":2,\"Service\":"
+             "\"publish-aux\",\"MaxAttempts\":2,\"NoAuth\":false}],\"Services\":["
+             "{\"Name\":\"notes-model\",\"HealthPath\":\"/health\",\"MaxConns\":354,\"Protocol\":"
+             "\"h1\",\"Tls\":false,\"Engine\":{\"Slots\":16,\"KvCapacityTokens\":315000,\"Stride\":"
+             "51,\"step_ms\":0.85,\"per_seq_ms\":0.00425,\"context_per_k\":0.00285,\"read_per_s\":"
+             "177000.0,\"pairs_per_m\":0.184,\"chunk\":2048,\"report_lag_ms\":200.0,\"usual\":{"
+             "\"prompt\":11108,\"answer\":1622},\"HopMs\":0.05}},"
+             "{\"Name\":\"publish-aux\",\"HealthPath\":\"/health\",\"MaxConns\":96}],"
+             "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":"
+             "3000,\"IdleTimeoutMs\":15000},\"Tenants\":[{\"Name\":\"desk\",\"ApiKeys\":[\""
+           + kKey + "\"],\"Priority\":1}]}";
 }
 
-/// What became of a consumer's request.
-struct Sent
-{
-    std::string id;
-    std::int64_t at = 0;
-    int status = 0;
-};
+/// The same shared part stands twice in the prompt, before the request's own part.
+constexpr auto kPromptFields =
+        "Model: m\r\nToken-Counts: 5000,1600\r\n"
+        "Prompt-Prefix: 5c1e07a2:40,91bd3f06:2000,91bd3f06:2000,e4402b7d:960\r\n";
 
 } // namespace
 
@@ -56,115 +56,133 @@
     ::signal(SIGPIPE, SIG_IGN);
     Record record(argc > 1 ? argv[1] : "record.txt");
     Deployment deployment(&record, kFronts);
-    const Machine &asked = deployment.fronts[0];
-    const Machine &frozen = deployment.fronts[1];
-    std::vector<std::unique_ptr<Replica>> replicas;
-    for (const std::string service : {"old-aux", "new-aux"}) {
-        for (int n = 0; n < 3; ++n) {
-            Replica::Options options;
-            options.id = "i-" + service + "-" + std::to_string(n);
-            options.service = service;
-            options.zone = n == 0 ? "hall-a" : n == 1 ? "hall-b" : "hall-c";
-            replicas.push_back(
-                    std::make_unique<Replica>(&record, options, deployment.controlAddresses()));
-        }
-    }
-    if (deployment.put(manifest(1), Millis(20'000)) < 0 || !deployment.awaitReady(Millis(20'000))) {
+    Machine &front = deployment.fronts[0];
+    const std::string zones[] = {"hall-a", "hall-b", "hall-c"};
+    std::vector<std::unique_ptr<Replica>> engines;
+    std::vector<std::unique_ptr<Replica>> auxReplicas;
+    const auto add = [&](std::vector<std::unique_ptr<Replica>> &to, const std::string &service,
+                         int n) {
+        Replica::Options options;
+        options.id = "i-" + service + "-" + std::to_string(n);
+        options.service = service;
+        options.zone = zones[n % 3];
+        options.work = Millis(300);
+        to.push_back(std::make_unique<Replica>(&record, options, deployment.controlAddresses()));
+    };
+    for (int n = 0; n < kEngines; ++n)
+        add(engines, "notes-model", n);
+    for (int n = 0; n < kAuxReplicas; ++n)
+        add(auxReplicas, "publish-aux", n);
+    if (deployment.put(manifest(), Millis(20'000)) < 0 || !deployment.awaitReady(Millis(20'000))) {
         record.line("the deployment did not become ready");
         return 2;
     }
     std::this_thread::sleep_for(Millis(4'000));
 
     std::atomic<int> lastId{0};
-    std::mutex mutex;
-    std::vector<Sent> sent;
-    const auto send = [&](const Machine &front, bool isJudged) {
-        Sent it{"r" + std::to_string(::getpid()) + "-" + std::to_string(++lastId), record.now(), 0};
-        record.line("sent request=" + it.id + " to=" + front.name);
-        const Reply reply = call(front.listen, "POST", "/link/check",
-                                 "Host: notes.example\r\nRequest-Id: " + it.id
-                                         + "\r\nDeadline-Ms: 4000\r\nApi-Key: " + kKey + "\r\n",
-                                 "link", Millis(4'000));
-        it.status = reply.status;
-        record.line("answer request=" + it.id + " status=" + std::to_string(it.status)
-                    + " body=" + reply.message.body);
-        const std::lock_guard guard(mutex);
-        if (isJudged)
-            sent.push_back(it);
-        return it;
+    const auto nextId = [&] {
+        return "r" + std::to_string(::getpid()) + "-" + std::to_string(++lastId);
+    };
+    const auto fieldsOf = [](const std::string &id, int deadlineMs) {
+        return "Host: notes.example\r\nRequest-Id: " + id
+               + "\r\nDeadline-Ms: " + std::to_string(deadlineMs) + "\r\nApi-Key: " + kKey + "\r\n";
     };
-    if (send(asked, false).status != 200 || send(frozen, false).status != 200) {
-        record.line("the first requests were not served");
-        return 2;
-    }
 
-    const auto froze = Clock::now();
-    if (hasTrouble())
-        deployment.signal(frozen, SIGSTOP);
-    const std::int64_t ackedAt = deployment.put(manifest(2), Millis(4'000));
-    if (ackedAt < 0) {
-        record.line("the manifest was not acknowledged");
-        return 2;
-    }
-    std::this_thread::sleep_for(Millis(300));
-    const std::string effectRequest = send(asked, false).id;
-    if (hasTrouble()) {
-        record.line("cut " + asked.name + " off from all replicas");
-        for (const auto &it : replicas)
-            it->cutFrom(asked.process);
-    }
+    // Consumers with plain requests on kept channels.
+    struct Lost
+    {
+        std::string id;
+        std::int64_t at = 0;
+    };
+    std::mutex mutex;
+    std::vector<Lost> lost;
+    std::atomic<bool> isOver{false};
     std::vector<std::thread> consumers;
-    // Requests that let the machine notice that its links are lost.
-    for (int n = 0; n < 8; ++n) {
-        consumers.emplace_back([&] { send(asked, false); });
-        std::this_thread::sleep_for(Millis(100));
+    for (int n = 0; n < kConsumers; ++n) {
+        consumers.emplace_back([&] {
+            while (!isOver) {
+                Channel channel(front.listen);
+                if (!channel.isOpen())
+                    std::this_thread::sleep_for(Millis(100));
+                while (!isOver && channel.isOpen()) {
+                    const std::string id = nextId();
+                    record.line("sent request=" + id + " to=" + front.name);
+                    const Reply reply =
+                            channel.call("GET", "/tag/v1", fieldsOf(id, 4'000), "", Millis(4'000));
+                    record.line("answer request=" + id + " status=" + std::to_string(reply.status));
+                    const std::lock_guard guard(mutex);
+                    if (reply.status == 0)
+                        lost.push_back({id, record.now()});
+                }
+            }
+        });
     }
-    while (record.now() < ackedAt + kConfigDeadlineMs + 200)
-        std::this_thread::sleep_for(Millis(10));
-    for (int n = 0; n < kJudgedRequests; ++n) {
-        consumers.emplace_back([&] { send(asked, true); });
-        std::this_thread::sleep_for(Millis(15));
+    std::this_thread::sleep_for(Millis(1'500));
+
+    /// Sends the draft to \a to; with \a crashes, as many replicas crash while they run it.
+    const auto draft = [&](const Machine &to, int crashes) {
+        const std::string id = nextId();
+        std::thread disruption([&] {
+            int done = 0;
+            eventually(Millis(6'000), [&] {
+                for (const auto &it : engines) {
+                    const std::vector<Run> runs = it->runs();
+                    const bool isNew = !runs.empty() && runs.back().request == id
+                                       && runs.back().at + kUntilCrash.count() <= record.now()
+                                       && !runs.back().isAnswered;
+                    if (done >= crashes || !isNew || it->isCrashed())
+                        continue;
+                    it->crash();
+                    ++done;
+                }
+                return done >= crashes;
+            });
+        });
+        record.line("sent request=" + id + " to=" + to.name + " (draft)");
+        const Reply reply = call(to.listen, "POST", "/draft/one",
+                                 fieldsOf(id, 10'000) + kPromptFields, "a draft", Millis(10'000));
+        record.line(
+                "answer request=" + id + " status=" + std::to_string(reply.status)
+                + " whole=" + std::to_string(reply.message.isWhole) + " events="
+                + std::to_string(
+                        std::count(reply.message.body.begin(), reply.message.body.end(), ':') / 2));
+        disruption.join();
+        return reply.status;
+    };
+    // Two replicas crash one after the other while they run the same request.
+    draft(front, hasTrouble() ? 2 : 0);
+    std::this_thread::sleep_for(Millis(400));
+    // It is asked for again, at one front machine after the other, and once more where it is
+    // refused as not run. No replica crashes any more.
+    int ended = 0;
+    for (std::size_t n = 0; n < kAskedFronts; ++n) {
+        Machine &it = deployment.fronts[n];
+        const Clock::time_point until = Clock::now() + kAskedFor;
+        while (Clock::now() < until && draft(it, 0) == 503)
+            std::this_thread::sleep_for(Millis(500));
+        const bool hasEnded =
+                eventually(Millis(500), [&] { return !deployment.ownEnd(it).empty(); });
+        ended += hasEnded ? 1 : 0;
     }
-    std::this_thread::sleep_until(froze + kFreeze);
-    if (hasTrouble())
-        deployment.signal(frozen, SIGCONT);
+    isOver = true;
     for (std::thread &it : consumers)
         it.join();
 
-    // The asked machine's own effect of version 2, before the judged requests.
-    std::int64_t effectAt = -1;
-    for (const auto &replica : replicas) {
-        for (const Run &run : replica->runs()) {
-            if (run.request == effectRequest && run.service == "new-aux")
-                effectAt = run.at;
-        }
-    }
-    if (effectAt < 0) {
-        record.line("the asked machine did not apply version 2");
-        return 2;
-    }
-    int broken = 0;
-    int served = 0;
-    for (const auto &replica : replicas) {
+    int closed = 0;
+    for (const auto &replica : auxReplicas) {
         for (const Run &run : replica->runs()) {
-            const auto it = std::find_if(sent.begin(), sent.end(),
-                                         [&run](const Sent &s) { return s.id == run.request; });
-            if (it == sent.end())
-                continue;
-            served += run.service == "new-aux" ? 1 : 0;
-            if (run.service != "old-aux" || it->at <= ackedAt + kConfigDeadlineMs
-                || it->at <= effectAt + kRollbackSlackMs)
+            const bool isLost = std::any_of(lost.begin(), lost.end(), [&run](const Lost &it) {
+                return it.id == run.request;
+            });
+            if (!isLost)
                 continue;
-            ++broken;
-            record.line("BROKEN request=" + run.request + " was sent to " + asked.name + " "
-                        + std::to_string(it->at - ackedAt) + " ms after the ack of version 2, "
-                        + std::to_string(it->at - effectAt)
-                        + " ms after a replica saw the effect of version 2 from that machine, and "
-                          "was run by old-aux for tenant "
-                        + run.tenant + "; its consumer got " + std::to_string(it->status));
+            ++closed;
+            record.line("BROKEN request=" + run.request + " was passed on to the sound replica "
+                        + replica->options().id
+                        + ", and its kept channel was closed without an answer");
         }
     }
-    record.line("judged=" + std::to_string(sent.size()) + " run_by_new=" + std::to_string(served)
-                + " run_by_old=" + std::to_string(broken));
-    return broken > 0 ? 1 : 0;
+    record.line("judged ended_by_themselves=" + std::to_string(ended)
+                + " closed=" + std::to_string(closed));
+    return closed > kMostClosed ? 1 : 0;
 }
--- a/review/kit2/Kit.cpp
+++ b/review/kit2/Kit.cpp
@@ -127,13 +127,6 @@
     return isFound;
 }
 
-void resetConnection(int fd)
-{
-    const linger noLinger{1, 0};
-    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &noLinger, sizeof noLinger);
-    ::shutdown(fd, SHUT_RDWR);
-}
-
 int listenAt(const Endpoint &endpoint)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -273,6 +266,39 @@
     return reply;
 }
 
+Channel::Channel(const Endpoint &to)
+    : m_fd(connectTo(to, Millis(1'000)))
+{ }
+
+Channel::~Channel()
+{
+    if (m_fd >= 0)
+        ::close(m_fd);
+}
+
+Reply Channel::call(const std::string &method, const std::string &target, const std::string &fields,
+                    const std::string &body, Millis limit)
+{
+    Reply reply;
+    if (!isOpen())
+        return reply;
+    std::string request = method + " " + target + " HTTP/1.1\r\n" + fields;
+    if (!body.empty() || method == "POST")
+        request += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    if (sendAll(m_fd, request + "\r\n" + body)) {
+        reply.message = readMessage(m_fd, Clock::now() + limit);
+        const auto space = reply.message.startLine.find(' ');
+        if (space != std::string::npos && reply.message.isWhole)
+            reply.status = std::atoi(reply.message.startLine.c_str() + space + 1);
+    }
+    const bool closes = lowerCase(reply.message.field("connection")) == "close";
+    if (reply.status == 0 || closes) {
+        ::close(m_fd);
+        m_fd = -1;
+    }
+    return reply;
+}
+
 std::string nextAddress()
 {
     static std::atomic<int> last{0};
@@ -312,13 +338,13 @@
     m_reportThread.join();
     {
         const std::lock_guard guard(m_mutex);
-        for (const auto &it : m_connections)
-            ::shutdown(it->fd, SHUT_RDWR);
+        for (const auto &it : m_connections) {
+            if (it->fd >= 0)
+                ::shutdown(it->fd, SHUT_RDWR);
+        }
     }
     for (std::thread &it : m_threads)
         it.join();
-    for (const auto &it : m_connections)
-        ::close(it->fd);
     ::close(m_listener);
 }
 
@@ -333,9 +359,8 @@
     m_cutFrom = process;
     const std::lock_guard guard(m_mutex);
     for (const auto &it : m_connections) {
-        if (process == 0 || it->owner != process)
-            continue;
-        resetConnection(it->fd);
+        if (it->fd >= 0 && process != 0 && ownsSocket(process, it->peer))
+            ::shutdown(it->fd, SHUT_RDWR);
     }
 }
 
@@ -357,32 +382,42 @@
 {
     const int fd = connection->fd;
     const pid_t cutFrom = m_cutFrom;
-    if (cutFrom != 0 && ownsSocket(cutFrom, peerInode(fd))) {
-        resetConnection(fd);
-        return;
-    }
+    const unsigned long inode = peerInode(fd);
+    if (cutFrom != 0 && ownsSocket(cutFrom, inode))
+        return closeConnection(*connection, true);
+    connection->peer = inode;
     while (!m_isStopping) {
         const Message request = readMessage(fd, Clock::now() + Millis(5'000));
-        if (!request.isWhole)
-            break;
-        if (!sendAll(fd, answer(request)))
+        if (!request.isWhole || !answer(fd, request))
             break;
     }
-    ::shutdown(fd, SHUT_RDWR);
+    closeConnection(*connection, m_isCrashed);
 }
 
-std::string Replica::answer(const Message &request)
+void Replica::closeConnection(Connection &connection, bool isReset)
 {
-    const auto respond = [](const std::string &status, const std::string &fields,
-                            const std::string &body) {
-        return "HTTP/1.1 " + status + "\r\n" + fields
-               + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const std::lock_guard guard(m_mutex);
+    const linger noLinger{1, 0};
+    if (isReset)
+        ::setsockopt(connection.fd, SOL_SOCKET, SO_LINGER, &noLinger, sizeof noLinger);
+    ::close(connection.fd);
+    connection.fd = -1;
+}
+
+bool Replica::answer(int fd, const Message &request)
+{
+    const auto respond = [fd](const std::string &status, const std::string &fields,
+                              const std::string &body) {
+        return sendAll(fd, "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: "
+                                   + std::to_string(body.size()) + "\r\n\r\n" + body);
     };
-    const std::string target = request.startLine.substr(request.startLine.find(' ') + 1,
-                                                        request.startLine.rfind(' ')
-                                                                - request.startLine.find(' ') - 1);
+    const auto begin = request.startLine.find(' ') + 1;
+    const std::string target =
+            request.startLine.substr(begin, request.startLine.rfind(' ') - begin);
     if (target == "/health")
         return respond("200 OK", "Instance-Id: " + m_options.id + "\r\n", "");
+    if (target == "/api/order")
+        return respond("200 OK", "Content-Type: application/json\r\n", "{\"FreeSlots\":1}");
     const std::string id = request.field("request-id");
     const std::string echo = "Request-Id: " + id + "\r\n";
     const std::string expected = request.field("expect-instance");
@@ -392,13 +427,61 @@
         return respond("421 Misdirected Request", echo + "Not-Executed: 1\r\n", "");
     {
         const std::lock_guard guard(m_mutex);
-        m_runs.push_back({id, m_options.service, request.field("tenant"), m_record->now()});
+        m_runs.push_back({id, m_options.service, request.field("tenant"), m_record->now(), false});
     }
     m_record->line("run request=" + id + " service=" + m_options.service
                    + " replica=" + m_options.id + " tenant=" + request.field("tenant"));
+    if (!request.field("token-counts").empty())
+        return stream(fd, request, echo);
     std::this_thread::sleep_for(m_options.work);
-    return respond("200 OK", echo + "Response-Seal: " + m_options.id + "\r\n",
-                   m_options.service + " " + id);
+    if (!respond("200 OK", echo + "Response-Seal: " + m_options.id + "\r\n",
+                 m_options.service + " " + id))
+        return false;
+    noteAnswered(id);
+    return true;
+}
+
+bool Replica::stream(int fd, const Message &request, const std::string &echo)
+{
+    std::this_thread::sleep_for(m_options.eventGap);
+    if (!sendAll(fd, "HTTP/1.1 200 OK\r\n" + echo + "Response-Seal: " + m_options.id
+                             + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+                               "chunked\r\n\r\n"))
+        return false;
+    const int first = std::atoi(request.field("last-event-id").c_str()) + 1;
+    for (int n = first; n <= m_options.events && !m_isCrashed; ++n) {
+        const std::string event =
+                "id: " + std::to_string(n) + "\ndata: " + std::to_string(n) + "\n\n";
+        char size[16];
+        std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+        if (!sendAll(fd, size + event + "\r\n"))
+            return false;
+        std::this_thread::sleep_for(m_options.eventGap);
+    }
+    if (m_isCrashed || !sendAll(fd, "0\r\n\r\n"))
+        return false;
+    noteAnswered(request.field("request-id"));
+    return true;
+}
+
+void Replica::noteAnswered(const std::string &request)
+{
+    const std::lock_guard guard(m_mutex);
+    for (Run &it : m_runs)
+        it.isAnswered = it.isAnswered || it.request == request;
+}
+
+void Replica::crash()
+{
+    m_isCrashed = true;
+    // Refuses connections from now on.
+    ::shutdown(m_listener, SHUT_RDWR);
+    m_record->line("crash replica=" + m_options.id);
+    const std::lock_guard guard(m_mutex);
+    for (const auto &it : m_connections) {
+        if (it->fd >= 0)
+            ::shutdown(it->fd, SHUT_RDWR);
+    }
 }
 
 void Replica::report()
@@ -406,7 +489,7 @@
     std::size_t control = 0;
     std::int64_t sequence = 0;
     Clock::time_point next = Clock::now() + m_options.firstHeartbeat;
-    while (!m_isStopping) {
+    while (!m_isStopping && !m_isCrashed) {
         if (Clock::now() < next) {
             std::this_thread::sleep_for(Millis(10));
             continue;
@@ -584,6 +667,19 @@
     m_record->line("signal machine=" + machine.name + " signal=" + ::strsignal(number));
 }
 
+std::string Deployment::ownEnd(Machine &machine)
+{
+    int status = 0;
+    if (machine.process <= 0 || ::waitpid(machine.process, &status, WNOHANG) != machine.process)
+        return {};
+    machine.process = 0;
+    const std::string end = WIFSIGNALED(status)
+                                    ? std::string("signal ") + ::strsignal(WTERMSIG(status))
+                                    : "exit code " + std::to_string(WEXITSTATUS(status));
+    m_record->line("ended by itself machine=" + machine.name + " " + end);
+    return end;
+}
+
 std::vector<Endpoint> Deployment::controlAddresses() const
 {
     std::vector<Endpoint> addresses;
--- a/review/kit2/Kit.h
+++ b/review/kit2/Kit.h
@@ -74,6 +74,24 @@
 Reply call(const Endpoint &to, const std::string &method, const std::string &target,
            const std::string &fields, const std::string &body, Millis limit);
 
+/// A consumer's kept channel, for one request after the other.
+class Channel
+{
+public:
+    explicit Channel(const Endpoint &to);
+    ~Channel();
+    Channel(const Channel &) = delete;
+    Channel &operator=(const Channel &) = delete;
+
+    bool isOpen() const { return m_fd >= 0; }
+    /// Status 0 means that the channel was closed, or that \a limit passed, without an answer.
+    Reply call(const std::string &method, const std::string &target, const std::string &fields,
+               const std::string &body, Millis limit);
+
+private:
+    int m_fd = -1;
+};
+
 /// A connection to \a to, or -1.
 int connectTo(const Endpoint &to, Millis limit);
 bool sendAll(int fd, const std::string &bytes);
@@ -89,6 +107,7 @@
     std::string service;
     std::string tenant;
     std::int64_t at = 0; ///< By the record's clock, when it began.
+    bool isAnswered = false; ///< The replica has sent its whole answer.
 };
 
 /// A replica: serves requests on threads of its own and reports to the control hosts.
@@ -101,6 +120,8 @@
         std::string service;
         std::string zone = "hall-a";
         Millis work{15}; ///< Of a request.
+        int events = 30; ///< Of a stream, for requests with Token-Counts.
+        Millis eventGap{40};
         Millis heartbeat{1'200};
         Millis firstHeartbeat{0};
     };
@@ -112,20 +133,28 @@
     const Options &options() const { return m_options; }
     Endpoint address() const { return m_listen; }
     std::vector<Run> runs() const;
-    /// From now on the path between the replica and this process is cut: what is open is reset,
-    /// new connections are reset too. 0 heals it.
+    /// From now on the path between the replica and this process is cut: what is open ends, new
+    /// connections are reset. 0 heals it.
     void cutFrom(pid_t process);
+    /// The replica crashes: its channels are reset, connections to it are refused, it reports no
+    /// more.
+    void crash();
+    bool isCrashed() const { return m_isCrashed; }
 
 private:
     struct Connection
     {
-        int fd = -1;
-        pid_t owner = 0;
+        int fd = -1; ///< -1 once it is closed.
+        std::atomic<unsigned long> peer{0}; ///< Inode of the socket at the other end.
     };
 
     void accept();
+    void closeConnection(Connection &connection, bool isReset);
     void serve(std::shared_ptr<Connection> connection);
-    std::string answer(const Message &request);
+    /// Answers a request; false when the connection has ended.
+    bool answer(int fd, const Message &request);
+    bool stream(int fd, const Message &request, const std::string &echo);
+    void noteAnswered(const std::string &request);
     void report();
 
     Record *m_record;
@@ -134,6 +163,7 @@
     Endpoint m_listen;
     int m_listener = -1;
     std::atomic<bool> m_isStopping{false};
+    std::atomic<bool> m_isCrashed{false};
     std::atomic<pid_t> m_cutFrom{0};
     mutable std::mutex m_mutex;
     std::vector<Run> m_runs;
@@ -175,6 +205,8 @@
     void signal(const Machine &machine, int number);
     std::vector<Endpoint> controlAddresses() const;
     bool isReady(const Machine &front) const;
+    /// How the process of a machine ended by itself; empty while it runs.
+    std::string ownEnd(Machine &machine);
     /// Sends a manifest until it is acknowledged; the time of the ack by the record's clock, or -1.
     std::int64_t put(const std::string &manifest, Millis limit);
     /// Waits until all fronts say that they are ready.
