--- a/review/kit2/Kit.cpp
+++ b/review/kit2/Kit.cpp
@@ -12,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -635,6 +636,8 @@
     std::ofstream(machine.settingsPath) << settingsOf(machine, isFirstStart);
     const pid_t child = ::fork();
     if (child == 0) {
+        // A case that is ended from outside leaves no process behind.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int log = ::open(machine.logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
