http1: The parser of requests and responses as a library of its own

The parser moves from libs/gateway unchanged, with header fields and their comparison, so that the HTTP client of libs/http can read responses with it too. gateway keeps its names for them.

--- a/libs/gateway/include/gateway/Gateway.h
+++ b/libs/gateway/include/gateway/Gateway.h
@@ -8,6 +8,7 @@
 
 #include "base/Base.h"
 #include "gateway/CallerAccount.h"
+#include "http1/Http1.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -21,19 +22,11 @@
 
 namespace hyssop::gateway {
 
-/// A header field.
-struct Field
-{
-    std::string name; ///< Keeps its case. Comparisons ignore case.
-    std::string value;
-};
-
-using Fields = std::vector<Field>;
+using http1::equalsIgnoreCase;
+using http1::Field;
+using http1::Fields;
+using http1::fieldValue;
 
-/// Returns the value of the first field called \a name, or nothing.
-std::optional<std::string_view> fieldValue(const Fields &fields, std::string_view name);
-/// Compares two field names or tokens, ignoring case.
-bool equalsIgnoreCase(std::string_view a, std::string_view b);
 /// Returns the fields to forward: all except hop-by-hop fields and those that frame the body.
 Fields endToEndFields(const Fields &fields);
 
--- a/libs/gateway/src/CallerConnection.cpp
+++ b/libs/gateway/src/CallerConnection.cpp
@@ -137,7 +137,7 @@
     if (m_state == State::Idle && !m_input.empty()) {
         if (unsentBytes() > kMaxUnsentBytes)
             return;
-        m_parser = std::make_unique<Parser<true>>();
+        m_parser = std::make_unique<http1::Parser<true>>();
         m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes));
         m_parser->body_limit(m_server->limits.maxBodyBytes);
         setState(State::ReadingHeaders, now);
@@ -147,7 +147,7 @@
     if (m_state != State::ReadingHeaders && m_state != State::ReadingBody)
         return;
     boost::beast::error_code ec;
-    if (!feed(*m_parser, m_input, ec)) {
+    if (!http1::feed(*m_parser, m_input, ec)) {
         if (ec == http::error::header_limit)
             return reject(431, "headers too long");
         if (ec == http::error::body_limit)
@@ -204,7 +204,7 @@
 void CallerConnection::reject(int status, std::string_view reason)
 {
     m_server->handler->onRejected(status, reason);
-    m_output += statusLine(status);
+    m_output += http1::statusLine(status);
     m_output += "Content-Length: 0\r\nConnection: close\r\n\r\n";
     m_parser.reset();
     m_head = {};
@@ -339,7 +339,7 @@
     m_bodyBytes = 0;
     m_bufferedBytes = 0;
     ++m_server->stats.abandoned;
-    m_output += statusLine(502);
+    m_output += http1::statusLine(502);
     m_output += "Content-Length: 0\r\nConnection: close\r\n\r\n";
     startClosing();
 }
--- a/libs/gateway/src/CallerConnection.h
+++ b/libs/gateway/src/CallerConnection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Parser.h"
+#include "gateway/Gateway.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -114,7 +114,7 @@
     base::Millis m_bodyTimeout{0}; ///< Of the request whose body is being read.
     base::TimePoint m_rateSince; ///< Start of the interval in which the rate is measured.
     std::size_t m_rateBytes = 0; ///< Received in it.
-    std::unique_ptr<Parser<true>> m_parser;
+    std::unique_ptr<http1::Parser<true>> m_parser;
     RequestHead m_head; ///< Of the request whose body is being read.
     std::shared_ptr<CallerResources> m_resources; ///< Null without limits.
     CallerEntry *m_accountEntry = nullptr; ///< In the resources, while the connection is open.
--- a/libs/gateway/src/Client.cpp
+++ b/libs/gateway/src/Client.cpp
@@ -90,13 +90,13 @@
 
 void UpstreamConnection::send()
 {
-    m_parser = std::make_unique<Parser<false>>();
+    m_parser = std::make_unique<http1::Parser<false>>();
     m_parser->skip(m_call.head.method == "HEAD");
     m_isHeadDelivered = false;
     m_isStrayResponse = false;
     m_undeliveredBytes = 0;
     m_requestHead = m_call.head.method + " " + m_call.head.target + " HTTP/1.1\r\n";
-    appendFields(m_requestHead, m_call.head.fields);
+    http1::appendFields(m_requestHead, m_call.head.fields);
     const std::size_t size = m_call.body ? m_call.body->size() : 0;
     if (size > 0 || (m_call.head.method != "GET" && m_call.head.method != "HEAD"))
         m_requestHead += "Content-Length: " + std::to_string(size) + "\r\n";
@@ -189,7 +189,7 @@
 {
     while (!m_isClosed && m_callId != CallId() && !m_input.empty()) {
         boost::beast::error_code ec;
-        if (!feed(*m_parser, m_input, ec))
+        if (!http1::feed(*m_parser, m_input, ec))
             return fail(CallFailure::InvalidResponse, ec.message());
         if (!m_parser->is_header_done())
             return;
@@ -224,7 +224,7 @@
         if (m_isStrayResponse || isInterim) {
             m_client->stats.strayResponses += m_isStrayResponse ? 1 : 0;
             m_isStrayResponse = false;
-            m_parser = std::make_unique<Parser<false>>();
+            m_parser = std::make_unique<http1::Parser<false>>();
             m_parser->skip(m_call.head.method == "HEAD");
             continue;
         }
--- a/libs/gateway/src/Exchange.cpp
+++ b/libs/gateway/src/Exchange.cpp
@@ -34,8 +34,8 @@
         return abandon("a second response");
     m_isEnded = true;
     connection->beginResponse();
-    std::string out = statusLine(status);
-    appendFields(out, fields);
+    std::string out = http1::statusLine(status);
+    http1::appendFields(out, fields);
     const bool hasBody = status != 204 && status != 304;
     if (hasBody)
         out += fmt::format("Content-Length: {}\r\n", body.size());
@@ -55,8 +55,8 @@
         return;
     m_isStarted = true;
     connection->beginResponse();
-    std::string out = statusLine(status);
-    appendFields(out, fields);
+    std::string out = http1::statusLine(status);
+    http1::appendFields(out, fields);
     if (connection->acceptsChunks())
         out += "Transfer-Encoding: chunked\r\n";
     if (connection->hasCloseHeader())
--- a/libs/gateway/src/Fields.cpp
+++ b/libs/gateway/src/Fields.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <strings.h>
 
 namespace hyssop::gateway {
 
@@ -32,20 +31,6 @@
 
 } // namespace
 
-bool equalsIgnoreCase(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
-std::optional<std::string_view> fieldValue(const Fields &fields, std::string_view name)
-{
-    for (const Field &field : fields) {
-        if (equalsIgnoreCase(field.name, name))
-            return field.value;
-    }
-    return std::nullopt;
-}
-
 Fields endToEndFields(const Fields &fields)
 {
     Fields result;
--- a/libs/gateway/src/UpstreamConnection.h
+++ b/libs/gateway/src/UpstreamConnection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Parser.h"
+#include "gateway/Gateway.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -73,7 +73,7 @@
     std::string m_requestHead;
     std::string m_input;
     std::array<char, 8192> m_readBuffer{};
-    std::unique_ptr<Parser<false>> m_parser;
+    std::unique_ptr<http1::Parser<false>> m_parser;
     bool m_isClosed = false;
     bool m_isReading = false;
     bool m_isPaused = false;
--- a/libs/gateway/src/Parser.h
+++ b/libs/http1/include/http1/Http1.h
@@ -1,12 +1,31 @@
+/// Syntax of HTTP/1.1 messages, for the servers and clients of this project.
+///
+/// Everything works on bytes in memory. Nothing here is thread-safe.
 #pragma once
 
-#include "gateway/Gateway.h"
-
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <limits>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hyssop::http1 {
+
+/// A header field.
+struct Field
+{
+    std::string name; ///< Keeps its case. Comparisons ignore case.
+    std::string value;
+};
+
+using Fields = std::vector<Field>;
 
-namespace hyssop::gateway {
+/// Returns the value of the first field called \a name, or nothing.
+std::optional<std::string_view> fieldValue(const Fields &fields, std::string_view name);
+/// Compares two field names or tokens, ignoring case.
+bool equalsIgnoreCase(std::string_view a, std::string_view b);
 
 /// Incremental parser of one HTTP request or response.
 ///
@@ -104,4 +123,4 @@
 /// Appends header fields to \a out, without the empty line that ends them.
 void appendFields(std::string &out, const Fields &fields);
 
-} // namespace hyssop::gateway
+} // namespace hyssop::http1
