http1: Statuses that are none make a response invalid

A replica in trouble sent an answer whose status was 000. Before this change a call to it waited for its time limit if the answer had a length: each status below 200 counted as an interim response, after which the final one was awaited. Statuses 600 to 999 were passed on to the caller. An unasked 101 was waited on like 000.

Cause: the parser takes any three digits for a status, and the client only compared it with 200.

The parser now rejects a status outside of 100 to 599 (RFC 9110, section 15), and 101, since no request here asks to switch protocols. Each reader that uses it fails the call as for other bytes that are no response: 502 at once, or another upstream where the call may be repeated.

--- a/libs/gateway/tests/BrokenResponseTest.cpp
+++ b/libs/gateway/tests/BrokenResponseTest.cpp
@@ -175,3 +175,19 @@
     CHECK(countComplete(response, Ending::HalfClose, 10)
           == 10 * static_cast<int>(kEndingDelays.size()));
 }
+
+TEST_CASE("a status that is none fails the call at once instead of at its time limit")
+{
+    for (const char *status : {"000", "099", "101", "600", "999"}) {
+        for (const char *length : {"Content-Length: 4\r\n", ""}) {
+            CAPTURE(status, length);
+            const Recorder recorder =
+                    upload({std::string("HTTP/1.1 ") + status + " OK\r\nRequest-Id: 1\r\n" + length
+                                    + "\r\nbody",
+                            Ending::HalfClose});
+            CHECK_FALSE(recorder.hasHead);
+            REQUIRE(recorder.error);
+            CHECK(recorder.error->failure == CallFailure::InvalidResponse);
+        }
+    }
+}
--- a/libs/http1/include/http1/Http1.h
+++ b/libs/http1/include/http1/Http1.h
@@ -29,8 +29,8 @@
 
 /// Incremental parser of one HTTP request or response.
 ///
-/// Beast validates syntax and framing, including conflicting lengths. This class collects the
-/// parsed parts.
+/// Beast validates syntax and framing, including conflicting lengths. This class also rejects
+/// statuses that are none, and collects the parsed parts.
 template <bool IsRequest>
 class Parser final : public boost::beast::http::basic_parser<IsRequest>
 {
@@ -55,6 +55,10 @@
     std::optional<std::uint64_t> length;
 
 private:
+    /// Bounds of status codes (RFC 9110, 15).
+    static constexpr int kMinStatus = 100;
+    static constexpr int kMaxStatus = 599;
+    static constexpr int kSwitchingProtocols = 101;
     /// Smaller bodies arrive in a few parts.
     static constexpr std::uint64_t kMinReservedBytes = std::uint64_t(64) << 10;
 
@@ -65,7 +69,13 @@
         method = std::string(name);
         target = std::string(text);
     }
-    void on_response_impl(int code, string_view, int, error_code &) override { status = code; }
+    void on_response_impl(int code, string_view, int, error_code &ec) override
+    {
+        status = code;
+        // Beast accepts any three digits. Requests here never ask to switch protocols.
+        if (code < kMinStatus || code > kMaxStatus || code == kSwitchingProtocols)
+            ec = boost::beast::http::error::bad_status;
+    }
     void on_field_impl(boost::beast::http::field, string_view name, string_view value,
                        error_code &) override
     {
--- a/libs/http1/tests/ParserTest.cpp
+++ b/libs/http1/tests/ParserTest.cpp
@@ -89,3 +89,19 @@
     for (const char *status : {"20", "2000", "2 0", "abc", "-20", ""})
         checkIsInvalid(std::string("HTTP/1.1 ") + status + " OK\r\nContent-Length: 3\r\n\r\nabc");
 }
+
+TEST_CASE("a response whose status is outside of 100 to 599 is invalid")
+{
+    for (const char *status : {"000", "001", "099", "600", "999"}) {
+        checkIsInvalid(std::string("HTTP/1.1 ") + status + " OK\r\nContent-Length: 3\r\n\r\nabc");
+        checkIsInvalid(std::string("HTTP/1.1 ") + status + " OK\r\n\r\nabc");
+    }
+    for (const int status : {100, 103, 200, 599})
+        CHECK(parse("HTTP/1.1 " + std::to_string(status) + " OK\r\n\r\n", false).isValid);
+}
+
+// Requests here never ask for an upgrade.
+TEST_CASE("a response that switches protocols is invalid")
+{
+    checkIsInvalid("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n");
+}
