http: The client reads responses with the parser of http1

The product's own interface passed on answers of upstreams that are none: with a blank, a tab or a control byte in the name of a field or a blank before its colon, with a status that is none, framed in two ways, cut between two chunks, and interim ones as the final answer. An answer to an upload that was complete before the upload kept the loop of the process busy for ever; not even the call's timer ended it.

Cause: responses were read by the client of libwebsockets. It looks for the fields that it knows and skips what it can't read, takes any number for a status, and does not tell how a message or a connection ended. None of this can be set.

The calls of a loop now have sockets of their own behind one epoll descriptor, which libwebsockets polls as a file, and the parser of http1 reads what arrives. Bytes that are no response fail the call as "invalid_response"; the request may have run. A server may respond early; a response with a length ends there. The bound on open connections holds for both ways together, as before. Redirects are no longer followed to other hosts, which a proxy should not do for its callers; nothing here relied on it.

A response without a length that is reset is not mended here.

--- a/libs/http/include/http/Http.h
+++ b/libs/http/include/http/Http.h
@@ -101,7 +101,13 @@
     MayHaveArrived, ///< Some bytes left.
 };
 
-enum class CallFailure { ConnectFailed, ConnectTimeout, Timeout, ClosedEarly };
+enum class CallFailure {
+    ConnectFailed,
+    ConnectTimeout,
+    Timeout,
+    ClosedEarly, ///< The connection ended or failed before the response was complete.
+    InvalidResponse, ///< The received bytes are not a valid HTTP/1.1 response.
+};
 
 std::string_view callFailureName(CallFailure failure);
 
--- a/libs/http/src/ClientSide.cpp
+++ b/libs/http/src/ClientSide.cpp
@@ -1,236 +1,273 @@
 #include "LoopContext.h"
 
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <span>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace hyssop::http {
 
 namespace {
 
-PendingCall *callOf(lws *wsi)
-{
-    const auto id = reinterpret_cast<std::intptr_t>(lws_get_opaque_user_data(wsi));
-    PendingCall *call = contextOf(wsi).call(CallId(id));
-    if (call)
-        call->wsi = wsi;
-    return call;
-}
+/// Events handled before the loop sees to its other work.
+constexpr int kMaxPollEvents = 64;
+/// Limit on bytes in succession that add nothing to a response: interim responses, chunk extensions
+/// and trailer fields.
+constexpr std::size_t kMaxUndeliveredBytes = std::size_t(1) << 20;
 
 bool mayStillSend(const PendingCall &pending)
 {
     return !pending.call.sendBefore || base::monotonicNow() < *pending.call.sendBefore;
 }
 
-/// The call's own timers bound it; the library's would cut an answer off that comes late.
-void liftLibraryTimeout(Loop::Context &context, CallId id)
+std::string renderRequest(const Call &call)
 {
-    // The library sets its timeout after the callback, so it is lifted on the loop's next turn.
-    context.startTimer(base::Millis(0), [&context, id] {
-        const PendingCall *pending = context.call(id);
-        if (pending && pending->wsi)
-            lws_set_timeout(pending->wsi, NO_PENDING_TIMEOUT, 0);
-    });
-}
-
-bool appendHeaders(lws *wsi, PendingCall &pending, unsigned char **p, unsigned char *end)
-{
-    const auto add = [&](const std::string &name, const std::string &value) {
-        const std::string withColon = name + ":";
-        return lws_add_http_header_by_name(
-                       wsi, reinterpret_cast<const unsigned char *>(withColon.c_str()),
-                       reinterpret_cast<const unsigned char *>(value.data()),
-                       static_cast<int>(value.size()), p, end)
-               == 0;
-    };
-    for (const Header &header : pending.call.headers) {
-        if (!add(header.name, header.value))
-            return false;
-    }
-    const bool hasBody = pending.call.method == Method::Post || pending.call.method == Method::Put;
-    if (!hasBody) {
-        liftLibraryTimeout(contextOf(wsi), pending.id);
-        return true;
-    }
-    if (!add("content-length", std::to_string(pending.call.body.size())))
-        return false;
-    if (!pending.call.body.empty()) {
-        lws_client_http_body_pending(wsi, 1);
-        lws_callback_on_writable(wsi);
-    }
-    return true;
+    std::string text(methodName(call.method));
+    text += " " + call.path + " HTTP/1.1\r\nhost: " + call.to.address + "\r\nconnection: close\r\n";
+    for (const Header &header : call.headers)
+        text += header.name + ": " + header.value + "\r\n";
+    if (call.method == Method::Post || call.method == Method::Put)
+        text += "content-length: " + std::to_string(call.body.size()) + "\r\n";
+    return text + "\r\n" + call.body;
 }
 
-int writeBody(lws *wsi, PendingCall &pending)
+/// Adds the socket of a call to the poller, or adapts what is polled for to its stage.
+void updatePolling(const Loop::Context &context, const PendingCall &pending, int operation)
 {
-    const std::string &body = pending.call.body;
-    if (pending.bodySent >= body.size())
-        return 0;
-    const std::size_t n = std::min(body.size() - pending.bodySent, kWriteChunkBytes);
-    std::string buf(LWS_PRE, '\0');
-    buf.append(body, pending.bodySent, n);
-    pending.bodySent += n;
-    const bool isLast = pending.bodySent == body.size();
-    if (isLast) {
-        lws_client_http_body_pending(wsi, 0);
-        liftLibraryTimeout(contextOf(wsi), pending.id);
-    } else {
-        lws_callback_on_writable(wsi);
-    }
-    return lws_write(wsi, reinterpret_cast<unsigned char *>(buf.data()) + LWS_PRE, n,
-                     isLast ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
-                           < 0
-                   ? -1
-                   : 0;
+    epoll_event event{};
+    event.data.u64 = static_cast<std::uint64_t>(pending.id.count());
+    if (pending.stage == CallStage::Writing || pending.stage == CallStage::Written)
+        event.events |= EPOLLIN;
+    if (pending.stage != CallStage::Written)
+        event.events |= EPOLLOUT;
+    ::epoll_ctl(context.callPoller, operation, pending.socket.fd(), &event);
 }
 
-void readHead(lws *wsi, PendingCall &pending)
+void setStage(const Loop::Context &context, PendingCall &pending, CallStage stage)
 {
-    Headers headers;
-    const std::string length = headerText(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-    if (!length.empty())
-        pending.expectedBytes = std::strtoull(length.c_str(), nullptr, 10);
-    pending.isChunked = !headerText(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING).empty();
-    const std::string type = headerText(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE);
-    if (!type.empty())
-        headers.push_back({"content-type", type});
-    const std::string retryAfter = headerText(wsi, WSI_TOKEN_HTTP_RETRY_AFTER);
-    if (!retryAfter.empty())
-        headers.push_back({"retry-after", retryAfter});
-    for (const std::string &name : pending.call.responseHeaders) {
-        const std::string key = name + ":";
-        const std::string text = customHeader(wsi, key);
-        if (text.empty())
-            continue;
-        headers.push_back({name, text});
-    }
-    pending.hasHead = true;
-    Loop::Context &context = contextOf(wsi);
-    context.stopTimer(pending.connectTimer);
-    lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
-    pending.handler->onHead(pending.id, static_cast<int>(lws_http_client_http_response(wsi)),
-                            headers);
+    pending.stage = stage;
+    updatePolling(context, pending, EPOLL_CTL_MOD);
 }
 
-void finishCall(Loop::Context &context, CallId id)
+/// Takes a call out of the context, which ends its connection and its timers.
+std::unique_ptr<PendingCall> takeCall(Loop::Context &context, CallId id)
 {
     const auto it = context.calls.find(id.count());
     if (it == context.calls.end())
-        return;
-    const std::unique_ptr<PendingCall> owned = std::move(it->second);
+        return nullptr;
+    std::unique_ptr<PendingCall> owned = std::move(it->second);
     context.calls.erase(it);
     context.stopTimer(owned->connectTimer);
     context.stopTimer(owned->timer);
-    owned->handler->onDone(id);
+    return owned;
 }
 
-/// Whether the bytes so far are all that the framing of the answer asks for.
-bool isWhole(const PendingCall &pending)
+void finishCall(Loop::Context &context, CallId id)
 {
-    if (!pending.hasHead)
-        return false;
-    if (pending.isComplete)
-        return true;
-    if (pending.expectedBytes)
-        return pending.receivedBytes >= *pending.expectedBytes;
-    return !pending.isChunked;
+    if (const auto owned = takeCall(context, id))
+        owned->handler->onDone(id);
 }
 
-void closed(lws *wsi, PendingCall &pending)
+/// Ends a call with an error, once; \a context forgets it.
+void failCall(Loop::Context &context, CallId id, CallFailure failure)
 {
-    if (isWhole(pending))
-        finishCall(contextOf(wsi), pending.id);
+    const auto owned = takeCall(context, id);
+    if (!owned)
+        return;
+    CallError error;
+    error.failure = failure;
+    error.sent = owned->hasSent ? SendState::MayHaveArrived : SendState::NothingSent;
+    owned->handler->onFailed(id, error);
+}
+
+/// Completes a response that is framed by the end of its connection.
+void completeAtEndOfFile(Loop::Context &context, PendingCall &pending)
+{
+    boost::beast::error_code ec;
+    pending.parser->put_eof(ec);
+    if (ec)
+        failCall(context, pending.id, CallFailure::ClosedEarly);
     else
-        failCall(contextOf(wsi), pending.id, CallFailure::ClosedEarly);
+        finishCall(context, pending.id);
 }
 
-int pullData(lws *wsi)
+/// Writes as much of the request as the socket takes.
+void writeRequest(Loop::Context &context, PendingCall &pending)
 {
-    std::string buf(LWS_PRE + kWriteChunkBytes, '\0');
-    char *p = buf.data() + LWS_PRE;
-    int n = static_cast<int>(kWriteChunkBytes);
-    return lws_http_client_read(wsi, &p, &n) < 0 ? -1 : 0;
+    if (!mayStillSend(pending))
+        return failCall(context, pending.id,
+                        pending.hasSent ? CallFailure::ClosedEarly : CallFailure::ConnectFailed);
+    pending.hasSent = true;
+    const ssize_t n = ::send(pending.socket.fd(), pending.request.data() + pending.sentBytes,
+                             pending.request.size() - pending.sentBytes, MSG_NOSIGNAL);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+    pending.sentBytes += static_cast<std::size_t>(std::max<ssize_t>(n, 0));
+    // What the server sent before may still be read, and may be complete.
+    if (n >= 0 && pending.sentBytes < pending.request.size())
+        return;
+    if (pending.stage == CallStage::WritingAfterResponse)
+        completeAtEndOfFile(context, pending);
+    else
+        setStage(context, pending, CallStage::Written);
 }
 
-} // namespace
+void deliverHead(PendingCall &pending)
+{
+    const http1::Fields &fields = pending.parser->fields;
+    Headers headers;
+    const auto add = [&](const std::string &name) {
+        const auto value = http1::fieldValue(fields, name);
+        if (value && !value->empty())
+            headers.push_back({name, std::string(*value)});
+    };
+    add("content-type");
+    add("retry-after");
+    for (const std::string &name : pending.call.responseHeaders)
+        add(name);
+    pending.hasHead = true;
+    pending.handler->onHead(pending.id, pending.parser->status, headers);
+}
 
-void failCall(Loop::Context &context, CallId id, CallFailure failure)
+/// Parses what has arrived and passes it on. The handler may end any call meanwhile, also this one.
+void parseResponse(Loop::Context &context, CallId id)
 {
-    const auto it = context.calls.find(id.count());
-    if (it == context.calls.end())
+    for (PendingCall *pending = context.call(id); pending && !pending->input.empty();
+         pending = context.call(id)) {
+        boost::beast::error_code ec;
+        if (!http1::feed(*pending->parser, pending->input, ec))
+            return failCall(context, id, CallFailure::InvalidResponse);
+        if (!pending->parser->is_header_done())
+            return;
+        const bool isInterim = pending->parser->status < 200;
+        if (!pending->hasHead && !isInterim) {
+            pending->undeliveredBytes = 0;
+            deliverHead(*pending);
+            pending = context.call(id);
+            if (!pending)
+                return;
+        }
+        const std::string body = std::exchange(pending->parser->body, {});
+        if (!body.empty()) {
+            pending->undeliveredBytes = 0;
+            pending->handler->onData(id, body);
+            pending = context.call(id);
+        }
+        if (!pending || !pending->parser->is_done())
+            return;
+        if (!isInterim)
+            return finishCall(context, id);
+        pending->parser = std::make_unique<http1::Parser<false>>();
+    }
+}
+
+void endOfFile(Loop::Context &context, PendingCall &pending)
+{
+    if (!pending.hasHead || !pending.parser->need_eof())
+        return failCall(context, pending.id, CallFailure::ClosedEarly);
+    if (pending.stage == CallStage::Writing)
+        return setStage(context, pending, CallStage::WritingAfterResponse);
+    completeAtEndOfFile(context, pending);
+}
+
+void readResponse(Loop::Context &context, PendingCall &pending)
+{
+    const CallId id = pending.id;
+    std::array<char, kReadChunkBytes> buf{};
+    const ssize_t n = ::recv(pending.socket.fd(), buf.data(), buf.size(), 0);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
-    const std::unique_ptr<PendingCall> owned = std::move(it->second);
-    context.calls.erase(it);
-    context.stopTimer(owned->connectTimer);
-    context.stopTimer(owned->timer);
-    if (owned->wsi)
-        lws_set_timeout(owned->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-    CallError error;
-    error.failure = failure;
-    error.sent = owned->hasSent ? SendState::MayHaveArrived : SendState::NothingSent;
-    owned->handler->onFailed(id, error);
+    if (n <= 0)
+        return endOfFile(context, pending);
+    pending.input.append(buf.data(), static_cast<std::size_t>(n));
+    pending.undeliveredBytes += static_cast<std::size_t>(n);
+    parseResponse(context, id);
+    const PendingCall *current = context.call(id);
+    if (current && current->undeliveredBytes > kMaxUndeliveredBytes)
+        failCall(context, id, CallFailure::InvalidResponse);
 }
 
-/// Handles what happens on the connection of an open call; -1 closes the connection.
-int callProgressed(lws *wsi, PendingCall &pending, lws_callback_reasons reason, void *in,
-                   std::size_t len)
+/// Continues a call whose connection has been made or has failed to be.
+void connected(Loop::Context &context, PendingCall &pending)
 {
-    switch (reason) {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
-        if (!mayStillSend(pending))
-            return -1;
-        pending.hasSent = true;
-        auto **p = static_cast<unsigned char **>(in);
-        return appendHeaders(wsi, pending, p, *p + len) ? 0 : -1;
-    }
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        return mayStillSend(pending) ? writeBody(wsi, pending) : -1;
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-        readHead(wsi, pending);
-        return 0;
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        return pullData(wsi);
-    default: // LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ
-        pending.receivedBytes += len;
-        pending.handler->onData(pending.id, std::string_view(static_cast<const char *>(in), len));
-        return 0;
-    }
+    int error = 0;
+    socklen_t size = sizeof(error);
+    if (::getsockopt(pending.socket.fd(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0)
+        return failCall(context, pending.id, CallFailure::ConnectFailed);
+    context.stopTimer(pending.connectTimer);
+    setStage(context, pending, CallStage::Writing);
+    writeRequest(context, pending);
 }
 
-/// Handles the end of an open call's connection.
-void callEnded(lws *wsi, PendingCall &pending, lws_callback_reasons reason)
+/// Handles the epoll events of a call's socket.
+void socketReady(Loop::Context &context, CallId id, std::uint32_t events)
 {
-    pending.wsi = nullptr;
-    if (reason == LWS_CALLBACK_COMPLETED_CLIENT_HTTP) {
-        pending.isComplete = true;
-        finishCall(contextOf(wsi), pending.id);
-    } else if (reason == LWS_CALLBACK_CLIENT_CONNECTION_ERROR) {
-        failCall(contextOf(wsi), pending.id,
-                 pending.hasSent ? CallFailure::ClosedEarly : CallFailure::ConnectFailed);
-    } else {
-        closed(wsi, pending);
+    PendingCall *pending = context.call(id);
+    if (!pending)
+        return;
+    if (pending->stage == CallStage::Connecting)
+        return connected(context, *pending);
+    const bool hasFailed = (events & (EPOLLERR | EPOLLHUP)) != 0;
+    const bool isWriting = pending->stage != CallStage::Written;
+    if (isWriting && (hasFailed || (events & EPOLLOUT) != 0)) {
+        writeRequest(context, *pending);
+        pending = context.call(id);
     }
+    const bool isReading = pending && pending->stage != CallStage::WritingAfterResponse;
+    if (isReading && (hasFailed || (events & EPOLLIN) != 0))
+        readResponse(context, *pending);
+}
+
+void startCall(Loop::Context &context, CallId id)
+{
+    PendingCall *pending = context.call(id);
+    if (!pending)
+        return;
+    pending->request = renderRequest(pending->call);
+    std::string().swap(pending->call.body);
+    if (context.openConnections() > context.maxOpen || !pending->socket.connect(pending->call.to))
+        return failCall(context, id, CallFailure::ConnectFailed);
+    updatePolling(context, *pending, EPOLL_CTL_ADD);
+}
+
+} // namespace
+
+ClientSocket::~ClientSocket()
+{
+    if (m_fd >= 0)
+        ::close(m_fd);
+}
+
+bool ClientSocket::connect(const base::Endpoint &to)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    if (::inet_pton(AF_INET, to.address.c_str(), &address.sin_addr) != 1)
+        return false;
+    m_fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (m_fd < 0)
+        return false;
+    const int on = 1;
+    ::setsockopt(m_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    return ::connect(m_fd, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0
+           || errno == EINPROGRESS;
 }
 
 int clientCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, std::size_t len)
 {
-    if (reason == LWS_CALLBACK_EVENT_WAIT_CANCELLED || !wsi)
-        return 0;
-    switch (reason) {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ: {
-        PendingCall *pending = callOf(wsi);
-        return pending ? callProgressed(wsi, *pending, reason, in, len) : -1;
-    }
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-    case LWS_CALLBACK_WSI_DESTROY:
-        if (PendingCall *pending = callOf(wsi))
-            callEnded(wsi, *pending, reason);
-        return reason == LWS_CALLBACK_COMPLETED_CLIENT_HTTP ? -1 : 0;
-    default:
-        return lws_callback_http_dummy(wsi, reason, user, in, len);
-    }
+    if (reason != LWS_CALLBACK_RAW_RX_FILE)
+        return wsi ? lws_callback_http_dummy(wsi, reason, user, in, len) : 0;
+    Loop::Context &context = contextOf(wsi);
+    std::array<epoll_event, kMaxPollEvents> events{};
+    const int n = ::epoll_wait(context.callPoller, events.data(), kMaxPollEvents, 0);
+    for (const epoll_event &it : std::span(events).first(std::max(n, 0)))
+        socketReady(context, CallId(static_cast<std::int64_t>(it.data.u64)), it.events);
+    return 0;
 }
 
 CallId Loop::call(Call call, CallHandler *handler)
@@ -241,6 +278,7 @@
     pending.id = CallId(++context.lastId);
     pending.call = std::move(call);
     pending.handler = handler;
+    pending.parser = std::make_unique<http1::Parser<false>>();
     const CallId id = pending.id;
     context.calls.emplace(id.count(), std::move(owned));
     pending.connectTimer = context.startTimer(pending.call.connectTimeout, [&context, id] {
@@ -251,41 +289,13 @@
     pending.timer = context.startTimer(
             pending.call.timeout, [&context, id] { failCall(context, id, CallFailure::Timeout); });
     // Started from the loop so that no handler is called before this function returns.
-    context.startTimer(base::Millis(0), [&context, id] {
-        PendingCall *started = context.call(id);
-        if (!started)
-            return;
-        lws_client_connect_info info{};
-        info.context = context.lwsContext;
-        info.vhost = context.clientVhost;
-        info.address = started->call.to.address.c_str();
-        info.port = started->call.to.port;
-        info.path = started->call.path.c_str();
-        info.host = info.address;
-        const std::string method(methodName(started->call.method));
-        info.method = method.c_str();
-        info.local_protocol_name = "hyssop-client";
-        info.opaque_user_data = reinterpret_cast<void *>(static_cast<std::intptr_t>(id.count()));
-        if (!lws_client_connect_via_info(&info)) {
-            if (PendingCall *failed = context.call(id))
-                failed->wsi = nullptr;
-            failCall(context, id, CallFailure::ConnectFailed);
-        }
-    });
+    context.startTimer(base::Millis(0), [&context, id] { startCall(context, id); });
     return id;
 }
 
 void Loop::cancel(CallId id)
 {
-    const auto it = m_context->calls.find(id.count());
-    if (it == m_context->calls.end())
-        return;
-    const std::unique_ptr<PendingCall> owned = std::move(it->second);
-    m_context->calls.erase(it);
-    m_context->stopTimer(owned->connectTimer);
-    m_context->stopTimer(owned->timer);
-    if (owned->wsi)
-        lws_set_timeout(owned->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    takeCall(*m_context, id);
 }
 
 } // namespace hyssop::http
--- a/libs/http/src/Loop.cpp
+++ b/libs/http/src/Loop.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 #include <csignal>
+#include <sys/epoll.h>
+#include <unistd.h>
 
 namespace hyssop::http {
 
@@ -20,6 +22,9 @@
         {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 }};
 
+/// Of the event loop itself: its wake-up and the poller of the calls.
+constexpr std::size_t kOwnDescriptors = 2;
+
 void logLine(int, const char *line)
 {
     std::string_view text(line);
@@ -51,7 +56,8 @@
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
     info.user = context.get();
-    info.fd_limit_per_thread = static_cast<unsigned>(maxOpen);
+    info.fd_limit_per_thread = static_cast<unsigned>(maxOpen + kOwnDescriptors);
+    context->maxOpen = maxOpen;
     info.max_http_header_data = kMaxHeaderBytes;
     info.max_http_header_pool2 = static_cast<unsigned>(maxOpen);
     context->lwsContext = lws_create_context(&info);
@@ -59,8 +65,13 @@
         return tl::unexpected(LoopError{"the event loop could not be created"});
     info.vhost_name = kClientProtocol;
     info.protocols = kClientProtocols.data();
-    context->clientVhost = lws_create_vhost(context->lwsContext, &info);
-    if (!context->clientVhost)
+    lws_vhost *clientVhost = lws_create_vhost(context->lwsContext, &info);
+    lws_sock_file_fd_type poller{};
+    poller.filefd = ::epoll_create1(EPOLL_CLOEXEC);
+    context->callPoller = poller.filefd;
+    if (!clientVhost || poller.filefd < 0
+        || !lws_adopt_descriptor_vhost(clientVhost, LWS_ADOPT_RAW_FILE_DESC, poller,
+                                       kClientProtocol, nullptr))
         return tl::unexpected(LoopError{"the HTTP client could not be created"});
     return std::unique_ptr<Loop>(new Loop(std::move(context)));
 }
--- a/libs/http/src/LoopContext.h
+++ b/libs/http/src/LoopContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/Http.h"
+#include "http1/Http1.h"
 
 #include <libwebsockets.h>
 
@@ -32,20 +33,48 @@
     TimerId bodyTimer;
 };
 
-/// One client-side call.
+/// A socket that closes with its owner.
+class ClientSocket
+{
+public:
+    ClientSocket() = default;
+    ~ClientSocket();
+    ClientSocket(const ClientSocket &) = delete;
+    ClientSocket &operator=(const ClientSocket &) = delete;
+
+    /// Begins to connect; false if that failed at once.
+    bool connect(const base::Endpoint &to);
+    int fd() const { return m_fd; }
+
+private:
+    int m_fd = -1;
+};
+
+/// How far a client-side call has come.
+enum class CallStage {
+    Connecting,
+    Writing, ///< The response may arrive meanwhile.
+    Written, ///< The response is being read.
+    /// Of the request, while the server has ended its side, and with it a response without a
+    /// length.
+    WritingAfterResponse,
+};
+
+/// One client-side call, on a connection of its own.
 struct PendingCall
 {
     CallId id;
-    lws *wsi = nullptr;
     Call call;
     CallHandler *handler = nullptr;
-    std::size_t bodySent = 0;
-    bool hasSent = false;
-    bool hasHead = false;
-    bool isComplete = false;
-    std::optional<std::size_t> expectedBytes; ///< From content-length.
-    bool isChunked = false;
-    std::size_t receivedBytes = 0;
+    ClientSocket socket;
+    CallStage stage = CallStage::Connecting;
+    std::string request; ///< Head and body.
+    std::size_t sentBytes = 0; ///< Of the request.
+    bool hasSent = false; ///< Writing has begun.
+    std::unique_ptr<http1::Parser<false>> parser;
+    std::string input; ///< Received and not yet parsed.
+    bool hasHead = false; ///< The handler has got it.
+    std::size_t undeliveredBytes = 0; ///< Received since the last part of the response.
     TimerId connectTimer;
     TimerId timer;
 };
@@ -83,7 +112,8 @@
 struct Loop::Context
 {
     lws_context *lwsContext = nullptr;
-    lws_vhost *clientVhost = nullptr;
+    std::size_t maxOpen = 0; ///< Connections, both ways together.
+    int callPoller = -1; ///< Epoll instance with the sockets of the calls; owned by lwsContext.
     std::vector<std::unique_ptr<Listener>> listeners;
     std::unordered_map<std::int64_t, std::unique_ptr<Exchange>> exchanges;
     std::unordered_map<std::int64_t, std::unique_ptr<PendingCall>> calls;
@@ -96,6 +126,8 @@
     void stopTimer(TimerId id);
     Exchange *exchange(ExchangeId id) const;
     PendingCall *call(CallId id) const;
+    /// Connections that are open or about to be, both ways together.
+    std::size_t openConnections() const;
 };
 
 Loop::Context &contextOf(lws *wsi);
@@ -107,11 +139,9 @@
 int serverCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, std::size_t len);
 int clientCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, std::size_t len);
 
-/// Ends a call with an error, once; \a context forgets it.
-void failCall(Loop::Context &context, CallId id, CallFailure failure);
-
-/// Bytes written to a socket at a time.
+/// Bytes written to a socket at a time, and read from one.
 inline constexpr std::size_t kWriteChunkBytes = 16 * 1024;
+inline constexpr std::size_t kReadChunkBytes = 16 * 1024;
 inline constexpr std::size_t kMaxHeaderBytes = 8 * 1024;
 
 } // namespace hyssop::http
--- a/libs/http/src/Message.cpp
+++ b/libs/http/src/Message.cpp
@@ -70,6 +70,8 @@
         return "timeout";
     case CallFailure::ClosedEarly:
         return "closed_early";
+    case CallFailure::InvalidResponse:
+        return "invalid_response";
     }
     return "unknown";
 }
