http: A reset does not complete a response without a length

An upstream answered with a 200 without a length and reset the connection, during the upload, after it or without one. Callers of the product's own interface got the part as a complete answer.

Cause: each end of the connection counted as the end of such a response, errors of reading and of writing included.

Now only the end of the file completes it, and only once the request has been written. A reset that the system reports to a write looks like the end of the file to the read after it, so a failed write fails the call too (RFC 9112, section 8: complete unless the connection reports an error). Until the request is written the call waits for the socket to take more, within its time limit.

--- a/libs/http/include/http/Http.h
+++ b/libs/http/include/http/Http.h
@@ -124,8 +124,8 @@
     virtual ~CallHandler() = default;
     virtual void onHead(CallId id, int status, const Headers &headers) = 0;
     virtual void onData(CallId id, std::string_view data) = 0;
-    /// The answer ended as its framing says; one framed by the closing of the connection counts
-    /// too.
+    /// The answer ended as its framing says. One framed by the end of the connection counts too, if
+    /// the server ended it without an error and the whole request could be written.
     virtual void onDone(CallId id) = 0;
     virtual void onFailed(CallId id, const CallError &error) = 0;
 };
--- a/libs/http/src/ClientSide.cpp
+++ b/libs/http/src/ClientSide.cpp
@@ -84,12 +84,13 @@
     owned->handler->onFailed(id, error);
 }
 
-/// Completes a response that is framed by the end of its connection.
+/// Completes a response that is framed by the end of its connection. The system reports a reset
+/// once. If it reports it to a write, reading ends as though the server had closed the connection.
 void completeAtEndOfFile(Loop::Context &context, PendingCall &pending)
 {
     boost::beast::error_code ec;
     pending.parser->put_eof(ec);
-    if (ec)
+    if (ec || pending.hasWriteFailed)
         failCall(context, pending.id, CallFailure::ClosedEarly);
     else
         finishCall(context, pending.id);
@@ -106,9 +107,10 @@
                              pending.request.size() - pending.sentBytes, MSG_NOSIGNAL);
     if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
-    pending.sentBytes += static_cast<std::size_t>(std::max<ssize_t>(n, 0));
     // What the server sent before may still be read, and may be complete.
-    if (n >= 0 && pending.sentBytes < pending.request.size())
+    pending.hasWriteFailed = n < 0;
+    pending.sentBytes += static_cast<std::size_t>(std::max<ssize_t>(n, 0));
+    if (!pending.hasWriteFailed && pending.sentBytes < pending.request.size())
         return;
     if (pending.stage == CallStage::WritingAfterResponse)
         completeAtEndOfFile(context, pending);
@@ -179,9 +181,12 @@
     const CallId id = pending.id;
     std::array<char, kReadChunkBytes> buf{};
     const ssize_t n = ::recv(pending.socket.fd(), buf.data(), buf.size(), 0);
-    if (n < 0 && (errno == EAGAIN || errno == EINTR))
+    if (n < 0) {
+        if (errno != EAGAIN && errno != EINTR)
+            failCall(context, id, CallFailure::ClosedEarly);
         return;
-    if (n <= 0)
+    }
+    if (n == 0)
         return endOfFile(context, pending);
     pending.input.append(buf.data(), static_cast<std::size_t>(n));
     pending.undeliveredBytes += static_cast<std::size_t>(n);
--- a/libs/http/src/LoopContext.h
+++ b/libs/http/src/LoopContext.h
@@ -71,6 +71,7 @@
     std::string request; ///< Head and body.
     std::size_t sentBytes = 0; ///< Of the request.
     bool hasSent = false; ///< Writing has begun.
+    bool hasWriteFailed = false;
     std::unique_ptr<http1::Parser<false>> parser;
     std::string input; ///< Received and not yet parsed.
     bool hasHead = false; ///< The handler has got it.
--- a/libs/http/tests/BrokenResponseTest.cpp
+++ b/libs/http/tests/BrokenResponseTest.cpp
@@ -97,6 +97,21 @@
 
 } // namespace
 
+TEST_CASE("a response without a length that is reset is not complete")
+{
+    const std::string response = std::string(kUnframedHead) + std::string(600, 'r');
+    CHECK(countComplete(response, Ending::Reset, 0, 20) == 0);
+    CHECK(countComplete(kUnframedHead, Ending::Reset, 0, 20) == 0);
+}
+
+TEST_CASE("a response without a length that is reset during the upload is not complete")
+{
+    const std::string response = std::string(kUnframedHead) + std::string(600, 'r');
+    CHECK(countComplete(response, Ending::Reset, kUploadBytes, 20) == 0);
+    CHECK(countComplete(kUnframedHead, Ending::Reset, kUploadBytes, 20) == 0);
+    CHECK(countComplete(response, Ending::ReadAndReset, kUploadBytes, 5) == 0);
+}
+
 TEST_CASE("a response with a length or in chunks that is cut is not complete")
 {
     for (const Ending ending : {Ending::Reset, Ending::Close}) {
