--- a/libs/testmain/ScriptedServer.cpp
+++ b/libs/testmain/ScriptedServer.cpp
@@ -58,6 +58,7 @@
     {
         const std::lock_guard guard(m_mutex);
         m_isStopping = true;
+        m_stopped.notify_all();
         for (const auto &socket : m_sockets)
             ::shutdown(socket->native_handle(), SHUT_RDWR);
     }
@@ -118,7 +119,10 @@
     boost::asio::write(*socket, boost::asio::buffer(script.response), ec);
     if (script.ending == Ending::Close || script.ending == Ending::CloseAndReset)
         socket->shutdown(tcp::socket::shutdown_send, ec);
-    std::this_thread::sleep_for(script.delay);
+    {
+        std::unique_lock lock(m_mutex);
+        m_stopped.wait_for(lock, script.delay, [this] { return m_isStopping; });
+    }
     if (script.ending == Ending::Close)
         readBody(*socket, received);
     // The destructor uses the descriptors of the sockets in the list.
--- a/libs/testmain/ScriptedServer.h
+++ b/libs/testmain/ScriptedServer.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <condition_variable>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -58,6 +59,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     base::Endpoint m_address;
     mutable std::mutex m_mutex;
+    std::condition_variable m_stopped;
     Script m_script;
     int m_requestCount = 0;
     bool m_isStopping = false;
