--- a/integration/BrokenAnswerTest.cpp
+++ b/integration/BrokenAnswerTest.cpp
@@ -21,7 +21,6 @@
 
 namespace {
 
-constexpr Millis kSoon{10'000};
 constexpr std::size_t kUpstreams = 6;
 constexpr std::size_t kCallers = 3;
 constexpr std::size_t kUploadBytes = 900'000;
