http: Callers that fill a loop's connections do not keep it from calling

The bound is that of libwebsockets on accepted connections again, and stated as such. Calls are bounded by admission and by the descriptors of the process.

tests/LoopTest.cpp: 32 callers at a bound of 16, and then a call: it failed on the commit before and is answered now.

--- a/libs/http/include/http/Http.h
+++ b/libs/http/include/http/Http.h
@@ -155,7 +155,7 @@
 class Loop
 {
 public:
-    /// \a maxOpen bounds the open connections, both ways together.
+    /// \a maxOpen bounds the accepted connections. Further callers wait until one of these ends.
     static tl::expected<std::unique_ptr<Loop>, LoopError> create(std::size_t maxOpen = 4096);
     ~Loop();
     Loop(const Loop &) = delete;
--- a/libs/http/src/ClientSide.cpp
+++ b/libs/http/src/ClientSide.cpp
@@ -234,7 +234,7 @@
         return;
     pending->request = renderRequest(pending->call);
     std::string().swap(pending->call.body);
-    if (context.openConnections() > context.maxOpen || !pending->socket.connect(pending->call.to))
+    if (!pending->socket.connect(pending->call.to))
         return failCall(context, id, CallFailure::ConnectFailed);
     updatePolling(context, *pending, EPOLL_CTL_ADD);
 }
--- a/libs/http/src/Loop.cpp
+++ b/libs/http/src/Loop.cpp
@@ -3,7 +3,6 @@
 #include <array>
 #include <csignal>
 #include <sys/epoll.h>
-#include <unistd.h>
 
 namespace hyssop::http {
 
@@ -57,7 +56,6 @@
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
     info.user = context.get();
     info.fd_limit_per_thread = static_cast<unsigned>(maxOpen + kOwnDescriptors);
-    context->maxOpen = maxOpen;
     info.max_http_header_data = kMaxHeaderBytes;
     info.max_http_header_pool2 = static_cast<unsigned>(maxOpen);
     context->lwsContext = lws_create_context(&info);
--- a/libs/http/src/LoopContext.cpp
+++ b/libs/http/src/LoopContext.cpp
@@ -79,12 +79,4 @@
     return it == calls.end() ? nullptr : it->second.get();
 }
 
-std::size_t Loop::Context::openConnections() const
-{
-    std::size_t n = calls.size();
-    for (const auto &it : listeners)
-        n += it->connections.size();
-    return n;
-}
-
 } // namespace hyssop::http
--- a/libs/http/src/LoopContext.h
+++ b/libs/http/src/LoopContext.h
@@ -113,7 +113,6 @@
 struct Loop::Context
 {
     lws_context *lwsContext = nullptr;
-    std::size_t maxOpen = 0; ///< Connections, both ways together.
     int callPoller = -1; ///< Epoll instance with the sockets of the calls; owned by lwsContext.
     std::vector<std::unique_ptr<Listener>> listeners;
     std::unordered_map<std::int64_t, std::unique_ptr<Exchange>> exchanges;
@@ -127,8 +126,6 @@
     void stopTimer(TimerId id);
     Exchange *exchange(ExchangeId id) const;
     PendingCall *call(CallId id) const;
-    /// Connections that are open or about to be, both ways together.
-    std::size_t openConnections() const;
 };
 
 Loop::Context &contextOf(lws *wsi);
--- a/libs/http/src/ServerSide.cpp
+++ b/libs/http/src/ServerSide.cpp
@@ -295,10 +295,6 @@
 {
     auto *slot = static_cast<std::int64_t *>(user);
     switch (reason) {
-    case LWS_CALLBACK_FILTER_NETWORK_CONNECTION: {
-        const Loop::Context &context = contextOf(wsi);
-        return context.openConnections() >= context.maxOpen ? -1 : 0;
-    }
     case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
         connectionOpened(wsi);
         return 0;
--- a/libs/http/tests/LoopTest.cpp
+++ b/libs/http/tests/LoopTest.cpp
@@ -1,4 +1,5 @@
 #include "http/Http.h"
+#include "ScriptedServer.h"
 
 #include <catch2/catch.hpp>
 
@@ -154,6 +155,29 @@
     CHECK(rig.echo.rejected == std::vector<RejectReason>{RejectReason::BodyTooLarge});
 }
 
+TEST_CASE("callers that fill the connections of a loop do not keep it from calling others")
+{
+    constexpr std::size_t kMaxOpen = 16;
+    const auto loop = std::move(*Loop::create(kMaxOpen));
+    Echo echo;
+    echo.loop = loop.get();
+    ServerOptions options;
+    options.listen = {"127.0.0.1", 0};
+    Call call;
+    call.to = *loop->listen(options, &echo);
+    call.path = "/hang";
+    Collect callers(loop.get());
+    for (std::size_t n = 0; n < 2 * kMaxOpen; ++n)
+        loop->call(call, &callers);
+    const testing::ScriptedServer upstream({"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
+    call.to = upstream.address();
+    Collect collect(loop.get());
+    loop->after(base::Millis(100), [&] { loop->call(call, &collect); });
+    loop->run();
+    CHECK(collect.isDone);
+    CHECK_FALSE(collect.error);
+}
+
 TEST_CASE("a loop that ends tells the handlers of open calls nothing more")
 {
     Rig rig;
